Lay out the layers, the message catalogue and the design

Cause: the repository was empty; every part needs the same vocabulary.

Ruled out: a read-back of writes whose answer was lost. A first copy in flight can take effect after the read, so the identical write is repeated with the same op_id until the store gives a definite answer.

Conclusion: components can now be written against protocol/ in parallel.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration of the whole path."""
--- /dev/null
+++ b/src/apricotlead/cli.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/apricotlead/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: leases, limits, routing, membership and recovery."""
--- /dev/null
+++ b/src/apricotlead/coordination/component.py
@@ -0,0 +1,66 @@
+"""The base of all components and the marker of their handlers."""
+
+from collections.abc import Callable, Iterable
+from inspect import getmembers
+from typing import Any, ClassVar
+
+from apricotlead.protocol.signals import SendToPeer, Signal
+from apricotlead.state.session_view import SessionView
+
+Handler = Callable[[Any, Any, float], Iterable[Signal]]
+
+_HANDLED_TYPES = 'handled_signal_types'
+
+
+def handles(*signal_types: type[Signal]) -> Callable[[Handler], Handler]:
+    """Register the decorated method for signals of these types.
+
+    The method has the form ``method(self, signal, now)`` and returns the
+    signals that follow from it, in order. ``now`` is in monotonic seconds.
+    """
+
+    def decorate(handler: Handler) -> Handler:
+        setattr(handler, _HANDLED_TYPES, signal_types)
+        return handler
+
+    return decorate
+
+
+class Component:
+    """A part of the scheduler that turns signals into signals.
+
+    ``name`` is what tokens of its store and worker calls carry.
+    """
+
+    name: ClassVar[str] = ''
+    __slots__ = ()
+
+    @classmethod
+    def handlers_by_type(cls) -> dict[type[Signal], list[Handler]]:
+        """Return the marked methods by the signal type they handle."""
+        by_type: dict[type[Signal], list[Handler]] = {}
+        for _, handler in getmembers(cls, callable):
+            for signal_type in getattr(handler, _HANDLED_TYPES, ()):
+                by_type.setdefault(signal_type, []).append(handler)
+        return by_type
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the component's state in JSON builtins."""
+        return {}
+
+
+def route_to_session(
+    view: SessionView,
+    session_id: str,
+    message: Any,
+) -> tuple[Signal, ...]:
+    """Address a peer message: to an own component or to another session.
+
+    Nothing is sent to a session that is not known to be live.
+    """
+    if session_id == view.session_id:
+        return (message,)
+    peer = view.peers_by_id.get(session_id)
+    if peer is None:
+        return ()
+    return (SendToPeer(session_id, peer.address, message),)
--- /dev/null
+++ b/src/apricotlead/coordination/scheduler.py
@@ -0,0 +1,109 @@
+"""Delivers signals between components and collects the effects."""
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from functools import partial
+from typing import Any
+
+from apricotlead.coordination.component import Component
+from apricotlead.coordination.store_settlement import StoreSettlement
+from apricotlead.protocol.signals import (
+    Effect,
+    ObjectReplied,
+    PeerReceived,
+    RecordsCommitted,
+    RecordsRejected,
+    Signal,
+    StoreReplied,
+    Tick,
+    WorkerReplied,
+)
+
+# Replies go only to the component that asked.
+_ADDRESSED = (
+    StoreReplied,
+    ObjectReplied,
+    WorkerReplied,
+    RecordsCommitted,
+    RecordsRejected,
+)
+# A signal that causes this many others in one delivery is a cycle.
+_MAX_SIGNALS_PER_DELIVERY = 1_000_000
+
+
+class Scheduler:
+    """All components of one entry instance, joined by a queue of signals.
+
+    It does no I/O: signals and the time come in, effects go out. One
+    delivery runs until no component has anything more to say.
+    """
+
+    __slots__ = ('_components', '_handlers_by_type', '_settlement')
+
+    def __init__(
+        self,
+        components: Sequence[Component],
+        settlement: StoreSettlement,
+    ) -> None:
+        """Index the handlers of all components by signal type."""
+        self._components = tuple(components)
+        self._settlement = settlement
+        self._handlers_by_type: dict[type[Signal], list[Any]] = {}
+        for component in self._components:
+            self._register(component)
+
+    def deliver(self, signal: Signal, now: float) -> list[Effect]:
+        """Deliver ``signal`` and all that follows; return the effects.
+
+        ``now`` is in monotonic seconds and must not go back.
+        """
+        effects: list[Effect] = []
+        if isinstance(signal, Tick):
+            effects.extend(self._settlement.repeat_due(now))
+        queue: deque[Signal] = deque(self._settlement.incoming(signal, now))
+        for _ in range(_MAX_SIGNALS_PER_DELIVERY):
+            if not queue:
+                return effects
+            following = self._deliver_one(queue.popleft(), now)
+            for produced in following:
+                if isinstance(produced, Effect):
+                    effects.extend(self._settlement.outgoing(produced, now))
+                else:
+                    queue.append(produced)
+        raise RuntimeError(f'signals cycle after {signal!r}')
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the state of all components in JSON builtins."""
+        return {
+            component.name: component.dump(now)
+            for component in self._components
+        }
+
+    def _register(self, component: Component) -> None:
+        for signal_type, handlers in component.handlers_by_type().items():
+            bound = [partial(handler, component) for handler in handlers]
+            if signal_type in _ADDRESSED:
+                bound = [
+                    partial(_if_addressed, component.name, handler)
+                    for handler in bound
+                ]
+            self._handlers_by_type.setdefault(signal_type, []).extend(bound)
+
+    def _deliver_one(self, signal: Signal, now: float) -> Iterable[Signal]:
+        if isinstance(signal, PeerReceived):
+            signal = signal.message
+        following: list[Signal] = []
+        for handler in self._handlers_by_type.get(type(signal), ()):
+            following.extend(handler(signal, now))
+        return following
+
+
+def _if_addressed(
+    name: str,
+    handler: Any,
+    signal: Any,
+    now: float,
+) -> Iterable[Signal]:
+    if signal.token.component != name:
+        return ()
+    return handler(signal, now)
--- /dev/null
+++ b/src/apricotlead/entry.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry instance."""
--- /dev/null
+++ b/src/apricotlead/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, codecs and typed errors: the vocabulary of all other layers."""
--- /dev/null
+++ b/src/apricotlead/protocol/config.py
@@ -0,0 +1,120 @@
+"""The cell's configuration and the changes operators make to it."""
+
+from typing import Literal
+
+from msgspec import Struct, field
+
+PresetName = Literal['ordinary', 'peak', 'maintenance']
+
+
+class Team(Struct, frozen=True, omit_defaults=True):
+    """A team: its organisation, weight for fair share, and upper limit.
+
+    ``weight`` is relative to other teams; ``limit`` is the most units (tasks
+    and lookups) that run at once across the fleet.
+    """
+
+    name: str
+    organisation: str
+    weight: float = 1.0
+    limit: int = 1000
+
+
+class Queue(Struct, frozen=True, omit_defaults=True):
+    """A queue; ``team`` is empty where it is open to all."""
+
+    name: str
+    team: str = ''
+    max_pending_tasks: int = 100_000
+
+
+class Preset(Struct, frozen=True, omit_defaults=True):
+    """A named bundle of policy.
+
+    ``placement`` names a registered placement policy; ``admits_batch`` tells
+    whether new batch jobs are accepted; ``starts_batch`` whether queued ones
+    start; ``reserved_fraction`` of each worker is kept for gang and urgent
+    work.
+    """
+
+    name: PresetName
+    placement: str = 'best_fit'
+    admits_batch: bool = True
+    starts_batch: bool = True
+    reserved_fraction: float = 0.0
+
+
+ORDINARY = Preset('ordinary')
+PEAK = Preset('peak', reserved_fraction=0.1)
+MAINTENANCE = Preset('maintenance', admits_batch=False, starts_batch=False)
+
+
+class CellConfig(Struct, frozen=True):
+    """The whole configuration at one version."""
+
+    version: int = 0
+    preset_in_force: PresetName = 'ordinary'
+    presets_by_name: dict[str, Preset] = field(
+        default_factory=lambda: {
+            preset.name: preset for preset in (ORDINARY, PEAK, MAINTENANCE)
+        },
+    )
+    teams_by_name: dict[str, Team] = field(default_factory=dict)
+    queues_by_name: dict[str, Queue] = field(default_factory=dict)
+    teams_by_key_digest: dict[str, str] = field(default_factory=dict)
+
+
+class PutTeam(Struct, frozen=True, tag='put_team'):
+    """Creates or replaces a team."""
+
+    team: Team
+
+
+class PutQueue(Struct, frozen=True, tag='put_queue'):
+    """Creates or replaces a queue."""
+
+    queue: Queue
+
+
+class GrantKey(Struct, frozen=True, tag='grant_key'):
+    """Lets a key (its SHA-256 hex digest) speak for a team."""
+
+    key_digest: str
+    team: str
+
+
+class WithdrawKey(Struct, frozen=True, tag='withdraw_key'):
+    """Ends a key."""
+
+    key_digest: str
+
+
+class PutPreset(Struct, frozen=True, tag='put_preset'):
+    """Replaces the policy of a preset."""
+
+    preset: Preset
+
+
+class ChoosePreset(Struct, frozen=True, tag='choose_preset'):
+    """Puts another preset in force."""
+
+    name: PresetName
+
+
+ConfigChange = (
+    PutTeam | PutQueue | GrantKey | WithdrawKey | PutPreset | ChoosePreset
+)
+
+
+class ChangeRequest(Struct, frozen=True):
+    """An operator's change and the version it is based on."""
+
+    base_version: int
+    change: ConfigChange
+
+
+class LoggedChange(Struct, frozen=True):
+    """A committed change and the version that it made."""
+
+    version: int
+    change: ConfigChange
--- /dev/null
+++ b/src/apricotlead/protocol/outcomes.py
@@ -0,0 +1,35 @@
+"""The three kinds of answer, as tagged outcomes."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from apricotlead.protocol.errors import ApricotleadError
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The request was carried out; ``answer`` is a struct or builtins."""
+
+    answer: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request was not carried out and never will be.
+
+    ``retry_after_s`` is the time to come back, in seconds; ``None`` where
+    sending it again cannot help.
+    """
+
+    error: ApricotleadError
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """It is unknown whether the request was carried out."""
+
+    error: ApricotleadError
+
+
+Outcome = Done | NotRun | MayHaveRun
--- /dev/null
+++ b/src/apricotlead/protocol/peers.py
@@ -0,0 +1,132 @@
+"""Messages between entry instances. Links may lose and reorder them."""
+
+from msgspec import Struct
+
+from apricotlead.protocol.config import LoggedChange
+from apricotlead.protocol.errors import ErrorReport
+from apricotlead.protocol.jobs import JobStatus, Priority
+from apricotlead.protocol.resources import Resources
+
+
+class TaskDemand(Struct, frozen=True):
+    """One wanted attempt."""
+
+    attempt_id: str
+    demand: Resources
+
+
+class ReserveCapacity(Struct, frozen=True, tag='reserve'):
+    """Asks a worker owner for room; may be parked up to ``park_s``."""
+
+    request_id: str
+    home_session: str
+    team: str
+    priority: Priority
+    demands: tuple[TaskDemand, ...]
+    gang: bool = False
+    park_s: float = 0.0
+
+
+class Grant(Struct, frozen=True):
+    """Room for one attempt on one worker.
+
+    ``not_after_s`` is on the worker's clock of boot ``boot_id``.
+    """
+
+    attempt_id: str
+    worker_id: str
+    address: str
+    worker_epoch: int
+    boot_id: str
+    not_after_s: float
+
+
+class CapacityGranted(Struct, frozen=True, tag='granted'):
+    """Room for some of the wanted attempts; more may follow."""
+
+    request_id: str
+    owner_session: str
+    grants: tuple[Grant, ...]
+
+
+class CapacityRefused(Struct, frozen=True, tag='refused'):
+    """No room for these attempts; nothing is held for them."""
+
+    request_id: str
+    owner_session: str
+    attempt_ids: tuple[str, ...]
+
+
+class ReleaseGrants(Struct, frozen=True, tag='release'):
+    """These attempts have ended or will never start."""
+
+    attempt_ids: tuple[str, ...]
+
+
+class TeamLoad(Struct, frozen=True, omit_defaults=True):
+    """What a team has running and waiting at one session."""
+
+    running: Resources = Resources()
+    waiting: Resources = Resources()
+
+
+class SessionLoad(Struct, frozen=True, omit_defaults=True):
+    """One session's entry in the gossip; ``serial`` grows."""
+
+    session_id: str
+    serial: int
+    datacentre: str = ''
+    free: Resources = Resources()
+    capacity: Resources = Resources()
+    largest_free: Resources = Resources()
+    loads_by_team: dict[str, TeamLoad] = {}
+
+
+class Gossip(Struct, frozen=True, tag='gossip'):
+    """Freshest known loads, and how recent the sender's config is.
+
+    ``config_age_s`` is the time since the sender (or its own source) sent the
+    read that proved ``config_version`` current.
+    """
+
+    sender: str
+    loads: tuple[SessionLoad, ...] = ()
+    config_version: int = 0
+    config_age_s: float = 1e9
+    changes: tuple[LoggedChange, ...] = ()
+
+
+class AskJob(Struct, frozen=True, tag='ask_job'):
+    """Asks the home of a job for its status, or to cancel it."""
+
+    ask_id: str
+    sender: str
+    job_id: str
+    team: str
+    cancel: bool = False
+
+
+class JobAnswer(Struct, frozen=True, tag='job_answer'):
+    """The home's answer; one of ``status`` and ``error`` is set."""
+
+    ask_id: str
+    status: JobStatus | None = None
+    error: ErrorReport | None = None
+
+
+PeerMessage = (
+    ReserveCapacity
+    | CapacityGranted
+    | CapacityRefused
+    | ReleaseGrants
+    | Gossip
+    | AskJob
+    | JobAnswer
+)
+
+
+class Envelope(Struct, frozen=True):
+    """A peer message with the session that sent it."""
+
+    sender: str
+    message: PeerMessage
--- /dev/null
+++ b/src/apricotlead/protocol/table.py
@@ -0,0 +1,88 @@
+"""Transactions on the platform's table service, and their replies.
+
+A row has a version that grows with each write; version 0 means that the row
+does not exist. Each row carries the ``op_id`` of the write that made it, so a
+write whose answer was lost can be settled by sending it again: its checks fail
+if it took effect, and the row then shows the same ``op_id``.
+"""
+
+from typing import Any
+
+from msgspec import Struct
+
+
+class Row(Struct, frozen=True, omit_defaults=True):
+    """A row as read; ``value`` is JSON builtins, ``None`` when absent."""
+
+    key: str
+    version: int = 0
+    value: Any = None
+    op_id: str = ''
+
+
+class Check(Struct, frozen=True):
+    """The transaction applies only if ``key`` is at ``version``."""
+
+    key: str
+    version: int
+
+
+class Put(Struct, frozen=True):
+    """Writes ``value`` (JSON builtins) to ``key``."""
+
+    key: str
+    value: Any
+
+
+class Transaction(Struct, frozen=True):
+    """All writes apply, or none does.
+
+    ``checks`` must contain a check that the transaction itself makes false
+    (such as the version of a row it puts), so that a repeat cannot apply
+    twice. ``witness`` is the key of such a row.
+    """
+
+    op_id: str
+    witness: str
+    checks: tuple[Check, ...]
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+class Committed(Struct, frozen=True, tag='committed'):
+    """The transaction took effect; new versions by key."""
+
+    versions: dict[str, int]
+
+
+class CheckFailed(Struct, frozen=True, tag='check_failed'):
+    """Nothing was written; the current rows of all checked keys."""
+
+    rows: tuple[Row, ...]
+
+    def row(self, key: str) -> Row:
+        """Return the current row of ``key`` (version 0 when absent)."""
+        for row in self.rows:
+            if row.key == key:
+                return row
+        return Row(key)
+
+
+class Rows(Struct, frozen=True, tag='rows'):
+    """The answer to a read or a scan, in key order for a scan."""
+
+    rows: tuple[Row, ...]
+
+
+class StoreFailed(Struct, frozen=True, tag='failed'):
+    """The call failed.
+
+    ``applied`` is ``False`` when the service said so (or the call never
+    left), ``None`` when it is unknown.
+    """
+
+    applied: bool | None
+    retry_after_s: float = 0.2
+
+
+StoreReply = Committed | CheckFailed | Rows | StoreFailed
--- /dev/null
+++ b/src/apricotlead/protocol/workers.py
@@ -0,0 +1,134 @@
+"""Messages between entry instances and workers.
+
+A worker keeps the highest worker epoch and, by journal, the highest journal
+epoch that it has seen, and refuses lower ones. ``clock_s`` is the worker's own
+monotonic clock; ``boot_id`` changes when the worker restarts.
+"""
+
+from typing import Literal
+
+from msgspec import Struct
+
+from apricotlead.protocol.jobs import AttemptState, TaskSpec
+from apricotlead.protocol.resources import Resources
+
+
+class AttemptReport(Struct, frozen=True, omit_defaults=True):
+    """An attempt that the worker has; ended ones until acknowledged."""
+
+    attempt_id: str
+    state: AttemptState
+    journal_id: str = ''
+    demand: Resources = Resources()
+    used: Resources = Resources()
+    message: str = ''
+    output: str = ''
+
+
+class Heartbeat(Struct, frozen=True, tag='heartbeat'):
+    """The owner's fence and question; route ``/v1/heartbeat``."""
+
+    owner: str
+    epoch: int
+
+
+class HeartbeatReply(Struct, frozen=True, tag='heartbeat_reply'):
+    """Exactly the attempts the worker has; ``used`` in them lags."""
+
+    clock_s: float
+    boot_id: str
+    capacity: Resources
+    attempts: tuple[AttemptReport, ...] = ()
+
+
+class StartTask(Struct, frozen=True, tag='start'):
+    """Starts an attempt; idempotent by ``attempt_id``; ``/v1/start``.
+
+    Refused past ``not_after_s`` on the worker's clock, with another boot, or
+    with an old epoch.
+    """
+
+    attempt_id: str
+    worker_epoch: int
+    boot_id: str
+    not_after_s: float
+    journal_id: str
+    journal_epoch: int
+    lease_s: float
+    task: TaskSpec
+
+
+class RenewLeases(Struct, frozen=True, tag='leases'):
+    """Extends leases by ``lease_s`` from receipt; ``/v1/leases``.
+
+    The worker answers when one of the attempts has ended, or after ``wait_s``.
+    It forgets the attempts in ``acknowledged_ids``.
+    """
+
+    journal_id: str
+    journal_epoch: int
+    attempt_ids: tuple[str, ...]
+    acknowledged_ids: tuple[str, ...] = ()
+    lease_s: float = 10.0
+    wait_s: float = 0.0
+
+
+class LeasesReply(Struct, frozen=True, tag='leases_reply'):
+    """The state of each attempt asked for; ``unknown`` if never seen."""
+
+    clock_s: float
+    boot_id: str
+    attempts: tuple[AttemptReport, ...] = ()
+
+
+class StopTasks(Struct, frozen=True, tag='stop'):
+    """Stops attempts, after a checkpoint if asked; ``/v1/stop``."""
+
+    journal_id: str
+    journal_epoch: int
+    attempt_ids: tuple[str, ...]
+    checkpoint: bool = True
+
+
+class ThrottleTask(Struct, frozen=True, tag='throttle'):
+    """Caps an attempt's processor use; ``/v1/throttle``."""
+
+    attempt_id: str
+    worker_epoch: int
+    cpu_millis: int
+
+
+class Accepted(Struct, frozen=True, tag='accepted'):
+    """The worker did as told."""
+
+    clock_s: float
+    boot_id: str
+
+
+class WorkerRefused(Struct, frozen=True, tag='refused'):
+    """The worker did nothing; ``reason`` says why."""
+
+    reason: Literal['stale_epoch', 'expired', 'other_boot', 'unknown_attempt']
+    epoch: int = 0
+    clock_s: float = 0.0
+    boot_id: str = ''
+
+
+class CallFailed(Struct, frozen=True, tag='call_failed'):
+    """No answer; ``sent`` is ``False`` when the call never left."""
+
+    sent: bool
+
+
+WorkerRequest = Heartbeat | StartTask | RenewLeases | StopTasks | ThrottleTask
+WorkerReply = (
+    HeartbeatReply | LeasesReply | Accepted | WorkerRefused | CallFailed
+)
+
+WORKER_ROUTES = (
+    (Heartbeat, '/v1/heartbeat'),
+    (StartTask, '/v1/start'),
+    (RenewLeases, '/v1/leases'),
+    (StopTasks, '/v1/stop'),
+    (ThrottleTask, '/v1/throttle'),
+)
--- /dev/null
+++ b/src/apricotlead/settings.py
@@ -0,0 +1,1 @@
+"""The settings file of an entry instance."""
--- /dev/null
+++ b/src/apricotlead/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tables, indexes and the view of the cell."""
--- /dev/null
+++ b/src/apricotlead/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, pynng, clocks and the one loop."""
--- /dev/null
+++ b/src/apricotlead_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, executors and workers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each module mirrors one module of the library."""
