Add stand-ins and the HTTP clients for the platform and workers

Cause: The daemon needs a platform, workers and executors to talk to, and clients that tell apart "never sent", "answered" and "outcome unknown".

Ruled out: Logic inside WSGI handlers; it could not run in memory on a controlled clock. The logic is plain objects that take the time, and a waiting answer is a value (Parked) that the server or a test resumes.

Before and after: There were no stand-ins.

Conclusion: The interfaces are in place. RenewLeases gains lease_until_s, because a renewal that was delayed by a paused worker would otherwise extend a lease past the time at which its sender counts it as lapsed.

--- a/src/apricotlead/protocol/table.py
+++ b/src/apricotlead/protocol/table.py
@@ -78,11 +78,19 @@
     """The call failed.
 
     ``applied`` is ``False`` when the service said so (or the call never
-    left), ``None`` when it is unknown.
+    left), ``None`` when it is unknown. ``reason`` is for logs.
     """
 
     applied: bool | None
     retry_after_s: float = 0.2
+    reason: str = ''
 
 
 StoreReply = Committed | CheckFailed | Rows | StoreFailed
+
+
+class ObjectReply(Struct, frozen=True):
+    """The object store's answer; ``content`` is ``None`` when absent."""
+
+    succeeded: bool
+    content: bytes | None = None
--- a/src/apricotlead/protocol/workers.py
+++ b/src/apricotlead/protocol/workers.py
@@ -62,7 +62,9 @@
     """Extends leases by ``lease_s`` from receipt; ``/v1/leases``.
 
     The worker answers when one of the attempts has ended, or after ``wait_s``.
-    It forgets the attempts in ``acknowledged_ids``.
+    It forgets the attempts in ``acknowledged_ids``. No lease is extended past
+    ``lease_until_s`` (on the worker's clock), which keeps a request that was
+    long under way from extending a lease that its sender counts as lapsed.
     """
 
     journal_id: str
@@ -71,6 +73,7 @@
     acknowledged_ids: tuple[str, ...] = ()
     lease_s: float = 10.0
     wait_s: float = 0.0
+    lease_until_s: float | None = None
 
 
 class LeasesReply(Struct, frozen=True, tag='leases_reply'):
--- /dev/null
+++ b/src/apricotlead/transport/platform_client.py
@@ -0,0 +1,163 @@
+"""The platform's table service, object store and list of instances."""
+
+from typing import Any, Protocol
+from urllib.parse import quote
+
+from msgspec import MsgspecError, Struct
+from msgspec.json import Decoder, encode
+
+from apricotlead.protocol.instances import InstanceList
+from apricotlead.protocol.table import (
+    CheckFailed,
+    Committed,
+    ObjectReply,
+    Rows,
+    StoreFailed,
+    Transaction,
+)
+from apricotlead.transport.http_pool import (
+    Answered,
+    HttpCall,
+    HttpResult,
+    NeverSent,
+)
+
+_OK = 200
+_NOT_FOUND = 404
+_REFUSED_STATUSES = frozenset((429, 503))
+_RETRY_HEADER = 'retry-after'
+_DEFAULT_RETRY_S = 0.2
+_EXCERPT_BYTES = 200
+# Malformed requests are refused however often they come.
+_MALFORMED_RETRY_S = 2.0
+
+_TRANSACT_DECODER = Decoder(Committed | CheckFailed)
+_ROWS_DECODER = Decoder(Rows)
+_LIST_DECODER = Decoder(InstanceList)
+
+
+class _ReadQuery(Struct, frozen=True):
+    keys: tuple[str, ...]
+
+
+class _ScanQuery(Struct, frozen=True):
+    prefix: str
+
+
+class Caller(Protocol):
+    """What the client needs of :class:`HttpPool`."""
+
+    def call(self, request: HttpCall) -> HttpResult:
+        """Send a request and wait for its answer."""
+
+
+class PlatformClient:
+    """Calls the platform at one address; each method waits for the answer.
+
+    A failed call is a :class:`StoreFailed`: ``applied`` is ``False`` where the
+    platform refused it or it never left, ``None`` where its answer was lost.
+    """
+
+    __slots__ = ('_address', '_pool', '_timeout_s')
+
+    def __init__(
+        self,
+        pool: Caller,
+        address: str,
+        timeout_s: float = 2.0,
+    ) -> None:
+        """Call the platform at ``address`` (``IP:port``)."""
+        self._pool = pool
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def transact(
+        self,
+        transaction: Transaction,
+    ) -> Committed | CheckFailed | StoreFailed:
+        """Send a transaction once; the caller settles a lost answer."""
+        answer = self._post('/v1/table/transact', transaction)
+        return _decode(answer, _TRANSACT_DECODER)
+
+    def read_rows(self, keys: tuple[str, ...]) -> Rows | StoreFailed:
+        """Read one row for each key, in that order."""
+        answer = self._post('/v1/table/read', _ReadQuery(keys))
+        return _decode(answer, _ROWS_DECODER)
+
+    def scan_rows(self, prefix: str) -> Rows | StoreFailed:
+        """Read the rows whose key begins with ``prefix``, in key order."""
+        answer = self._post('/v1/table/scan', _ScanQuery(prefix))
+        return _decode(answer, _ROWS_DECODER)
+
+    def put_object(self, key: str, content: bytes) -> ObjectReply:
+        """Create or replace an object; safe to repeat."""
+        answer = self._send('PUT', _object_path(key), content)
+        return ObjectReply(_is_status(answer, _OK))
+
+    def get_object(self, key: str) -> ObjectReply:
+        """Read an object."""
+        answer = self._send('GET', _object_path(key))
+        if isinstance(answer, Answered) and answer.status == _OK:
+            return ObjectReply(succeeded=True, content=answer.body)
+        return ObjectReply(_is_status(answer, _NOT_FOUND))
+
+    def delete_object(self, key: str) -> ObjectReply:
+        """Delete an object; safe to repeat."""
+        answer = self._send('DELETE', _object_path(key))
+        return ObjectReply(_is_status(answer, _OK))
+
+    def list_instances(self) -> InstanceList | StoreFailed:
+        """Read the lagging list of live and leaving instances."""
+        return _decode(self._send('GET', '/v1/instances'), _LIST_DECODER)
+
+    def _post(self, path: str, message: Struct) -> HttpResult:
+        return self._send('POST', path, encode(message))
+
+    def _send(self, method: str, path: str, body: bytes = b'') -> HttpResult:
+        return self._pool.call(
+            HttpCall(
+                method,
+                self._address,
+                path,
+                body,
+                timeout_s=self._timeout_s,
+            ),
+        )
+
+
+def _decode(answer: HttpResult, decoder: Any) -> Any:
+    if not _is_status(answer, _OK):
+        return _failure(answer)
+    try:
+        return decoder.decode(answer.body)
+    except MsgspecError as error:
+        return StoreFailed(applied=None, reason=f'malformed: {error}')
+
+
+def _failure(answer: HttpResult) -> StoreFailed:
+    if isinstance(answer, NeverSent):
+        return StoreFailed(applied=False, reason=answer.reason)
+    if not isinstance(answer, Answered):
+        return StoreFailed(applied=None, reason=answer.reason)
+    excerpt = answer.body[:_EXCERPT_BYTES].decode(errors='replace')
+    reason = f'status {answer.status}: {excerpt}'
+    if answer.status in _REFUSED_STATUSES:
+        return StoreFailed(False, _retry_after_s(answer), reason)
+    if 400 <= answer.status < 500:
+        return StoreFailed(False, _MALFORMED_RETRY_S, reason)
+    return StoreFailed(applied=None, reason=reason)
+
+
+def _retry_after_s(answer: Answered) -> float:
+    try:
+        return float(answer.headers[_RETRY_HEADER])
+    except (KeyError, ValueError):
+        return _DEFAULT_RETRY_S
+
+
+def _is_status(answer: HttpResult, status: int) -> bool:
+    return isinstance(answer, Answered) and answer.status == status
+
+
+def _object_path(key: str) -> str:
+    return f'/v1/objects/{quote(key)}'
--- /dev/null
+++ b/src/apricotlead/transport/worker_client.py
@@ -0,0 +1,97 @@
+"""Calls to workers."""
+
+from typing import Protocol
+
+from msgspec import MsgspecError
+from msgspec.json import Decoder, encode
+
+from apricotlead.protocol.workers import (
+    WORKER_ROUTES,
+    Accepted,
+    CallFailed,
+    Heartbeat,
+    HeartbeatReply,
+    LeasesReply,
+    RenewLeases,
+    WorkerRefused,
+    WorkerReply,
+    WorkerRequest,
+)
+from apricotlead.transport.http_pool import (
+    Answered,
+    HttpCall,
+    HttpResult,
+    NeverSent,
+)
+
+_OK = 200
+_CONFLICT = 409
+_UNAVAILABLE = 503
+_OUTCOME_HEADER = 'x-apricotlead-outcome'
+_NOT_RUN = 'not-run'
+
+_PATHS_BY_TYPE = dict(WORKER_ROUTES)
+_REFUSAL_DECODER = Decoder(WorkerRefused)
+_ACCEPTED_DECODER = Decoder(Accepted)
+_DECODERS_BY_TYPE = {
+    Heartbeat: Decoder(HeartbeatReply),
+    RenewLeases: Decoder(LeasesReply),
+}
+
+
+class Caller(Protocol):
+    """What the client needs of :class:`HttpPool`."""
+
+    def call(self, request: HttpCall) -> HttpResult:
+        """Send a request and wait for its answer."""
+
+
+class WorkerClient:
+    """Sends requests to workers, each once."""
+
+    __slots__ = ('_pool',)
+
+    def __init__(self, pool: Caller) -> None:
+        """Send through ``pool``."""
+        self._pool = pool
+
+    def call(
+        self,
+        address: str,
+        request: WorkerRequest,
+        timeout_s: float = 2.0,
+    ) -> WorkerReply:
+        """Send a request to the worker at ``address`` (``IP:port``).
+
+        ``timeout_s`` bounds the whole wait, so for :class:`RenewLeases` it
+        must be more than ``wait_s``.
+        """
+        answer = self._pool.call(
+            HttpCall(
+                'POST',
+                address,
+                _PATHS_BY_TYPE[type(request)],
+                encode(request),
+                timeout_s=timeout_s,
+            ),
+        )
+        if isinstance(answer, Answered):
+            return _read(request, answer)
+        return CallFailed(sent=not isinstance(answer, NeverSent))
+
+
+def _read(request: WorkerRequest, answer: Answered) -> WorkerReply:
+    decoder = _DECODERS_BY_TYPE.get(type(request), _ACCEPTED_DECODER)
+    if answer.status == _CONFLICT:
+        decoder = _REFUSAL_DECODER
+    elif answer.status != _OK:
+        return CallFailed(sent=not _proves_not_run(answer))
+    try:
+        return decoder.decode(answer.body)
+    except MsgspecError:
+        return CallFailed(sent=True)
+
+
+def _proves_not_run(answer: Answered) -> bool:
+    outcome = answer.headers.get(_OUTCOME_HEADER)
+    return answer.status == _UNAVAILABLE and outcome == _NOT_RUN
--- /dev/null
+++ b/src/apricotlead_standins/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line with ``python -m apricotlead_standins``."""
+
+from apricotlead_standins.cli import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/apricotlead_standins/attempts.py
@@ -0,0 +1,141 @@
+"""The life of one attempt on a worker."""
+
+from msgspec import Struct
+
+from apricotlead_standins.task_payload import Payload, parse_payload
+from apricotlead_standins.worker_messages import (
+    AttemptReport,
+    Resources,
+    StartTask,
+)
+
+RUNNING = 'running'
+LAPSED = 'lapsed'
+STOPPED = 'stopped'
+SUCCEEDED = 'succeeded'
+FAILED = 'failed'
+
+
+class _CpuCap(Struct, frozen=True):
+    since_s: float
+    cpu_millis: int
+
+
+class Attempt:
+    """An attempt that runs or has ended; times are on the worker's clock.
+
+    The ending is a function of the time alone: whichever comes first of the
+    run's end, the stop and the lease's end. A worker that was paused
+    therefore reports the same ending as one that was not.
+    """
+
+    __slots__ = (
+        '_caps',
+        '_end_s',
+        '_payload',
+        '_started_s',
+        '_stop_s',
+        'lease_end_s',
+        'start',
+        'state',
+    )
+
+    def __init__(self, start: StartTask, clock_s: float, fails: bool) -> None:
+        """Begin to run; ``fails`` makes it fail at once."""
+        self.start = start
+        self.state = RUNNING
+        self.lease_end_s = clock_s + start.lease_s
+        self._payload = parse_payload(start.task)
+        if fails:
+            self._payload = Payload(0, fails=True)
+        self._started_s = clock_s
+        self._end_s = clock_s + self._payload.run_s
+        self._stop_s = float('inf')
+        self._caps = [_CpuCap(clock_s, self._true_use().cpu_millis)]
+
+    @property
+    def change_s(self) -> float:
+        """Return when the attempt ends if nothing else happens."""
+        return min(self._end_s, self._stop_s, self.lease_end_s)
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the attempt has not ended."""
+        return self.state == RUNNING
+
+    def advance(self, clock_s: float) -> bool:
+        """End the attempt if its time has come; tell whether it did."""
+        if not self.is_running or clock_s < self.change_s:
+            return False
+        self.state = self._ending()
+        return True
+
+    def renew(self, lease_end_s: float) -> None:
+        """Extend the lease; a late message never shortens it."""
+        self.lease_end_s = max(self.lease_end_s, lease_end_s)
+
+    def stop(self, stop_s: float) -> None:
+        """Stop at that time, or earlier if told so before."""
+        self._stop_s = min(self._stop_s, stop_s)
+
+    def throttle(self, cpu_millis: int, clock_s: float) -> None:
+        """Cap the processor use; the rest of the run takes longer."""
+        current = self._caps[-1].cpu_millis
+        capped = max(1, min(cpu_millis, self._true_use().cpu_millis))
+        if current:
+            rest_s = max(0, self._end_s - clock_s)
+            self._end_s = clock_s + rest_s * current / capped
+            self._caps.append(_CpuCap(clock_s, capped))
+
+    def report(self, as_of_s: float) -> AttemptReport:
+        """Return the attempt's state, and its use as it was at ``as_of_s``.
+
+        An ended attempt holds nothing, so its demand is reported as zero.
+        """
+        if not self.is_running:
+            return AttemptReport(
+                self.start.attempt_id,
+                self.state,
+                self.start.journal_id,
+                message=self._message(),
+                output=self._output(),
+            )
+        return AttemptReport(
+            self.start.attempt_id,
+            self.state,
+            self.start.journal_id,
+            self.start.task.demand,
+            self._use_at(as_of_s),
+        )
+
+    def _ending(self) -> str:
+        first_s = self.change_s
+        if first_s == self._end_s:
+            return FAILED if self._payload.fails else SUCCEEDED
+        return STOPPED if first_s == self._stop_s else LAPSED
+
+    def _message(self) -> str:
+        if self.state == FAILED:
+            return 'the command failed'
+        if self.state == LAPSED:
+            return 'the lease lapsed; a checkpoint was written'
+        return ''
+
+    def _output(self) -> str:
+        return self._payload.output if self.state == SUCCEEDED else ''
+
+    def _true_use(self) -> Resources:
+        demand = self.start.task.demand
+        factor = self._payload.use_factor
+        return Resources(
+            int(demand.cpu_millis * factor),
+            int(demand.memory_mb * factor),
+            demand.accelerators,
+        )
+
+    def _use_at(self, as_of_s: float) -> Resources:
+        use = self._true_use()
+        caps = [cap for cap in self._caps if cap.since_s <= as_of_s]
+        if not caps:
+            return Resources()
+        return Resources(caps[-1].cpu_millis, use.memory_mb, use.accelerators)
--- /dev/null
+++ b/src/apricotlead_standins/faults.py
@@ -0,0 +1,176 @@
+"""Fault switches that any stand-in has."""
+
+from typing import Any, Protocol
+
+from msgspec import Struct
+from msgspec.json import Decoder
+
+from apricotlead_standins.http_messages import (
+    BAD_REQUEST,
+    DATACENTRE_HEADER,
+    NOT_FOUND,
+    BadRequest,
+    NoResponse,
+    Parked,
+    Request,
+    Response,
+    Result,
+    decode_body,
+    error_response,
+    json_response,
+)
+
+_FAULTS_PATH = '/admin/faults'
+_ADMIN_PREFIX = '/admin/'
+# Longer than any caller waits, so that a cut looks like lost packets.
+_CUT_HOLD_S = 30.0
+
+
+class Faults(Struct):
+    """The switches; a request to ``/admin/faults`` replaces all of them.
+
+    ``outage``: nothing is carried out. ``delay_s``: added before a request is
+    handled. ``lose_answers``: the next so many answers are lost after the
+    request took effect; ``lose_fraction``: and this share of all others.
+    ``cut_datacentres``: callers there get no answer and no effect.
+    ``fails_everything``: what is started, fails. ``pause_s``: nothing at all
+    happens for so long from now on; requests wait and are handled then.
+    """
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    lose_fraction: float = 0.0
+    cut_datacentres: tuple[str, ...] = ()
+    fails_everything: bool = False
+    pause_s: float = 0.0
+
+
+_FAULTS_DECODER = Decoder(Faults)
+
+
+class RandomSource(Protocol):
+    """What the faults need of ``random.Random``."""
+
+    def random(self) -> float:
+        """Return a float in [0, 1)."""
+
+
+class StandIn(Protocol):
+    """The logic behind the fault switches."""
+
+    outage_response: Response | NoResponse
+
+    def handle(self, request: Request, faults: Faults, now: float) -> Result:
+        """Carry out a request."""
+
+    def handle_admin(self, request: Request, now: float) -> Response:
+        """Carry out a request of a test or of another stand-in."""
+
+
+class FaultGate:
+    """Puts the fault switches before a stand-in.
+
+    Requests below ``/admin/`` pass whatever the switches say.
+    """
+
+    __slots__ = ('_paused_until_s', '_rng', '_standin', 'faults')
+
+    def __init__(self, standin: StandIn, rng: RandomSource) -> None:
+        """Begin without a fault."""
+        self.faults = Faults()
+        self._standin = standin
+        self._rng = rng
+        self._paused_until_s = float('-inf')
+
+    def handle(self, request: Request, now: float) -> Result:
+        """Answer a request; ``now`` is in monotonic seconds."""
+        is_admin = request.path.startswith(_ADMIN_PREFIX)
+        handle = self._handle_admin if is_admin else self._handle
+        try:
+            return handle(request, now)
+        except BadRequest as error:
+            return error_response(BAD_REQUEST, 'bad_input', str(error))
+
+    def set_faults(self, faults: Faults, now: float) -> None:
+        """Replace the switches."""
+        self.faults = faults
+        if faults.pause_s > 0:
+            self._paused_until_s = now + faults.pause_s
+
+    def _handle_admin(self, request: Request, now: float) -> Response:
+        if request.path != _FAULTS_PATH:
+            return self._standin.handle_admin(request, now)
+        if request.method == 'POST':
+            self.set_faults(decode_body(request, _FAULTS_DECODER), now)
+        return json_response(self.faults)
+
+    def _handle(self, request: Request, now: float) -> Result:
+        if self.faults.delay_s > 0:
+            return self._park(request, now + self.faults.delay_s)
+        return self._enter(request, now)
+
+    def _park(self, request: Request, due_s: float) -> Parked:
+        def resume(now: float) -> Result:
+            if now < due_s:
+                return Parked(due_s, resume)
+            return self._enter(request, now)
+
+        return Parked(due_s, resume)
+
+    def _enter(self, request: Request, now: float) -> Result:
+        if now < self._paused_until_s:
+            return self._park(request, self._paused_until_s)
+        if self._is_cut(request):
+            return _hold(now + _CUT_HOLD_S)
+        if self.faults.outage:
+            return self._standin.outage_response
+        handled = self._standin.handle(request, self.faults, now)
+        return self._leave(request, handled, now)
+
+    def _leave(self, request: Request, handled: Result, now: float) -> Result:
+        if isinstance(handled, Parked):
+            return self._follow(request, handled)
+        if now < self._paused_until_s:
+            return self._follow(
+                request, Parked(self._paused_until_s, lambda _: handled)
+            )
+        if self._is_cut(request):
+            return _hold(now + _CUT_HOLD_S)
+        if self._loses_answer():
+            return NoResponse()
+        return handled
+
+    def _follow(self, request: Request, parked: Parked) -> Parked:
+        def resume(now: float) -> Result:
+            if now < self._paused_until_s:
+                return Parked(self._paused_until_s, resume)
+            return self._leave(request, parked.resume(now), now)
+
+        return Parked(parked.due_s, resume)
+
+    def _is_cut(self, request: Request) -> bool:
+        caller = request.headers.get(DATACENTRE_HEADER, '')
+        return caller in self.faults.cut_datacentres
+
+    def _loses_answer(self) -> bool:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return True
+        fraction = self.faults.lose_fraction
+        return fraction > 0 and self._rng.random() < fraction
+
+
+def _hold(due_s: float) -> Parked:
+    def resume(now: float) -> Result:
+        if now < due_s:
+            return Parked(due_s, resume)
+        return NoResponse()
+
+    return Parked(due_s, resume)
+
+
+def unknown_route(request: Request) -> Response:
+    """Answer a request for a path that the stand-in does not have."""
+    where: Any = f'{request.method} {request.path}'
+    return error_response(NOT_FOUND, 'not_found', f'no route {where}')
--- /dev/null
+++ b/src/apricotlead_standins/http_messages.py
@@ -0,0 +1,105 @@
+"""Requests and answers as values, so that the logic needs no sockets."""
+
+from collections.abc import Callable
+from typing import Any, Union
+
+from msgspec import MsgspecError, Struct
+from msgspec.json import Decoder, encode
+
+DATACENTRE_HEADER = 'x-apricotlead-datacentre'
+DEADLINE_HEADER = 'x-apricotlead-deadline-ms'
+LEAVING_HEADER = 'X-Apricotlead-Leaving'
+LENGTH_HEADER = 'X-Apricotlead-Length'
+OUTCOME_HEADER = 'X-Apricotlead-Outcome'
+OUTSTANDING_HEADER = 'X-Apricotlead-Outstanding'
+REQUEST_HEADER = 'X-Apricotlead-Request'
+RETRY_HEADER = 'Retry-After'
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+TOO_LARGE = 413
+TOO_MANY = 429
+INTERNAL = 500
+UNAVAILABLE = 503
+TIMED_OUT = 504
+
+
+class Request(Struct, frozen=True):
+    """A request; the names in ``headers`` are in lower case.
+
+    ``path`` is decoded and has no query.
+    """
+
+    method: str
+    path: str
+    body: bytes = b''
+    headers: dict[str, str] = {}
+
+
+class Response(Struct, frozen=True):
+    """An answer."""
+
+    status: int = OK
+    body: bytes = b''
+    headers: dict[str, str] = {}
+
+
+class NoResponse(Struct, frozen=True):
+    """The connection is closed without an answer."""
+
+
+class Parked(Struct, frozen=True):
+    """The answer is not known yet.
+
+    ``resume(now)`` is called at ``due_s`` (monotonic seconds), or earlier when
+    something changed; it may return another :class:`Parked`.
+    """
+
+    due_s: float
+    resume: Callable[[float], Union[Response, NoResponse, 'Parked']]
+
+
+Result = Response | NoResponse | Parked
+
+
+class BadRequest(Exception):
+    """The request is malformed; the message names the fault."""
+
+
+def json_response(
+    content: Any,
+    status: int = OK,
+    headers: dict[str, str] | None = None,
+) -> Response:
+    """Encode ``content`` as the body."""
+    return Response(status, encode(content), headers or {})
+
+
+def error_response(
+    status: int,
+    kind: str,
+    message: str,
+    headers: dict[str, str] | None = None,
+) -> Response:
+    """Answer with an error's kind and message."""
+    report = {'kind': kind, 'message': message}
+    return json_response(report, status, headers)
+
+
+def retry_headers(seconds: float) -> dict[str, str]:
+    """Return the header that names the time to retry, in seconds.
+
+    Fractions of a second are kept: at 400 writes a second a whole second
+    would be far too long.
+    """
+    return {RETRY_HEADER: f'{seconds:.3f}'}
+
+
+def decode_body(request: Request, decoder: Decoder[Any]) -> Any:
+    """Decode the body, or raise :class:`BadRequest`."""
+    try:
+        return decoder.decode(request.body)
+    except MsgspecError as error:
+        raise BadRequest(str(error)) from error
--- /dev/null
+++ b/src/apricotlead_standins/instance_list.py
@@ -0,0 +1,56 @@
+"""The lagging list of live and leaving instances."""
+
+from collections import deque
+from typing import Any
+
+from msgspec import Struct
+
+
+class Registration(Struct, frozen=True):
+    """A change to the list.
+
+    ``instance`` has at least ``instance_id``, in the wire form of the list.
+    It drops from the list when it is not registered again within ``ttl_s``
+    seconds; without one it stays until ``removed`` is sent.
+    """
+
+    instance: dict[str, Any]
+    ttl_s: float | None = None
+    removed: bool = False
+
+
+class InstanceBoard:
+    """Instances as they were ``lag_s`` seconds ago."""
+
+    __slots__ = ('_due', '_lag_s', '_shown_by_id')
+
+    def __init__(self, lag_s: float) -> None:
+        """Begin empty."""
+        self._lag_s = lag_s
+        self._due: deque[tuple[float, Registration]] = deque()
+        self._shown_by_id: dict[str, tuple[float, dict[str, Any]]] = {}
+
+    def register(self, registration: Registration, now: float) -> None:
+        """Note a change; it shows after the lag."""
+        self._due.append((now + self._lag_s, registration))
+
+    def instances(self, now: float) -> list[dict[str, Any]]:
+        """Return the list, by instance id."""
+        while self._due and self._due[0][0] <= now:
+            self._show(*self._due.popleft())
+        return [
+            instance
+            for _, (until_s, instance) in sorted(self._shown_by_id.items())
+            if now < until_s
+        ]
+
+    def _show(self, shown_s: float, registration: Registration) -> None:
+        instance = registration.instance
+        instance_id = instance['instance_id']
+        if registration.removed:
+            self._shown_by_id.pop(instance_id, None)
+            return
+        until_s = float('inf')
+        if registration.ttl_s is not None:
+            until_s = shown_s + registration.ttl_s
+        self._shown_by_id[instance_id] = (until_s, instance)
--- /dev/null
+++ b/src/apricotlead_standins/registration.py
@@ -0,0 +1,55 @@
+"""Registers a worker or an executor with the platform's list."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from itertools import count
+from typing import Any
+
+import eventlet
+from eventlet.green.http.client import HTTPConnection, HTTPException
+from msgspec.json import encode
+
+_PERIOD_S = 1.0
+# Several periods, so that a few lost registrations do not drop an instance.
+_TTL_S = 5.0
+_TIMEOUT_S = 2.0
+
+
+class Registrar:
+    """Registers one instance again and again, until its process ends."""
+
+    __slots__ = ('_instance', '_is_leaving', '_platform')
+
+    def __init__(
+        self,
+        platform: str,
+        instance: dict[str, Any],
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        """Register ``instance`` with the platform at ``IP:port``."""
+        self._platform = platform
+        self._instance = instance
+        self._is_leaving = is_leaving
+
+    def run(self) -> None:
+        """Register once a period."""
+        for _ in count():
+            self.register()
+            eventlet.sleep(_PERIOD_S)
+
+    def register(self) -> bool:
+        """Register once; tell whether the platform took it."""
+        instance = {**self._instance, 'leaving': self._is_leaving()}
+        body = encode({'instance': instance, 'ttl_s': _TTL_S})
+        connection = HTTPConnection(self._platform, timeout=_TIMEOUT_S)
+        try:
+            return _post(connection, body) == HTTPStatus.OK
+        except (OSError, HTTPException):
+            return False
+        finally:
+            connection.close()
+
+
+def _post(connection: HTTPConnection, body: bytes) -> int:
+    connection.request('POST', '/admin/instances', body)
+    return connection.getresponse().status
--- /dev/null
+++ b/src/apricotlead_standins/table_service.py
@@ -0,0 +1,93 @@
+"""The transactional table."""
+
+from bisect import bisect_left, insort
+
+from msgspec import Raw
+
+from apricotlead_standins.http_messages import BadRequest
+from apricotlead_standins.table_messages import (
+    CheckFailed,
+    Committed,
+    Row,
+    Rows,
+    Transaction,
+)
+
+MAX_ROWS = 200
+
+
+class TableService:
+    """Rows by key with compare-and-set transactions.
+
+    Versions are numbers of the commit that wrote the row, so that a version
+    is never used again after a delete. Values are kept encoded.
+    """
+
+    __slots__ = ('_keys', '_last_version', '_rows_by_key')
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._rows_by_key: dict[str, Row] = {}
+        self._keys: list[str] = []
+        self._last_version = 0
+
+    def transact(self, transaction: Transaction) -> Committed | CheckFailed:
+        """Apply all writes, or none if a check fails.
+
+        Raises :class:`BadRequest` for a transaction that no repeat could
+        settle or that writes a key twice.
+        """
+        _validate(transaction)
+        current = tuple(self.row(check.key) for check in transaction.checks)
+        for check, row in zip(transaction.checks, current, strict=True):
+            if check.version != row.version:
+                return CheckFailed(current)
+        return self._apply(transaction)
+
+    def read(self, keys: tuple[str, ...]) -> Rows:
+        """Return one row for each key, in the order asked."""
+        return Rows(tuple(self.row(key) for key in keys))
+
+    def scan(self, prefix: str) -> Rows:
+        """Return the rows whose key begins with ``prefix``, in key order."""
+        rows: list[Row] = []
+        position = bisect_left(self._keys, prefix)
+        for key in self._keys[position:]:
+            if not key.startswith(prefix):
+                break
+            rows.append(self._rows_by_key[key])
+        return Rows(tuple(rows))
+
+    def row(self, key: str) -> Row:
+        """Return a row; version 0 when absent."""
+        return self._rows_by_key.get(key) or Row(key)
+
+    def _apply(self, transaction: Transaction) -> Committed:
+        self._last_version += 1
+        version = self._last_version
+        versions = dict.fromkeys(transaction.deletes, 0)
+        for key in transaction.deletes:
+            self._delete(key)
+        for put in transaction.puts:
+            versions[put.key] = version
+            if put.key not in self._rows_by_key:
+                insort(self._keys, put.key)
+            # The copy frees the request's buffer, of which it is a part.
+            encoded = Raw(bytes(put.value))
+            row = Row(put.key, version, encoded, transaction.op_id)
+            self._rows_by_key[put.key] = row
+        return Committed(versions)
+
+    def _delete(self, key: str) -> None:
+        if self._rows_by_key.pop(key, None) is not None:
+            self._keys.pop(bisect_left(self._keys, key))
+
+
+def _validate(transaction: Transaction) -> None:
+    written = [put.key for put in transaction.puts]
+    written.extend(transaction.deletes)
+    checked = {check.key for check in transaction.checks}
+    if len(written) != len(set(written)):
+        raise BadRequest('a key is written twice')
+    if transaction.witness not in checked.intersection(written):
+        raise BadRequest('the witness must be both checked and written')
--- /dev/null
+++ b/src/apricotlead_standins/worker_messages.py
@@ -0,0 +1,136 @@
+"""The wire form of a worker's five routes."""
+
+from msgspec import Struct
+
+
+class Resources(Struct, frozen=True, omit_defaults=True):
+    """Thousandths of a core, MiB, and whole devices."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: 'Resources') -> 'Resources':
+        """Return the sum, resource by resource."""
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def maximum(self, other: 'Resources') -> 'Resources':
+        """Return the larger of both, resource by resource."""
+        return Resources(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
+    def fits_in(self, capacity: 'Resources') -> bool:
+        """Tell whether no resource is more than ``capacity`` has."""
+        return self.maximum(capacity) == capacity
+
+
+class TaskSpec(Struct, frozen=True, omit_defaults=True):
+    """A task to run; ``run_s`` in seconds."""
+
+    demand: Resources
+    run_s: float = 0.0
+    command: str = ''
+
+
+class AttemptReport(Struct, frozen=True, omit_defaults=True):
+    """An attempt as the worker sees it."""
+
+    attempt_id: str
+    state: str
+    journal_id: str = ''
+    demand: Resources = Resources()
+    used: Resources = Resources()
+    message: str = ''
+    output: str = ''
+
+
+class Heartbeat(Struct, frozen=True, tag='heartbeat'):
+    """The owner's fence and question."""
+
+    owner: str
+    epoch: int
+
+
+class HeartbeatReply(Struct, frozen=True, tag='heartbeat_reply'):
+    """Exactly the attempts that the worker has."""
+
+    clock_s: float
+    boot_id: str
+    capacity: Resources
+    attempts: tuple[AttemptReport, ...] = ()
+
+
+class StartTask(Struct, frozen=True, tag='start'):
+    """Starts an attempt; idempotent by ``attempt_id``."""
+
+    attempt_id: str
+    worker_epoch: int
+    boot_id: str
+    not_after_s: float
+    journal_id: str
+    journal_epoch: int
+    lease_s: float
+    task: TaskSpec
+
+
+class RenewLeases(Struct, frozen=True, tag='leases'):
+    """Extends leases, and acknowledges ended attempts."""
+
+    journal_id: str
+    journal_epoch: int
+    attempt_ids: tuple[str, ...]
+    acknowledged_ids: tuple[str, ...] = ()
+    lease_s: float = 10.0
+    wait_s: float = 0.0
+    lease_until_s: float | None = None
+
+
+class LeasesReply(Struct, frozen=True, tag='leases_reply'):
+    """The state of each attempt asked for."""
+
+    clock_s: float
+    boot_id: str
+    attempts: tuple[AttemptReport, ...] = ()
+
+
+class StopTasks(Struct, frozen=True, tag='stop'):
+    """Stops attempts, after a checkpoint if asked."""
+
+    journal_id: str
+    journal_epoch: int
+    attempt_ids: tuple[str, ...]
+    checkpoint: bool = True
+
+
+class ThrottleTask(Struct, frozen=True, tag='throttle'):
+    """Caps an attempt's processor use."""
+
+    attempt_id: str
+    worker_epoch: int
+    cpu_millis: int
+
+
+class Accepted(Struct, frozen=True, tag='accepted'):
+    """The worker did as told."""
+
+    clock_s: float
+    boot_id: str
+
+
+class WorkerRefused(Struct, frozen=True, tag='refused'):
+    """The worker did nothing."""
+
+    reason: str
+    epoch: int = 0
+    clock_s: float = 0.0
+    boot_id: str = ''
+
+
+WorkerRequest = Heartbeat | StartTask | RenewLeases | StopTasks | ThrottleTask
