--- /dev/null
+++ b/src/apricotlead/coordination/directory_keeper.py
@@ -0,0 +1,90 @@
+"""Keeps the cell directory in step with the platform's list."""
+
+from collections.abc import Iterable
+from typing import Any, Self
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.protocol.instances import Instance
+from apricotlead.protocol.signals import InstancesListed, Signal
+from apricotlead.state.cell_directory import CellDirectory
+
+
+class DirectorySettings(Struct, frozen=True):
+    """How long an instance is kept after it disappears from the list.
+
+    The list lags and a restarted platform can return it incomplete, so one
+    list without an instance does not prove that the instance has gone.
+    """
+
+    missing_grace_s: float = 10.0
+
+
+class DirectoryKeeper(Component):
+    """Replaces the directory when the list changes."""
+
+    name = 'directory'
+    __slots__ = ('_directory', '_listed_s_by_id', '_settings')
+
+    def __init__(
+        self,
+        settings: DirectorySettings,
+        directory: CellDirectory,
+    ) -> None:
+        """Begin with an empty directory."""
+        self._settings = settings
+        self._directory = directory
+        self._listed_s_by_id: dict[str, float] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: DirectorySettings,
+        directory: CellDirectory,
+    ) -> Self:
+        """Return the keeper of ``directory``."""
+        return cls(settings, directory)
+
+    @handles(InstancesListed)
+    def on_listed(
+        self,
+        signal: InstancesListed,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Take over the list, and keep for a while what it lacks."""
+        known = self._known()
+        by_id = {
+            instance.instance_id: instance for instance in signal.instances
+        }
+        self._listed_s_by_id.update(dict.fromkeys(by_id, now))
+        by_id.update(
+            (missing_id, missing)
+            for missing_id, missing in known.items()
+            if missing_id not in by_id and self._in_grace(missing_id, now)
+        )
+        if by_id != known:
+            self._directory.replace(tuple(by_id.values()))
+        for gone_id in self._listed_s_by_id.keys() - by_id.keys():
+            self._listed_s_by_id.pop(gone_id)
+        return ()
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the number of instances by role."""
+        return {
+            'version': self._directory.version,
+            'entries': len(self._directory.entries_by_id),
+            'executors': len(self._directory.executors_by_id),
+            'workers': len(self._directory.workers_by_id),
+        }
+
+    def _known(self) -> dict[str, Instance]:
+        return (
+            self._directory.entries_by_id
+            | self._directory.executors_by_id
+            | self._directory.workers_by_id
+        )
+
+    def _in_grace(self, instance_id: str, now: float) -> bool:
+        missing_s = now - self._listed_s_by_id[instance_id]
+        return missing_s < self._settings.missing_grace_s
--- /dev/null
+++ b/src/apricotlead/coordination/journals.py
@@ -0,0 +1,382 @@
+"""Makes job records durable, and takes over journals of other sessions."""
+
+from collections.abc import Iterable
+from typing import Any, Self
+
+from msgspec import Struct, field
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.journal_adoption import (
+    AdoptedJournal,
+    AdoptionSettings,
+    Claiming,
+    JournalAdoptions,
+    ReadingSegments,
+    ReadingSnapshot,
+    Sweeping,
+)
+from apricotlead.coordination.journal_writer import (
+    Appending,
+    Compacting,
+    HandingOver,
+    JournalWriter,
+    OwnedJournal,
+    Snapshotting,
+    WriterSettings,
+)
+from apricotlead.coordination.store_calls import StoreCalls
+from apricotlead.protocol.randomness import RandomSource
+from apricotlead.protocol.rows import JournalRow, journal_key, put_struct
+from apricotlead.protocol.signals import (
+    AppendRecords,
+    JournalOpened,
+    ObjectReplied,
+    PeerLapsed,
+    RecordsRejected,
+    SessionLost,
+    SessionOpened,
+    Shutdown,
+    Signal,
+    StoreReplied,
+    Tick,
+)
+from apricotlead.protocol.table import (
+    Check,
+    Committed,
+    StoreFailed,
+    StoreReply,
+)
+from apricotlead.state.journal_log import JournalLog
+from apricotlead.state.session_view import SessionView
+
+_NEVER = float('-inf')
+
+
+class JournalSettings(Struct, frozen=True):
+    """Pace of the batches; times in seconds.
+
+    All sessions together make about ``batches_per_s`` appends a second. The
+    interval between two batches of this session is at least
+    ``min_batch_interval_s`` and grows with the time that the store takes for
+    one, up to ``max_batch_interval_s``.
+    """
+
+    batches_per_s: float = 200.0
+    min_batch_interval_s: float = 0.02
+    max_batch_interval_s: float = 0.5
+    retry_s: float = 0.2
+    writer: WriterSettings = field(default_factory=WriterSettings)
+    adoption: AdoptionSettings = field(default_factory=AdoptionSettings)
+
+
+class _Opening(Struct, frozen=True):
+    session_id: str
+    row: JournalRow
+
+
+class JournalKeeper(Component):
+    """Owns the fresh journal of this session and those that it adopted.
+
+    Nothing is sent while the own lease is not valid. A journal is opened
+    for the other components only while the lease is valid.
+    """
+
+    name = 'journals'
+    __slots__ = (
+        '_adopted',
+        '_adoptions',
+        '_calls',
+        '_closing',
+        '_is_leaving',
+        '_opening_due_s',
+        '_sent_s',
+        '_settings',
+        '_store_took_s',
+        '_view',
+        '_write_due_s',
+        '_writers_by_id',
+    )
+
+    def __init__(
+        self,
+        settings: JournalSettings,
+        view: SessionView,
+        rng: RandomSource,
+    ) -> None:
+        """Begin without a journal."""
+        self._settings = settings
+        self._view = view
+        self._calls = StoreCalls(self.name, rng)
+        self._adoptions = JournalAdoptions(
+            settings.adoption,
+            self._calls,
+            view,
+            rng,
+        )
+        self._adopted: list[AdoptedJournal] = []
+        self._closing: list[JournalWriter] = []
+        self._is_leaving = False
+        self._opening_due_s = float('inf')
+        self._sent_s = _NEVER
+        self._store_took_s = 0.0
+        self._write_due_s = _NEVER
+        self._writers_by_id: dict[str, JournalWriter] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: JournalSettings,
+        view: SessionView,
+        rng: RandomSource,
+    ) -> Self:
+        """Return the keeper of the journals of the session of ``view``."""
+        return cls(settings, view, rng)
+
+    @handles(Tick)
+    def on_tick(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """Refuse what waited too long; send what is due."""
+        for writer in self._writers_by_id.values():
+            yield from writer.refuse_overdue(now)
+        if not self._view.is_valid(now):
+            return
+        if now >= self._opening_due_s:
+            yield self._open_fresh()
+        yield from self._open_adopted()
+        if not self._is_leaving:
+            yield from self._adoptions.tick(now)
+        for writer in self._writers_by_id.values():
+            yield from writer.next_snapshot()
+        if now >= self._write_due_s:
+            yield from self._write(now)
+        self._remove_finished()
+
+    @handles(SessionOpened)
+    def on_opened(
+        self,
+        signal: SessionOpened,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Open a fresh journal with the next tick."""
+        if not self._is_leaving:
+            self._opening_due_s = now
+        return ()
+
+    @handles(SessionLost)
+    def on_lost(self, signal: SessionLost, now: float) -> Iterable[Signal]:
+        """Close all journals; batches in flight are still settled."""
+        self._adoptions.forget_all()
+        self._adopted.clear()
+        self._opening_due_s = float('inf')
+        for writer in self._writers_by_id.values():
+            yield from writer.abandon()
+            self._closing.append(writer)
+        self._writers_by_id.clear()
+
+    @handles(PeerLapsed)
+    def on_lapsed(self, signal: PeerLapsed, now: float) -> Iterable[Signal]:
+        """Look for journals of the peer."""
+        self._adoptions.note_lapsed(signal, now)
+        return ()
+
+    @handles(Shutdown)
+    def on_shutdown(self, signal: Shutdown, now: float) -> Iterable[Signal]:
+        """Hand all journals over once the waiting records are durable."""
+        self._is_leaving = True
+        self._opening_due_s = float('inf')
+        for writer in self._writers_by_id.values():
+            writer.leave()
+        return ()
+
+    @handles(AppendRecords)
+    def on_append(
+        self,
+        signal: AppendRecords,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Put the records in line for the next batch."""
+        writer = self._writers_by_id.get(signal.journal_id)
+        if writer is None:
+            return (
+                RecordsRejected(
+                    signal.token,
+                    signal.journal_id,
+                    retry_after_s=self._settings.writer.retry_after_s,
+                ),
+            )
+        return writer.append(signal, now)
+
+    @handles(StoreReplied)
+    def on_reply(
+        self,
+        signal: StoreReplied,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Continue what the reply belongs to."""
+        purpose = self._calls.take(signal.token)
+        reply = signal.reply
+        if isinstance(purpose, (Appending, Compacting, HandingOver)):
+            return self._written(purpose, reply, now)
+        if isinstance(purpose, Sweeping):
+            return self._swept(reply, now)
+        if purpose is None or purpose.session_id != self._view.session_id:
+            return ()
+        if isinstance(purpose, _Opening):
+            return self._opened(purpose, reply, now)
+        if isinstance(purpose, Claiming):
+            return self._adoptions.claimed(purpose, reply, now)
+        return self._segments_read(purpose, reply, now)
+
+    @handles(ObjectReplied)
+    def on_object(
+        self,
+        signal: ObjectReplied,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Continue a snapshot that was written or read."""
+        purpose = self._calls.take(signal.token)
+        if isinstance(purpose, Snapshotting):
+            return purpose.writer.snapshot_written(purpose, signal)
+        if isinstance(purpose, ReadingSnapshot):
+            if purpose.session_id == self._view.session_id:
+                return self._adoptions.snapshot_read(purpose, signal, now)
+        return ()
+
+    def is_drained(self) -> bool:
+        """Tell whether a planned stop has handed over all journals."""
+        self._remove_finished()
+        return not (
+            self._writers_by_id
+            or self._closing
+            or self._adopted
+            or self._adoptions.adopting_ids
+        )
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the owned journals."""
+        return {
+            'batch_interval_s': self._batch_interval_s(),
+            'adopting': sorted(self._adoptions.adopting_ids),
+            'owned': {
+                journal_id: writer.dump()
+                for journal_id, writer in self._writers_by_id.items()
+            },
+        }
+
+    def _open_fresh(self) -> Signal:
+        self._opening_due_s = float('inf')
+        session_id = self._view.session_id
+        row = JournalRow(session_id, epoch=1)
+        key = journal_key(session_id)
+        return self._calls.transact(
+            _Opening(session_id, row),
+            (Check(key, 0),),
+            (put_struct(key, row),),
+        )
+
+    def _opened(
+        self,
+        opening: _Opening,
+        reply: StoreReply,
+        now: float,
+    ) -> Iterable[Signal]:
+        journal_id = opening.session_id
+        if isinstance(reply, Committed):
+            version = reply.versions[journal_key(journal_id)]
+            journal = OwnedJournal(journal_id, opening.row, version)
+            self._adopted.append(AdoptedJournal(journal, (), ()))
+            return self._open_adopted() if self._view.is_valid(now) else ()
+        if isinstance(reply, StoreFailed) and not self._is_leaving:
+            self._opening_due_s = now + self._settings.retry_s
+        return ()
+
+    def _open_adopted(self) -> Iterable[Signal]:
+        adopted = tuple(self._adopted)
+        self._adopted.clear()
+        for one in adopted:
+            yield self._open(one)
+
+    def _open(self, adopted: AdoptedJournal) -> Signal:
+        journal = adopted.journal
+        log = JournalLog(self._settings.writer.ended_jobs_kept)
+        log.add(adopted.records)
+        writer = JournalWriter(
+            self._settings.writer,
+            self._calls,
+            journal,
+            log,
+            adopted.stale_keys,
+        )
+        if self._is_leaving:
+            writer.leave()
+        self._writers_by_id[journal.journal_id] = writer
+        self._adoptions.adopting_ids.discard(journal.journal_id)
+        return JournalOpened(
+            journal.journal_id,
+            journal.row.epoch,
+            adopted.records,
+        )
+
+    def _swept(self, reply: StoreReply, now: float) -> Iterable[Signal]:
+        is_allowed = self._view.is_valid(now) and not self._is_leaving
+        return self._adoptions.swept(
+            reply if is_allowed else StoreFailed(applied=False),
+            self._writers_by_id,
+            now,
+        )
+
+    def _segments_read(
+        self,
+        reading: ReadingSegments,
+        reply: StoreReply,
+        now: float,
+    ) -> Iterable[Signal]:
+        adopted = self._adoptions.segments_read(reading, reply, now)
+        if adopted is not None:
+            self._adopted.append(adopted)
+            if self._view.is_valid(now):
+                return self._open_adopted()
+        return ()
+
+    def _written(
+        self,
+        purpose: Appending | Compacting | HandingOver,
+        reply: StoreReply,
+        now: float,
+    ) -> Iterable[Signal]:
+        self._store_took_s = now - purpose.sent_s
+        if isinstance(reply, StoreFailed):
+            self._write_due_s = now + reply.retry_after_s
+        if isinstance(purpose, Appending):
+            return purpose.writer.appended(purpose, reply)
+        if isinstance(purpose, Compacting):
+            return purpose.writer.compacted(purpose, reply)
+        return purpose.writer.handed_over(reply)
+
+    def _batch_interval_s(self) -> float:
+        settings = self._settings
+        sessions = len(self._view.peers_by_id) + 1
+        slow_s = min(self._store_took_s, settings.max_batch_interval_s)
+        return max(
+            settings.min_batch_interval_s,
+            sessions / settings.batches_per_s,
+            slow_s,
+        )
+
+    def _write(self, now: float) -> Iterable[Signal]:
+        # The journal whose records have waited longest comes first.
+        writers = sorted(
+            self._writers_by_id.values(),
+            key=JournalWriter.waiting_since,
+        )
+        for writer in writers:
+            written = tuple(writer.next_write(now))
+            if written:
+                self._write_due_s = now + self._batch_interval_s()
+                return written
+        return ()
+
+    def _remove_finished(self) -> None:
+        self._closing = [one for one in self._closing if not one.is_finished]
+        for journal_id, writer in tuple(self._writers_by_id.items()):
+            if writer.is_finished:
+                self._writers_by_id.pop(journal_id)
--- /dev/null
+++ b/src/apricotlead/coordination/worker_ownership.py
@@ -0,0 +1,446 @@
+"""Spreads the ownership of workers' capacity over the live sessions."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any, Self
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.rendezvous import preferred
+from apricotlead.coordination.store_calls import StoreCalls
+from apricotlead.protocol.randomness import RandomSource
+from apricotlead.protocol.rows import (
+    NO_OWNER,
+    WorkerRow,
+    id_of,
+    put_struct,
+    read_worker,
+    session_key,
+    worker_key,
+)
+from apricotlead.protocol.signals import (
+    Count,
+    PeerLapsed,
+    PeersChanged,
+    SessionLost,
+    Shutdown,
+    Signal,
+    StoreReplied,
+    Tick,
+    WorkerClaimed,
+    WorkerDropped,
+)
+from apricotlead.protocol.table import (
+    Check,
+    CheckFailed,
+    Committed,
+    Row,
+    Rows,
+    StoreReply,
+)
+from apricotlead.state.cell_directory import CellDirectory
+from apricotlead.state.session_view import SessionView
+
+_NEVER = float('-inf')
+
+
+class OwnershipSettings(Struct, frozen=True):
+    """Bounds of the store traffic for ownership; times in seconds.
+
+    All sessions together make at most ``writes_per_s`` transactions a second,
+    each for at most ``workers_per_write`` workers. A dropped worker is
+    released after ``release_delay_s``, so that starts under grants that are
+    already given out come before the next owner's higher epoch.
+    """
+
+    writes_per_s: float = 100.0
+    min_write_interval_s: float = 0.1
+    workers_per_write: int = 50
+    read_interval_s: float = 1.0
+    workers_per_read: int = 200
+    read_timeout_s: float = 2.0
+    release_delay_s: float = 0.5
+
+
+class _Owned(Struct):
+    epoch: int
+    version: int
+    announced: bool = False
+
+
+class _Dropped(Struct, frozen=True):
+    epoch: int
+    version: int
+    due_s: float
+
+
+class _Reading(Struct, frozen=True):
+    session_id: str
+
+
+class _Claiming(Struct, frozen=True):
+    session_id: str
+    epochs_by_id: dict[str, int]
+
+
+class _Releasing(Struct, frozen=True):
+    session_id: str
+    worker_ids: tuple[str, ...]
+
+
+class WorkerOwnership(Component):
+    """Claims the workers that fall to this session and releases the others.
+
+    A worker falls to the first session by rendezvous hashing among the live
+    sessions of its data centre, or among all where that has none. One write
+    is in flight at a time. A claim on a worker of a lapsed session also
+    checks that the session's row is still marked adopted (or gone), so a
+    session that renews in time keeps its workers whatever a peer believes.
+    """
+
+    name = 'ownership'
+    __slots__ = (
+        '_calls',
+        '_directory',
+        '_directory_version',
+        '_dropped_by_id',
+        '_lapsed_by_id',
+        '_leaving',
+        '_owned_by_id',
+        '_read_due_s',
+        '_rows_by_id',
+        '_settings',
+        '_view',
+        '_wanted_ids',
+        '_write_due_s',
+        '_writing',
+    )
+
+    def __init__(
+        self,
+        settings: OwnershipSettings,
+        view: SessionView,
+        directory: CellDirectory,
+        rng: RandomSource,
+    ) -> None:
+        """Begin with no worker."""
+        self._settings = settings
+        self._view = view
+        self._directory = directory
+        self._calls = StoreCalls(self.name, rng)
+        self._directory_version = -1
+        self._lapsed_by_id: dict[str, int] = {}
+        self._leaving = False
+        self._read_due_s = _NEVER
+        self._write_due_s = _NEVER
+        self._writing = False
+        self._wanted_ids: dict[str, None] = {}
+        self._forget_all()
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: OwnershipSettings,
+        view: SessionView,
+        directory: CellDirectory,
+        rng: RandomSource,
+    ) -> Self:
+        """Return the ownership of workers by the session of ``view``."""
+        return cls(settings, view, directory, rng)
+
+    @handles(Tick)
+    def on_tick(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """Read, claim and release within the bounds."""
+        if self._directory_version != self._directory.version:
+            yield from self._rebalance(now)
+        if not self._view.is_valid(now):
+            return
+        yield from self._announce()
+        if now >= self._read_due_s:
+            yield from self._read(now)
+        if now >= self._write_due_s and not self._writing:
+            yield from self._write(now)
+
+    @handles(PeersChanged)
+    def on_peers(self, signal: PeersChanged, now: float) -> Iterable[Signal]:
+        """Work out anew which workers fall to this session."""
+        return self._rebalance(now)
+
+    @handles(PeerLapsed)
+    def on_lapsed(self, signal: PeerLapsed, now: float) -> Iterable[Signal]:
+        """Remember which check allows to take the peer's workers."""
+        self._lapsed_by_id[signal.session_id] = signal.row_version
+        self._read_due_s = now
+        return ()
+
+    @handles(SessionLost)
+    def on_lost(self, signal: SessionLost, now: float) -> Iterable[Signal]:
+        """Drop everything; a peer may own it by now."""
+        owned_ids = tuple(self._owned_by_id)
+        self._forget_all()
+        return [WorkerDropped(worker_id) for worker_id in owned_ids]
+
+    @handles(Shutdown)
+    def on_shutdown(self, signal: Shutdown, now: float) -> Iterable[Signal]:
+        """Release all workers and claim no more."""
+        self._leaving = True
+        return self._rebalance(now)
+
+    @handles(StoreReplied)
+    def on_reply(
+        self,
+        signal: StoreReplied,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Continue what the reply belongs to."""
+        purpose = self._calls.take(signal.token)
+        if purpose is None:
+            return ()
+        if not isinstance(purpose, _Reading):
+            self._writing = False
+        if purpose.session_id != self._view.session_id:
+            return ()
+        if isinstance(purpose, _Reading):
+            return self._have_read(signal.reply)
+        if isinstance(purpose, _Claiming):
+            return self._claimed(purpose, signal.reply, now)
+        return self._released(purpose, signal.reply)
+
+    def is_drained(self) -> bool:
+        """Tell whether no worker is owned and every release is durable."""
+        return not (self._owned_by_id or self._dropped_by_id or self._writing)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the owned workers with their epochs."""
+        return {
+            'wanted': len(self._wanted_ids),
+            'dropped': sorted(self._dropped_by_id),
+            'owned': {
+                worker_id: owned.epoch
+                for worker_id, owned in self._owned_by_id.items()
+            },
+        }
+
+    def _forget_all(self) -> None:
+        self._owned_by_id: dict[str, _Owned] = {}
+        self._dropped_by_id: dict[str, _Dropped] = {}
+        self._rows_by_id: dict[str, Row] = {}
+
+    def _rebalance(self, now: float) -> Iterable[Signal]:
+        self._directory_version = self._directory.version
+        self._wanted_ids = {} if self._leaving else self._find_wanted()
+        self._read_due_s = min(self._read_due_s, now)
+        dropped: list[Signal] = []
+        for worker_id in tuple(self._owned_by_id):
+            if worker_id not in self._wanted_ids:
+                self._drop(worker_id, now)
+                dropped.append(WorkerDropped(worker_id))
+        return dropped
+
+    def _drop(self, worker_id: str, now: float) -> None:
+        owned = self._owned_by_id.pop(worker_id)
+        self._dropped_by_id[worker_id] = _Dropped(
+            owned.epoch,
+            owned.version,
+            now + self._settings.release_delay_s,
+        )
+
+    def _find_wanted(self) -> dict[str, None]:
+        own_id = self._view.session_id
+        ids_by_datacentre: dict[str, list[str]] = {
+            self._view.datacentre: [own_id],
+        }
+        for peer in self._view.peers_by_id.values():
+            ids_by_datacentre.setdefault(peer.datacentre, []).append(
+                peer.session_id,
+            )
+        everyone = self._view.live_ids()
+        # A dictionary keeps the order, so that a seed reproduces a run.
+        return {
+            worker.instance_id: None
+            for worker in self._directory.workers_by_id.values()
+            if _falls_to(
+                own_id,
+                worker.instance_id,
+                ids_by_datacentre.get(worker.datacentre, everyone),
+            )
+        }
+
+    def _announce(self) -> Iterable[Signal]:
+        for worker_id, owned in self._owned_by_id.items():
+            if not owned.announced:
+                owned.announced = True
+                yield WorkerClaimed(worker_id, owned.epoch)
+
+    def _missing_ids(self) -> list[str]:
+        return [
+            worker_id
+            for worker_id in self._wanted_ids
+            if worker_id not in self._owned_by_id
+            and worker_id not in self._dropped_by_id
+        ]
+
+    def _read(self, now: float) -> Iterable[Signal]:
+        self._read_due_s = now + self._settings.read_interval_s
+        keys = sorted(map(worker_key, self._missing_ids()))
+        chunk = self._settings.workers_per_read
+        for start in range(0, len(keys), chunk):
+            yield self._calls.read(
+                _Reading(self._view.session_id),
+                tuple(keys[start : start + chunk]),
+            )
+
+    def _have_read(self, reply: StoreReply) -> Iterable[Signal]:
+        if isinstance(reply, Rows):
+            for row in reply.rows:
+                self._rows_by_id[id_of(row)] = row
+        return ()
+
+    def _write(self, now: float) -> Iterable[Signal]:
+        write = self._release(now) or self._claim()
+        if write is None:
+            return ()
+        sessions = len(self._view.peers_by_id) + 1
+        self._writing = True
+        self._write_due_s = now + max(
+            self._settings.min_write_interval_s,
+            sessions / self._settings.writes_per_s,
+        )
+        return (write,)
+
+    def _release(self, now: float) -> Signal | None:
+        due_ids = [
+            worker_id
+            for worker_id, dropped in self._dropped_by_id.items()
+            if dropped.due_s <= now
+        ][: self._settings.workers_per_write]
+        if not due_ids:
+            return None
+        dropped = [self._dropped_by_id[worker_id] for worker_id in due_ids]
+        keys = [worker_key(worker_id) for worker_id in due_ids]
+        return self._calls.transact(
+            _Releasing(self._view.session_id, tuple(due_ids)),
+            tuple(
+                Check(key, one.version)
+                for key, one in zip(keys, dropped, strict=True)
+            ),
+            tuple(
+                put_struct(key, WorkerRow(NO_OWNER, one.epoch))
+                for key, one in zip(keys, dropped, strict=True)
+            ),
+        )
+
+    def _released(
+        self,
+        releasing: _Releasing,
+        reply: StoreReply,
+    ) -> Iterable[Signal]:
+        if isinstance(reply, Committed):
+            for worker_id in releasing.worker_ids:
+                self._dropped_by_id.pop(worker_id, None)
+        if isinstance(reply, CheckFailed):
+            self._drop_changed(releasing, reply)
+        return ()
+
+    def _drop_changed(
+        self,
+        releasing: _Releasing,
+        reply: CheckFailed,
+    ) -> None:
+        for worker_id in releasing.worker_ids:
+            dropped = self._dropped_by_id.get(worker_id)
+            row = reply.row(worker_key(worker_id))
+            if dropped is not None and row.version != dropped.version:
+                self._dropped_by_id.pop(worker_id)
+
+    def _claim(self) -> Signal | None:
+        rows = [
+            self._rows_by_id[worker_id]
+            for worker_id in self._missing_ids()
+            if worker_id in self._rows_by_id
+            and self._may_claim(self._rows_by_id[worker_id])
+        ][: self._settings.workers_per_write]
+        if not rows:
+            return None
+        own_id = self._view.session_id
+        epochs_by_id = {id_of(row): read_worker(row).epoch + 1 for row in rows}
+        return self._calls.transact(
+            _Claiming(own_id, epochs_by_id),
+            (
+                *(Check(row.key, row.version) for row in rows),
+                *self._owner_checks(rows),
+            ),
+            tuple(
+                put_struct(row.key, WorkerRow(own_id, epochs_by_id[id_of(row)]))
+                for row in rows
+            ),
+        )
+
+    def _may_claim(self, row: Row) -> bool:
+        owner = read_worker(row).owner
+        if owner in {NO_OWNER, self._view.session_id}:
+            return True
+        if owner in self._view.peers_by_id:
+            return False
+        # A session without a row that it still wrote itself is lapsed; one
+        # that is leaving (version 0 in the report) releases by itself.
+        return self._lapsed_by_id.get(owner) != 0
+
+    def _owner_checks(self, rows: Sequence[Row]) -> Iterable[Check]:
+        owners = {read_worker(row).owner for row in rows}
+        for owner in sorted(owners - {NO_OWNER, self._view.session_id}):
+            yield Check(session_key(owner), self._lapsed_by_id.get(owner, 0))
+
+    def _claimed(
+        self,
+        claiming: _Claiming,
+        reply: StoreReply,
+        now: float,
+    ) -> Iterable[Signal]:
+        if isinstance(reply, Committed):
+            return self._take(claiming, reply, now)
+        if isinstance(reply, CheckFailed):
+            self._learn(reply)
+        return (Count('ownership.claim_failed'),)
+
+    def _take(
+        self,
+        claiming: _Claiming,
+        reply: Committed,
+        now: float,
+    ) -> Iterable[Signal]:
+        for worker_id, epoch in claiming.epochs_by_id.items():
+            self._rows_by_id.pop(worker_id, None)
+            self._owned_by_id[worker_id] = _Owned(
+                epoch,
+                reply.versions[worker_key(worker_id)],
+            )
+            if worker_id not in self._wanted_ids:
+                self._drop(worker_id, now)
+        if self._view.is_valid(now):
+            return tuple(self._announce())
+        return ()
+
+    def _learn(self, reply: CheckFailed) -> None:
+        for row in reply.rows:
+            if row.key.startswith('worker/'):
+                self._rows_by_id[id_of(row)] = row
+            elif not row.version:
+                self._lapsed_by_id.pop(id_of(row), None)
+            else:
+                self._learn_owner(row)
+
+    def _learn_owner(self, row: Row) -> None:
+        state = row.value['state']
+        is_adopted = state == 'adopted'
+        self._lapsed_by_id[id_of(row)] = row.version if is_adopted else 0
+
+
+def _falls_to(
+    own_id: str,
+    worker_id: str,
+    member_ids: Sequence[str],
+) -> bool:
+    if own_id not in member_ids:
+        return False
+    return preferred(worker_id, member_ids) == own_id
--- a/src/apricotlead/protocol/signals.py
+++ b/src/apricotlead/protocol/signals.py
@@ -120,9 +120,16 @@
 
 
 class PeerLapsed(Struct, frozen=True):
-    """A peer's session lapsed or left; its rows may be adopted."""
+    """A peer's session lapsed or is leaving.
+
+    ``row_version`` is set once its row is marked adopted: whatever still
+    names it as owner may be taken, on the check that the session row is at
+    this version (or gone). It is 0 while the session is leaving: only what
+    it has released may be taken.
+    """
 
     session_id: str
+    row_version: int = 0
 
 
 class JournalOpened(Struct, frozen=True):
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,124 @@
+"""A table service and an object store in memory, for tests."""
+
+from apricotlead.coordination.scheduler import Scheduler
+from apricotlead.coordination.store_settlement import StoreSettlement
+from apricotlead.protocol.signals import (
+    GetObject,
+    ObjectReplied,
+    PutObject,
+    ReadRows,
+    ScanRows,
+    StoreReplied,
+    Transact,
+)
+from apricotlead.protocol.table import (
+    CheckFailed,
+    Committed,
+    Row,
+    Rows,
+    StoreFailed,
+)
+
+
+class FakeStore:
+    """Rows with versions and op_ids, and objects.
+
+    ``is_down`` refuses every call. ``loses_answers`` carries calls out and
+    answers that the outcome is unknown. Versions grow across all rows, so
+    that a row that is deleted and made again never shows an old version.
+    """
+
+    def __init__(self):
+        """Begin empty and up."""
+        self.rows_by_key = {}
+        self.objects_by_key = {}
+        self.is_down = False
+        self.loses_answers = False
+        self.write_count = 0
+        self._version = 0
+
+    def carry_out(self, effect):
+        """Return the reply signal of a store effect, ``None`` for others."""
+        if isinstance(effect, (PutObject, GetObject)):
+            return self._object(effect)
+        if not isinstance(effect, (Transact, ReadRows, ScanRows)):
+            return None
+        if self.is_down:
+            return StoreReplied(effect.token, StoreFailed(applied=False))
+        reply = self._call(effect)
+        if self.loses_answers:
+            reply = StoreFailed(applied=None)
+        return StoreReplied(effect.token, reply)
+
+    def row(self, key):
+        """Return a row, at version 0 when absent."""
+        return self.rows_by_key.get(key, Row(key))
+
+    def value(self, key):
+        """Return the value of a row, ``None`` when absent."""
+        return self.row(key).value
+
+    def keys(self, prefix):
+        """Return the sorted keys that begin with ``prefix``."""
+        return [
+            key for key in sorted(self.rows_by_key) if key.startswith(prefix)
+        ]
+
+    def _call(self, effect):
+        if isinstance(effect, Transact):
+            return self._transact(effect.transaction)
+        if isinstance(effect, ReadRows):
+            return Rows(tuple(map(self.row, effect.keys)))
+        return Rows(tuple(map(self.row, self.keys(effect.prefix))))
+
+    def _transact(self, transaction):
+        checked = tuple(self.row(check.key) for check in transaction.checks)
+        wanted = [check.version for check in transaction.checks]
+        if [row.version for row in checked] != wanted:
+            return CheckFailed(checked)
+        self._version += 1
+        self.write_count += 1
+        for put in transaction.puts:
+            self.rows_by_key[put.key] = Row(
+                put.key,
+                self._version,
+                put.value,
+                transaction.op_id,
+            )
+        for key in transaction.deletes:
+            self.rows_by_key.pop(key, None)
+        put_keys = [one.key for one in transaction.puts]
+        return Committed(dict.fromkeys(put_keys, self._version))
+
+    def _object(self, effect):
+        if self.is_down:
+            return ObjectReplied(effect.token, succeeded=False)
+        if isinstance(effect, PutObject):
+            self.objects_by_key[effect.key] = effect.content
+            return ObjectReplied(effect.token, not self.loses_answers)
+        found = self.objects_by_key.get(effect.key)
+        return ObjectReplied(effect.token, succeeded=True, content=found)
+
+
+class FakeInstance:
+    """Components behind a scheduler, joined to a fake store.
+
+    Each call is answered at once; other effects are kept in ``effects``.
+    """
+
+    def __init__(self, store, *components):
+        """Join the components."""
+        self.store = store
+        self.scheduler = Scheduler(components, StoreSettlement())
+        self.effects = []
+
+    def deliver(self, signal, now):
+        """Deliver a signal and carry out all that follows."""
+        queue = [signal]
+        while queue:
+            for effect in self.scheduler.deliver(queue.pop(0), now):
+                reply = self.store.carry_out(effect)
+                if reply is None:
+                    self.effects.append(effect)
+                else:
+                    queue.append(reply)
