--- /dev/null
+++ b/src/apricotlead/coordination/config_keeper.py
@@ -0,0 +1,506 @@
+"""Keeps the configuration view current and commits operators' changes."""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Any
+
+from msgspec import Struct, ValidationError
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.config_log import (
+    HEAD_KEY,
+    SNAPSHOT_KEY,
+    HeadRead,
+    commit_transaction,
+    decode_head,
+    decode_logged,
+    decode_snapshot,
+    log_key,
+    rows_by_key,
+)
+from apricotlead.protocol.config import ChangeRequest, LoggedChange
+from apricotlead.protocol.errors import (
+    ApricotleadError,
+    BadInput,
+    OutcomeUnknown,
+    Overloaded,
+    StoreUnreachable,
+    VersionConflict,
+)
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
+from apricotlead.protocol.peers import Gossip
+from apricotlead.protocol.signals import (
+    Answer,
+    ChangeConfig,
+    ConfigApplied,
+    Count,
+    Note,
+    ReadRows,
+    SendToPeer,
+    Signal,
+    StoreReplied,
+    Tick,
+    Token,
+    Transact,
+)
+from apricotlead.protocol.table import (
+    CheckFailed,
+    Committed,
+    Row,
+    Rows,
+    StoreFailed,
+)
+from apricotlead.state.config_view import ConfigView, apply_change
+from apricotlead.state.session_view import SessionView
+
+_HEAD = 'head'
+_LOG = 'log'
+_SNAPSHOT = 'snapshot'
+_COMMIT = 'commit'
+
+
+class ConfigKeeperSettings(Struct, frozen=True):
+    """Times in seconds.
+
+    ``answer_wait_s`` is the longest a caller waits for the outcome of its
+    change. ``snapshot_every`` counts changes, ``log_rows_per_read`` rows.
+    """
+
+    poll_s: float = 1.0
+    read_timeout_s: float = 2.0
+    reread_s: float = 0.1
+    answer_wait_s: float = 5.0
+    retry_after_s: float = 1.0
+    max_waiting: int = 64
+    snapshot_every: int = 256
+    log_rows_per_read: int = 64
+    kept_changes: int = 64
+    resend_after_age_s: float = 2.0
+    max_drift: float = 0.02
+
+
+class _Read(Struct, frozen=True):
+    token: Token
+    sent_s: float
+
+
+class _Waiting(Struct, frozen=True):
+    ticket: int
+    request: ChangeRequest
+    arrived_s: float
+
+
+class _Commit(Struct):
+    token: Token
+    op_id: str
+    waiting: _Waiting
+    logged: LoggedChange
+    sent_s: float
+    answered: bool = False
+
+
+class ConfigKeeper(Component):
+    """Polls the head, applies the log, commits changes one at a time.
+
+    At most one read and one commit are in flight. A commit whose answer was
+    lost is settled by ``StoreSettlement``; its caller is told "may have run"
+    only if that takes longer than ``answer_wait_s``.
+    """
+
+    name = 'config_keeper'
+    __slots__ = (
+        '_commit',
+        '_config_view',
+        '_known_head',
+        '_number',
+        '_poll_due_s',
+        '_read',
+        '_recent',
+        '_resent_s_by_peer',
+        '_settings',
+        '_view',
+        '_waiting',
+    )
+
+    def __init__(
+        self,
+        settings: ConfigKeeperSettings,
+        view: SessionView,
+        config_view: ConfigView,
+    ) -> None:
+        """Begin with nothing read; the first tick reads the head."""
+        self._settings = settings
+        self._view = view
+        self._config_view = config_view
+        self._number = 0
+        self._poll_due_s = float('-inf')
+        self._read: _Read | None = None
+        self._known_head: HeadRead | None = None
+        self._waiting: deque[_Waiting] = deque()
+        self._commit: _Commit | None = None
+        self._recent: deque[LoggedChange] = deque(maxlen=settings.kept_changes)
+        self._resent_s_by_peer: dict[str, float] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ConfigKeeperSettings,
+        view: SessionView,
+        config_view: ConfigView,
+    ) -> 'ConfigKeeper':
+        """Return a keeper that changes ``config_view``."""
+        return cls(settings, view, config_view)
+
+    @handles(Tick)
+    def on_tick(self, tick: Tick, now: float) -> Iterable[Signal]:
+        """Poll the head and answer callers that waited long enough."""
+        yield from self._answer_late(now)
+        timeout_s = self._settings.read_timeout_s
+        if self._read and now - self._read.sent_s >= timeout_s:
+            self._read = None
+        if self._read is None and now >= self._poll_due_s:
+            yield self._read_head(now)
+
+    @handles(ChangeConfig)
+    def on_change(self, change: ChangeConfig, now: float) -> Iterable[Signal]:
+        """Queue an operator's change."""
+        if len(self._waiting) >= self._settings.max_waiting:
+            error = Overloaded('Too many configuration changes are waiting.')
+            return (self._refusal(change.ticket, error),)
+        self._waiting.append(_Waiting(change.ticket, change.request, now))
+        return self._advance(now)
+
+    @handles(Gossip)
+    def on_gossip(self, gossip: Gossip, now: float) -> Iterable[Signal]:
+        """Take changes and freshness from a peer; help one that is behind."""
+        before = self._config_view.version
+        for logged in sorted(gossip.changes, key=_version):
+            self._apply(logged)
+        self._take_freshness(gossip, now)
+        yield from self._applied_since(before, now)
+        yield from self._resend(gossip, now)
+
+    @handles(StoreReplied)
+    def on_store_reply(
+        self,
+        replied: StoreReplied,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Take the reply to the read or the commit in flight."""
+        if self._commit and replied.token == self._commit.token:
+            commit = self._commit
+            self._commit = None
+            return self._commit_settled(commit, replied.reply, now)
+        if self._read and replied.token == self._read.token:
+            read = self._read
+            self._read = None
+            return self._read_replied(read, replied.reply, now)
+        return ()
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the version, its age and what is in flight."""
+        return {
+            'version': self._config_view.version,
+            'age_s': min(self._config_view.age(now), 1e9),
+            'preset': self._config_view.config.preset_in_force,
+            'waiting': len(self._waiting),
+            'committing': bool(self._commit),
+        }
+
+    # Reading.
+
+    def _next_token(self, purpose: str) -> Token:
+        self._number += 1
+        return Token(self.name, purpose, self._number)
+
+    def _read_rows(
+        self,
+        purpose: str,
+        keys: tuple[str, ...],
+        now: float,
+    ) -> ReadRows:
+        self._read = _Read(self._next_token(purpose), now)
+        return ReadRows(self._read.token, keys)
+
+    def _read_head(self, now: float) -> ReadRows:
+        self._poll_due_s = now + self._settings.poll_s
+        return self._read_rows(_HEAD, (HEAD_KEY,), now)
+
+    def _read_replied(
+        self,
+        read: _Read,
+        reply: Any,
+        now: float,
+    ) -> Iterable[Signal]:
+        if not isinstance(reply, Rows):
+            yield from self._read_failed()
+            return
+        before = self._config_view.version
+        try:
+            self._take_rows(read, rows_by_key(reply.rows), now)
+        except ValidationError as error:
+            # A row of a later release; the view stays behind and grows stale.
+            yield Count('config.undecodable')
+            yield Note('config row is not understood', {'error': str(error)})
+            return
+        yield from self._settle_by_log(reply.rows)
+        yield from self._applied_since(before, now)
+        yield from self._catch_up(now)
+        yield from self._advance(now)
+
+    def _read_failed(self) -> Iterable[Signal]:
+        yield Count('config.read_failed')
+        while self._waiting:
+            error = StoreUnreachable('The table service cannot be read.')
+            yield self._refusal(self._waiting.popleft().ticket, error)
+
+    def _take_rows(
+        self,
+        read: _Read,
+        rows: dict[str, Row],
+        now: float,
+    ) -> None:
+        if read.token.purpose == _HEAD:
+            self._take_head(rows.get(HEAD_KEY, Row(HEAD_KEY)), read.sent_s)
+        elif read.token.purpose == _SNAPSHOT:
+            if SNAPSHOT_KEY in rows:
+                self._config_view.load(decode_snapshot(rows[SNAPSHOT_KEY]))
+        else:
+            self._take_log(rows, now)
+
+    def _take_head(self, row: Row, sent_s: float) -> None:
+        head = decode_head(row)
+        self._known_head = HeadRead(head, row.version, sent_s)
+        self._config_view.prove(head.version, sent_s)
+
+    def _take_log(self, rows: dict[str, Row], now: float) -> None:
+        while True:
+            row = rows.get(log_key(self._config_view.version + 1))
+            if row is None or not self._apply(decode_logged(row)):
+                break
+        if not rows:
+            # The rows were deleted; a newer head names a newer snapshot.
+            self._known_head = None
+            self._poll_due_s = now + self._settings.reread_s
+
+    def _catch_up(self, now: float) -> Iterable[Signal]:
+        known = self._known_head
+        version = self._config_view.version
+        if known is None or self._read or known.head.version <= version:
+            return ()
+        if known.head.snapshot_version > version:
+            return (self._read_rows(_SNAPSHOT, (SNAPSHOT_KEY,), now),)
+        last = min(
+            known.head.version,
+            version + self._settings.log_rows_per_read,
+        )
+        keys = tuple(log_key(each) for each in range(version + 1, last + 1))
+        return (self._read_rows(_LOG, keys, now),)
+
+    # Applying.
+
+    def _apply(self, logged: LoggedChange) -> bool:
+        applied = self._config_view.apply(logged)
+        if applied:
+            self._recent.append(logged)
+        return applied
+
+    def _applied_since(self, before: int, now: float) -> Iterable[Signal]:
+        if self._config_view.version > before:
+            yield ConfigApplied(self._config_view.config)
+
+    def _take_freshness(self, gossip: Gossip, now: float) -> None:
+        echo = gossip.echo
+        if echo is None or echo.session_id != self._view.session_id:
+            return
+        # The message left its sender after echo.sent_s on the own clock, so
+        # a message that was delayed or replayed proves only an old view.
+        if self._config_view.version >= gossip.config_version:
+            age_s = gossip.config_age_s * (1 + self._settings.max_drift)
+            proved_s = min(echo.sent_s, now) - age_s
+            self._config_view.prove(gossip.config_version, proved_s)
+
+    def _resend(self, gossip: Gossip, now: float) -> Iterable[Signal]:
+        """Send a peer that cannot reach the store the changes it lacks."""
+        peer = self._view.peers_by_id.get(gossip.sender)
+        missing = tuple(
+            logged
+            for logged in self._recent
+            if logged.version > gossip.config_version
+        )
+        cut_off = gossip.config_age_s >= self._settings.resend_after_age_s
+        if peer is None or not missing or not cut_off or not gossip.sent_s:
+            return
+        last_s = self._resent_s_by_peer.get(gossip.sender, float('-inf'))
+        if now - last_s >= self._settings.poll_s:
+            self._resent_s_by_peer[gossip.sender] = now
+            yield self._announcement(peer.session_id, peer.address, missing)
+
+    def _announce(self, logged: LoggedChange) -> Iterable[Signal]:
+        for peer in self._view.peers_by_id.values():
+            yield self._announcement(peer.session_id, peer.address, (logged,))
+
+    def _announcement(
+        self,
+        session_id: str,
+        address: str,
+        changes: tuple[LoggedChange, ...],
+    ) -> SendToPeer:
+        gossip = Gossip(
+            sender=self._view.session_id,
+            config_version=changes[-1].version,
+            changes=changes,
+        )
+        return SendToPeer(session_id, address, gossip)
+
+    # Committing.
+
+    def _advance(self, now: float) -> Iterable[Signal]:
+        """Answer or commit the waiting changes, in order of arrival."""
+        while self._waiting and self._commit is None:
+            waiting = self._waiting[0]
+            if self._is_outdated(waiting):
+                self._waiting.popleft()
+                yield self._conflict(waiting.ticket, self._config_view.version)
+            elif self._may_commit(waiting):
+                self._waiting.popleft()
+                yield self._begin_commit(waiting, now)
+            else:
+                yield from self._want_head(now)
+                return
+
+    def _is_outdated(self, waiting: _Waiting) -> bool:
+        base_version = waiting.request.base_version
+        known = self._known_head
+        if base_version <= self._config_view.version or known is None:
+            return base_version < self._config_view.version
+        # A base that no head read since the arrival shows never existed.
+        return (
+            known.sent_s >= waiting.arrived_s
+            and known.head.version < base_version
+        )
+
+    def _may_commit(self, waiting: _Waiting) -> bool:
+        version = self._config_view.version
+        known = self._known_head
+        return (
+            known is not None
+            and known.head.version == version == waiting.request.base_version
+        )
+
+    def _want_head(self, now: float) -> Iterable[Signal]:
+        if self._read is None:
+            yield self._read_head(now)
+
+    def _begin_commit(self, waiting: _Waiting, now: float) -> Signal:
+        change = waiting.request.change
+        try:
+            changed = apply_change(self._config_view.config, change)
+        except BadInput as error:
+            return Answer(waiting.ticket, NotRun(error))
+        token = self._next_token(_COMMIT)
+        transaction = commit_transaction(
+            self._op_id(token),
+            self._known_head,
+            changed,
+            change,
+            self._settings.snapshot_every,
+        )
+        self._commit = _Commit(
+            token,
+            transaction.op_id,
+            waiting,
+            LoggedChange(changed.version, change),
+            now,
+        )
+        return Transact(token, transaction)
+
+    def _op_id(self, token: Token) -> str:
+        session_id = self._view.session_id
+        return f'config-{session_id}-{token.number}'
+
+    def _commit_settled(
+        self,
+        commit: _Commit,
+        reply: Any,
+        now: float,
+    ) -> Iterable[Signal]:
+        # The head may have moved on since, so its row version is read again.
+        self._known_head = None
+        if isinstance(reply, Committed):
+            yield from self._committed(commit, now)
+        else:
+            yield from self._answer_commit(commit, _failure(commit, reply))
+        yield from self._advance(now)
+
+    def _committed(self, commit: _Commit, now: float) -> Iterable[Signal]:
+        before = self._config_view.version
+        self._apply(commit.logged)
+        self._config_view.prove(commit.logged.version, commit.sent_s)
+        yield from self._applied_since(before, now)
+        yield from self._announce(commit.logged)
+        yield from self._answer_commit(commit, _done(commit))
+
+    def _answer_commit(
+        self,
+        commit: _Commit,
+        outcome: Outcome,
+    ) -> Iterable[Signal]:
+        if not commit.answered:
+            commit.answered = True
+            yield Answer(commit.waiting.ticket, outcome)
+
+    def _settle_by_log(self, rows: tuple[Row, ...]) -> Iterable[Signal]:
+        """Answer a commit of unknown outcome once its log row was read."""
+        commit = self._commit
+        if commit is None:
+            return
+        for row in rows:
+            if row.version and row.key == log_key(commit.logged.version):
+                yield from self._answer_commit(
+                    commit,
+                    _outcome_by_row(commit, row, self._config_view.version),
+                )
+
+    def _answer_late(self, now: float) -> Iterable[Signal]:
+        oldest_s = now - self._settings.answer_wait_s
+        while self._waiting and self._waiting[0].arrived_s <= oldest_s:
+            error = StoreUnreachable('The table service did not answer.')
+            yield self._refusal(self._waiting.popleft().ticket, error)
+        if self._commit and self._commit.waiting.arrived_s <= oldest_s:
+            error = OutcomeUnknown('The change may have been committed.')
+            yield from self._answer_commit(self._commit, MayHaveRun(error))
+
+    def _refusal(self, ticket: int, error: ApricotleadError) -> Answer:
+        return Answer(ticket, NotRun(error, self._settings.retry_after_s))
+
+    def _conflict(self, ticket: int, current: int) -> Answer:
+        return Answer(ticket, NotRun(VersionConflict(current)))
+
+
+def _version(logged: LoggedChange) -> int:
+    return logged.version
+
+
+def _done(commit: _Commit) -> Outcome:
+    return Done({'version': commit.logged.version})
+
+
+def _outcome_by_row(commit: _Commit, row: Row, current: int) -> Outcome:
+    if row.op_id == commit.op_id:
+        return _done(commit)
+    return NotRun(VersionConflict(current))
+
+
+def _failure(commit: _Commit, reply: Any) -> Outcome:
+    if isinstance(reply, StoreFailed):
+        error = StoreUnreachable('The table service refused the write.')
+        return NotRun(error, reply.retry_after_s)
+    if not isinstance(reply, CheckFailed):
+        return MayHaveRun(OutcomeUnknown('The store gave no valid answer.'))
+    head = decode_head(reply.row(HEAD_KEY))
+    log_row = reply.row(log_key(commit.logged.version))
+    if log_row.version or head.version < commit.logged.version:
+        return NotRun(VersionConflict(head.version))
+    # The log row that would tell who wrote this version is deleted already.
+    return MayHaveRun(OutcomeUnknown('The change may have been committed.'))
--- /dev/null
+++ b/src/apricotlead/coordination/gossip.py
@@ -0,0 +1,212 @@
+"""Spreads usage, demand and free capacity between sessions."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.protocol.peers import (
+    Gossip,
+    GossipEcho,
+    SessionLoad,
+    TeamLoad,
+)
+from apricotlead.protocol.randomness import RandomSource
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.signals import (
+    SendToPeer,
+    SessionLost,
+    Signal,
+    Tick,
+)
+from apricotlead.state.config_view import ConfigView
+from apricotlead.state.session_view import PeerSession, SessionView
+from apricotlead.state.usage_table import UsageTable
+
+LoadsByTeam = Callable[[], Mapping[str, TeamLoad]]
+OwnCapacity = Callable[[], tuple[Resources, Resources, Resources]]
+
+
+class GossipSettings(Struct, frozen=True):
+    """Intervals in seconds and fan-out.
+
+    ``relayed_entries`` bounds the size of a message; an entry older than
+    ``relay_age_s`` is not passed on.
+    """
+
+    interval_s: float = 0.25
+    all_peers_up_to: int = 16
+    random_peers: int = 8
+    relayed_entries: int = 8
+    relay_age_s: float = 2.0
+
+
+class GossipKeeper(Component):
+    """Sends the own load and the freshest others; takes those of peers."""
+
+    name = 'gossip_keeper'
+    __slots__ = (
+        '_config_view',
+        '_due_s',
+        '_heard_by_peer',
+        '_loads_by_team',
+        '_own_capacity',
+        '_rng',
+        '_serial',
+        '_settings',
+        '_usage',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        settings: GossipSettings,
+        view: SessionView,
+        config_view: ConfigView,
+        usage: UsageTable,
+        rng: RandomSource,
+        loads_by_team: LoadsByTeam,
+        own_capacity: OwnCapacity,
+    ) -> None:
+        """Begin without having heard of anyone.
+
+        ``own_capacity`` returns free, total and largest free capacity of the
+        owned workers.
+        """
+        self._settings = settings
+        self._view = view
+        self._config_view = config_view
+        self._usage = usage
+        self._rng = rng
+        self._loads_by_team = loads_by_team
+        self._own_capacity = own_capacity
+        self._serial = 0
+        self._due_s = float('-inf')
+        self._heard_by_peer: dict[str, tuple[float, float]] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: GossipSettings,
+        view: SessionView,
+        config_view: ConfigView,
+        usage: UsageTable,
+        rng: RandomSource,
+        loads_by_team: LoadsByTeam,
+        own_capacity: OwnCapacity,
+    ) -> 'GossipKeeper':
+        """Return a keeper that changes ``usage``."""
+        return cls(
+            settings,
+            view,
+            config_view,
+            usage,
+            rng,
+            loads_by_team,
+            own_capacity,
+        )
+
+    @handles(Tick)
+    def on_tick(self, tick: Tick, now: float) -> Iterable[Signal]:
+        """Send a round of gossip when it is due."""
+        if now < self._due_s:
+            return ()
+        self._due_s = now + self._settings.interval_s
+        self._record_own_load(now)
+        return self._round(now)
+
+    @handles(Gossip)
+    def on_gossip(self, gossip: Gossip, now: float) -> Iterable[Signal]:
+        """Take the entries that are newer than the known ones."""
+        for load in gossip.loads:
+            if load.session_id != self._view.session_id:
+                self._usage.record(load, now)
+        self._note_sender(gossip, now)
+        return ()
+
+    @handles(SessionLost)
+    def on_session_lost(
+        self, lost: SessionLost, now: float
+    ) -> Iterable[Signal]:
+        """Drop the own entry under the lost session's id."""
+        self._usage.forget(lost.session_id, now)
+        return ()
+
+    def sessions_by_free(self, now: float) -> list[SessionLoad]:
+        """Return the live sessions' loads, most free capacity first."""
+        live = set(self._view.live_ids())
+        return [
+            load
+            for load in self._usage.sessions_by_free(now)
+            if load.session_id in live
+        ]
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the ages of the known entries."""
+        return {
+            'serial': self._serial,
+            'entry_ages_s': self._usage.ages_by_session(now),
+        }
+
+    def _record_own_load(self, now: float) -> None:
+        free, capacity, largest_free = self._own_capacity()
+        self._serial += 1
+        own = SessionLoad(
+            self._view.session_id,
+            self._serial,
+            self._view.datacentre,
+            free,
+            capacity,
+            largest_free,
+            dict(self._loads_by_team()),
+        )
+        self._usage.record(own, now)
+
+    def _round(self, now: float) -> Iterable[Signal]:
+        # The own entry was just heard, so it is always among these.
+        loads = tuple(
+            self._usage.freshest(
+                self._settings.relayed_entries + 1,
+                self._settings.relay_age_s,
+                now,
+            ),
+        )
+        age_s = self._config_view.age(now)
+        for peer in self._chosen_peers():
+            gossip = Gossip(
+                sender=self._view.session_id,
+                loads=loads,
+                config_version=self._config_view.version,
+                config_age_s=min(age_s, _UNKNOWN_AGE_S),
+                sent_s=now,
+                echo=self._echo_for(peer),
+            )
+            yield SendToPeer(peer.session_id, peer.address, gossip)
+
+    def _chosen_peers(self) -> Iterable[PeerSession]:
+        peers = sorted(self._view.peers_by_id.values(), key=_session_id)
+        if len(peers) <= self._settings.all_peers_up_to:
+            return peers
+        return self._rng.sample(peers, self._settings.random_peers)
+
+    def _echo_for(self, peer: PeerSession) -> GossipEcho | None:
+        heard = self._heard_by_peer.get(peer.session_id)
+        if heard is None:
+            return None
+        return GossipEcho(peer.session_id, heard[0])
+
+    def _note_sender(self, gossip: Gossip, now: float) -> None:
+        if not gossip.sent_s:
+            return
+        known_s, _ = self._heard_by_peer.get(gossip.sender, (0.0, 0.0))
+        # A late message must not replace the stamp of a later one.
+        self._heard_by_peer[gossip.sender] = (max(known_s, gossip.sent_s), now)
+
+
+# JSON has no infinity.
+_UNKNOWN_AGE_S = 1e9
+
+
+def _session_id(peer: PeerSession) -> str:
+    return peer.session_id
--- /dev/null
+++ b/src/apricotlead/coordination/limit_row.py
@@ -0,0 +1,136 @@
+"""The row ``limit/{team}`` and the rules by which journals divide it.
+
+All functions are pure. Units are running tasks and lookups.
+"""
+
+from collections.abc import Collection, Mapping
+
+from msgspec import Struct
+
+
+class Share(Struct, frozen=True):
+    """A journal's allotment, the epoch of its owner, and the last write."""
+
+    units: int
+    epoch: int
+    op_id: str = ''
+
+
+class Want(Struct, frozen=True):
+    """Units that a journal needs and found none free for.
+
+    A lower ``seq`` is served first. ``op_id`` changes with each refresh, so
+    that a want whose owner died can be told from one that stands.
+    """
+
+    units: int
+    seq: int
+    op_id: str = ''
+
+
+class LimitRow(Struct, frozen=True):
+    """A team's limit, as of a configuration version, and its division."""
+
+    limit: int = 0
+    config_version: int = 0
+    next_seq: int = 1
+    allotments: dict[str, Share] = {}
+    wants: dict[str, Want] = {}
+
+    def allotted(self) -> int:
+        """Return the sum of all allotments."""
+        return sum(share.units for share in self.allotments.values())
+
+    def free(self) -> int:
+        """Return the units not allotted; negative while there is overhang."""
+        return self.limit - self.allotted()
+
+    def units_of(self, journal_id: str) -> int:
+        """Return the allotment of a journal, 0 without one."""
+        share = self.allotments.get(journal_id)
+        return 0 if share is None else share.units
+
+
+def limit_key(team: str) -> str:
+    """Return the key of a team's row."""
+    return f'limit/{team}'
+
+
+def senior_wants(
+    row: LimitRow,
+    journal_id: str,
+    stale: Collection[str],
+) -> dict[str, Want]:
+    """Return the wants of other journals that come before this one's.
+
+    A journal without a want comes after all wants. Wants of the journals in
+    ``stale`` do not count.
+    """
+    own = row.wants.get(journal_id)
+    return {
+        other: want
+        for other, want in row.wants.items()
+        if other != journal_id
+        and other not in stale
+        and (own is None or want.seq < own.seq)
+    }
+
+
+def total_wanted(wants: Mapping[str, Want]) -> int:
+    """Return the sum of the wants."""
+    return sum(want.units for want in wants.values())
+
+
+def fair_units(row: LimitRow, journal_id: str, stale: Collection[str]) -> int:
+    """Return an equal part of the limit among all that hold or want units."""
+    claimants = {journal_id, *row.allotments}
+    claimants.update(other for other in row.wants if other not in stale)
+    return row.limit // len(claimants)
+
+
+def usable_units(
+    row: LimitRow,
+    journal_id: str,
+    stale: Collection[str],
+) -> int:
+    """Return how many units a journal may have in use.
+
+    While others wait, units above the fair part are given up as they come
+    back. If one waits for more than its fair part (a gang that needs all its
+    units at once), all units are.
+    """
+    units = row.units_of(journal_id)
+    seniors = senior_wants(row, journal_id, stale)
+    owed = total_wanted(seniors) - max(0, row.free())
+    if owed <= 0:
+        return units
+    fair = fair_units(row, journal_id, stale)
+    if any(
+        row.units_of(other) + want.units > fair
+        for other, want in seniors.items()
+    ):
+        fair = 0
+    return min(units, max(fair, units - owed))
+
+
+def units_to_return(
+    row: LimitRow,
+    journal_id: str,
+    in_use: int,
+    stale: Collection[str],
+) -> int:
+    """Return how many idle units others need now."""
+    idle = max(0, row.units_of(journal_id) - in_use)
+    wanted = total_wanted(senior_wants(row, journal_id, stale))
+    return min(idle, max(0, wanted - row.free()))
+
+
+def units_to_take(
+    row: LimitRow,
+    journal_id: str,
+    wish: int,
+    stale: Collection[str],
+) -> int:
+    """Return how many of the wished units are free for this journal."""
+    wanted = total_wanted(senior_wants(row, journal_id, stale))
+    return max(0, min(wish, row.free() - wanted))
--- a/src/apricotlead/protocol/peers.py
+++ b/src/apricotlead/protocol/peers.py
@@ -82,11 +82,23 @@
     loads_by_team: dict[str, TeamLoad] = {}
 
 
-class Gossip(Struct, frozen=True, tag='gossip'):
+class GossipEcho(Struct, frozen=True):
+    """The latest ``sent_s`` that the sender has from the receiver.
+
+    It bounds the transit time on the receiver's own clock: the message that
+    carries it was sent after ``sent_s``.
+    """
+
+    session_id: str
+    sent_s: float
+
+
+class Gossip(Struct, frozen=True, tag='gossip', omit_defaults=True):
     """Freshest known loads, and how recent the sender's config is.
 
     ``config_age_s`` is the time since the sender (or its own source) sent the
-    read that proved ``config_version`` current.
+    read that proved ``config_version`` current. ``sent_s`` is on the sender's
+    monotonic clock.
     """
 
     sender: str
@@ -94,6 +106,8 @@
     config_version: int = 0
     config_age_s: float = 1e9
     changes: tuple[LoggedChange, ...] = ()
+    sent_s: float = 0.0
+    echo: GossipEcho | None = None
 
 
 class AskJob(Struct, frozen=True, tag='ask_job'):
