Grant the capacity of owned workers

Cause: nothing kept the capacity of workers or answered ReserveCapacity.

Ruled out: freeing a listed attempt on the word of its home.

room comes free only with a reply that no longer lists the attempt.

--- /dev/null
+++ b/src/apricotlead/coordination/granting.py
@@ -0,0 +1,202 @@
+"""Turns wanted attempts into grants on workers."""
+
+from collections.abc import Collection
+
+from msgspec import Struct, structs
+
+from apricotlead.coordination.fair_share import PolicySource
+from apricotlead.coordination.gang_holds import GangHolds
+from apricotlead.coordination.parked_requests import OpenRequest
+from apricotlead.coordination.placement import (
+    Policy,
+    UnknownPlacement,
+    best_fit,
+    policy_named,
+)
+from apricotlead.coordination.quarantine import Quarantine
+from apricotlead.protocol.config import Preset
+from apricotlead.protocol.peers import Grant
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.capacity_ledger import CapacityLedger, OwnedWorker
+from apricotlead.state.session_view import SessionView
+
+# Workers with a stale reply that one placement passes over.
+_MAX_STALE = 4
+
+
+class GrantBounds(Struct, frozen=True):
+    """How long a grant can be used.
+
+    ``ttl_s`` bounds it from the moment it is made; ``max_drift`` bounds the
+    relative drift between two clocks; a grant whose start could reach the
+    worker for less than ``least_window_s`` is not made. Times in seconds.
+    """
+
+    ttl_s: float = 2.0
+    max_drift: float = 0.02
+    least_window_s: float = 0.2
+
+
+class Granter:
+    """Chooses workers for the open demands of a request and books them."""
+
+    __slots__ = (
+        '_bounds',
+        '_holds',
+        '_ledger',
+        '_policies',
+        '_quarantine',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        bounds: GrantBounds,
+        view: SessionView,
+        ledger: CapacityLedger,
+        quarantine: Quarantine,
+        holds: GangHolds,
+        policies: PolicySource,
+    ) -> None:
+        """Keep what decides about a grant."""
+        self._bounds = bounds
+        self._view = view
+        self._ledger = ledger
+        self._quarantine = quarantine
+        self._holds = holds
+        self._policies = policies
+
+    def place(self, request: OpenRequest, now: float) -> list[Grant]:
+        """Grant what fits and take it off the request's open demands.
+
+        A request that is served as a whole gets all grants or none. Nothing
+        is granted while the own session lease is invalid.
+        """
+        if not self._view.is_valid(now) or self._cannot_fit(request):
+            return []
+        grants = self._place_each(request, now)
+        if request.whole and len(grants) < len(request.open_by_attempt_id):
+            for grant in grants:
+                self._ledger.release(grant.attempt_id)
+            return []
+        for grant in grants:
+            request.open_by_attempt_id.pop(grant.attempt_id)
+            self._quarantine.granted(grant.worker_id, now)
+        return grants
+
+    def _place_each(self, request: OpenRequest, now: float) -> list[Grant]:
+        preset = self._preset_for(request)
+        policy = _policy_of(preset)
+        avoid = self._avoided_by(request)
+        grants = []
+        for attempt_id, demand in _largest_first(request):
+            worker = self._choose(policy, demand, preset, avoid, now)
+            if worker is not None:
+                grants.append(self._book(worker, attempt_id, demand, now))
+            elif request.whole:
+                break
+        return grants
+
+    def _choose(
+        self,
+        policy: Policy,
+        demand: Resources,
+        preset: Preset,
+        avoid: Collection[str],
+        now: float,
+    ) -> OwnedWorker | None:
+        """Choose a worker on which the start has time enough to arrive."""
+        for _ in range(_MAX_STALE):
+            worker_id = policy(self._ledger, demand, preset, avoid)
+            if worker_id is None:
+                return None
+            worker = self._ledger.workers_by_id[worker_id]
+            if self._window_s(worker, now) >= self._bounds.least_window_s:
+                return worker
+            avoid = {*avoid, worker_id}
+        return None
+
+    def _book(
+        self,
+        worker: OwnedWorker,
+        attempt_id: str,
+        demand: Resources,
+        now: float,
+    ) -> Grant:
+        not_after_s = self._not_after_s(worker, now)
+        self._ledger.grant(worker.worker_id, attempt_id, demand, not_after_s)
+        return Grant(
+            attempt_id,
+            worker.worker_id,
+            worker.address,
+            worker.epoch,
+            worker.boot_id,
+            not_after_s,
+        )
+
+    def _not_after_s(self, worker: OwnedWorker, now: float) -> float:
+        """Return the end of a grant made now, on the worker's clock.
+
+        The worker's clock may run slower than the own one, so the time from
+        its reply to the end is shortened by the drift bound.
+        """
+        end_s = min(self._view.lease_end_s, now + self._bounds.ttl_s)
+        run_s = (end_s - worker.replied_at_s) * (1 - self._bounds.max_drift)
+        return worker.clock_s + run_s
+
+    def _window_s(self, worker: OwnedWorker, now: float) -> float:
+        """Return the least time that is left for a start to arrive."""
+        elapsed_s = now - worker.replied_at_s
+        latest_clock_s = worker.clock_s + elapsed_s * (
+            1 + self._bounds.max_drift
+        )
+        return self._not_after_s(worker, now) - latest_clock_s
+
+    def _cannot_fit(self, request: OpenRequest) -> bool:
+        """Tell cheaply that nothing of the request can be placed."""
+        demands = request.open_by_attempt_id.values()
+        if request.whole:
+            total = sum(demands, Resources())
+            if not total.fits_in(self._ledger.total_free()):
+                return True
+        largest = self._ledger.largest_free()
+        return not any(demand.fits_in(largest) for demand in demands)
+
+    def _preset_for(self, request: OpenRequest) -> Preset:
+        """Return the preset; favoured work may use the kept share too."""
+        preset = self._policies.preset()
+        if request.favoured and preset.reserved_fraction:
+            return structs.replace(preset, reserved_fraction=0)
+        return preset
+
+    def _avoided_by(self, request: OpenRequest) -> Collection[str]:
+        message = request.message
+        avoid = frozenset(message.avoid_workers)
+        if message.gang:
+            avoid = avoid.union(self._quarantine.suspect_ids())
+        if message.priority == 'urgent':
+            return avoid
+        if self._holds.is_holder(request.job_id):
+            return avoid
+        return avoid | self._holds.worker_ids
+
+
+def _policy_of(preset: Preset) -> Policy:
+    """Return the preset's policy; an unknown name must not stop the work."""
+    try:
+        return policy_named(preset.placement)
+    except UnknownPlacement:
+        return best_fit
+
+
+def _largest_first(request: OpenRequest) -> list[tuple[str, Resources]]:
+    """Return the open demands; a gang's large tasks are hardest to place."""
+    demands = list(request.open_by_attempt_id.items())
+    if request.whole:
+        demands.sort(key=_size, reverse=True)
+    return demands
+
+
+def _size(entry: tuple[str, Resources]) -> tuple[int, int, int]:
+    demand = entry[1]
+    return demand.accelerators, demand.cpu_millis, demand.memory_mb
--- /dev/null
+++ b/src/apricotlead/coordination/outlier_ejection.py
@@ -0,0 +1,252 @@
+"""Removes backend servers that fail what others do not."""
+
+from collections.abc import Callable
+from typing import Any, Literal
+
+from msgspec import Struct, field
+
+Standing = Literal['trusted', 'ejected', 'probing']
+
+# A backend server's evidence; beyond it the oldest group is forgotten.
+_MAX_GROUPS_PER_MEMBER = 16
+# Groups under observation; beyond it the oldest is forgotten.
+_MAX_GROUPS = 4096
+_MEMBERS_SEEN_PER_GROUP = 16
+_BACKOFF = 2
+
+
+class EjectionSettings(Struct, frozen=True):
+    """When members are ejected, and for how long.
+
+    ``failing_groups``: distinct groups (jobs, or callers of a service) whose
+    work a member must fail. ``suspect_members``: a group that fails on this
+    many members, and on more than it succeeds on, is at fault itself.
+    ``max_fraction`` of the members are out at once; one may always be out
+    where there are two or more. Times are in seconds.
+    """
+
+    failing_groups: int = 3
+    suspect_members: int = 3
+    max_fraction: float = 0.2
+    window_s: float = 60.0
+    first_ejection_s: float = 10.0
+    longest_ejection_s: float = 300.0
+    probe_wait_s: float = 30.0
+
+
+class _Verdict(Struct):
+    failed: bool
+    at_s: float
+
+
+class _Member(Struct):
+    """Evidence about one backend server since its first failure."""
+
+    verdicts_by_group: dict[str, _Verdict] = field(default_factory=dict)
+    standing: Standing = 'trusted'
+    until_s: float = 0.0
+    ejections: int = 0
+    probe_end_s: float | None = None
+
+
+class _Group(Struct):
+    """Members on which a group's work failed, and on which it did not."""
+
+    failed_on: set[str] = field(default_factory=set)
+    succeeded_on: set[str] = field(default_factory=set)
+
+
+class OutlierEjection:
+    """Decides which members of a set are out, and probes them one by one.
+
+    A member is *trusted*, *ejected* (gets nothing), or *probing* (gets one
+    piece of work at a time until one succeeds). Evidence is kept only from
+    the first failure on, so that a healthy set costs nothing.
+    """
+
+    __slots__ = ('_groups_by_id', '_member_count', '_members_by_id', '_policy')
+
+    def __init__(
+        self,
+        settings: EjectionSettings,
+        member_count: Callable[[], int],
+    ) -> None:
+        """Begin with all trusted; ``member_count`` gives the set's size."""
+        self._policy = settings
+        self._member_count = member_count
+        self._members_by_id: dict[str, _Member] = {}
+        self._groups_by_id: dict[str, _Group] = {}
+
+    def record(
+        self,
+        member_id: str,
+        group: str,
+        failed: bool,
+        now: float,
+    ) -> None:
+        """Note how a piece of the group's work ended on a member."""
+        if failed:
+            self._record_failure(member_id, group, now)
+        else:
+            self._record_success(member_id, group, now)
+
+    def standing(self, member_id: str) -> Standing:
+        """Return how far the member is trusted."""
+        member = self._members_by_id.get(member_id)
+        return 'trusted' if member is None else member.standing
+
+    def may_use(self, member_id: str) -> bool:
+        """Tell whether the member may get a piece of work now."""
+        member = self._members_by_id.get(member_id)
+        if member is None or member.standing == 'trusted':
+            return True
+        return member.standing == 'probing' and member.probe_end_s is None
+
+    def used(self, member_id: str, now: float) -> None:
+        """Note that work was sent; it is the probe of a probing member."""
+        member = self._members_by_id.get(member_id)
+        if member is not None and member.standing == 'probing':
+            member.probe_end_s = now + self._policy.probe_wait_s
+
+    def advance(self, now: float) -> None:
+        """Begin probes that are due, and forget old evidence.
+
+        Costs O(members with evidence); call it about once a second.
+        """
+        for member_id, member in tuple(self._members_by_id.items()):
+            self._advance_member(member_id, member, now)
+
+    def forget(self, member_id: str) -> None:
+        """Drop a member that left the set."""
+        self._members_by_id.pop(member_id, None)
+
+    def out_ids(self) -> tuple[str, ...]:
+        """Return the members that are ejected or probing."""
+        return tuple(
+            member_id
+            for member_id, member in self._members_by_id.items()
+            if member.standing != 'trusted'
+        )
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the members that are out, in JSON builtins."""
+        return {
+            member_id: {
+                'standing': self._members_by_id[member_id].standing,
+                'ejections': self._members_by_id[member_id].ejections,
+            }
+            for member_id in self.out_ids()
+        }
+
+    def _record_failure(self, member_id: str, group: str, now: float) -> None:
+        member = self._members_by_id.setdefault(member_id, _Member())
+        observed = self._observed_group(group)
+        if len(observed.failed_on) < _MEMBERS_SEEN_PER_GROUP:
+            observed.failed_on.add(member_id)
+        _keep_verdict(member, group, _Verdict(True, now))
+        if member.standing == 'probing' and not self._is_at_fault(group):
+            self._eject(member, now)
+        if self._is_at_fault(group):
+            self._acquit_members(observed)
+        else:
+            self._judge(member, now)
+
+    def _record_success(self, member_id: str, group: str, now: float) -> None:
+        observed = self._groups_by_id.get(group)
+        if observed and len(observed.succeeded_on) < _MEMBERS_SEEN_PER_GROUP:
+            observed.succeeded_on.add(member_id)
+        member = self._members_by_id.get(member_id)
+        if member is None:
+            return
+        if member.standing == 'probing':
+            self._members_by_id.pop(member_id)
+            return
+        _keep_verdict(member, group, _Verdict(False, now))
+
+    def _observed_group(self, group: str) -> _Group:
+        observed = self._groups_by_id.get(group)
+        if observed is None:
+            if len(self._groups_by_id) >= _MAX_GROUPS:
+                self._groups_by_id.pop(next(iter(self._groups_by_id)))
+            observed = self._groups_by_id.setdefault(group, _Group())
+        return observed
+
+    def _is_at_fault(self, group: str) -> bool:
+        observed = self._groups_by_id.get(group)
+        if observed is None:
+            return False
+        failures = len(observed.failed_on)
+        return failures >= self._policy.suspect_members and failures > len(
+            observed.succeeded_on
+        )
+
+    def _judge(self, member: _Member, now: float) -> None:
+        if member.standing != 'trusted' or not self._is_failing(member):
+            return
+        if len(self.out_ids()) < self._most_out():
+            self._eject(member, now)
+
+    def _is_failing(self, member: _Member) -> bool:
+        verdicts = [
+            verdict.failed
+            for group, verdict in member.verdicts_by_group.items()
+            if not verdict.failed or not self._is_at_fault(group)
+        ]
+        failures = sum(verdicts)
+        enough = failures >= self._policy.failing_groups
+        return enough and failures * 2 > len(verdicts)
+
+    def _most_out(self) -> int:
+        count = self._member_count()
+        if count < 2:
+            return 0
+        return max(int(count * self._policy.max_fraction), 1)
+
+    def _eject(self, member: _Member, now: float) -> None:
+        period_s = self._policy.first_ejection_s * _BACKOFF**member.ejections
+        member.standing = 'ejected'
+        member.until_s = now + min(period_s, self._policy.longest_ejection_s)
+        member.ejections += 1
+        member.probe_end_s = None
+
+    def _acquit_members(self, observed: _Group) -> None:
+        """Trust members again that were out because of a faulty group."""
+        for member_id in observed.failed_on:
+            member = self._members_by_id.get(member_id)
+            if member is None or member.standing == 'trusted':
+                continue
+            if not self._is_failing(member):
+                self._members_by_id.pop(member_id)
+
+    def _advance_member(
+        self,
+        member_id: str,
+        member: _Member,
+        now: float,
+    ) -> None:
+        if member.standing == 'ejected' and member.until_s <= now:
+            member.standing = 'probing'
+        if member.probe_end_s is not None and member.probe_end_s <= now:
+            member.probe_end_s = None
+        if member.standing == 'trusted':
+            self._forget_old(member_id, member, now)
+
+    def _forget_old(self, member_id: str, member: _Member, now: float) -> None:
+        oldest_s = now - self._policy.window_s
+        member.verdicts_by_group = {
+            group: verdict
+            for group, verdict in member.verdicts_by_group.items()
+            if verdict.at_s > oldest_s
+        }
+        if any(seen.failed for seen in member.verdicts_by_group.values()):
+            return
+        self._members_by_id.pop(member_id)
+
+
+def _keep_verdict(member: _Member, group: str, verdict: _Verdict) -> None:
+    """Keep the latest verdict of a group; the oldest group makes room."""
+    member.verdicts_by_group.pop(group, None)
+    member.verdicts_by_group[group] = verdict
+    if len(member.verdicts_by_group) > _MAX_GROUPS_PER_MEMBER:
+        oldest = next(iter(member.verdicts_by_group))
+        member.verdicts_by_group.pop(oldest)
--- /dev/null
+++ b/src/apricotlead/coordination/overuse.py
@@ -0,0 +1,132 @@
+"""Acts when attempts use more than they declared."""
+
+from collections.abc import Iterable, Sequence
+
+from msgspec import Struct, field, structs
+
+from apricotlead.protocol.peers import RelieveWorker
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.signals import CallWorker, SendToPeer, Signal, Token
+from apricotlead.protocol.workers import (
+    Accepted,
+    AttemptReport,
+    ThrottleTask,
+    WorkerReply,
+)
+from apricotlead.state.capacity_ledger import OwnedWorker
+from apricotlead.state.session_view import SessionView
+
+
+class OveruseSettings(Struct, frozen=True):
+    """``cpu_tolerance`` is the part over its demand that is let pass.
+
+    ``relief_s`` is the least time between two stops on one worker (seconds):
+    usage is reported with a lag, so the effect of a stop shows late.
+    """
+
+    cpu_tolerance: float = 0.1
+    relief_s: float = 5.0
+
+
+class OveruseWatch(Struct):
+    """What was done about overuse on one worker.
+
+    ``throttles_by_id`` has the number of the throttle call by attempt id.
+    """
+
+    throttles_by_id: dict[str, int] = field(default_factory=dict)
+    relieved_s: float = float('-inf')
+    last_number: int = 0
+
+    def act(
+        self,
+        settings: OveruseSettings,
+        worker: OwnedWorker,
+        reports: Sequence[AttemptReport],
+        view: SessionView,
+        token: Token,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Return throttles, and one stop where memory is over capacity."""
+        running = [report for report in reports if report.state == 'running']
+        signals: list[Signal] = []
+        self._keep_throttles(running)
+        used = sum((report.used for report in running), Resources())
+        if used.cpu_millis > worker.capacity.cpu_millis:
+            signals.extend(self._throttle(settings, worker, running, token))
+        if used.memory_mb > worker.capacity.memory_mb:
+            signals.extend(self._relieve(settings, worker, running, view, now))
+        return signals
+
+    def answered(self, number: int, reply: WorkerReply) -> None:
+        """Let a throttle that was not taken be sent again."""
+        if isinstance(reply, Accepted):
+            return
+        self.throttles_by_id = {
+            attempt_id: sent
+            for attempt_id, sent in self.throttles_by_id.items()
+            if sent != number
+        }
+
+    def _keep_throttles(self, running: Sequence[AttemptReport]) -> None:
+        if not self.throttles_by_id:
+            return
+        running_ids = {report.attempt_id for report in running}
+        self.throttles_by_id = {
+            attempt_id: number
+            for attempt_id, number in self.throttles_by_id.items()
+            if attempt_id in running_ids
+        }
+
+    def _throttle(
+        self,
+        settings: OveruseSettings,
+        worker: OwnedWorker,
+        running: Sequence[AttemptReport],
+        token: Token,
+    ) -> Iterable[Signal]:
+        for report in running:
+            allowed = report.demand.cpu_millis * (1 + settings.cpu_tolerance)
+            if report.used.cpu_millis <= allowed:
+                continue
+            if report.attempt_id in self.throttles_by_id:
+                continue
+            self.last_number += 1
+            self.throttles_by_id[report.attempt_id] = self.last_number
+            yield CallWorker(
+                structs.replace(token, number=self.last_number),
+                worker.worker_id,
+                worker.address,
+                ThrottleTask(
+                    report.attempt_id,
+                    worker.epoch,
+                    report.demand.cpu_millis,
+                ),
+            )
+
+    def _relieve(
+        self,
+        settings: OveruseSettings,
+        worker: OwnedWorker,
+        running: Sequence[AttemptReport],
+        view: SessionView,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Ask all sessions, as the home of an older attempt is not known."""
+        if now < self.relieved_s + settings.relief_s:
+            return
+        self.relieved_s = now
+        worst = max(running, key=_memory_excess)
+        message = RelieveWorker(
+            worker.worker_id,
+            worst.journal_id,
+            worst.attempt_id,
+        )
+        yield message
+        for peer in view.peers_by_id.values():
+            yield SendToPeer(peer.session_id, peer.address, message)
+
+
+def _memory_excess(report: AttemptReport) -> tuple[int, str]:
+    excess = report.used.memory_mb - report.demand.memory_mb
+    return excess, report.attempt_id
--- /dev/null
+++ b/src/apricotlead/coordination/placement.py
@@ -0,0 +1,133 @@
+"""Policies that choose the worker for one task."""
+
+from collections.abc import Callable, Container, Iterator
+from itertools import islice
+
+from apricotlead.protocol.config import Preset
+from apricotlead.protocol.errors import BadInput
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.capacity_ledger import CapacityLedger, OwnedWorker
+
+Policy = Callable[
+    [CapacityLedger, Resources, Preset, Container[str]],
+    str | None,
+]
+
+# Candidates compared for one task; each comes from another memory class.
+_MAX_CANDIDATES = 6
+
+_policies_by_name: dict[str, Policy] = {}
+
+
+class UnknownPlacement(BadInput):
+    """A preset names a placement policy that is not registered."""
+
+    kind = 'unknown_placement'
+    remedy = 'Name one of the registered placement policies.'
+
+
+def placement_policy(name: str) -> Callable[[Policy], Policy]:
+    """Register the decorated function as the policy ``name``."""
+
+    def decorate(policy: Policy) -> Policy:
+        _policies_by_name[name] = policy
+        return policy
+
+    return decorate
+
+
+def policy_names() -> tuple[str, ...]:
+    """Return the names that a preset may use."""
+    return tuple(sorted(_policies_by_name))
+
+
+def policy_named(name: str) -> Policy:
+    """Return the policy; raise ``UnknownPlacement`` if there is none."""
+    policy = _policies_by_name.get(name)
+    if policy is None:
+        known = ', '.join(policy_names())
+        raise UnknownPlacement(f'No policy {name!r}; there are {known}.')
+    return policy
+
+
+@placement_policy('best_fit')
+def best_fit(
+    ledger: CapacityLedger,
+    demand: Resources,
+    preset: Preset,
+    avoid: Container[str] = (),
+) -> str | None:
+    """Choose the worker that is left with the least stranded rest.
+
+    Workers with the fewest free accelerators that suffice come first, so a
+    task without accelerators goes to an accelerated worker only where no
+    other has room.
+    """
+    return _first_choice(ledger, demand, preset, avoid, _stranded)
+
+
+@placement_policy('spread')
+def spread(
+    ledger: CapacityLedger,
+    demand: Resources,
+    preset: Preset,
+    avoid: Container[str] = (),
+) -> str | None:
+    """Choose the worker that is left with the largest part free."""
+    return _first_choice(ledger, demand, preset, avoid, _fullness)
+
+
+def _first_choice(
+    ledger: CapacityLedger,
+    demand: Resources,
+    preset: Preset,
+    avoid: Container[str],
+    cost: Callable[[OwnedWorker, Resources], float],
+) -> str | None:
+    tight = cost is _stranded
+    index = ledger.index(preset.reserved_fraction)
+    for shelf in index.shelves(demand.accelerators):
+        fitting = shelf.candidates(demand, avoid, tight)
+        chosen = _cheapest(ledger, demand, fitting, cost)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _cheapest(
+    ledger: CapacityLedger,
+    demand: Resources,
+    fitting: Iterator[str],
+    cost: Callable[[OwnedWorker, Resources], float],
+) -> str | None:
+    chosen, lowest = None, float('inf')
+    for worker_id in islice(fitting, _MAX_CANDIDATES):
+        worker = ledger.workers_by_id[worker_id]
+        worker_cost = cost(worker, demand)
+        if worker_cost < lowest:
+            chosen, lowest = worker_id, worker_cost
+    return chosen
+
+
+def _rest_parts(worker: OwnedWorker, demand: Resources) -> tuple[float, float]:
+    """Return the parts of processors and memory left after ``demand``."""
+    cpu_rest = worker.free.cpu_millis - demand.cpu_millis
+    memory_rest = worker.free.memory_mb - demand.memory_mb
+    capacity = worker.capacity
+    return (
+        cpu_rest / max(capacity.cpu_millis, 1),
+        memory_rest / max(capacity.memory_mb, 1),
+    )
+
+
+def _stranded(worker: OwnedWorker, demand: Resources) -> float:
+    """Return how unevenly and how much is left; less is better.
+
+    A rest of one resource is of no use without the other.
+    """
+    cpu, memory = _rest_parts(worker, demand)
+    return abs(cpu - memory) + (cpu + memory) / 2
+
+
+def _fullness(worker: OwnedWorker, demand: Resources) -> float:
+    return -min(_rest_parts(worker, demand))
--- /dev/null
+++ b/src/apricotlead/coordination/reservations.py
@@ -0,0 +1,366 @@
+"""Grants the capacity of owned workers to homes that ask for it."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import islice
+from typing import Any, ClassVar
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import (
+    Component,
+    handles,
+    route_to_session,
+)
+from apricotlead.coordination.fair_share import (
+    PolicySource,
+    RecentGrants,
+    ShareSource,
+    team_share,
+    team_weight,
+)
+from apricotlead.coordination.gang_holds import GangHolds, HoldSettings
+from apricotlead.coordination.granting import GrantBounds, Granter
+from apricotlead.coordination.parked_requests import (
+    OpenRequest,
+    ParkedRequests,
+    RequestKey,
+)
+from apricotlead.coordination.quarantine import Quarantine
+from apricotlead.protocol.peers import (
+    CapacityGranted,
+    CapacityRefused,
+    Grant,
+    ReleaseGrants,
+    ReserveCapacity,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.signals import (
+    CapacityFreed,
+    PeerLapsed,
+    PeersChanged,
+    SessionLost,
+    Signal,
+    Tick,
+)
+from apricotlead.state.capacity_ledger import CapacityLedger
+from apricotlead.state.session_view import SessionView
+
+# Parked requests looked at for one piece of room that came free; bounds the
+# time of a delivery when thousands are parked.
+_MAX_LOOKS = 256
+
+
+class ReservationSettings(Struct, frozen=True):
+    """Times in seconds.
+
+    ``longest_park_s`` bounds what a home may ask for; answers are kept for
+    ``answer_memory_s``; ``gossip_lag_s`` is the age that the usage reported
+    by peers can have.
+    """
+
+    longest_park_s: float = 1.0
+    answer_memory_s: float = 5.0
+    gossip_lag_s: float = 0.5
+    bounds: GrantBounds = GrantBounds()
+    holds: HoldSettings = HoldSettings()
+
+
+class ReservationDesk(Component):
+    """Grants, parks and refuses requests for room on owned workers.
+
+    A grant takes effect in the ledger before it is sent, so a lost answer
+    wastes room until ``not_after_s`` but never gives it out twice. A
+    repeated request gets the answer of the first.
+    """
+
+    name: ClassVar[str] = 'reservation_desk'
+    __slots__ = (
+        '_requests_by_key',
+        '_granter',
+        '_holds',
+        '_ledger',
+        '_parked',
+        '_policies',
+        '_quarantine',
+        '_recent',
+        '_settings',
+        '_usage',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        settings: ReservationSettings,
+        view: SessionView,
+        ledger: CapacityLedger,
+        quarantine: Quarantine,
+        policies: PolicySource,
+        usage: ShareSource,
+    ) -> None:
+        """Begin with nothing granted or parked."""
+        self._settings = settings
+        self._view = view
+        self._ledger = ledger
+        self._quarantine = quarantine
+        self._policies = policies
+        self._usage = usage
+        self._parked = ParkedRequests()
+        self._holds = GangHolds(settings.holds, ledger)
+        self._granter = Granter(
+            settings.bounds,
+            view,
+            ledger,
+            quarantine,
+            self._holds,
+            policies,
+        )
+        self._recent = RecentGrants(settings.gossip_lag_s)
+        self._requests_by_key: dict[RequestKey, OpenRequest] = {}
+
+    @handles(ReserveCapacity)
+    def reserve(self, message: ReserveCapacity, now: float) -> Iterable[Signal]:
+        """Grant what fits, park the rest, or refuse it at once."""
+        key = (message.home_session, message.request_id)
+        if not message.demands or not self._is_live(message.home_session):
+            return ()
+        known = self._requests_by_key.get(key)
+        if known is not None:
+            return self._answer_again(known)
+        request = self._open(message, now)
+        self._requests_by_key[key] = request
+        if len(request.open_by_attempt_id) < len(message.demands):
+            return self._refuse(request)
+        if message.gang:
+            demands = request.open_by_attempt_id.values()
+            self._holds.asked(request.job_id, demands, now)
+        return (
+            *self._serve(request, now),
+            *self._park_or_refuse(request, now),
+        )
+
+    @handles(ReleaseGrants)
+    def release(self, message: ReleaseGrants, now: float) -> Iterable[Signal]:
+        """End grants and parked wishes; serve others with the room."""
+        freed = list(self._note_verdicts(message, now))
+        for attempt_id in message.attempt_ids:
+            self._parked.withdraw(attempt_id)
+            worker = self._ledger.worker_of(attempt_id)
+            if self._ledger.release(attempt_id):
+                freed.append(worker.worker_id)
+        return self._serve_parked_on(dict.fromkeys(freed), now)
+
+    @handles(CapacityFreed)
+    def freed(self, signal: CapacityFreed, now: float) -> Iterable[Signal]:
+        """Serve parked requests on the worker with more room."""
+        return self._serve_parked_on((signal.worker_id,), now)
+
+    @handles(Tick)
+    def tick(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """Refuse requests that have waited long enough."""
+        self._forget_answers(now)
+        produced: list[Signal] = []
+        for request in self._parked.expired(now):
+            produced.extend(self._refuse(request))
+        if self._holds.advance(now):
+            workers = tuple(self._ledger.workers_by_id)
+            produced.extend(self._serve_parked_on(workers, now))
+        return produced
+
+    @handles(PeersChanged, PeerLapsed)
+    def homes_changed(self, signal: Signal, now: float) -> Iterable[Signal]:
+        """Forget the requests of homes that have gone.
+
+        Their grants stay until ``not_after_s``, because a home that is only
+        paused can still have starts on the way.
+        """
+        self._parked.keep_homes(frozenset(self._view.live_ids()))
+        return ()
+
+    @handles(SessionLost)
+    def session_lost(self, signal: SessionLost, now: float) -> Iterable[Signal]:
+        """Forget all requests; homes ask the next owner."""
+        self._parked = ParkedRequests()
+        self._requests_by_key.clear()
+        self._holds.clear()
+        return ()
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the numbers of parked requests, and the held workers."""
+        return {
+            'parked': len(self._parked),
+            'answers': len(self._requests_by_key),
+            'held_workers': sorted(self._holds.worker_ids),
+        }
+
+    def _is_live(self, session_id: str) -> bool:
+        own = session_id == self._view.session_id
+        return own or session_id in self._view.peers_by_id
+
+    def _open(self, message: ReserveCapacity, now: float) -> OpenRequest:
+        """Return the request with the demands that may be granted.
+
+        A malformed demand, or an attempt that has room already, would spoil
+        the ledger; a request with such a demand is refused as a whole.
+        """
+        park_s = min(message.park_s, self._settings.longest_park_s)
+        open_by_attempt_id = {
+            wanted.attempt_id: wanted.demand
+            for wanted in message.demands
+            if wanted.demand.is_valid_demand()
+            and self._ledger.worker_of(wanted.attempt_id) is None
+        }
+        return OpenRequest(message, open_by_attempt_id, now, now + park_s)
+
+    def _serve(self, request: OpenRequest, now: float) -> Iterable[Signal]:
+        demands_by_id = dict(request.open_by_attempt_id)
+        grants = self._granter.place(request, now)
+        if not grants:
+            return ()
+        team = request.message.team
+        for grant in grants:
+            self._recent.add(team, demands_by_id[grant.attempt_id], now)
+        request.grants.extend(grants)
+        if request.whole:
+            self._holds.served(request.job_id)
+        return self._send_grants(request, grants)
+
+    def _park_or_refuse(
+        self,
+        request: OpenRequest,
+        now: float,
+    ) -> Iterable[Signal]:
+        if not request.open_by_attempt_id:
+            return ()
+        if request.deadline_s <= now or not self._view.is_valid(now):
+            return self._refuse(request)
+        self._parked.park(request)
+        return ()
+
+    def _refuse(self, request: OpenRequest) -> Iterable[Signal]:
+        """Refuse all that was not granted."""
+        granted_ids = {grant.attempt_id for grant in request.grants}
+        request.refused_ids = tuple(
+            wanted.attempt_id
+            for wanted in request.message.demands
+            if wanted.attempt_id not in granted_ids
+        )
+        return self._send_refusal(request)
+
+    def _answer_again(self, request: OpenRequest) -> Iterable[Signal]:
+        """Repeat the answer, without the grants that have ended."""
+        held = [
+            grant for grant in request.grants if self._is_outstanding(grant)
+        ]
+        produced: list[Signal] = []
+        if held:
+            produced.extend(self._send_grants(request, held))
+        if request.refused_ids:
+            produced.extend(self._send_refusal(request))
+        return produced
+
+    def _send_grants(
+        self,
+        request: OpenRequest,
+        grants: Sequence[Grant],
+    ) -> Iterable[Signal]:
+        granted = CapacityGranted(
+            request.message.request_id,
+            self._view.session_id,
+            tuple(grants),
+        )
+        return self._to_home(request, granted)
+
+    def _send_refusal(self, request: OpenRequest) -> Iterable[Signal]:
+        refusal = CapacityRefused(
+            request.message.request_id,
+            self._view.session_id,
+            request.refused_ids,
+        )
+        return self._to_home(request, refusal)
+
+    def _is_outstanding(self, grant: Grant) -> bool:
+        worker = self._ledger.worker_of(grant.attempt_id)
+        return (
+            worker is not None
+            and worker.epoch == grant.worker_epoch
+            and grant.attempt_id in worker.grants_by_id
+        )
+
+    def _to_home(
+        self,
+        request: OpenRequest,
+        message: CapacityGranted | CapacityRefused,
+    ) -> Iterable[Signal]:
+        home = request.message.home_session
+        return route_to_session(self._view, home, message)
+
+    def _note_verdicts(
+        self,
+        message: ReleaseGrants,
+        now: float,
+    ) -> Iterator[str]:
+        """Tell the quarantine; yield workers that take grants again."""
+        failed = dict.fromkeys(message.failed_ids, True)
+        verdicts = failed | dict.fromkeys(message.succeeded_ids, False)
+        for attempt_id, has_failed in verdicts.items():
+            worker = self._ledger.worker_of(attempt_id)
+            if worker is not None:
+                yield from self._quarantine.ended(
+                    worker.worker_id,
+                    attempt_id,
+                    has_failed,
+                    now,
+                )
+
+    def _serve_parked_on(
+        self,
+        worker_ids: Iterable[str],
+        now: float,
+    ) -> Iterable[Signal]:
+        if not self._parked or not self._view.is_valid(now):
+            return ()
+        produced: list[Signal] = []
+        for worker_id in worker_ids:
+            produced.extend(self._serve_parked(worker_id, now))
+        return produced
+
+    def _serve_parked(self, worker_id: str, now: float) -> Iterable[Signal]:
+        """Serve parked requests while the worker has room for any."""
+        produced: list[Signal] = []
+        walk = self._parked.in_order(lambda team: self._share_of(team, now))
+        served = []
+        for request in islice(walk, _MAX_LOOKS):
+            free = self._ledger.free_of(worker_id)
+            if free == Resources():
+                break
+            before = tuple(request.open_by_attempt_id)
+            if _wants_some_of(free, request):
+                produced.extend(self._serve(request, now))
+                served.append((request, before))
+        for request, asked_ids in served:
+            self._parked.answered(request, asked_ids)
+        return produced
+
+    def _share_of(self, team: str, now: float) -> float:
+        config = self._policies.config
+        known = team_share(team, config, self._usage, now)
+        return known + self._recent.share(
+            team,
+            self._ledger.total_capacity,
+            team_weight(config, team),
+            now,
+        )
+
+    def _forget_answers(self, now: float) -> None:
+        oldest_s = now - self._settings.answer_memory_s
+        requests = self._requests_by_key
+        while requests:
+            key = next(iter(requests))
+            if requests[key].asked_s > oldest_s:
+                return
+            requests.pop(key)
+
+
+def _wants_some_of(free: Resources, request: OpenRequest) -> bool:
+    demands = request.open_by_attempt_id.values()
+    return any(demand.fits_in(free) for demand in demands)
--- /dev/null
+++ b/src/apricotlead/coordination/worker_monitor.py
@@ -0,0 +1,358 @@
+"""Asks the owned workers how they are, and acts on what they say."""
+
+from collections.abc import Iterable, Iterator
+from heapq import heappop, heappush
+from itertools import count
+from typing import Any, ClassVar, Protocol
+
+from msgspec import Struct, field
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.overuse import OveruseSettings, OveruseWatch
+from apricotlead.coordination.quarantine import Quarantine
+from apricotlead.protocol.instances import Instance
+from apricotlead.protocol.jobs import AttemptState
+from apricotlead.protocol.peers import ReleaseGrants
+from apricotlead.protocol.randomness import RandomSource
+from apricotlead.protocol.signals import (
+    CallWorker,
+    CapacityFreed,
+    Count,
+    Note,
+    SessionLost,
+    Signal,
+    Tick,
+    Token,
+    WorkerClaimed,
+    WorkerDropped,
+    WorkerReplied,
+)
+from apricotlead.protocol.workers import (
+    AttemptReport,
+    Heartbeat,
+    HeartbeatReply,
+    WorkerRefused,
+    WorkerReply,
+)
+from apricotlead.state.capacity_ledger import CapacityLedger
+from apricotlead.state.session_view import SessionView
+
+_HEARTBEAT = 'heartbeat'
+_THROTTLE = 'throttle'
+_UNREACHABLE = 'unreachable'
+_LEAVING = 'leaving'
+# After a pause all heartbeats are due at once; one tick sends at most this
+# part of them, so that they are spread again.
+_PART_PER_TICK = 0.1
+_LEAST_PER_TICK = 8
+
+
+class MonitorSettings(Struct, frozen=True):
+    """Times in seconds.
+
+    ``heartbeat_s`` is the period per worker; ``reply_timeout_s`` bounds the
+    wait for an answer; ``early_s`` is the least time between two heartbeats
+    when an ended attempt calls for one out of turn; ``quarantine_step_s`` is
+    the period of quarantine work.
+    """
+
+    heartbeat_s: float = 1.0
+    reply_timeout_s: float = 0.9
+    early_s: float = 0.1
+    quarantine_step_s: float = 1.0
+    overuse: OveruseSettings = OveruseSettings()
+
+
+class WorkerListing(Protocol):
+    """The part of the cell directory that the monitor needs."""
+
+    workers_by_id: dict[str, Instance]
+
+
+class _Watch(Struct):
+    """The heartbeats of one owned worker; ``pending`` is 0 without one."""
+
+    epoch: int
+    due_s: float
+    pending: int = 0
+    sent_s: float = float('-inf')
+    ended_ids: frozenset[str] = frozenset()
+    overuse: OveruseWatch = field(default_factory=OveruseWatch)
+
+
+class WorkerMonitor(Component):
+    """Fences, asks and reconciles each owned worker once a second.
+
+    One heartbeat per worker is in flight, and only the answer to the latest
+    one counts, so replies that were doubled, late or reordered change
+    nothing. It costs one request a second per worker and O(log n) to
+    schedule it.
+    """
+
+    name: ClassVar[str] = 'worker_monitor'
+    __slots__ = (
+        '_directory',
+        '_due',
+        '_ledger',
+        '_next_step_s',
+        '_numbers',
+        '_quarantine',
+        '_rng',
+        '_settings',
+        '_view',
+        '_watches_by_id',
+    )
+
+    def __init__(
+        self,
+        settings: MonitorSettings,
+        view: SessionView,
+        directory: WorkerListing,
+        ledger: CapacityLedger,
+        quarantine: Quarantine,
+        rng: RandomSource,
+    ) -> None:
+        """Begin without workers."""
+        self._settings = settings
+        self._view = view
+        self._directory = directory
+        self._ledger = ledger
+        self._quarantine = quarantine
+        self._rng = rng
+        self._numbers = count(1)
+        self._next_step_s = float('-inf')
+        self._watches_by_id: dict[str, _Watch] = {}
+        self._due: list[tuple[float, str]] = []
+
+    @handles(WorkerClaimed)
+    def claimed(self, signal: WorkerClaimed, now: float) -> Iterable[Signal]:
+        """Fence the worker at once; later heartbeats keep a random phase."""
+        watch = self._watches_by_id.get(signal.worker_id)
+        if watch is not None and watch.epoch >= signal.epoch:
+            return ()
+        self._ledger.claim(signal.worker_id, signal.epoch)
+        watch = _Watch(signal.epoch, now)
+        self._watches_by_id[signal.worker_id] = watch
+        effects = self._beat(signal.worker_id, watch, now)
+        phase_s = self._rng.uniform(0, self._settings.heartbeat_s)
+        self._schedule(signal.worker_id, watch, now + phase_s)
+        return effects
+
+    @handles(WorkerDropped)
+    def dropped(self, signal: WorkerDropped, now: float) -> Iterable[Signal]:
+        """Forget the worker and all that was granted on it."""
+        self._forget(signal.worker_id)
+        return ()
+
+    @handles(SessionLost)
+    def session_lost(self, signal: SessionLost, now: float) -> Iterable[Signal]:
+        """Forget all workers; a peer owns them now."""
+        for worker_id in tuple(self._watches_by_id):
+            self._forget(worker_id)
+        return ()
+
+    @handles(Tick)
+    def tick(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """Send the heartbeats that are due."""
+        produced: list[Signal] = []
+        if now >= self._next_step_s:
+            self._next_step_s = now + self._settings.quarantine_step_s
+            produced.extend(_freed(self._quarantine.advance(now)))
+        for worker_id in tuple(self._take_due(now)):
+            watch = self._watches_by_id[worker_id]
+            produced.extend(self._beat_in_turn(worker_id, watch, now))
+        return produced
+
+    @handles(WorkerReplied)
+    def replied(self, signal: WorkerReplied, now: float) -> Iterable[Signal]:
+        """Act on the answer to the latest heartbeat; ignore all others."""
+        watch = self._watches_by_id.get(signal.worker_id)
+        if watch is None:
+            return ()
+        if signal.token.purpose == _THROTTLE:
+            watch.overuse.answered(signal.token.number, signal.reply)
+            return ()
+        if watch.pending != signal.token.number:
+            return ()
+        watch.pending = 0
+        return self._act_on(signal.worker_id, watch, signal.reply, now)
+
+    @handles(ReleaseGrants)
+    def released(self, signal: ReleaseGrants, now: float) -> Iterable[Signal]:
+        """Ask a worker soon whose listed attempt has ended.
+
+        Its room comes free only when a reply no longer lists the attempt.
+        """
+        for attempt_id in signal.attempt_ids:
+            worker = self._ledger.worker_of(attempt_id)
+            if worker and attempt_id in worker.charges_by_id:
+                self._hasten(worker.worker_id, now)
+        return ()
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the workers that take no grants, and why."""
+        blocked = {
+            worker.worker_id: sorted(worker.blocks)
+            for worker in self._ledger.workers_by_id.values()
+            if worker.blocks
+        }
+        return {
+            'workers': len(self._watches_by_id),
+            'blocked': blocked,
+            'quarantine': self._quarantine.dump(now),
+        }
+
+    def _take_due(self, now: float) -> Iterator[str]:
+        part = int(len(self._watches_by_id) * _PART_PER_TICK)
+        left = max(part, _LEAST_PER_TICK)
+        while left and self._due and self._due[0][0] <= now:
+            due_s, worker_id = heappop(self._due)
+            watch = self._watches_by_id.get(worker_id)
+            if watch is not None and watch.due_s == due_s:
+                left -= 1
+                yield worker_id
+
+    def _beat_in_turn(
+        self,
+        worker_id: str,
+        watch: _Watch,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Send the heartbeat of this turn and schedule the next."""
+        period_s = self._settings.heartbeat_s
+        late_s = (now - watch.due_s) % period_s
+        self._schedule(worker_id, watch, now - late_s + period_s)
+        # An answer that is overdue by a period will not come.
+        overdue_s = watch.sent_s + self._settings.reply_timeout_s + period_s
+        if watch.pending and now < overdue_s:
+            return ()
+        if watch.pending:
+            self._ledger.block(worker_id, _UNREACHABLE)
+        return self._beat(worker_id, watch, now)
+
+    def _beat(
+        self,
+        worker_id: str,
+        watch: _Watch,
+        now: float,
+    ) -> Iterable[Signal]:
+        instance = self._directory.workers_by_id.get(worker_id)
+        if instance is None:
+            self._ledger.block(worker_id, _LEAVING)
+            return ()
+        reopened: Iterable[Signal] = ()
+        if instance.leaving:
+            self._ledger.block(worker_id, _LEAVING)
+        elif self._ledger.unblock(worker_id, _LEAVING):
+            reopened = (CapacityFreed(worker_id),)
+        watch.pending = next(self._numbers)
+        watch.sent_s = now
+        heartbeat = Heartbeat(self._view.session_id, watch.epoch)
+        call = CallWorker(
+            Token(self.name, _HEARTBEAT, watch.pending),
+            worker_id,
+            instance.address,
+            heartbeat,
+            self._settings.reply_timeout_s,
+        )
+        return (*reopened, call)
+
+    def _act_on(
+        self,
+        worker_id: str,
+        watch: _Watch,
+        reply: WorkerReply,
+        now: float,
+    ) -> Iterable[Signal]:
+        if isinstance(reply, HeartbeatReply):
+            return self._reconcile(worker_id, watch, reply, now)
+        if isinstance(reply, WorkerRefused) and reply.epoch > watch.epoch:
+            return self._yield_to_owner(worker_id, watch, reply)
+        self._ledger.block(worker_id, _UNREACHABLE)
+        return (Count('worker_unreachable'),)
+
+    def _reconcile(
+        self,
+        worker_id: str,
+        watch: _Watch,
+        reply: HeartbeatReply,
+        now: float,
+    ) -> Iterable[Signal]:
+        instance = self._directory.workers_by_id.get(worker_id)
+        address = instance.address if instance else ''
+        grew = self._ledger.apply_reply(worker_id, reply, address, now)
+        reopened = self._ledger.unblock(worker_id, _UNREACHABLE)
+        freed = [worker_id] if grew or reopened else []
+        freed.extend(self._note_endings(worker_id, watch, reply, now))
+        worker = self._ledger.workers_by_id[worker_id]
+        relief = watch.overuse.act(
+            self._settings.overuse,
+            worker,
+            reply.attempts,
+            self._view,
+            Token(self.name, _THROTTLE),
+            now,
+        )
+        return (*_freed(freed), *relief)
+
+    def _note_endings(
+        self,
+        worker_id: str,
+        watch: _Watch,
+        reply: HeartbeatReply,
+        now: float,
+    ) -> Iterator[str]:
+        """Report endings that the previous reply did not list yet."""
+        ended = [report for report in reply.attempts if _has_verdict(report)]
+        known_ids = watch.ended_ids
+        watch.ended_ids = frozenset(report.attempt_id for report in ended)
+        for report in ended:
+            if report.attempt_id not in known_ids:
+                yield from self._quarantine.ended(
+                    worker_id,
+                    report.attempt_id,
+                    report.state == 'failed',
+                    now,
+                )
+
+    def _yield_to_owner(
+        self,
+        worker_id: str,
+        watch: _Watch,
+        refused: WorkerRefused,
+    ) -> Iterable[Signal]:
+        self._forget(worker_id)
+        note = Note(
+            'worker is owned by another session',
+            {
+                'worker_id': worker_id,
+                'own_epoch': watch.epoch,
+                'epoch': refused.epoch,
+            },
+        )
+        return (WorkerDropped(worker_id), note)
+
+    def _hasten(self, worker_id: str, now: float) -> None:
+        watch = self._watches_by_id[worker_id]
+        due_s = max(now, watch.sent_s + self._settings.early_s)
+        if due_s < watch.due_s:
+            self._schedule(worker_id, watch, due_s)
+
+    def _schedule(self, worker_id: str, watch: _Watch, due_s: float) -> None:
+        watch.due_s = due_s
+        heappush(self._due, (due_s, worker_id))
+
+    def _forget(self, worker_id: str) -> None:
+        self._watches_by_id.pop(worker_id, None)
+        self._ledger.drop(worker_id)
+        self._quarantine.forget(worker_id)
+
+
+def _freed(worker_ids: Iterable[str]) -> tuple[Signal, ...]:
+    return tuple(CapacityFreed(worker_id) for worker_id in worker_ids)
+
+
+def _has_verdict(report: AttemptReport) -> bool:
+    """Tell whether the ending speaks for or against the worker."""
+    verdicts: tuple[AttemptState, ...] = ('failed', 'succeeded')
+    return report.state in verdicts
--- a/src/apricotlead/protocol/peers.py
+++ b/src/apricotlead/protocol/peers.py
@@ -16,7 +16,12 @@
 
 
 class ReserveCapacity(Struct, frozen=True, tag='reserve'):
-    """Asks a worker owner for room; may be parked up to ``park_s``."""
+    """Asks a worker owner for room; may be parked up to ``park_s``.
+
+    A gang gets all or nothing, unless ``partial`` tells that other owners are
+    asked for the rest. ``avoid_workers`` are workers on which earlier attempts
+    of these tasks failed.
+    """
 
     request_id: str
     home_session: str
@@ -25,6 +30,8 @@
     demands: tuple[TaskDemand, ...]
     gang: bool = False
     park_s: float = 0.0
+    partial: bool = False
+    avoid_workers: tuple[str, ...] = ()
 
 
 class Grant(Struct, frozen=True):
@@ -58,9 +65,27 @@
 
 
 class ReleaseGrants(Struct, frozen=True, tag='release'):
-    """These attempts have ended or will never start."""
+    """These attempts have ended or will never start.
+
+    ``failed_ids`` and ``succeeded_ids`` are those of them that ran to such an
+    end; the owner quarantines workers by them.
+    """
 
     attempt_ids: tuple[str, ...]
+    failed_ids: tuple[str, ...] = ()
+    succeeded_ids: tuple[str, ...] = ()
+
+
+class RelieveWorker(Struct, frozen=True, tag='relieve'):
+    """Asks the home to stop an attempt and queue its task again.
+
+    The worker's memory is used beyond its capacity, and of its attempts this
+    one uses most beyond its demand. Sessions without the journal ignore it.
+    """
+
+    worker_id: str
+    journal_id: str
+    attempt_id: str
 
 
 class TeamLoad(Struct, frozen=True, omit_defaults=True):
@@ -119,6 +144,7 @@
     | CapacityGranted
     | CapacityRefused
     | ReleaseGrants
+    | RelieveWorker
     | Gossip
     | AskJob
     | JobAnswer
--- /dev/null
+++ b/tests/capacity_rig.py
@@ -0,0 +1,170 @@
+"""Ledger, monitor and desk with fakes around them, on a controlled clock."""
+
+from random import Random
+
+from apricotlead.coordination.outlier_ejection import (
+    EjectionSettings,
+    OutlierEjection,
+)
+from apricotlead.coordination.quarantine import Quarantine
+from apricotlead.coordination.reservations import (
+    ReservationDesk,
+    ReservationSettings,
+)
+from apricotlead.coordination.scheduler import Scheduler
+from apricotlead.coordination.store_settlement import StoreSettlement
+from apricotlead.coordination.worker_monitor import (
+    MonitorSettings,
+    WorkerMonitor,
+)
+from apricotlead.protocol.config import CellConfig, Preset
+from apricotlead.protocol.instances import Instance
+from apricotlead.protocol.peers import ReserveCapacity, TaskDemand
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.signals import (
+    CallWorker,
+    PeerReceived,
+    Tick,
+    WorkerClaimed,
+    WorkerReplied,
+)
+from apricotlead.protocol.workers import Heartbeat, HeartbeatReply
+from apricotlead.state.capacity_ledger import CapacityLedger
+from apricotlead.state.session_view import PeerSession, SessionView
+
+HOME = 'home'
+
+
+class FakePolicies:
+    """A configuration view with one preset."""
+
+    def __init__(self):
+        """Begin with the ordinary preset and no teams."""
+        self.config = CellConfig()
+        self.in_force = Preset('ordinary')
+
+    def preset(self):
+        """Return the preset in force."""
+        return self.in_force
+
+
+class FakeUsage:
+    """A usage table with fixed shares."""
+
+    def __init__(self):
+        """Begin with nothing used."""
+        self.shares_by_team = {}
+
+    def share_of(self, team, weight, now):
+        """Return the share over weight."""
+        return self.shares_by_team.get(team, 0) / weight
+
+
+class FakeDirectory:
+    """The list of workers."""
+
+    def __init__(self):
+        """Begin empty."""
+        self.workers_by_id = {}
+
+
+class CapacityRig:
+    """One owner with one peer that is the home of all requests."""
+
+    def __init__(self, monitor=None, desk=None, ejection=None):
+        """Build the parts, with a lease far into the future."""
+        self.now = 100.0
+        self.view = SessionView('owner', 'here')
+        self.view.lease_end_s = 1e6
+        self.view.peers_by_id[HOME] = PeerSession(HOME, '127.0.0.1:1', 'here')
+        self.directory = FakeDirectory()
+        self.ledger = CapacityLedger()
+        self.policies = FakePolicies()
+        self.usage = FakeUsage()
+        self.ejection = OutlierEjection(
+            ejection or EjectionSettings(),
+            lambda: len(self.ledger.workers_by_id),
+        )
+        self.quarantine = Quarantine(self.ejection, self.ledger)
+        self.monitor = WorkerMonitor(
+            monitor or MonitorSettings(),
+            self.view,
+            self.directory,
+            self.ledger,
+            self.quarantine,
+            Random(7),
+        )
+        self.desk = ReservationDesk(
+            desk or ReservationSettings(),
+            self.view,
+            self.ledger,
+            self.quarantine,
+            self.policies,
+            self.usage,
+        )
+        self.scheduler = Scheduler(
+            (self.monitor, self.desk),
+            StoreSettlement(),
+        )
+
+    def deliver(self, signal):
+        """Deliver one signal at the present time."""
+        return self.scheduler.deliver(signal, self.now)
+
+    def tick(self, seconds=0):
+        """Let time pass and deliver one tick."""
+        self.now += seconds
+        return self.deliver(Tick())
+
+    def own_worker(self, worker_id, cpu=16000, memory=32000, accelerators=0):
+        """Claim a worker and answer its first heartbeat."""
+        capacity = Resources(cpu, memory, accelerators)
+        self.directory.workers_by_id[worker_id] = Instance(
+            worker_id,
+            'worker',
+            '127.0.0.1:2',
+            'here',
+            capacity=capacity,
+        )
+        effects = self.deliver(WorkerClaimed(worker_id, 1))
+        return self.answer(effects, HeartbeatReply(0, 'boot', capacity))
+
+    def answer(self, effects, reply):
+        """Answer the heartbeats among the effects."""
+        following = []
+        for call in effects:
+            if isinstance(call, CallWorker):
+                if isinstance(call.request, Heartbeat):
+                    answer = WorkerReplied(call.token, call.worker_id, reply)
+                    following.extend(self.deliver(answer))
+        return following
+
+    def ask(self, request_id, cpu=1000, memory=0, tasks=1, **options):
+        """Send a request; return the messages to the home."""
+        demands = tuple(
+            TaskDemand(
+                f'{request_id}.{task}.1-1',
+                Resources(cpu, memory, options.get('accelerators', 0)),
+            )
+            for task in range(tasks)
+        )
+        options.pop('accelerators', None)
+        message = ReserveCapacity(
+            request_id,
+            options.pop('home', HOME),
+            options.pop('team', 'team'),
+            options.pop('priority', 'normal'),
+            demands,
+            **options,
+        )
+        return self.send(message)
+
+    def send(self, message):
+        """Deliver a message of the home; return the messages to it."""
+        effects = self.deliver(PeerReceived(HOME, message))
+        return messages_of(effects)
+
+
+def messages_of(effects):
+    """Return the peer messages among effects."""
+    return [sent.message for sent in effects if hasattr(sent, 'session_id')]
