--- /dev/null
+++ b/src/apricotlead/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m apricotlead``."""
+
+from apricotlead.cli import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/apricotlead/assembly.py
@@ -0,0 +1,206 @@
+"""Joins all components of one entry instance; does no I/O."""
+
+from collections.abc import Mapping
+from typing import Self
+
+from msgspec import Struct
+
+from apricotlead.coordination.admission import Admission
+from apricotlead.coordination.allotments import Allotments
+from apricotlead.coordination.component import Component
+from apricotlead.coordination.config_keeper import ConfigKeeper
+from apricotlead.coordination.directory_keeper import DirectoryKeeper
+from apricotlead.coordination.gossip import GossipKeeper
+from apricotlead.coordination.journals import JournalKeeper
+from apricotlead.coordination.lookups import LookupDesk
+from apricotlead.coordination.outlier_ejection import OutlierEjection
+from apricotlead.coordination.quarantine import Quarantine
+from apricotlead.coordination.reservations import ReservationDesk
+from apricotlead.coordination.scheduler import Scheduler
+from apricotlead.coordination.service_routing import ServiceRouter
+from apricotlead.coordination.sessions import SessionKeeper
+from apricotlead.coordination.store_settlement import StoreSettlement
+from apricotlead.coordination.worker_monitor import WorkerMonitor
+from apricotlead.coordination.worker_ownership import WorkerOwnership
+from apricotlead.protocol.peers import TeamLoad
+from apricotlead.protocol.randomness import RandomSource
+from apricotlead.protocol.resources import Resources
+from apricotlead.settings import Settings
+from apricotlead.state.capacity_ledger import CapacityLedger
+from apricotlead.state.cell_directory import CellDirectory
+from apricotlead.state.config_view import ConfigView
+from apricotlead.state.session_view import SessionView
+from apricotlead.state.usage_table import UsageTable
+
+
+class Parts(Struct, frozen=True):
+    """The scheduler of one entry instance and what its daemon needs of it."""
+
+    scheduler: Scheduler
+    session_view: SessionView
+    config_view: ConfigView
+    directory: CellDirectory
+    lookups: LookupDesk
+
+    def is_drained(self) -> bool:
+        """Tell whether nothing is left that a peer would have to adopt."""
+        return True
+
+
+def assemble(
+    settings: Settings,
+    rng: RandomSource,
+    peer_address: str,
+) -> Parts:
+    """Build all components of an entry instance.
+
+    ``peer_address`` is where its peer link listens (``IP:port``).
+    """
+    shared = _Shared.from_config(settings, rng)
+    allotments = Allotments.from_config(
+        settings.allotments,
+        shared.session_view,
+        shared.config_view,
+        rng,
+    )
+    admission = Admission.from_config(
+        settings.admission,
+        shared.config_view,
+        shared.directory,
+        shared.pending_tasks,
+    )
+    lookups = LookupDesk.from_config(
+        settings.lookups,
+        ServiceRouter.from_config(
+            settings.routing,
+            shared.directory,
+            shared.session_view,
+            rng,
+        ),
+        admission,
+        allotments,
+    )
+    components = (
+        *_membership(settings, shared, peer_address),
+        *_configuration(settings, shared),
+        admission,
+        allotments,
+        *_capacity(settings, shared),
+        lookups,
+    )
+    return Parts(
+        Scheduler(components, StoreSettlement()),
+        shared.session_view,
+        shared.config_view,
+        shared.directory,
+        lookups,
+    )
+
+
+class _Shared(Struct, frozen=True):
+    rng: RandomSource
+    session_view: SessionView
+    config_view: ConfigView
+    directory: CellDirectory
+    usage: UsageTable
+    ledger: CapacityLedger
+
+    @classmethod
+    def from_config(cls, settings: Settings, rng: RandomSource) -> Self:
+        return cls(
+            rng,
+            SessionView('', settings.datacentre),
+            ConfigView(settings.view_bound_s),
+            CellDirectory(),
+            UsageTable(),
+            CapacityLedger(),
+        )
+
+    def own_capacity(self) -> tuple[Resources, Resources, Resources]:
+        """Return free, total and largest free capacity of own workers."""
+        ledger = self.ledger
+        return ledger.total_free(), ledger.total_capacity, ledger.largest_free()
+
+    def loads_by_team(self) -> Mapping[str, TeamLoad]:
+        return {}
+
+    def pending_tasks(self, queue: str) -> int:
+        return 0
+
+
+def _membership(
+    settings: Settings,
+    shared: _Shared,
+    peer_address: str,
+) -> tuple[Component, ...]:
+    return (
+        DirectoryKeeper.from_config(settings.directory, shared.directory),
+        SessionKeeper.from_config(
+            settings.sessions,
+            shared.session_view,
+            shared.rng,
+            settings.instance_id,
+            peer_address,
+        ),
+        JournalKeeper.from_config(
+            settings.journals,
+            shared.session_view,
+            shared.rng,
+        ),
+        WorkerOwnership.from_config(
+            settings.ownership,
+            shared.session_view,
+            shared.directory,
+            shared.rng,
+        ),
+    )
+
+
+def _configuration(
+    settings: Settings,
+    shared: _Shared,
+) -> tuple[Component, ...]:
+    return (
+        ConfigKeeper.from_config(
+            settings.config,
+            shared.session_view,
+            shared.config_view,
+        ),
+        GossipKeeper.from_config(
+            settings.gossip,
+            shared.session_view,
+            shared.config_view,
+            shared.usage,
+            shared.rng,
+            shared.loads_by_team,
+            shared.own_capacity,
+        ),
+    )
+
+
+def _capacity(settings: Settings, shared: _Shared) -> tuple[Component, ...]:
+    quarantine = Quarantine(
+        OutlierEjection(
+            settings.quarantine,
+            lambda: len(shared.directory.workers_by_id),
+        ),
+        shared.ledger,
+    )
+    return (
+        WorkerMonitor(
+            settings.monitor,
+            shared.session_view,
+            shared.directory,
+            shared.ledger,
+            quarantine,
+            shared.rng,
+        ),
+        ReservationDesk(
+            settings.reservations,
+            shared.session_view,
+            shared.ledger,
+            quarantine,
+            shared.config_view,
+            shared.usage,
+        ),
+    )
--- /dev/null
+++ b/src/apricotlead/coordination/lookups.py
@@ -0,0 +1,301 @@
+"""Requests to a latency-bound service, from admission to the answer."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import Any, Protocol
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.retry_budget import (
+    RetryBudget,
+    RetryBudgetSettings,
+)
+from apricotlead.coordination.service_routing import ServiceRouter
+from apricotlead.protocol.errors import (
+    ApricotleadError,
+    LimitReached,
+    OutcomeUnknown,
+    Overloaded,
+    TryLater,
+)
+from apricotlead.protocol.executors import (
+    ExecutorAnswered,
+    ExecutorRefused,
+    ExecutorResult,
+    ExecutorSilent,
+)
+from apricotlead.protocol.instances import Instance
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
+from apricotlead.protocol.signals import JournalOpened, Signal, Tick
+
+_OWN_JOURNAL_EPOCH = 1
+_RETRY_AFTER_S = 0.1
+_LIMIT_RETRY_AFTER_S = 0.5
+
+
+class LookupSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Deadlines in seconds, tries per request, and the retry budget.
+
+    ``longest_deadline_s`` must stay below the session TTL: an adopter may
+    use a dead session's units once its lookups cannot run any more.
+    """
+
+    deadline_s: float = 1.0
+    longest_deadline_s: float = 2.0
+    most_tries: int = 3
+    try_fraction: float = 0.5
+    retries: RetryBudgetSettings = RetryBudgetSettings()
+
+
+class LookupGate(Protocol):
+    """The part of the admission that lookups need."""
+
+    def check_lookup(self, queue: str, key: str, now: float) -> str:
+        """Return the team, empty for an open queue, or raise."""
+
+
+class UnitPool(Protocol):
+    """The part of the allotments that lookups need."""
+
+    def try_take(
+        self,
+        team: str,
+        journal_id: str,
+        amount: int,
+        now: float,
+    ) -> bool:
+        """Take units of the team's limit."""
+
+    def give_back(
+        self,
+        team: str,
+        journal_id: str,
+        amount: int,
+        now: float,
+    ) -> None:
+        """Return units."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendTo:
+    """Send the request to this executor and wait at most ``timeout_s``.
+
+    ``deadline_s`` is the time after which the executor must not work on it.
+    """
+
+    executor: Instance
+    timeout_s: float
+    deadline_s: float
+
+
+class LookupRequest(Struct, frozen=True):
+    """What the caller sent, without the body.
+
+    ``wait_s`` is how long the caller waits; ``None`` for the default.
+    """
+
+    service: str
+    queue: str = ''
+    key: str = ''
+    idempotent: bool = True
+    wait_s: float | None = None
+
+
+class Lookup:
+    """One request: decides after each result whether to try again.
+
+    :meth:`next_step` returns where to send it, or its final outcome. A
+    request is sent again only if the last try is proven not to have run, or
+    if the request is idempotent, and only within the retry budget.
+    """
+
+    __slots__ = (
+        '_desk',
+        '_ends_s',
+        '_ran_maybe',
+        '_request',
+        '_tried_ids',
+        'team',
+    )
+
+    def __init__(
+        self,
+        desk: 'LookupDesk',
+        request: LookupRequest,
+        team: str,
+        ends_s: float,
+    ) -> None:
+        """Begin before the first try."""
+        self._desk = desk
+        self._request = request
+        self._ends_s = ends_s
+        self._tried_ids: list[str] = []
+        self._ran_maybe = False
+        self.team = team
+
+    @property
+    def ends_s(self) -> float:
+        """Return the time after which no executor works on it."""
+        return self._ends_s
+
+    def next_step(self, now: float) -> SendTo | Outcome:
+        """Return the next executor, or the final outcome."""
+        left_s = self._ends_s - now
+        if left_s <= 0:
+            return self._given_up(Overloaded('The deadline has passed.'))
+        retrying = bool(self._tried_ids)
+        if retrying and not self._desk.may_retry(len(self._tried_ids)):
+            return self._given_up(Overloaded('Executors refuse or fail.'))
+        try:
+            executor = self._choose(now)
+        except ApricotleadError as error:
+            return self._given_up(error)
+        self._tried_ids.append(executor.instance_id)
+        timeout_s = self._desk.timeout_of_try(
+            left_s,
+            can_retry=self._request.idempotent,
+        )
+        return SendTo(executor, timeout_s, left_s)
+
+    def after(self, result: ExecutorResult, now: float) -> Outcome | None:
+        """Take the result of the last try; ``None`` asks for another step."""
+        self._desk.router.finished(self._tried_ids[-1], result, now)
+        match result:
+            case ExecutorAnswered():
+                return Done(result)
+            case ExecutorRefused():
+                return None
+            case ExecutorSilent():
+                self._ran_maybe = True
+                if self._request.idempotent:
+                    return None
+                return MayHaveRun(OutcomeUnknown(result.reason))
+
+    @property
+    def may_still_run(self) -> bool:
+        """Tell whether an executor may work on it after the answer."""
+        return self._ran_maybe
+
+    def _choose(self, now: float) -> Instance:
+        router = self._desk.router
+        executor = router.choose(self._request.service, now, self._tried_ids)
+        router.sent(executor.instance_id)
+        return executor
+
+    def _given_up(self, error: ApricotleadError) -> Outcome:
+        if self._ran_maybe:
+            return MayHaveRun(OutcomeUnknown('No executor answered in time.'))
+        retry_after_s = _RETRY_AFTER_S if isinstance(error, TryLater) else None
+        return NotRun(error, retry_after_s)
+
+
+class LookupDesk(Component):
+    """Admits lookups, counts them against limits, and bounds retries."""
+
+    name = 'lookups'
+    __slots__ = (
+        '_budget',
+        '_gate',
+        '_held',
+        '_journal_id',
+        '_settings',
+        '_units',
+        'open_count',
+        'router',
+    )
+
+    def __init__(
+        self,
+        settings: LookupSettings,
+        router: ServiceRouter,
+        gate: LookupGate,
+        units: UnitPool,
+    ) -> None:
+        """Begin with no lookups."""
+        self._settings = settings
+        self._gate = gate
+        self._units = units
+        self._budget = RetryBudget.from_config(settings.retries)
+        self._held: list[tuple[float, str]] = []
+        self._journal_id = ''
+        self.router = router
+        self.open_count = 0
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: LookupSettings,
+        router: ServiceRouter,
+        gate: LookupGate,
+        units: UnitPool,
+    ) -> 'LookupDesk':
+        """Build from settings."""
+        return cls(settings, router, gate, units)
+
+    def open(self, request: LookupRequest, now: float) -> Lookup:
+        """Admit a request.
+
+        Raises :class:`TryLater` when the limit is reached or the view is
+        stale, and what the admission raises for keys and queues.
+        """
+        team = self._gate.check_lookup(request.queue, request.key, now)
+        if not self._units.try_take(team, self._journal_id, 1, now):
+            raise LimitReached(f'Team {team!r} is at its upper limit.')
+        wait_s = request.wait_s or self._settings.deadline_s
+        wait_s = min(wait_s, self._settings.longest_deadline_s)
+        self._budget.request_sent()
+        self.open_count += 1
+        return Lookup(self, request, team, now + wait_s)
+
+    def close(self, lookup: Lookup, now: float) -> None:
+        """Return the unit: now, or when no executor can work on it."""
+        self.open_count -= 1
+        if lookup.may_still_run:
+            heappush(self._held, (lookup.ends_s, lookup.team))
+            return
+        self._units.give_back(lookup.team, self._journal_id, 1, now)
+
+    def may_retry(self, tries: int) -> bool:
+        """Spend a retry if the request and the budget have one left."""
+        return tries < self._settings.most_tries and self._budget.try_retry()
+
+    def timeout_of_try(self, left_s: float, *, can_retry: bool) -> float:
+        """Return how long to wait for one try, in seconds.
+
+        A request that can be retried leaves time for another try, so that
+        one frozen executor does not cost the whole deadline.
+        """
+        if can_retry:
+            return left_s * self._settings.try_fraction
+        return left_s
+
+    @handles(JournalOpened)
+    def on_journal_opened(
+        self,
+        signal: JournalOpened,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Count lookups under the journal that this session opened."""
+        if signal.epoch == _OWN_JOURNAL_EPOCH:
+            self._journal_id = signal.journal_id
+        return ()
+
+    @handles(Tick)
+    def on_tick(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """Return the units of lookups that can no longer run."""
+        while self._held and self._held[0][0] <= now:
+            _, team = heappop(self._held)
+            self._units.give_back(team, self._journal_id, 1, now)
+        self.router.forget_absent()
+        return ()
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return counts and the states of the executors."""
+        return {
+            'open': self.open_count,
+            'held_units': len(self._held),
+            'retries_left': self._budget.tokens,
+            'executors': self.router.dump(now),
+        }
--- /dev/null
+++ b/src/apricotlead/coordination/service_routing.py
@@ -0,0 +1,252 @@
+"""Chooses the executor for each request of a latency-bound service."""
+
+from collections.abc import Collection
+from functools import singledispatchmethod
+
+from msgspec import Struct
+
+from apricotlead.protocol.errors import NotFound, Overloaded
+from apricotlead.protocol.executors import (
+    ExecutorAnswered,
+    ExecutorRefused,
+    ExecutorResult,
+    ExecutorSilent,
+)
+from apricotlead.protocol.instances import Instance
+from apricotlead.protocol.randomness import RandomSource
+from apricotlead.state.cell_directory import CellDirectory
+from apricotlead.state.session_view import SessionView
+
+_CHOICES = 2
+
+
+class RoutingSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """How executors are chosen and ejected.
+
+    ``connections`` is what one executor accepts from all entry instances
+    together. An executor is ejected for ``ejection_s`` after
+    ``failures_to_eject`` failures in a row, doubled with each ejection up to
+    ``longest_ejection_s``; at most ``most_ejected`` of a service's executors
+    are passed over at a time. A load that the executor told of itself counts
+    for ``load_age_s``.
+    """
+
+    connections: int = 64
+    queue_per_executor: int = 2
+    failures_to_eject: int = 3
+    ejection_s: float = 1.0
+    longest_ejection_s: float = 30.0
+    most_ejected: float = 0.5
+    load_age_s: float = 0.25
+
+
+class _ExecutorState(Struct):
+    outstanding: int = 0
+    told_outstanding: int = 0
+    told_at_s: float = float('-inf')
+    failures: int = 0
+    ejections: int = 0
+    avoided_until_s: float = float('-inf')
+    leaving: bool = False
+
+
+class ServiceRouter:
+    """Routes requests: near data centre first, then the less loaded of two.
+
+    The caller brackets each request with :meth:`sent` and :meth:`finished`.
+    A leaving executor gets nothing new from the moment that the platform's
+    list, or one of its own answers, says that it leaves.
+    """
+
+    __slots__ = ('_directory', '_rng', '_settings', '_states_by_id', '_view')
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        directory: CellDirectory,
+        view: SessionView,
+        rng: RandomSource,
+    ) -> None:
+        """Begin with every executor idle and trusted."""
+        self._settings = settings
+        self._directory = directory
+        self._view = view
+        self._rng = rng
+        self._states_by_id: dict[str, _ExecutorState] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: RoutingSettings,
+        directory: CellDirectory,
+        view: SessionView,
+        rng: RandomSource,
+    ) -> 'ServiceRouter':
+        """Build from settings."""
+        return cls(settings, directory, view, rng)
+
+    def choose(
+        self,
+        service: str,
+        now: float,
+        excluded: Collection[str] = (),
+    ) -> Instance:
+        """Return the executor to send the next request of ``service`` to.
+
+        Raises :class:`NotFound` when the service has no executor at all, and
+        :class:`Overloaded` when none has room.
+        """
+        known = self._directory.executors_of(service)
+        if not known:
+            raise NotFound(f'The service {service!r} has no executors.')
+        healthy = self._healthy(known, now)
+        usable = [
+            executor
+            for executor in healthy
+            if executor.instance_id not in excluded
+            and self._has_room(executor, now)
+        ]
+        if not usable:
+            raise Overloaded(f'All executors of {service!r} are full.')
+        return self._less_loaded(self._nearest(usable), now)
+
+    def sent(self, executor_id: str) -> None:
+        """Count a request that is about to leave."""
+        self._state(executor_id).outstanding += 1
+
+    def finished(
+        self,
+        executor_id: str,
+        result: ExecutorResult,
+        now: float,
+    ) -> None:
+        """Count the end of a request and learn from it."""
+        state = self._state(executor_id)
+        state.outstanding -= 1
+        self._learn(result, state, now)
+
+    def dump(self, now: float) -> dict[str, dict[str, float]]:
+        """Return outstanding requests and ejections by executor id."""
+        return {
+            executor_id: {
+                'outstanding': state.outstanding,
+                'ejections': state.ejections,
+                'avoided_for_s': max(0, state.avoided_until_s - now),
+            }
+            for executor_id, state in self._states_by_id.items()
+        }
+
+    def forget_absent(self) -> None:
+        """Drop the states of executors that have left the list."""
+        present = self._directory.executors_by_id
+        for executor_id, state in tuple(self._states_by_id.items()):
+            if executor_id not in present and not state.outstanding:
+                self._states_by_id.pop(executor_id)
+
+    @singledispatchmethod
+    def _learn(
+        self,
+        result: ExecutorAnswered,
+        state: _ExecutorState,
+        now: float,
+    ) -> None:
+        state.leaving = state.leaving or result.leaving
+        if result.outstanding is not None:
+            state.told_outstanding = result.outstanding
+            state.told_at_s = now
+        if result.status >= 500:
+            self._count_failure(state, now)
+            return
+        state.failures = 0
+        state.ejections = 0
+
+    @_learn.register
+    def _(
+        self,
+        result: ExecutorRefused,
+        state: _ExecutorState,
+        now: float,
+    ) -> None:
+        state.leaving = state.leaving or result.leaving
+        if result.reachable:
+            until = now + result.retry_after_s
+            state.avoided_until_s = max(state.avoided_until_s, until)
+            return
+        self._count_failure(state, now)
+
+    @_learn.register
+    def _(
+        self,
+        result: ExecutorSilent,
+        state: _ExecutorState,
+        now: float,
+    ) -> None:
+        self._count_failure(state, now)
+
+    def _count_failure(self, state: _ExecutorState, now: float) -> None:
+        state.failures += 1
+        if state.failures < self._settings.failures_to_eject:
+            return
+        pause = min(
+            self._settings.ejection_s * 2**state.ejections,
+            self._settings.longest_ejection_s,
+        )
+        state.ejections += 1
+        # The next failure after the pause ejects again at once.
+        state.failures = self._settings.failures_to_eject - 1
+        state.avoided_until_s = now + pause
+
+    def _healthy(
+        self,
+        executors: Collection[Instance],
+        now: float,
+    ) -> list[Instance]:
+        staying = [
+            executor for executor in executors if not self._is_leaving(executor)
+        ]
+        healthy = [
+            executor
+            for executor in staying
+            if self._state(executor.instance_id).avoided_until_s <= now
+        ]
+        fewest = len(staying) * (1 - self._settings.most_ejected)
+        # When most fail at once, the cause is rather the network or the load;
+        # spreading over all is better than crowding the few that are left.
+        return healthy if len(healthy) >= fewest else staying
+
+    def _is_leaving(self, executor: Instance) -> bool:
+        return executor.leaving or self._state(executor.instance_id).leaving
+
+    def _has_room(self, executor: Instance, now: float) -> bool:
+        state = self._state(executor.instance_id)
+        sessions = len(self._view.live_ids())
+        own_connections = max(1, self._settings.connections // sessions)
+        room = executor.slots + self._settings.queue_per_executor
+        return (
+            state.outstanding < own_connections
+            and self._load(executor, now) < room
+        )
+
+    def _load(self, executor: Instance, now: float) -> int:
+        state = self._state(executor.instance_id)
+        if now - state.told_at_s > self._settings.load_age_s:
+            return state.outstanding
+        return max(state.outstanding, state.told_outstanding)
+
+    def _nearest(self, executors: list[Instance]) -> list[Instance]:
+        near = [
+            executor
+            for executor in executors
+            if executor.datacentre == self._view.datacentre
+        ]
+        return near or executors
+
+    def _less_loaded(self, executors: list[Instance], now: float) -> Instance:
+        count = min(_CHOICES, len(executors))
+        return min(
+            self._rng.sample(executors, count),
+            key=lambda executor: self._load(executor, now) / executor.slots,
+        )
+
+    def _state(self, executor_id: str) -> _ExecutorState:
+        return self._states_by_id.setdefault(executor_id, _ExecutorState())
--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -1,1 +1,224 @@
-"""The daemon of an entry instance."""
+"""The daemon of an entry instance: joins the layers and runs one loop."""
+
+import json
+import signal
+import sys
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import eliot
+import eventlet
+from eventlet import wsgi
+from statsd import StatsClient
+
+from apricotlead.assembly import Parts, assemble
+from apricotlead.coordination.lookups import LookupRequest, SendTo
+from apricotlead.protocol.outcomes import Outcome
+from apricotlead.protocol.peers import Envelope
+from apricotlead.protocol.signals import Shutdown, Signal
+from apricotlead.settings import Settings
+from apricotlead.transport.clock import monotonic_now
+from apricotlead.transport.engine import Engine
+from apricotlead.transport.executor_client import ExecutorClient
+from apricotlead.transport.http_pool import HttpPool
+from apricotlead.transport.http_server import (
+    IDEMPOTENT_HEADER,
+    KEY_HEADER,
+    QUEUE_HEADER,
+    HttpApplication,
+    Request,
+    lookup_wait_s,
+)
+from apricotlead.transport.peer_links import PeerLinks
+from apricotlead.transport.platform_client import PlatformClient
+from apricotlead.transport.worker_client import WorkerClient
+
+_ANSWER_WAIT_S = 10.0
+_DRAIN_POLL_S = 0.05
+
+
+class EntryInstance:
+    """One entry instance in this process."""
+
+    __slots__ = (
+        '_engine',
+        '_executors',
+        '_parts',
+        '_settings',
+        'application',
+        'log',
+        'metrics',
+        'peers',
+        'platform',
+        'workers',
+    )
+
+    def __init__(self, settings: Settings) -> None:
+        """Listen for peers and join all parts; :meth:`serve` begins."""
+        self._settings = settings
+        self.peers = PeerLinks(self._session_id, self._receive)
+        self._parts: Parts = assemble(
+            settings,
+            Random(settings.seed),
+            self.peers.listen(settings.peer_address),
+        )
+        self.log = eliot.log_message
+        self.metrics = _metrics(settings)
+        pool = HttpPool(datacentre=settings.datacentre)
+        self.platform = PlatformClient(pool, settings.platform_address)
+        self.workers = WorkerClient(pool)
+        self._executors = ExecutorClient(pool)
+        self._engine = Engine(self._parts.scheduler, self)
+        self.application = HttpApplication(self)
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> 'EntryInstance':
+        """Build all parts from settings."""
+        return cls(settings)
+
+    @property
+    def operator_key_digest(self) -> str:
+        """Return the digest of the operators' key."""
+        return self._settings.operator_key_digest
+
+    def ask(self, make_signal: Callable[[int], Signal]) -> Outcome:
+        """Pass a caller's request to the scheduler and wait."""
+        return self._engine.ask(make_signal, _ANSWER_WAIT_S)
+
+    def ask_all(
+        self,
+        make_signals: list[Callable[[int], Signal]],
+    ) -> list[Outcome]:
+        """Pass many requests at once, so that their records share a batch."""
+        pile = eventlet.GreenPile()
+        for make_signal in make_signals:
+            pile.spawn(self.ask, make_signal)
+        return list(pile)
+
+    def look_up(self, request: Request) -> Outcome:
+        """Serve a request to a latency-bound service."""
+        desk = self._parts.lookups
+        lookup = desk.open(
+            LookupRequest(
+                request.names[0],
+                request.header(QUEUE_HEADER),
+                request.header(KEY_HEADER),
+                request.header(IDEMPOTENT_HEADER).lower() != 'no',
+                lookup_wait_s(request),
+            ),
+            monotonic_now(),
+        )
+        try:
+            return self._run_lookup(lookup, request.body)
+        finally:
+            desk.close(lookup, monotonic_now())
+
+    def config(self) -> Any:
+        """Return the configuration in force here."""
+        return self._parts.config_view.config
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of this process."""
+        return {
+            'instance_id': self._settings.instance_id,
+            'draining': self.application.draining,
+            'open_requests': self.application.open_count,
+            'peers_dropped': self.peers.dropped_count,
+            **self._engine.dump(),
+        }
+
+    def health(self) -> dict[str, Any]:
+        """Return what a balancer needs to know."""
+        now = monotonic_now()
+        return {
+            'session_id': self._parts.session_view.session_id,
+            'session_valid': self._parts.session_view.is_valid(now),
+            'config_version': self._parts.config_view.version,
+            'config_fresh': self._parts.config_view.is_fresh(now),
+        }
+
+    def serve(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        stop = eventlet.event.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, partial(_request_stop, stop))
+        listener = eventlet.listen(_split(self._settings.http_address))
+        address = '{}:{}'.format(*listener.getsockname())
+        eventlet.spawn_n(self._serve_http, listener)
+        self._engine.start()
+        print(json.dumps({'address': address}), flush=True)
+        stop.wait()
+        self._drain()
+
+    def _session_id(self) -> str:
+        return self._parts.session_view.session_id
+
+    def _receive(self, envelope: Envelope) -> None:
+        self._engine.receive(envelope)
+
+    def _serve_http(self, listener: Any) -> None:
+        wsgi.server(
+            listener,
+            self.application,
+            max_size=self._settings.max_connections,
+            log_output=False,
+            debug=False,
+        )
+
+    def _run_lookup(self, lookup: Any, body: bytes) -> Outcome:
+        while True:
+            step = lookup.next_step(monotonic_now())
+            if not isinstance(step, SendTo):
+                return step
+            answer = self._executors.send(step, body)
+            outcome = lookup.after(answer, monotonic_now())
+            if outcome is not None:
+                return outcome
+
+    def _drain(self) -> None:
+        """Refuse new requests, pass on what is kept, finish what is open."""
+        self.log(message_type='apricotlead:draining')
+        self.application.draining = True
+        self._engine.deliver(Shutdown())
+        ends_s = monotonic_now() + self._settings.drain_s
+        quiet_since_s = monotonic_now()
+        while monotonic_now() < ends_s:
+            busy = self.application.open_count or not self._parts.is_drained()
+            if busy:
+                quiet_since_s = monotonic_now()
+            if monotonic_now() - quiet_since_s > self._settings.drain_quiet_s:
+                break
+            eventlet.sleep(_DRAIN_POLL_S)
+        self.peers.close()
+        self.log(message_type='apricotlead:stopped')
+
+
+def run_entry(settings: Settings) -> None:
+    """Run an entry instance in this process until it is stopped."""
+    _open_log(settings.log_file)
+    EntryInstance.from_config(settings).serve()
+
+
+def _open_log(path: str) -> None:
+    if path == '-':
+        eliot.to_file(sys.stderr)
+        return
+    eliot.to_file(Path(path).open('a'))
+
+
+def _metrics(settings: Settings) -> StatsClient:
+    host, port = _split(settings.statsd_address)
+    return StatsClient(host, port, prefix='apricotlead')
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _request_stop(stop: Any, number: int, frame: Any) -> None:
+    if not stop.ready():
+        eventlet.hubs.get_hub().schedule_call_global(0, stop.send)
--- a/src/apricotlead/settings.py
+++ b/src/apricotlead/settings.py
@@ -1,1 +1,132 @@
 """The settings file of an entry instance."""
+
+from pathlib import Path
+from typing import Any, Self
+
+import msgspec
+from msgspec import Struct, field
+
+from apricotlead.coordination.admission import AdmissionSettings
+from apricotlead.coordination.allotments import AllotmentSettings
+from apricotlead.coordination.config_keeper import ConfigKeeperSettings
+from apricotlead.coordination.directory_keeper import DirectorySettings
+from apricotlead.coordination.gossip import GossipSettings
+from apricotlead.coordination.journals import JournalSettings
+from apricotlead.coordination.lookups import LookupSettings
+from apricotlead.coordination.outlier_ejection import EjectionSettings
+from apricotlead.coordination.reservations import ReservationSettings
+from apricotlead.coordination.service_routing import RoutingSettings
+from apricotlead.coordination.sessions import SessionSettings
+from apricotlead.coordination.worker_monitor import MonitorSettings
+from apricotlead.coordination.worker_ownership import OwnershipSettings
+from apricotlead.protocol.errors import ApricotleadError
+
+_DIGEST_CHARACTERS = 64
+
+
+class SettingsError(ApricotleadError):
+    """The settings file cannot be used."""
+
+    kind = 'settings'
+    remedy = 'See docs/operations.md for all settings and their defaults.'
+
+
+class Settings(Struct, frozen=True, kw_only=True):
+    """All settings; addresses are ``IP:port``, times in seconds.
+
+    ``operator_key_digest`` is what ``apricotlead digest KEY`` prints.
+    ``log_file`` is ``-`` for standard error. ``seed`` makes random choices
+    repeat; leave it out in production. ``view_bound_s`` is the greatest age
+    of the configuration with which keyed work is still taken.
+    """
+
+    instance_id: str
+    datacentre: str
+    http_address: str
+    peer_address: str
+    platform_address: str
+    operator_key_digest: str
+    statsd_address: str = '127.0.0.1:8125'
+    log_file: str = '-'
+    seed: int | None = None
+    max_connections: int = 2000
+    drain_s: float = 30.0
+    drain_quiet_s: float = 1.0
+    view_bound_s: float = 3.0
+    sessions: SessionSettings = field(default_factory=SessionSettings)
+    journals: JournalSettings = field(default_factory=JournalSettings)
+    ownership: OwnershipSettings = field(default_factory=OwnershipSettings)
+    directory: DirectorySettings = field(default_factory=DirectorySettings)
+    config: ConfigKeeperSettings = field(default_factory=ConfigKeeperSettings)
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    gossip: GossipSettings = field(default_factory=GossipSettings)
+    monitor: MonitorSettings = field(default_factory=MonitorSettings)
+    quarantine: EjectionSettings = field(default_factory=EjectionSettings)
+    reservations: ReservationSettings = field(
+        default_factory=ReservationSettings,
+    )
+    allotments: AllotmentSettings = field(default_factory=AllotmentSettings)
+    routing: RoutingSettings = field(default_factory=RoutingSettings)
+    lookups: LookupSettings = field(default_factory=LookupSettings)
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Read and check a YAML file; raise :class:`SettingsError`."""
+        try:
+            text = Path(path).read_bytes()
+        except OSError as error:
+            raise SettingsError(f'{path} cannot be read: {error}.') from error
+        try:
+            given = msgspec.yaml.decode(text)
+        except msgspec.MsgspecError as error:
+            raise SettingsError(f'{path} is not YAML: {error}.') from error
+        return cls.from_builtins(given)
+
+    @classmethod
+    def from_builtins(cls, given: Any) -> Self:
+        """Check settings given as a mapping; raise :class:`SettingsError`."""
+        try:
+            settings = msgspec.convert(given, cls)
+        except msgspec.ValidationError as error:
+            raise SettingsError(f'The settings are wrong: {error}.') from error
+        _reject_unknown(given, msgspec.to_builtins(settings), '')
+        settings.check()
+        return settings
+
+    def check(self) -> None:
+        """Raise :class:`SettingsError` for values that contradict others."""
+        for name in (
+            'http_address',
+            'peer_address',
+            'platform_address',
+            'statsd_address',
+        ):
+            _check_address(name, getattr(self, name))
+        if len(self.operator_key_digest) != _DIGEST_CHARACTERS:
+            raise SettingsError(
+                'operator_key_digest must be a SHA-256 digest in hexadecimal.',
+            )
+        longest_s = self.lookups.longest_deadline_s
+        if longest_s >= self.sessions.session_ttl_s:
+            raise SettingsError(
+                'lookups.longest_deadline_s must be less than '
+                'sessions.session_ttl_s, or a dead session could still have '
+                'lookups running when its units are used again.',
+            )
+
+
+def _check_address(name: str, address: str) -> None:
+    host, _, port = address.rpartition(':')
+    numbers = host.split('.')
+    is_ip = len(numbers) == 4 and all(part.isdecimal() for part in numbers)
+    if not is_ip or not port.isdecimal():
+        raise SettingsError(f'{name} must be IP:port, not {address!r}.')
+
+
+def _reject_unknown(given: Any, known: Any, path: str) -> None:
+    if not isinstance(given, dict) or not isinstance(known, dict):
+        return
+    for name, setting in given.items():
+        if name not in known:
+            raise SettingsError(f'There is no setting {path}{name}.')
+        _reject_unknown(setting, known[name], f'{path}{name}.')
--- a/src/apricotlead/state/cell_directory.py
+++ b/src/apricotlead/state/cell_directory.py
@@ -16,6 +16,7 @@
     __slots__ = (
         '_capacities',
         '_executors_by_service',
+        '_total_capacity',
         'entries_by_id',
         'executors_by_id',
         'version',
@@ -39,6 +40,10 @@
                 executor.service,
                 [],
             ).append(executor)
+        self._total_capacity = sum(
+            (worker.capacity for worker in self.workers_by_id.values()),
+            Resources(),
+        )
         self._capacities = _largest_of(
             {worker.capacity for worker in self.workers_by_id.values()},
         )
@@ -59,6 +64,10 @@
         """
         return reduce(_larger, self._capacities, Resources())
 
+    def total_capacity(self) -> Resources:
+        """Return the sum over all workers."""
+        return self._total_capacity
+
     def can_hold(self, demand: Resources) -> bool:
         """Tell whether some single worker is as large as ``demand``."""
         return any(demand.fits_in(capacity) for capacity in self._capacities)
--- /dev/null
+++ b/src/apricotlead/transport/engine.py
@@ -0,0 +1,217 @@
+"""The one loop: delivers signals to the scheduler, carries out effects."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from eventlet import GreenPool, sleep, spawn_n
+from eventlet.event import Event
+
+from apricotlead.coordination.scheduler import Scheduler
+from apricotlead.protocol.errors import OutcomeUnknown, Overloaded
+from apricotlead.protocol.instances import InstanceList
+from apricotlead.protocol.outcomes import MayHaveRun, NotRun, Outcome
+from apricotlead.protocol.peers import Envelope
+from apricotlead.protocol.signals import (
+    Answer,
+    CallWorker,
+    Count,
+    Effect,
+    GetObject,
+    InstancesListed,
+    Note,
+    ObjectReplied,
+    PeerReceived,
+    PutObject,
+    ReadRows,
+    ScanRows,
+    SendToPeer,
+    Signal,
+    StoreReplied,
+    Tick,
+    Transact,
+    WorkerReplied,
+)
+from apricotlead.transport.clock import monotonic_now
+
+TICK_S = 0.02
+_LIST_INTERVAL_S = 1.0
+_MAX_OPEN_TICKETS = 10_000
+_GREENLETS = 4000
+
+Performer = Callable[['Engine', Any], None]
+
+_performers_by_effect: dict[type[Effect], Performer] = {}
+
+
+def performs(effect_type: type[Effect]) -> Callable[[Performer], Performer]:
+    """Register the function that carries out effects of this type."""
+
+    def decorate(performer: Performer) -> Performer:
+        _performers_by_effect[effect_type] = performer
+        return performer
+
+    return decorate
+
+
+class Links(Protocol):
+    """What the engine needs of the outside; see ``entry.py`` for all."""
+
+    platform: Any
+    workers: Any
+    peers: Any
+    metrics: Any
+    log: Callable[..., None]
+
+
+class Engine:
+    """Runs a scheduler on one eventlet loop.
+
+    Signals are delivered on the thread of the loop without a switch in
+    between, so the scheduler needs no locks.
+    """
+
+    __slots__ = ('_next_ticket', '_pool', '_scheduler', '_tickets', 'links')
+
+    def __init__(self, scheduler: Scheduler, links: Links) -> None:
+        """Join a scheduler with its links; :meth:`start` begins."""
+        self._scheduler = scheduler
+        self._pool = GreenPool(_GREENLETS)
+        self._tickets: dict[int, Event] = {}
+        self._next_ticket = 0
+        self.links = links
+
+    def start(self) -> None:
+        """Begin the tick and the polling of the platform's list."""
+        spawn_n(self._tick_forever)
+        spawn_n(self._list_forever)
+
+    def deliver(self, signal: Signal) -> None:
+        """Deliver a signal and begin to carry out what follows."""
+        effects = self._scheduler.deliver(signal, monotonic_now())
+        self._perform_all(effects)
+
+    def ask(
+        self,
+        make_signal: Callable[[int], Signal],
+        timeout_s: float,
+    ) -> Outcome:
+        """Deliver a caller's request and wait for its answer.
+
+        ``make_signal`` gets the ticket that the :class:`Answer` will carry.
+        The components answer in time; the time-out guards against a fault in
+        them, and its answer makes no claim.
+        """
+        if len(self._tickets) >= _MAX_OPEN_TICKETS:
+            return NotRun(Overloaded('Too many requests are open.'), 1.0)
+        self._next_ticket += 1
+        ticket = self._next_ticket
+        event = Event()
+        self._tickets[ticket] = event
+        self.deliver(make_signal(ticket))
+        outcome = event.wait(timeout_s)
+        self._tickets.pop(ticket, None)
+        if outcome is None:
+            return MayHaveRun(OutcomeUnknown('No answer came in time.'))
+        return outcome
+
+    def answer(self, ticket: int, outcome: Outcome) -> None:
+        """Wake the request that waits on the ticket, if it still does."""
+        event = self._tickets.pop(ticket, None)
+        if event is not None:
+            event.send(outcome)
+
+    def receive(self, envelope: Envelope) -> None:
+        """Deliver a message of a peer."""
+        self.deliver(PeerReceived(envelope.sender, envelope.message))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all components and of the loop."""
+        return {
+            'engine': {
+                'open_tickets': len(self._tickets),
+                'greenlets_free': self._pool.free(),
+            },
+            **self._scheduler.dump(monotonic_now()),
+        }
+
+    def _perform_all(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            performer = _performers_by_effect[type(effect)]
+            if isinstance(effect, (Answer, Count, Note, SendToPeer)):
+                performer(self, effect)
+            else:
+                self._pool.spawn_n(performer, self, effect)
+
+    def _tick_forever(self) -> None:
+        while True:
+            self.deliver(Tick())
+            sleep(TICK_S)
+
+    def _list_forever(self) -> None:
+        while True:
+            reply = self.links.platform.list_instances()
+            if isinstance(reply, InstanceList):
+                self.deliver(InstancesListed(reply.instances))
+            sleep(_LIST_INTERVAL_S)
+
+
+@performs(Answer)
+def _answer(engine: Engine, effect: Answer) -> None:
+    engine.answer(effect.ticket, effect.outcome)
+
+
+@performs(Count)
+def _count(engine: Engine, effect: Count) -> None:
+    engine.links.metrics.incr(effect.name, effect.amount)
+
+
+@performs(Note)
+def _note(engine: Engine, effect: Note) -> None:
+    engine.links.log(effect.message, **effect.fields)
+
+
+@performs(SendToPeer)
+def _send_to_peer(engine: Engine, effect: SendToPeer) -> None:
+    engine.links.peers.send(effect.address, effect.message)
+
+
+@performs(Transact)
+def _transact(engine: Engine, effect: Transact) -> None:
+    reply = engine.links.platform.transact(effect.transaction)
+    engine.deliver(StoreReplied(effect.token, reply))
+
+
+@performs(ReadRows)
+def _read_rows(engine: Engine, effect: ReadRows) -> None:
+    reply = engine.links.platform.read_rows(effect.keys)
+    engine.deliver(StoreReplied(effect.token, reply))
+
+
+@performs(ScanRows)
+def _scan_rows(engine: Engine, effect: ScanRows) -> None:
+    reply = engine.links.platform.scan_rows(effect.prefix)
+    engine.deliver(StoreReplied(effect.token, reply))
+
+
+@performs(PutObject)
+def _put_object(engine: Engine, effect: PutObject) -> None:
+    reply = engine.links.platform.put_object(effect.key, effect.content)
+    engine.deliver(ObjectReplied(effect.token, reply.succeeded))
+
+
+@performs(GetObject)
+def _get_object(engine: Engine, effect: GetObject) -> None:
+    reply = engine.links.platform.get_object(effect.key)
+    engine.deliver(
+        ObjectReplied(effect.token, reply.succeeded, reply.content),
+    )
+
+
+@performs(CallWorker)
+def _call_worker(engine: Engine, effect: CallWorker) -> None:
+    reply = engine.links.workers.call(
+        effect.address,
+        effect.request,
+        effect.timeout_s,
+    )
+    engine.deliver(WorkerReplied(effect.token, effect.worker_id, reply))
--- /dev/null
+++ b/src/apricotlead/transport/executor_client.py
@@ -0,0 +1,96 @@
+"""Sends service requests to executors over HTTP."""
+
+from typing import Protocol
+from uuid import uuid4
+
+from apricotlead.coordination.lookups import SendTo
+from apricotlead.protocol.executors import (
+    ExecutorAnswered,
+    ExecutorRefused,
+    ExecutorResult,
+    ExecutorSilent,
+)
+from apricotlead.transport.http_pool import (
+    Answered,
+    HttpCall,
+    HttpResult,
+    NeverSent,
+)
+
+_REQUEST_HEADER = 'X-Apricotlead-Request'
+_DEADLINE_HEADER = 'X-Apricotlead-Deadline-Ms'
+_LENGTH_HEADER = 'x-apricotlead-length'
+_OUTSTANDING_HEADER = 'x-apricotlead-outstanding'
+_LEAVING_HEADER = 'x-apricotlead-leaving'
+_OUTCOME_HEADER = 'x-apricotlead-outcome'
+_NOT_RUN = 'not-run'
+_MAY_HAVE_RUN = 'may-have-run'
+_MS_PER_S = 1000
+_DEFAULT_RETRY_S = 0.1
+
+
+class Caller(Protocol):
+    """What the client needs of :class:`HttpPool`."""
+
+    def call(self, request: HttpCall) -> HttpResult:
+        """Send a request and wait for its answer."""
+
+
+class ExecutorClient:
+    """Sends each request once, under an identifier of its own.
+
+    An answer counts only if it carries the identifier of this request and
+    its body has the length that the executor stated: an answer that came
+    late, or was cut short, is never passed on.
+    """
+
+    __slots__ = ('_pool',)
+
+    def __init__(self, pool: Caller) -> None:
+        """Send through ``pool``."""
+        self._pool = pool
+
+    def send(self, step: SendTo, body: bytes) -> ExecutorResult:
+        """Send ``body`` to the executor that ``step`` names."""
+        request_id = uuid4().hex
+        headers = {
+            _REQUEST_HEADER: request_id,
+            _DEADLINE_HEADER: str(int(step.deadline_s * _MS_PER_S)),
+        }
+        answer = self._pool.call(
+            HttpCall(
+                'POST',
+                step.executor.address,
+                '/v1/run',
+                body,
+                headers,
+                step.timeout_s,
+            ),
+        )
+        if isinstance(answer, NeverSent):
+            return ExecutorRefused(reachable=False)
+        if not isinstance(answer, Answered):
+            return ExecutorSilent(answer.reason)
+        return _read(answer, request_id)
+
+
+def _read(answer: Answered, request_id: str) -> ExecutorResult:
+    headers = answer.headers
+    if headers.get(_REQUEST_HEADER.lower()) != request_id:
+        return ExecutorSilent('the answer belongs to another request')
+    leaving = _LEAVING_HEADER in headers
+    outcome = headers.get(_OUTCOME_HEADER)
+    if outcome == _NOT_RUN:
+        wait_s = float(headers.get('retry-after', _DEFAULT_RETRY_S))
+        return ExecutorRefused(retry_after_s=wait_s, leaving=leaving)
+    if outcome == _MAY_HAVE_RUN:
+        return ExecutorSilent('the executor did not finish in time')
+    if headers.get(_LENGTH_HEADER) != str(len(answer.body)):
+        return ExecutorSilent('the answer is not whole')
+    return ExecutorAnswered(
+        answer.status,
+        answer.body,
+        headers.get('content-type', 'application/octet-stream'),
+        int(headers.get(_OUTSTANDING_HEADER, 0)),
+        leaving,
+    )
--- /dev/null
+++ b/src/apricotlead/transport/peer_links.py
@@ -0,0 +1,119 @@
+"""pynng links to the other entry instances.
+
+Each instance pulls on one address and pushes to each peer. The links are
+lossy: a message to a peer whose queue is full is dropped and counted.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pynng
+from eventlet import spawn_n
+from eventlet.hubs import trampoline
+
+from apricotlead.protocol.peers import Envelope, PeerMessage
+
+_SEND_QUEUE_MESSAGES = 256
+_RECEIVE_QUEUE_MESSAGES = 1024
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 1000
+_LARGEST_MESSAGE_BYTES = 4 * 1024 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+class PeerLinks:
+    """Sends envelopes to peers and hands received ones to a callback.
+
+    ``on_envelope(envelope)`` runs on the loop's thread. Bytes that are not
+    an envelope are counted and dropped.
+    """
+
+    __slots__ = (
+        '_listener',
+        '_on_envelope',
+        '_sockets_by_address',
+        '_sender_id',
+        'dropped_count',
+        'malformed_count',
+    )
+
+    def __init__(
+        self,
+        sender_id: Callable[[], str],
+        on_envelope: Callable[[Envelope], None],
+    ) -> None:
+        """Begin without a listener; ``sender_id`` names the own session."""
+        self._sender_id = sender_id
+        self._on_envelope = on_envelope
+        self._listener: Any = None
+        self._sockets_by_address: dict[str, Any] = {}
+        self.dropped_count = 0
+        self.malformed_count = 0
+
+    def listen(self, address: str) -> str:
+        """Bind to ``IP:port`` (port 0 for any); return the bound address."""
+        self._listener = pynng.Pull0(
+            recv_buffer_size=_RECEIVE_QUEUE_MESSAGES,
+            recv_max_size=_LARGEST_MESSAGE_BYTES,
+        )
+        listener = self._listener.listen(f'tcp://{address}')
+        spawn_n(self._receive_forever)
+        return str(listener.local_address)
+
+    def send(self, address: str, message: PeerMessage) -> bool:
+        """Queue a message; return ``False`` when it was dropped."""
+        envelope = Envelope(self._sender_id(), message)
+        socket = self._socket_to(address)
+        try:
+            socket.send(_encoder.encode(envelope), block=False)
+        except pynng.NNGException:
+            self.dropped_count += 1
+            return False
+        return True
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the links to peers that are gone."""
+        for address in tuple(self._sockets_by_address):
+            if address not in addresses:
+                self._sockets_by_address.pop(address).close()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.keep_only(set())
+        if self._listener is not None:
+            self._listener.close()
+
+    def _socket_to(self, address: str) -> Any:
+        socket = self._sockets_by_address.get(address)
+        if socket is None:
+            socket = pynng.Push0(
+                send_buffer_size=_SEND_QUEUE_MESSAGES,
+                reconnect_time_min=_RECONNECT_MIN_MS,
+                reconnect_time_max=_RECONNECT_MAX_MS,
+            )
+            socket.dial(f'tcp://{address}', block=False)
+            self._sockets_by_address[address] = socket
+        return socket
+
+    def _receive_forever(self) -> None:
+        while True:
+            try:
+                received = self._listener.recv(block=False)
+            except pynng.TryAgain:
+                # A blocking receive would stop the loop of the process.
+                trampoline(self._listener.recv_fd, read=True)
+                continue
+            except pynng.Closed:
+                return
+            self._hand_over(received)
+
+    def _hand_over(self, received: bytes) -> None:
+        try:
+            envelope = _decoder.decode(received)
+        except msgspec.MsgspecError:
+            self.malformed_count += 1
+            return
+        self._on_envelope(envelope)
--- /dev/null
+++ b/tests/test_lookups.py
@@ -0,0 +1,192 @@
+"""Lookups are retried only where that is safe, and limits count them."""
+
+from random import Random
+
+from testtools import TestCase
+from testtools.matchers import IsInstance
+
+from apricotlead.coordination.lookups import (
+    Lookup,
+    LookupDesk,
+    LookupRequest,
+    LookupSettings,
+    SendTo,
+)
+from apricotlead.coordination.retry_budget import RetryBudgetSettings
+from apricotlead.coordination.service_routing import (
+    RoutingSettings,
+    ServiceRouter,
+)
+from apricotlead.protocol.errors import LimitReached
+from apricotlead.protocol.executors import (
+    ExecutorAnswered,
+    ExecutorRefused,
+    ExecutorSilent,
+)
+from apricotlead.protocol.instances import Instance
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun
+from apricotlead.protocol.signals import Tick
+from apricotlead.state.cell_directory import CellDirectory
+from apricotlead.state.session_view import SessionView
+
+SERVICE = 'stenograf'
+ANSWER = ExecutorAnswered(200, b'phrase')
+SILENT = ExecutorSilent('no answer')
+REFUSED = ExecutorRefused()
+UNREACHABLE = ExecutorRefused(reachable=False)
+
+
+def executor(name, datacentre='almaty-a', leaving=False):
+    """Return an executor of the service."""
+    return Instance(
+        name,
+        'executor',
+        '127.0.0.1:1',
+        datacentre,
+        leaving=leaving,
+        service=SERVICE,
+        slots=8,
+    )
+
+
+class OpenGate:
+    """Admits every lookup for the team that its key names."""
+
+    def check_lookup(self, queue, key, now):
+        """Return the key as the team."""
+        return key
+
+
+class CountedUnits:
+    """A limit without a store."""
+
+    def __init__(self, limit):
+        """Begin with ``limit`` units free."""
+        self.free = limit
+
+    def try_take(self, team, journal_id, amount, now):
+        """Take units if there are enough."""
+        if self.free < amount:
+            return False
+        self.free -= amount
+        return True
+
+    def give_back(self, team, journal_id, amount, now):
+        """Return units."""
+        self.free += amount
+
+
+class LookupCase(TestCase):
+    """A desk over a set of executors."""
+
+    executors = (executor('near-1'), executor('near-2'), executor('near-3'))
+    retries = RetryBudgetSettings()
+
+    def setUp(self):
+        """Build a desk with one unit of limit."""
+        super().setUp()
+        self.view = SessionView('s', 'almaty-a')
+        self.directory = CellDirectory()
+        self.directory.replace(self.executors)
+        self.router = ServiceRouter(
+            RoutingSettings(),
+            self.directory,
+            self.view,
+            Random(1),
+        )
+        self.units = CountedUnits(1)
+        self.desk = LookupDesk(
+            LookupSettings(retries=self.retries),
+            self.router,
+            OpenGate(),
+            self.units,
+        )
+
+    def open(self, **fields) -> Lookup:
+        """Open a lookup at time 0."""
+        return self.desk.open(LookupRequest(SERVICE, **fields), 0)
+
+
+class TestLookup(LookupCase):
+    """Guards against running non-idempotent work twice (I7, I6)."""
+
+    def test_cases(self):
+        """Each result leads to exactly the allowed next step."""
+        table = (
+            (True, ANSWER, Done),
+            (True, REFUSED, SendTo),
+            (True, SILENT, SendTo),
+            (False, ANSWER, Done),
+            (False, REFUSED, SendTo),
+            (False, UNREACHABLE, SendTo),
+            (False, SILENT, MayHaveRun),
+        )
+        for idempotent, result, expected in table:
+            lookup = self.open(idempotent=idempotent)
+            lookup.next_step(0)
+            step = lookup.after(result, 0.1) or lookup.next_step(0.1)
+            self.expectThat(step, IsInstance(expected))
+            self.units.free = 1
+
+    def test_refusal_after_a_silent_try_is_not_called_not_run(self):
+        """An earlier try may have run even if the last one did not."""
+        lookup = self.open()
+        for result in (SILENT, REFUSED, REFUSED):
+            lookup.next_step(0)
+            self.assertIsNone(lookup.after(result, 0.1))
+        self.assertThat(lookup.next_step(0.1), IsInstance(MayHaveRun))
+
+    def test_refusals_only_are_not_run(self):
+        """The caller may send it again, and is told when."""
+        lookup = self.open(idempotent=False)
+        for _ in range(3):
+            lookup.next_step(0)
+            lookup.after(REFUSED, 0.1)
+        outcome = lookup.next_step(0.1)
+        self.assertThat(outcome, IsInstance(NotRun))
+        self.assertTrue(outcome.retry_after_s)
+
+    def test_deadline_ends_the_tries(self):
+        """A retry after the deadline would answer nobody."""
+        lookup = self.open()
+        self.assertThat(lookup.next_step(1.0), IsInstance(NotRun))
+
+
+class TestRetryBudget(LookupCase):
+    """Guards against retries that multiply the load on failing executors."""
+
+    retries = RetryBudgetSettings(ratio=0, most=1)
+
+    def test_budget_is_shared_by_all_lookups(self):
+        """The second lookup finds the budget empty."""
+        steps = []
+        for _ in range(2):
+            self.units.free = 1
+            lookup = self.open()
+            lookup.next_step(0)
+            lookup.after(REFUSED, 0)
+            steps.append(lookup.next_step(0))
+        self.assertThat(steps[0], IsInstance(SendTo))
+        self.assertThat(steps[1], IsInstance(NotRun))
+
+
+class TestLookupDesk(LookupCase):
+    """Guards against lookups beyond a team's limit (I4)."""
+
+    def test_limit(self):
+        """The second lookup is refused until the first has ended."""
+        lookup = self.open()
+        self.assertRaises(LimitReached, self.open)
+        self.desk.close(lookup, 0)
+        self.open()
+
+    def test_unknown_outcome_holds_its_unit_until_the_deadline(self):
+        """The executor may still work on it."""
+        lookup = self.open(wait_s=1.0)
+        lookup.next_step(0)
+        lookup.after(SILENT, 0.5)
+        self.desk.close(lookup, 0.5)
+        self.desk.on_tick(Tick(), 0.9)
+        self.assertEqual(0, self.units.free)
+        self.desk.on_tick(Tick(), 1.1)
+        self.assertEqual(1, self.units.free)
