--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -149,7 +149,9 @@
         address = '{}:{}'.format(*listener.getsockname())
         eventlet.spawn_n(self._serve_http, listener)
         self._engine.start()
-        print(json.dumps({'address': address}), flush=True)
+        ready = json.dumps({'address': address})
+        sys.stdout.write(f'{ready}\n')
+        sys.stdout.flush()
         stop.wait()
         self._drain()
 
--- a/src/apricotlead/transport/http_server.py
+++ b/src/apricotlead/transport/http_server.py
@@ -1,8 +1,10 @@
 """The HTTP interface for callers and operators, as a WSGI application."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from hashlib import sha256
 from hmac import compare_digest
+from math import ceil
 from typing import Any
 
 import msgspec
@@ -161,8 +163,7 @@
             return Response(done_status, msgspec.json.encode(answer))
         case NotRun(error, retry_after_s):
             headers = [('X-Apricotlead-Outcome', 'not-run')]
-            if retry_after_s is not None:
-                headers.append(('Retry-After', f'{retry_after_s:g}'))
+            headers.extend(_retry_headers(retry_after_s))
             return _error_response(_status_of(error), error, headers)
         case MayHaveRun(error):
             headers = [('X-Apricotlead-Outcome', 'may-have-run')]
@@ -174,6 +175,19 @@
     return sha256(key.encode()).hexdigest()
 
 
+def _retry_headers(retry_after_s: float | None) -> list[tuple[str, str]]:
+    """Name the time to come back, in whole seconds and in milliseconds.
+
+    ``Retry-After`` has no fractions, and a second is long for a lookup.
+    """
+    if retry_after_s is None:
+        return []
+    return [
+        ('Retry-After', str(ceil(retry_after_s))),
+        ('X-Apricotlead-Retry-After-Ms', str(ceil(retry_after_s * _MS_PER_S))),
+    ]
+
+
 def _error_response(
     status: int,
     error: ApricotleadError,
@@ -250,17 +264,8 @@
 def _cancel(application: HttpApplication, request: Request) -> Response:
     key = request.header(KEY_HEADER)
     job_ids = request.decode(CancelBody).job_ids
-    outcomes = application.backend.ask_all(
-        [
-            lambda ticket, job_id=job_id: AskStatus(
-                ticket,
-                job_id,
-                key,
-                cancel=True,
-            )
-            for job_id in job_ids
-        ]
-    )
+    signals = [partial(_cancel_signal, job_id, key) for job_id in job_ids]
+    outcomes = application.backend.ask_all(signals)
     answers = {
         job_id: _outcome_body(outcome)
         for job_id, outcome in zip(job_ids, outcomes, strict=True)
