--- /dev/null
+++ b/src/apricotlead/coordination/dispatch_outbox.py
@@ -0,0 +1,124 @@
+"""Collects what a dispatcher has to say, so that few messages carry it."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import route_to_session
+from apricotlead.coordination.dispatch_queue import Pending
+from apricotlead.protocol.jobs import Priority
+from apricotlead.protocol.peers import (
+    Grant,
+    ReleaseGrants,
+    ReserveCapacity,
+    TaskDemand,
+)
+from apricotlead.protocol.signals import Signal, TasksPlaced
+from apricotlead.state.session_view import SessionView
+
+
+class _RequestKey(Struct, frozen=True):
+    """What the demands of one request have in common.
+
+    ``gang_serial`` is 0 for batch work; a gang has requests of its own.
+    """
+
+    owner: str
+    team: str
+    priority: Priority
+    gang_serial: int
+
+
+class DispatchOutbox:
+    """Demands by owner and class, releases by owner, placements by job."""
+
+    __slots__ = (
+        '_demands_by_key',
+        '_message_demands',
+        '_next_number',
+        '_park_s',
+        '_placed_by_job',
+        '_released_by_owner',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        view: SessionView,
+        park_s: float,
+        message_demands: int,
+    ) -> None:
+        """Begin empty; a request has at most ``message_demands``."""
+        self._view = view
+        self._park_s = park_s
+        self._message_demands = message_demands
+        self._next_number = 0
+        self._demands_by_key: dict[_RequestKey, list[TaskDemand]] = defaultdict(
+            list,
+        )
+        self._released_by_owner: dict[str, list[str]] = defaultdict(list)
+        self._placed_by_job: dict[tuple[str, str], list[tuple[int, Grant]]] = (
+            defaultdict(list)
+        )
+
+    def ask(self, owner: str, pending: Pending, demand: TaskDemand) -> None:
+        """Add a wanted attempt."""
+        gang_serial = pending.serial if pending.is_gang else 0
+        key = _RequestKey(owner, pending.team, pending.priority, gang_serial)
+        self._demands_by_key[key].append(demand)
+
+    def release(self, owner: str, attempt_id: str) -> None:
+        """Add an attempt that has ended or will never start."""
+        if owner:
+            self._released_by_owner[owner].append(attempt_id)
+
+    def place(self, pending: Pending, grants: tuple[Grant, ...]) -> None:
+        """Add tasks for which all grants are there."""
+        placed = self._placed_by_job[pending.journal_id, pending.job_id]
+        placed.extend(zip(pending.tasks, grants, strict=True))
+
+    def flush(self) -> Iterator[Signal]:
+        """Yield placements and requests."""
+        for (journal_id, job_id), placed in self._placed_by_job.items():
+            tasks, grants = zip(*placed, strict=True)
+            yield TasksPlaced(journal_id, job_id, tasks, grants)
+        self._placed_by_job.clear()
+        for key, demands in self._demands_by_key.items():
+            yield from self._requests(key, demands)
+        self._demands_by_key.clear()
+
+    def flush_releases(self) -> Iterator[Signal]:
+        """Yield one release per owner."""
+        for owner, attempt_ids in self._released_by_owner.items():
+            message = ReleaseGrants(tuple(attempt_ids))
+            yield from route_to_session(self._view, owner, message)
+        self._released_by_owner.clear()
+
+    def _requests(
+        self,
+        key: _RequestKey,
+        demands: list[TaskDemand],
+    ) -> Iterator[Signal]:
+        for start in range(0, len(demands), self._message_demands):
+            part = tuple(demands[start : start + self._message_demands])
+            request = ReserveCapacity(
+                self._next_id(),
+                self._view.session_id,
+                key.team,
+                key.priority,
+                part,
+                gang=key.gang_serial > 0,
+                park_s=self._park_of(key.owner),
+            )
+            yield from route_to_session(self._view, key.owner, request)
+
+    def _next_id(self) -> str:
+        self._next_number += 1
+        session_id = self._view.session_id
+        return f'{session_id}-{self._next_number}'
+
+    def _park_of(self, owner: str) -> float:
+        """Return 0 for the own desk where peers can be asked next."""
+        has_next = owner == self._view.session_id and self._view.peers_by_id
+        return 0.0 if has_next else self._park_s
--- /dev/null
+++ b/src/apricotlead/coordination/dispatch_queue.py
@@ -0,0 +1,172 @@
+"""The tasks that wait for room, in the order in which they are served."""
+
+from collections.abc import Iterable, Iterator
+from heapq import heapify, heappop, heappush
+from typing import Literal
+
+from sortedcontainers import SortedDict
+
+from apricotlead.protocol.jobs import Priority
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.job_table import JobEntry
+
+PendingState = Literal['ready', 'delayed', 'reserving', 'gone']
+# A team and a journal: the unit in which an allotment is given.
+Lane = tuple[str, str]
+
+RANKS = range(4)
+_NORMAL = 2
+_BATCH = 1
+
+
+class Pending:
+    """A batch task, or all tasks of a gang, that wait for room.
+
+    ``rank`` orders by priority class, then gang before batch; ``refusals``
+    counts the rounds of reservation in vain.
+    """
+
+    __slots__ = (
+        'avoids',
+        'demands',
+        'is_gang',
+        'job_id',
+        'journal_id',
+        'priority',
+        'refusals',
+        'serial',
+        'state',
+        'tasks',
+        'team',
+    )
+
+    def __init__(
+        self,
+        job: JobEntry,
+        tasks: tuple[int, ...],
+        serial: int,
+    ) -> None:
+        """Take the demands of these tasks from their job."""
+        entries = tuple(job.tasks[task] for task in tasks)
+        self.journal_id = job.journal_id
+        self.job_id = job.job_id
+        self.team = job.team
+        self.tasks = tasks
+        self.serial = serial
+        self.is_gang = job.is_gang()
+        self.priority: Priority = job.submission.priority
+        self.demands = tuple(entry.spec.demand for entry in entries)
+        self.avoids = tuple(entry.failed_workers() for entry in entries)
+        self.refusals = 0
+        self.state: PendingState = 'ready'
+
+    @property
+    def lane(self) -> Lane:
+        """Return the team and the journal."""
+        return (self.team, self.journal_id)
+
+    @property
+    def rank(self) -> int:
+        """Return the place of its class, 0 first."""
+        urgency = 0 if self.priority == 'urgent' else _NORMAL
+        return urgency + (0 if self.is_gang else _BATCH)
+
+    def total_demand(self) -> Resources:
+        """Return the sum over the tasks."""
+        return sum(self.demands, Resources())
+
+
+class DispatchQueue:
+    """Pending work by rank and lane, first come first served in each lane.
+
+    Adding, withdrawing and taking cost O(log n). Work that was refused
+    waits in a heap until its delay is over and then has its old place.
+    """
+
+    __slots__ = ('_delayed', '_lanes_by_rank', '_pending_by_task', '_serial')
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._serial = 0
+        self._lanes_by_rank: list[dict[Lane, SortedDict]] = [{} for _ in RANKS]
+        self._pending_by_task: dict[tuple[str, int], Pending] = {}
+        self._delayed: list[tuple[float, int, Pending]] = []
+
+    def __len__(self) -> int:
+        """Return the number of tasks that wait or are being reserved."""
+        return len(self._pending_by_task)
+
+    def add(self, job: JobEntry, tasks: tuple[int, ...]) -> None:
+        """Queue each batch task for itself, a gang as a whole."""
+        groups = (tasks,) if job.is_gang() else tuple((one,) for one in tasks)
+        for group in groups:
+            self._serial += 1
+            pending = Pending(job, group, self._serial)
+            for task in group:
+                self._pending_by_task[job.job_id, task] = pending
+            self._make_ready(pending)
+
+    def find(self, job_id: str, tasks: Iterable[int]) -> Iterator[Pending]:
+        """Yield the pending work of these tasks, each once."""
+        seen: set[int] = set()
+        for task in tasks:
+            pending = self._pending_by_task.get((job_id, task))
+            if pending is not None and pending.serial not in seen:
+                seen.add(pending.serial)
+                yield pending
+
+    def lanes(self, rank: int) -> Iterable[Lane]:
+        """Return the lanes of a rank that have ready work."""
+        return self._lanes_by_rank[rank].keys()
+
+    def first(self, rank: int, lane: Lane) -> Pending | None:
+        """Return the oldest ready work of a lane."""
+        ready = self._lanes_by_rank[rank].get(lane)
+        return ready.peekitem(0)[1] if ready else None
+
+    def reserve(self, pending: Pending) -> None:
+        """Take ready work out for a round of reservation."""
+        self._take_from_lane(pending)
+        pending.state = 'reserving'
+
+    def delay(self, pending: Pending, due_s: float) -> None:
+        """Put work of a failed round back, to be ready at ``due_s``."""
+        pending.state = 'delayed'
+        heappush(self._delayed, (due_s, pending.serial, pending))
+
+    def wake(self, now: float) -> None:
+        """Make ready what was delayed until now."""
+        while self._delayed and self._delayed[0][0] <= now:
+            pending = heappop(self._delayed)[2]
+            if pending.state == 'delayed':
+                self._make_ready(pending)
+
+    def remove(self, pending: Pending) -> None:
+        """Forget work that was placed or withdrawn."""
+        if pending.state == 'ready':
+            self._take_from_lane(pending)
+        pending.state = 'gone'
+        for task in pending.tasks:
+            self._pending_by_task.pop((pending.job_id, task), None)
+
+    def remove_journal(self, journal_id: str) -> None:
+        """Forget all work of a journal."""
+        for pending in tuple(self._pending_by_task.values()):
+            if pending.journal_id == journal_id:
+                self.remove(pending)
+        self._delayed = [
+            entry for entry in self._delayed if entry[2].state == 'delayed'
+        ]
+        heapify(self._delayed)
+
+    def _make_ready(self, pending: Pending) -> None:
+        pending.state = 'ready'
+        lanes = self._lanes_by_rank[pending.rank]
+        lanes.setdefault(pending.lane, SortedDict())[pending.serial] = pending
+
+    def _take_from_lane(self, pending: Pending) -> None:
+        lanes = self._lanes_by_rank[pending.rank]
+        ready = lanes[pending.lane]
+        ready.pop(pending.serial, None)
+        if not ready:
+            lanes.pop(pending.lane)
--- /dev/null
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -0,0 +1,597 @@
+"""Brings queued tasks to workers with room."""
+
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterable
+from heapq import heapify, heappop, heappush
+from typing import Any, ClassVar, Protocol
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.dispatch_outbox import DispatchOutbox
+from apricotlead.coordination.dispatch_queue import (
+    RANKS,
+    DispatchQueue,
+    Lane,
+    Pending,
+)
+from apricotlead.coordination.owner_choice import OwnerChoice
+from apricotlead.protocol.config import CellConfig, Preset
+from apricotlead.protocol.peers import (
+    CapacityGranted,
+    CapacityRefused,
+    Gossip,
+    Grant,
+    TaskDemand,
+)
+from apricotlead.protocol.randomness import RandomSource
+from apricotlead.protocol.signals import (
+    AttemptAdopted,
+    AttemptEnded,
+    JournalClosed,
+    PeersChanged,
+    Signal,
+    TaskQueued,
+    TasksWithdrawn,
+    Tick,
+)
+from apricotlead.state.job_table import JobTable, journal_of_attempt
+from apricotlead.state.session_view import SessionView
+
+_MAX_DOUBLINGS = 8
+# Gossip shows own placements after about this long (seconds); until then
+# they count as a debt of their team.
+_DEBT_S = 0.25
+# Orders lanes of equal share by what they were given, before any gossip.
+_LEAST_DEBT = 1e-9
+
+
+class DispatchSettings(Struct, frozen=True):
+    """Times in seconds, amounts in tasks.
+
+    ``gang_wait_s`` bounds a gang's round from its first request, and
+    ``gang_hold_s`` from its first grant: a grant that is held for longer
+    would expire before all starts have reached their workers.
+    """
+
+    park_s: float = 0.3
+    request_timeout_s: float = 1.0
+    gang_wait_s: float = 2.0
+    gang_hold_s: float = 1.2
+    gang_retry_s: float = 0.1
+    first_backoff_s: float = 0.05
+    longest_backoff_s: float = 1.0
+    longest_urgent_backoff_s: float = 0.3
+    first_gang_backoff_s: float = 0.3
+    longest_gang_backoff_s: float = 5.0
+    max_reserving: int = 1000
+    max_gangs: int = 4
+    max_owners_asked: int = 2
+    message_demands: int = 64
+
+
+class TeamLimits(Protocol):
+    """The part of the allotments that is needed."""
+
+    def try_take(
+        self,
+        team: str,
+        journal_id: str,
+        amount: int,
+        now: float,
+    ) -> bool:
+        """Take units if the allotment has them."""
+
+    def give_back(
+        self,
+        team: str,
+        journal_id: str,
+        amount: int,
+        now: float,
+    ) -> None:
+        """Return units."""
+
+    def restore(self, team: str, journal_id: str, in_use: int) -> None:
+        """Set the units in use of an adopted journal."""
+
+
+class ShareView(Protocol):
+    """The part of the usage table that is needed."""
+
+    def share_of(self, team: str, weight: float, now: float) -> float:
+        """Return the team's dominant share divided by its weight."""
+
+
+class PolicyView(Protocol):
+    """The part of the configuration view that is needed."""
+
+    config: CellConfig
+
+    def preset(self) -> Preset:
+        """Return the preset in force."""
+
+
+class _Held(Struct, frozen=True):
+    """A granted attempt: its unit, and the owner who granted it.
+
+    ``owner`` is empty for an adopted attempt, whose grant has long turned
+    into a running attempt.
+    """
+
+    owner: str
+    team: str
+    journal_id: str
+
+
+class _Round:
+    """One try at reserving room for all tasks of a pending work.
+
+    ``grants_by_index`` and ``tried_by_index`` are by position in the tasks.
+    """
+
+    __slots__ = (
+        'ends_s',
+        'grants_by_index',
+        'pending',
+        'retry_s',
+        'tried_by_index',
+        'unasked',
+        'waiting_ids',
+    )
+
+    def __init__(self, pending: Pending, ends_s: float) -> None:
+        self.pending = pending
+        self.ends_s = ends_s
+        self.grants_by_index: dict[int, Grant] = {}
+        self.tried_by_index: list[set[str]] = [set() for _ in pending.tasks]
+        self.waiting_ids: set[str] = set()
+        self.unasked: list[int] = []
+        self.retry_s = 0.0
+
+    def is_complete(self) -> bool:
+        return len(self.grants_by_index) == len(self.pending.tasks)
+
+    def grants(self) -> tuple[Grant, ...]:
+        return tuple(
+            self.grants_by_index[index]
+            for index in range(len(self.pending.tasks))
+        )
+
+
+class _Wait(Struct, frozen=True, eq=False):
+    """A wanted attempt that an owner has not answered."""
+
+    round: _Round
+    index: int
+    owner: str
+
+
+class Dispatcher(Component):
+    """Takes a unit of the team's limit, reserves room, and hands both over.
+
+    Urgent work goes before normal work, gangs before batch tasks, then the
+    team with the lowest share, then the oldest. Work of one class that an
+    owner cannot place waits a little, so other work passes it. Each attempt
+    that was asked for is waiting, granted or unknown here; a grant for an
+    unknown one is released, so lost, late and doubled answers hold nothing.
+    """
+
+    name: ClassVar[str] = 'dispatcher'
+    __slots__ = (
+        '_attempt_number',
+        '_choice',
+        '_debts_by_team',
+        '_debts_end_s',
+        '_gang_rounds',
+        '_held_by_attempt',
+        '_limits',
+        '_outbox',
+        '_policy',
+        '_queue',
+        '_restored_journals',
+        '_rng',
+        '_rounds_by_serial',
+        '_settings',
+        '_shares',
+        '_table',
+        '_timeouts',
+        '_view',
+        '_waits_by_attempt',
+    )
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        table: JobTable,
+        view: SessionView,
+        policy: PolicyView,
+        shares: ShareView,
+        limits: TeamLimits,
+        rng: RandomSource,
+    ) -> None:
+        """Begin without work."""
+        self._settings = settings
+        self._table = table
+        self._view = view
+        self._policy = policy
+        self._shares = shares
+        self._limits = limits
+        self._rng = rng
+        self._choice = OwnerChoice(view, rng)
+        self._outbox = DispatchOutbox(
+            view,
+            settings.park_s,
+            settings.message_demands,
+        )
+        self._queue = DispatchQueue()
+        self._attempt_number = 0
+        self._rounds_by_serial: dict[int, _Round] = {}
+        self._gang_rounds: dict[int, _Round] = {}
+        self._waits_by_attempt: dict[str, _Wait] = {}
+        self._held_by_attempt: dict[str, _Held] = {}
+        # The time-out is constant, so the oldest request is due first.
+        self._timeouts: deque[tuple[float, str]] = deque()
+        self._debts_by_team: dict[str, float] = defaultdict(float)
+        self._debts_end_s = float('-inf')
+        self._restored_journals: set[str] = set()
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: DispatchSettings,
+        table: JobTable,
+        view: SessionView,
+        policy: PolicyView,
+        shares: ShareView,
+        limits: TeamLimits,
+        rng: RandomSource,
+    ) -> 'Dispatcher':
+        """Return a dispatcher for these settings."""
+        return cls(settings, table, view, policy, shares, limits, rng)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return counts of what waits and what is held."""
+        return {
+            'pending_tasks': len(self._queue),
+            'rounds': len(self._rounds_by_serial),
+            'gang_rounds': len(self._gang_rounds),
+            'unanswered_attempts': len(self._waits_by_attempt),
+            'held_attempts': len(self._held_by_attempt),
+        }
+
+    @handles(TaskQueued)
+    def enqueue(self, signal: TaskQueued, now: float) -> Iterable[Signal]:
+        """Queue the tasks; the next tick asks for room."""
+        job = self._table.jobs_by_id.get(signal.job_id)
+        if job is not None:
+            self._queue.add(job, signal.tasks)
+        return ()
+
+    @handles(TasksWithdrawn)
+    def withdraw(self, signal: TasksWithdrawn, now: float) -> Iterable[Signal]:
+        """Forget the tasks and release what is held for them."""
+        for pending in self._queue.find(signal.job_id, signal.tasks):
+            round_ = self._rounds_by_serial.get(pending.serial)
+            if round_ is not None:
+                self._dissolve(round_, now)
+            self._queue.remove(pending)
+        return ()
+
+    @handles(JournalClosed)
+    def close_journal(
+        self,
+        signal: JournalClosed,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Drop the journal's work; its units go with its allotment."""
+        journal_id = signal.journal_id
+        self._queue.remove_journal(journal_id)
+        for round_ in tuple(self._rounds_by_serial.values()):
+            if round_.pending.journal_id == journal_id:
+                self._forget_round(round_)
+                self._drop_waits(round_)
+        self._held_by_attempt = {
+            attempt_id: held
+            for attempt_id, held in self._held_by_attempt.items()
+            if held.journal_id != journal_id
+        }
+        self._restored_journals.discard(journal_id)
+        return ()
+
+    @handles(AttemptAdopted)
+    def adopt(self, signal: AttemptAdopted, now: float) -> Iterable[Signal]:
+        """Count the units of attempts that a former owner placed."""
+        journal_id = signal.journal_id
+        attempt = self._table.attempts_by_id.get(signal.attempt_id)
+        if attempt is None:
+            return ()
+        self._restore_units(journal_id)
+        team = self._table.jobs_by_id[attempt.assigned.job_id].team
+        self._held_by_attempt[signal.attempt_id] = _Held('', team, journal_id)
+        return ()
+
+    @handles(AttemptEnded)
+    def release(self, signal: AttemptEnded, now: float) -> Iterable[Signal]:
+        """Give the unit back; the grant is released with the next tick."""
+        self._let_go(signal.attempt_id, now)
+        return ()
+
+    @handles(CapacityGranted)
+    def take_grants(
+        self,
+        signal: CapacityGranted,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Hold the grants; hand over what is complete."""
+        for grant in signal.grants:
+            wait = self._waits_by_attempt.pop(grant.attempt_id, None)
+            if wait is None:
+                self._release_unwanted(grant, signal.owner_session)
+            else:
+                self._hold(wait, grant, now)
+        return tuple(self._outbox.flush())
+
+    @handles(CapacityRefused)
+    def take_refusals(
+        self,
+        signal: CapacityRefused,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Ask the next owner, or let the work wait."""
+        for attempt_id in signal.attempt_ids:
+            wait = self._waits_by_attempt.pop(attempt_id, None)
+            if wait is not None:
+                self._ask_next(attempt_id, wait, now)
+        return tuple(self._outbox.flush())
+
+    @handles(Gossip)
+    def learn_loads(self, signal: Gossip, now: float) -> Iterable[Signal]:
+        """Keep the free capacity of peers."""
+        self._choice.learn(signal)
+        return ()
+
+    @handles(PeersChanged)
+    def forget_peers(
+        self,
+        signal: PeersChanged,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Forget the loads of sessions that are gone."""
+        self._choice.keep_only(signal.live_ids)
+        return ()
+
+    @handles(Tick)
+    def act_on_time(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """End late requests and rounds, then ask for more room."""
+        self._end_late_requests(now)
+        for round_ in tuple(self._gang_rounds.values()):
+            self._drive_gang(round_, now)
+        self._queue.wake(now)
+        if self._view.is_valid(now):
+            self._fill(now)
+        return (*self._outbox.flush(), *self._outbox.flush_releases())
+
+    def _restore_units(self, journal_id: str) -> None:
+        if journal_id not in self._restored_journals:
+            self._restored_journals.add(journal_id)
+            for team, in_use in self._live_by_team(journal_id).items():
+                self._limits.restore(team, journal_id, in_use)
+
+    def _drop_waits(self, round_: _Round) -> list[tuple[str, str]]:
+        """Stop waiting; return owner and attempt of each request."""
+        dropped = []
+        for attempt_id in round_.waiting_ids:
+            wait = self._waits_by_attempt.pop(attempt_id, None)
+            if wait is not None:
+                dropped.append((wait.owner, attempt_id))
+        return dropped
+
+    def _live_by_team(self, journal_id: str) -> Counter[str]:
+        counts: Counter[str] = Counter()
+        for job in self._table.jobs_of(journal_id):
+            if job.live_count:
+                counts[job.team] += job.live_count
+        return counts
+
+    def _fill(self, now: float) -> None:
+        if now >= self._debts_end_s:
+            self._debts_by_team.clear()
+            self._debts_end_s = now + _DEBT_S
+        starts_batch = self._policy.preset().starts_batch
+        for rank in RANKS:
+            # Odd ranks are batch work.
+            if starts_batch or not rank % 2:
+                self._fill_rank(rank, now)
+
+    def _fill_rank(self, rank: int, now: float) -> None:
+        lanes = [
+            (self._share(lane, now), lane) for lane in self._queue.lanes(rank)
+        ]
+        heapify(lanes)
+        while lanes and self._has_room(rank):
+            _, lane = heappop(lanes)
+            pending = self._queue.first(rank, lane)
+            if pending is not None and self._begin(pending, now):
+                self._add_debt(pending)
+                heappush(lanes, (self._share(lane, now), lane))
+
+    def _share(self, lane: Lane, now: float) -> float:
+        team = lane[0]
+        share = self._shares.share_of(team, self._weight(team), now)
+        return share + self._debts_by_team[team]
+
+    def _weight(self, team: str) -> float:
+        known = self._policy.config.teams_by_name.get(team)
+        return known.weight if known else 1.0
+
+    def _add_debt(self, pending: Pending) -> None:
+        capacity = self._choice.cell_capacity()
+        fraction = pending.total_demand().dominant_fraction(capacity)
+        debt = max(fraction, _LEAST_DEBT) / self._weight(pending.team)
+        self._debts_by_team[pending.team] += debt
+
+    def _has_room(self, rank: int) -> bool:
+        """Bound what is asked for at once; urgent work is not held up."""
+        is_urgent = rank < 2
+        if is_urgent:
+            return True
+        return len(self._waits_by_attempt) < self._settings.max_reserving
+
+    def _begin(self, pending: Pending, now: float) -> bool:
+        """Begin a round; ``False`` when the lane cannot go on now."""
+        if (
+            pending.is_gang
+            and len(self._gang_rounds) >= self._settings.max_gangs
+        ):
+            return False
+        amount = len(pending.tasks)
+        team, journal_id = pending.lane
+        if not self._limits.try_take(team, journal_id, amount, now):
+            if pending.is_gang:
+                # A smaller gang of the team may fit within its limit.
+                self._queue.reserve(pending)
+                self._back_off(pending, now)
+            return False
+        self._queue.reserve(pending)
+        round_ = _Round(pending, now + self._settings.gang_wait_s)
+        self._rounds_by_serial[pending.serial] = round_
+        if pending.is_gang:
+            self._gang_rounds[pending.serial] = round_
+        for index in range(amount):
+            self._ask_or_wait(round_, index, now)
+        return True
+
+    def _ask(self, round_: _Round, index: int, now: float) -> bool:
+        pending = round_.pending
+        tried = round_.tried_by_index[index]
+        demand = pending.demands[index]
+        owner = self._choice.choose(demand, tried, now)
+        if owner is None:
+            return False
+        tried.add(owner)
+        attempt_id = self._new_attempt_id(pending, index)
+        self._waits_by_attempt[attempt_id] = _Wait(round_, index, owner)
+        round_.waiting_ids.add(attempt_id)
+        due_s = now + self._settings.request_timeout_s
+        self._timeouts.append((due_s, attempt_id))
+        wanted = TaskDemand(attempt_id, demand, pending.avoids[index])
+        self._outbox.ask(owner, pending, wanted)
+        return True
+
+    def _new_attempt_id(self, pending: Pending, index: int) -> str:
+        self._attempt_number += 1
+        epoch = self._table.epoch_of(pending.journal_id)
+        task = pending.tasks[index]
+        return f'{pending.job_id}.{task}.{epoch}-{self._attempt_number}'
+
+    def _ask_or_wait(self, round_: _Round, index: int, now: float) -> None:
+        if self._ask(round_, index, now):
+            return
+        if round_.pending.is_gang:
+            round_.unasked.append(index)
+            round_.retry_s = now + self._settings.gang_retry_s
+        else:
+            self._fail(round_, now)
+
+    def _ask_next(self, attempt_id: str, wait: _Wait, now: float) -> None:
+        round_ = wait.round
+        round_.waiting_ids.discard(attempt_id)
+        if wait.owner == self._view.session_id:
+            demand = round_.pending.demands[wait.index]
+            self._choice.note_own_refusal(demand, now)
+        tried = round_.tried_by_index[wait.index]
+        if len(tried) < self._settings.max_owners_asked:
+            self._ask_or_wait(round_, wait.index, now)
+        elif round_.pending.is_gang:
+            round_.unasked.append(wait.index)
+            round_.retry_s = now + self._settings.gang_retry_s
+        else:
+            self._fail(round_, now)
+
+    def _hold(self, wait: _Wait, grant: Grant, now: float) -> None:
+        round_ = wait.round
+        pending = round_.pending
+        round_.waiting_ids.discard(grant.attempt_id)
+        round_.grants_by_index[wait.index] = grant
+        round_.ends_s = min(round_.ends_s, now + self._settings.gang_hold_s)
+        self._held_by_attempt[grant.attempt_id] = _Held(
+            wait.owner,
+            pending.team,
+            pending.journal_id,
+        )
+        if round_.is_complete():
+            self._forget_round(round_)
+            self._queue.remove(pending)
+            self._outbox.place(pending, round_.grants())
+
+    def _release_unwanted(self, grant: Grant, owner: str) -> None:
+        """Release a grant that nobody waits for, unless it is in use.
+
+        The attempts of a journal that is no longer owned may be running
+        under its new owner, so nothing is said about them.
+        """
+        if grant.attempt_id in self._held_by_attempt:
+            return
+        if self._table.holds(journal_of_attempt(grant.attempt_id)):
+            self._outbox.release(owner, grant.attempt_id)
+
+    def _let_go(self, attempt_id: str, now: float) -> None:
+        held = self._held_by_attempt.pop(attempt_id, None)
+        if held is not None:
+            self._limits.give_back(held.team, held.journal_id, 1, now)
+            self._outbox.release(held.owner, attempt_id)
+
+    def _end_late_requests(self, now: float) -> None:
+        while self._timeouts and self._timeouts[0][0] <= now:
+            attempt_id = self._timeouts.popleft()[1]
+            wait = self._waits_by_attempt.pop(attempt_id, None)
+            if wait is not None:
+                self._outbox.release(wait.owner, attempt_id)
+                self._ask_next(attempt_id, wait, now)
+
+    def _drive_gang(self, round_: _Round, now: float) -> None:
+        if now >= round_.ends_s:
+            self._fail(round_, now)
+        elif round_.unasked and now >= round_.retry_s:
+            unasked = round_.unasked
+            round_.unasked = []
+            for index in unasked:
+                round_.tried_by_index[index].clear()
+                self._ask_or_wait(round_, index, now)
+
+    def _fail(self, round_: _Round, now: float) -> None:
+        self._dissolve(round_, now)
+        self._back_off(round_.pending, now)
+
+    def _dissolve(self, round_: _Round, now: float) -> None:
+        """Release all grants and units of an incomplete round."""
+        self._forget_round(round_)
+        pending = round_.pending
+        for owner, attempt_id in self._drop_waits(round_):
+            self._outbox.release(owner, attempt_id)
+        for grant in round_.grants_by_index.values():
+            self._let_go(grant.attempt_id, now)
+        unused = len(pending.tasks) - len(round_.grants_by_index)
+        self._limits.give_back(pending.team, pending.journal_id, unused, now)
+
+    def _forget_round(self, round_: _Round) -> None:
+        self._rounds_by_serial.pop(round_.pending.serial, None)
+        self._gang_rounds.pop(round_.pending.serial, None)
+
+    def _back_off(self, pending: Pending, now: float) -> None:
+        first_s, longest_s = self._backoff_bounds(pending)
+        doublings = min(pending.refusals, _MAX_DOUBLINGS)
+        pending.refusals += 1
+        delay_s = min(first_s * 2**doublings, longest_s)
+        self._queue.delay(pending, now + delay_s * self._rng.uniform(0.5, 1.5))
+
+    def _backoff_bounds(self, pending: Pending) -> tuple[float, float]:
+        settings = self._settings
+        if pending.is_gang:
+            return (
+                settings.first_gang_backoff_s,
+                settings.longest_gang_backoff_s,
+            )
+        if pending.priority == 'urgent':
+            return settings.first_backoff_s, settings.longest_urgent_backoff_s
+        return settings.first_backoff_s, settings.longest_backoff_s
--- /dev/null
+++ b/src/apricotlead/coordination/job_book.py
@@ -0,0 +1,789 @@
+"""The lifecycle of jobs, from acceptance to their visible end."""
+
+from collections.abc import Callable, Iterable, Iterator
+from heapq import heapify, heappop, heappush
+from typing import Any, ClassVar, Literal
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import (
+    Component,
+    handles,
+    route_to_session,
+)
+from apricotlead.coordination.owner_questions import (
+    OwnerQuestions,
+    QuestionSettings,
+)
+from apricotlead.protocol.errors import (
+    AttemptsUsedUp,
+    ErrorReport,
+    NotFound,
+    OutcomeUnknown,
+    StoreUnreachable,
+)
+from apricotlead.protocol.jobs import (
+    AttemptAssigned,
+    AttemptFinished,
+    CancelRequested,
+    JobAccepted,
+    JobEnded,
+    JobState,
+    JobStatus,
+    JournalRecord,
+)
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
+from apricotlead.protocol.peers import AskJob, Grant, JobAnswer
+from apricotlead.protocol.signals import (
+    AdmitJob,
+    Answer,
+    AppendRecords,
+    AttemptAdopted,
+    AttemptEnded,
+    AttemptForgotten,
+    AttemptStarting,
+    FindJob,
+    JournalClosed,
+    JournalOpened,
+    RecordsCommitted,
+    RecordsRejected,
+    Signal,
+    StopAttempts,
+    TaskQueued,
+    TasksPlaced,
+    TasksWithdrawn,
+    Tick,
+    Token,
+)
+from apricotlead.state.job_table import JobEntry, JobTable, journal_of_job
+from apricotlead.state.session_view import SessionView
+
+Purpose = Literal['admit', 'assign', 'finish', 'end', 'cancel']
+# ``queued``: the dispatcher has it; ``assigning``: its assignment is being
+# written; ``delayed``: it is queued again a little later.
+Phase = Literal['queued', 'assigning', 'delayed']
+
+# An adopted journal has a higher epoch; new jobs go to the own one only.
+_FRESH_EPOCH = 1
+_LONGEST_DOUBLING = 10
+# Endings of the last seconds of a journal, at the rate of one session.
+_FORGOTTEN_AGAIN = 2000
+
+
+class JobBookSettings(Struct, frozen=True):
+    """Times in seconds.
+
+    A task whose attempt never ran is queued again after ``first_requeue_s``,
+    doubled with each further miss up to ``longest_requeue_s``.
+    """
+
+    first_requeue_s: float = 0.05
+    longest_requeue_s: float = 2.0
+    no_journal_retry_s: float = 1.0
+    questions: QuestionSettings = QuestionSettings()
+
+
+class _Caller(Struct, frozen=True):
+    """Who waits: a ticket of this process, or a peer's question."""
+
+    ticket: int | None = None
+    ask_id: str = ''
+    sender: str = ''
+
+
+class _Append(Struct, frozen=True):
+    """Records on their way to the store, and what they are for."""
+
+    purpose: Purpose
+    journal_id: str
+    job_id: str
+    records: tuple[JournalRecord, ...]
+    caller: _Caller | None = None
+    request_key: str = ''
+
+
+class _Requeue(Struct, frozen=True):
+    """Tasks to be queued when their delay is over."""
+
+    journal_id: str
+    job_id: str
+    tasks: tuple[int, ...]
+
+
+class _Activity:
+    """What is under way for a job that has not ended.
+
+    ``cancellers`` is ``None`` unless the request to end it is being written.
+    """
+
+    __slots__ = ('cancellers', 'is_ending', 'phases_by_task')
+
+    def __init__(self) -> None:
+        self.phases_by_task: dict[int, Phase] = {}
+        self.cancellers: list[_Caller] | None = None
+        self.is_ending = False
+
+    def may_place(self, tasks: Iterable[int]) -> bool:
+        if self.is_ending or self.cancellers is not None:
+            return False
+        return all(self.phases_by_task.get(task) == 'queued' for task in tasks)
+
+    def is_assigning(self) -> bool:
+        return 'assigning' in self.phases_by_task.values()
+
+    def enter(self, phase: Phase, tasks: Iterable[int]) -> None:
+        for task in tasks:
+            self.phases_by_task[task] = phase
+
+    def leave(self, tasks: Iterable[int]) -> None:
+        for task in tasks:
+            self.phases_by_task.pop(task, None)
+
+    def take_out(self) -> tuple[int, ...]:
+        """Forget all tasks that wait; return those the dispatcher has."""
+        queued = tuple(
+            task
+            for task, phase in self.phases_by_task.items()
+            if phase == 'queued'
+        )
+        self.phases_by_task = {
+            task: phase
+            for task, phase in self.phases_by_task.items()
+            if phase == 'assigning'
+        }
+        return queued
+
+
+Continuation = Callable[..., Iterable[Signal]]
+_COMMITTED: dict[Purpose, Continuation] = {}
+_REJECTED: dict[Purpose, Continuation] = {}
+
+
+def _continues(
+    registry: dict[Purpose, Continuation],
+    *purposes: Purpose,
+) -> Callable[[Continuation], Continuation]:
+    def decorate(continuation: Continuation) -> Continuation:
+        for purpose in purposes:
+            registry[purpose] = continuation
+        return continuation
+
+    return decorate
+
+
+class JobBook(Component):
+    """Runs the lifecycle of the jobs whose journals this session owns.
+
+    A record is replayed into the table once it is durable, and only then do
+    its consequences happen: the answer to the caller, the start message, the
+    acknowledgement to the worker. An adopted journal therefore goes on from
+    the same place as one that never changed hands. Each handler costs O(1)
+    per task concerned.
+    """
+
+    name: ClassVar[str] = 'jobs'
+    __slots__ = (
+        '_accepting_journal',
+        '_activities_by_job',
+        '_appends_by_number',
+        '_delayed',
+        '_finishing_ids',
+        '_last_job',
+        '_number',
+        '_questions',
+        '_settings',
+        '_table',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        settings: JobBookSettings,
+        table: JobTable,
+        view: SessionView,
+    ) -> None:
+        """Begin without journals."""
+        self._settings = settings
+        self._table = table
+        self._view = view
+        self._questions = OwnerQuestions(settings.questions, view)
+        self._accepting_journal = ''
+        self._last_job = 0
+        self._number = 0
+        self._activities_by_job: dict[str, _Activity] = {}
+        self._appends_by_number: dict[int, _Append] = {}
+        self._finishing_ids: set[str] = set()
+        self._delayed: list[tuple[float, int, _Append | _Requeue]] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: JobBookSettings,
+        table: JobTable,
+        view: SessionView,
+    ) -> 'JobBook':
+        """Return a job book for these settings."""
+        return cls(settings, table, view)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return counts of what is under way."""
+        return {
+            'journals': list(self._table.journal_ids()),
+            'accepting_journal': self._accepting_journal,
+            'jobs': len(self._table.jobs_by_id),
+            'jobs_under_way': len(self._activities_by_job),
+            'appends_in_flight': len(self._appends_by_number),
+            'delayed': len(self._delayed),
+            'open_questions': self._questions.open_count(),
+        }
+
+    @handles(JournalOpened)
+    def open_journal(
+        self,
+        signal: JournalOpened,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Replay the records and go on where the former owner stopped."""
+        if self._table.holds(signal.journal_id):
+            self._forget_journal(signal.journal_id)
+        self._table.open_journal(signal.journal_id, signal.epoch)
+        if signal.epoch <= _FRESH_EPOCH:
+            self._accepting_journal = signal.journal_id
+            self._last_job = 0
+        for record in signal.records:
+            self._table.replay(record)
+        return (
+            *self._resume(signal.journal_id),
+            *_forget_again(signal),
+        )
+
+    @handles(JournalClosed)
+    def close_journal(
+        self,
+        signal: JournalClosed,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Drop the journal; answer callers whose outcome is now unknown."""
+        if not self._table.holds(signal.journal_id):
+            return ()
+        if signal.journal_id == self._accepting_journal:
+            self._accepting_journal = ''
+        answers = tuple(self._abandon(signal.journal_id))
+        self._forget_journal(signal.journal_id)
+        return answers
+
+    @handles(AdmitJob)
+    def admit(self, signal: AdmitJob, now: float) -> Iterable[Signal]:
+        """Make the job durable; the answer waits for the commit."""
+        if not self._accepting_journal or not self._view.is_valid(now):
+            error = StoreUnreachable('This instance has no journal to write.')
+            outcome = NotRun(error, self._settings.no_journal_retry_s)
+            return (Answer(signal.ticket, outcome),)
+        self._last_job += 1
+        job_id = f'{self._accepting_journal}.{self._last_job}'
+        record = JobAccepted(job_id, signal.team, signal.submission)
+        request_id = signal.submission.request_id
+        append = _Append(
+            'admit',
+            self._accepting_journal,
+            job_id,
+            (record,),
+            _Caller(signal.ticket),
+            f'{signal.team}/{request_id}' if request_id else '',
+        )
+        return (self._send(append),)
+
+    @handles(FindJob)
+    def find(self, signal: FindJob, now: float) -> Iterable[Signal]:
+        """Answer for an own job, ask peers about any other."""
+        journal_id = journal_of_job(signal.job_id)
+        caller = _Caller(signal.ticket)
+        if not journal_id:
+            return self._reply(caller, _not_found(signal.job_id))
+        if self._table.holds(journal_id):
+            return tuple(self._serve(caller, signal))
+        return tuple(self._questions.ask(signal, now))
+
+    @handles(AskJob)
+    def answer_peer(self, signal: AskJob, now: float) -> Iterable[Signal]:
+        """Answer for an own job; be silent about others."""
+        if not self._table.holds(journal_of_job(signal.job_id)):
+            return ()
+        caller = _Caller(ask_id=signal.ask_id, sender=signal.sender)
+        return tuple(self._serve(caller, signal))
+
+    @handles(JobAnswer)
+    def pass_answer(self, signal: JobAnswer, now: float) -> Iterable[Signal]:
+        """Answer the caller whose question a peer settled."""
+        return tuple(self._questions.answered(signal))
+
+    @handles(TasksPlaced)
+    def record_placement(
+        self,
+        signal: TasksPlaced,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Make the assignments durable before anything starts."""
+        activity = self._activities_by_job.get(signal.job_id)
+        if activity is None or not activity.may_place(signal.tasks):
+            return _never_started(signal.journal_id, signal.grants)
+        activity.enter('assigning', signal.tasks)
+        records = tuple(
+            _assignment(signal.job_id, task, grant)
+            for task, grant in zip(signal.tasks, signal.grants, strict=True)
+        )
+        return (
+            self._send(
+                _Append('assign', signal.journal_id, signal.job_id, records),
+            ),
+        )
+
+    @handles(AttemptEnded)
+    def record_ending(
+        self,
+        signal: AttemptEnded,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Make the ending durable; one that is already known changes nothing."""
+        attempt = self._table.attempts_by_id.get(signal.attempt_id)
+        if attempt is None or attempt.finished is not None:
+            return ()
+        if signal.attempt_id in self._finishing_ids:
+            return ()
+        self._finishing_ids.add(signal.attempt_id)
+        record = AttemptFinished(
+            signal.attempt_id,
+            signal.state,
+            signal.ran,
+            signal.message,
+            signal.output,
+        )
+        job_id = attempt.assigned.job_id
+        append = _Append('finish', attempt.journal_id, job_id, (record,))
+        return (self._send(append),)
+
+    @handles(RecordsCommitted)
+    def go_on(self, signal: RecordsCommitted, now: float) -> Iterable[Signal]:
+        """Replay what is durable and let its consequences happen."""
+        append = self._appends_by_number.pop(signal.token.number, None)
+        if append is None:
+            return ()
+        for record in append.records:
+            self._table.replay(record)
+        return tuple(_COMMITTED[append.purpose](self, append, now))
+
+    @handles(RecordsRejected)
+    def fall_back(
+        self,
+        signal: RecordsRejected,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Refuse, queue again or write again what did not become durable."""
+        append = self._appends_by_number.pop(signal.token.number, None)
+        if append is None:
+            return ()
+        rejected = _REJECTED[append.purpose]
+        return tuple(rejected(self, append, signal, now))
+
+    @handles(Tick)
+    def act_on_time(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """Do what was delayed until now, and end late questions."""
+        following = list(self._questions.repeat_due(now))
+        while self._delayed and self._delayed[0][0] <= now:
+            delayed = heappop(self._delayed)[2]
+            if isinstance(delayed, _Append):
+                following.append(self._send(delayed))
+            else:
+                following.extend(self._requeue(delayed))
+        return following
+
+    @_continues(_COMMITTED, 'admit')
+    def _accepted(self, append: _Append, now: float) -> Iterator[Signal]:
+        job = self._table.jobs_by_id[append.job_id]
+        status = self._table.status(append.job_id)
+        yield from self._reply(append.caller, Done(status))
+        self._activities_by_job[append.job_id] = _Activity()
+        yield from self._queue(job, job.idle_tasks())
+
+    @_continues(_REJECTED, 'admit')
+    def _not_accepted(
+        self,
+        append: _Append,
+        signal: RecordsRejected,
+        now: float,
+    ) -> Iterator[Signal]:
+        job_id = signal.existing_job_id
+        if not job_id:
+            yield from self._reply(append.caller, _not_durable(signal))
+            return
+        team = append.records[0].team
+        find = FindJob(append.caller.ticket, job_id, team)
+        if job_id in self._table.jobs_by_id:
+            yield from self._serve(append.caller, find)
+            return
+        # The first job was accepted, so this can never be "not run".
+        fallback = JobStatus(job_id, team, 'queued')
+        yield from self._questions.ask(find, now, fallback)
+
+    @_continues(_COMMITTED, 'assign')
+    def _assigned(self, append: _Append, now: float) -> Iterator[Signal]:
+        job = self._table.jobs_by_id[append.job_id]
+        activity = self._activities_by_job[append.job_id]
+        activity.leave(record.task for record in append.records)
+        if job.cancel_requested or activity.cancellers is not None:
+            yield from _never_started(append.journal_id, append.records)
+            return
+        for record in append.records:
+            yield AttemptStarting(append.journal_id, record.attempt_id)
+
+    @_continues(_REJECTED, 'assign')
+    def _not_assigned(
+        self,
+        append: _Append,
+        signal: RecordsRejected,
+        now: float,
+    ) -> Iterator[Signal]:
+        yield from _never_started(append.journal_id, append.records)
+        job = self._table.jobs_by_id[append.job_id]
+        tasks = tuple(record.task for record in append.records)
+        self._activities_by_job[append.job_id].leave(tasks)
+        if not self._is_stopping(job):
+            self._queue_later(job, tasks, now + signal.retry_after_s)
+        yield from self._end_if_final(job)
+
+    @_continues(_COMMITTED, 'finish')
+    def _finished(self, append: _Append, now: float) -> Iterator[Signal]:
+        attempt_id = append.records[0].attempt_id
+        self._finishing_ids.discard(attempt_id)
+        yield AttemptForgotten(append.journal_id, attempt_id)
+        attempt = self._table.attempts_by_id[attempt_id]
+        job = self._table.jobs_by_id[append.job_id]
+        yield from self._advance(job, attempt.assigned.task, now)
+
+    @_continues(_REJECTED, 'finish', 'end')
+    def _write_again(
+        self,
+        append: _Append,
+        signal: RecordsRejected,
+        now: float,
+    ) -> Iterable[Signal]:
+        self._delay(append, now + signal.retry_after_s)
+        return ()
+
+    @_continues(_COMMITTED, 'end')
+    def _ended(self, append: _Append, now: float) -> Iterator[Signal]:
+        activity = self._activities_by_job.pop(append.job_id)
+        yield from self._answer_cancellers(activity, append.job_id)
+
+    @_continues(_COMMITTED, 'cancel')
+    def _cancelled(self, append: _Append, now: float) -> Iterator[Signal]:
+        activity = self._activities_by_job.get(append.job_id)
+        if activity is None:
+            return
+        yield from self._answer_cancellers(activity, append.job_id)
+        job = self._table.jobs_by_id[append.job_id]
+        if job.ended is not None:
+            self._activities_by_job.pop(append.job_id)
+            return
+        yield from _stop_all(job)
+        yield from self._end_if_final(job)
+
+    @_continues(_REJECTED, 'cancel')
+    def _not_cancelled(
+        self,
+        append: _Append,
+        signal: RecordsRejected,
+        now: float,
+    ) -> Iterator[Signal]:
+        activity = self._activities_by_job.get(append.job_id)
+        if activity is None:
+            return
+        refusal = _not_durable(signal)
+        for caller in activity.cancellers or ():
+            yield from self._reply(caller, refusal)
+        activity.cancellers = None
+        if isinstance(append.records[-1], JobEnded):
+            activity.is_ending = False
+        yield from self._proceed(self._table.jobs_by_id[append.job_id])
+
+    def _resume(self, journal_id: str) -> Iterator[Signal]:
+        for job in tuple(self._table.jobs_of(journal_id)):
+            if job.ended is None:
+                self._activities_by_job[job.job_id] = _Activity()
+                yield from self._resume_job(job)
+
+    def _resume_job(self, job: JobEntry) -> Iterator[Signal]:
+        for attempt in job.live_attempts():
+            attempt_id = attempt.assigned.attempt_id
+            yield AttemptAdopted(job.journal_id, attempt_id)
+        yield from self._proceed(job)
+
+    def _proceed(self, job: JobEntry) -> Iterator[Signal]:
+        """Take the next step of a job whose tasks are in any state."""
+        if job.cancel_requested or job.is_broken_gang():
+            yield from _stop_all(job)
+        yield from self._end_if_final(job)
+        if not self._is_stopping(job):
+            yield from self._queue(job, job.idle_tasks())
+
+    def _advance(
+        self,
+        job: JobEntry,
+        task: int,
+        now: float,
+    ) -> Iterator[Signal]:
+        """Take the next step after an attempt at ``task`` has ended."""
+        yield from self._end_if_final(job)
+        if self._is_stopping(job):
+            return
+        if job.is_broken_gang():
+            yield from _stop_all(job)
+            return
+        idle = (task,) if job.tasks[task].is_idle() else ()
+        tasks = job.idle_tasks() if job.is_gang() else idle
+        delay_s = self._requeue_delay_s(job, tasks)
+        if delay_s > 0:
+            self._queue_later(job, tasks, now + delay_s)
+        else:
+            yield from self._queue(job, tasks)
+
+    def _requeue_delay_s(self, job: JobEntry, tasks: tuple[int, ...]) -> float:
+        misses = max((job.tasks[task].misses for task in tasks), default=0)
+        if not misses:
+            return 0
+        doublings = min(misses - 1, _LONGEST_DOUBLING)
+        delay_s = self._settings.first_requeue_s * 2**doublings
+        return min(delay_s, self._settings.longest_requeue_s)
+
+    def _is_stopping(self, job: JobEntry) -> bool:
+        activity = self._activities_by_job.get(job.job_id)
+        if activity is None or activity.is_ending or job.cancel_requested:
+            return True
+        return activity.cancellers is not None
+
+    def _queue(self, job: JobEntry, tasks: tuple[int, ...]) -> Iterator[Signal]:
+        activity = self._activities_by_job[job.job_id]
+        idle = tuple(
+            task for task in tasks if task not in activity.phases_by_task
+        )
+        if idle:
+            activity.enter('queued', idle)
+            yield TaskQueued(job.journal_id, job.job_id, idle)
+
+    def _queue_later(
+        self,
+        job: JobEntry,
+        tasks: tuple[int, ...],
+        due_s: float,
+    ) -> None:
+        if tasks:
+            activity = self._activities_by_job[job.job_id]
+            activity.enter('delayed', tasks)
+            self._delay(_Requeue(job.journal_id, job.job_id, tasks), due_s)
+
+    def _requeue(self, requeue: _Requeue) -> Iterator[Signal]:
+        activity = self._activities_by_job.get(requeue.job_id)
+        if activity is None:
+            return
+        tasks = tuple(
+            task
+            for task in requeue.tasks
+            if activity.phases_by_task.get(task) == 'delayed'
+        )
+        activity.leave(tasks)
+        yield from self._queue(self._table.jobs_by_id[requeue.job_id], tasks)
+
+    def _end_if_final(self, job: JobEntry) -> Iterator[Signal]:
+        activity = self._activities_by_job.get(job.job_id)
+        if activity is None or activity.is_ending:
+            return
+        state = job.final_state()
+        if state is not None and not activity.is_assigning():
+            activity.is_ending = True
+            record = JobEnded(job.job_id, state, _reason(job, state))
+            yield self._send(
+                _Append('end', job.journal_id, job.job_id, (record,)),
+            )
+
+    def _serve(
+        self,
+        caller: _Caller,
+        question: FindJob | AskJob,
+    ) -> Iterator[Signal]:
+        job = self._table.jobs_by_id.get(question.job_id)
+        if job is None or job.team not in {'', question.team}:
+            yield from self._reply(caller, _not_found(question.job_id))
+        elif question.cancel and job.ended is None:
+            yield from self._cancel(job, caller)
+        else:
+            status = self._table.status(job.job_id)
+            yield from self._reply(caller, Done(status))
+
+    def _cancel(self, job: JobEntry, caller: _Caller) -> Iterator[Signal]:
+        activity = self._activities_by_job[job.job_id]
+        if activity.cancellers is not None:
+            activity.cancellers.append(caller)
+            return
+        if job.cancel_requested:
+            status = self._table.status(job.job_id)
+            yield from self._reply(caller, Done(status))
+            return
+        activity.cancellers = [caller]
+        queued = activity.take_out()
+        if queued:
+            yield TasksWithdrawn(job.journal_id, job.job_id, queued)
+        yield self._send(self._cancellation(job, activity))
+
+    def _cancellation(self, job: JobEntry, activity: _Activity) -> _Append:
+        records: tuple[JournalRecord, ...] = (CancelRequested(job.job_id),)
+        state = job.final_state(cancelled=True)
+        if state and not activity.is_assigning() and not activity.is_ending:
+            activity.is_ending = True
+            records += (JobEnded(job.job_id, state, _reason(job, state)),)
+        return _Append('cancel', job.journal_id, job.job_id, records)
+
+    def _answer_cancellers(
+        self,
+        activity: _Activity,
+        job_id: str,
+    ) -> Iterator[Signal]:
+        outcome = Done(self._table.status(job_id))
+        for caller in activity.cancellers or ():
+            yield from self._reply(caller, outcome)
+        activity.cancellers = None
+
+    def _reply(
+        self,
+        caller: _Caller | None,
+        outcome: Outcome,
+    ) -> Iterable[Signal]:
+        if caller is None:
+            return ()
+        if caller.ticket is not None:
+            return (Answer(caller.ticket, outcome),)
+        answer = _peer_answer(caller.ask_id, outcome, self._view.session_id)
+        return route_to_session(self._view, caller.sender, answer)
+
+    def _send(self, append: _Append) -> Signal:
+        self._number += 1
+        self._appends_by_number[self._number] = append
+        return AppendRecords(
+            Token(self.name, append.purpose, self._number),
+            append.journal_id,
+            append.records,
+            append.request_key,
+            append.job_id if append.request_key else '',
+        )
+
+    def _delay(self, delayed: _Append | _Requeue, due_s: float) -> None:
+        self._number += 1
+        heappush(self._delayed, (due_s, self._number, delayed))
+
+    def _abandon(self, journal_id: str) -> Iterator[Signal]:
+        """Answer the callers of this process who wait for the journal."""
+        error = OutcomeUnknown('Another instance took over the journal.')
+        for caller in self._waiting_callers(journal_id):
+            if caller.ticket is not None:
+                yield Answer(caller.ticket, MayHaveRun(error))
+
+    def _waiting_callers(self, journal_id: str) -> Iterator[_Caller]:
+        for append in self._appends_by_number.values():
+            if append.journal_id == journal_id and append.caller is not None:
+                yield append.caller
+        for job in self._table.jobs_of(journal_id):
+            activity = self._activities_by_job.get(job.job_id)
+            if activity is not None and activity.cancellers:
+                yield from activity.cancellers
+
+    def _forget_journal(self, journal_id: str) -> None:
+        for job in self._table.jobs_of(journal_id):
+            self._activities_by_job.pop(job.job_id, None)
+            for attempt in job.live_attempts():
+                self._finishing_ids.discard(attempt.assigned.attempt_id)
+        self._appends_by_number = {
+            number: append
+            for number, append in self._appends_by_number.items()
+            if append.journal_id != journal_id
+        }
+        self._delayed = [
+            entry
+            for entry in self._delayed
+            if entry[2].journal_id != journal_id
+        ]
+        heapify(self._delayed)
+        self._table.close_journal(journal_id)
+
+
+def _assignment(job_id: str, task: int, grant: Grant) -> AttemptAssigned:
+    return AttemptAssigned(
+        job_id,
+        task,
+        grant.attempt_id,
+        grant.worker_id,
+        grant.address,
+        grant.worker_epoch,
+        grant.boot_id,
+        grant.not_after_s,
+    )
+
+
+def _never_started(
+    journal_id: str,
+    placements: Iterable[Grant | AttemptAssigned],
+) -> tuple[Signal, ...]:
+    """End attempts whose start message never left."""
+    return tuple(
+        AttemptEnded(journal_id, placement.attempt_id, 'lapsed', ran=False)
+        for placement in placements
+    )
+
+
+def _forget_again(signal: JournalOpened) -> Iterator[Signal]:
+    """Acknowledge the latest endings, as the former owner may not have."""
+    endings = [
+        record
+        for record in signal.records
+        if isinstance(record, AttemptFinished)
+    ]
+    for ending in endings[-_FORGOTTEN_AGAIN:]:
+        yield AttemptForgotten(signal.journal_id, ending.attempt_id)
+
+
+def _stop_all(job: JobEntry) -> Iterator[Signal]:
+    live = tuple(attempt.assigned.attempt_id for attempt in job.live_attempts())
+    if live:
+        yield StopAttempts(job.journal_id, live)
+
+
+def _reason(job: JobEntry, state: JobState) -> ErrorReport | None:
+    message = _last_message(job)
+    if state == 'refused':
+        return AttemptsUsedUp(f'A task failed too often. {message}').report()
+    if state == 'may_have_run':
+        return OutcomeUnknown(f'A task may have run. {message}').report()
+    return None
+
+
+def _last_message(job: JobEntry) -> str:
+    """Return the message of the first task that ended badly."""
+    for task in job.tasks:
+        if task.outcome in {'refused', 'may_have_run'}:
+            return task.attempts[-1].finished.message
+    return ''
+
+
+def _not_found(job_id: str) -> NotRun:
+    return NotRun(NotFound(f'There is no job {job_id} for this key.'))
+
+
+def _not_durable(signal: RecordsRejected) -> NotRun:
+    error = StoreUnreachable('The journal did not take the record.')
+    return NotRun(error, signal.retry_after_s)
+
+
+def _peer_answer(ask_id: str, outcome: Outcome, owner: str) -> JobAnswer:
+    if isinstance(outcome, Done):
+        return JobAnswer(ask_id, outcome.answer, owner=owner)
+    retry_after_s = getattr(outcome, 'retry_after_s', None)
+    report = outcome.error.report()
+    return JobAnswer(ask_id, None, report, owner, retry_after_s)
--- /dev/null
+++ b/src/apricotlead/coordination/lease_channel.py
@@ -0,0 +1,146 @@
+"""The attempts of one journal on one worker, and the calls about them."""
+
+from collections.abc import Iterable
+from typing import Literal
+
+from msgspec import Struct
+
+from apricotlead.state.job_table import Attempt
+
+CallPurpose = Literal['start', 'poll', 'stop']
+# A long poll, and a short one for attempts that the long one lacks.
+MAX_POLLS = 2
+
+
+class Lease:
+    """What is known of one attempt at its worker.
+
+    ``started`` is ``None`` while the answer to the start is outstanding and
+    ``False`` while it is unknown whether the worker has the attempt. From
+    ``lost_after_s`` (own clock) on, the attempt is certain not to run if the
+    worker was not reached in between. ``is_adopted`` lasts until the worker
+    has seen the epoch of this session.
+    """
+
+    __slots__ = (
+        'attempt',
+        'is_adopted',
+        'lost_after_s',
+        'started',
+        'stop_wanted',
+    )
+
+    def __init__(self, attempt: Attempt, lost_after_s: float) -> None:
+        """Begin with a start whose answer is outstanding."""
+        self.attempt = attempt
+        self.lost_after_s = lost_after_s
+        self.is_adopted = False
+        self.started: bool | None = None
+        self.stop_wanted = False
+
+    def is_of_boot(self, boot_id: str) -> bool:
+        """Tell whether the worker has not restarted since the assignment."""
+        return self.attempt.assigned.boot_id == boot_id
+
+
+class Call(Struct, frozen=True, eq=False):
+    """A request in flight, given up at ``due_s``."""
+
+    purpose: CallPurpose
+    channel: 'Channel'
+    attempt_ids: tuple[str, ...]
+    sent_s: float
+    due_s: float
+    acknowledged_ids: tuple[str, ...] = ()
+
+
+class Channel:
+    """All that concerns one worker and one journal.
+
+    ``answered_s`` is the time of the worker's last answer, ``delay_s`` the
+    pause before the next call after a failed one (0 after an answer).
+    """
+
+    __slots__ = (
+        'absent_since_s',
+        'acknowledged',
+        'address',
+        'answered_s',
+        'delay_s',
+        'is_closed',
+        'journal_id',
+        'leases_by_id',
+        'next_poll_s',
+        'next_stop_s',
+        'polls_by_number',
+        'wake_s',
+        'worker_id',
+    )
+
+    def __init__(self, attempt: Attempt, now: float) -> None:
+        """Begin without attempts; the worker counts as having answered."""
+        self.journal_id = attempt.journal_id
+        self.worker_id = attempt.assigned.worker_id
+        self.address = attempt.assigned.address
+        self.leases_by_id: dict[str, Lease] = {}
+        self.acknowledged: dict[str, None] = {}
+        self.polls_by_number: dict[int, Call] = {}
+        self.answered_s = now
+        self.absent_since_s: float | None = None
+        self.delay_s = 0.0
+        self.next_poll_s = now
+        self.next_stop_s = now
+        self.wake_s = float('inf')
+        self.is_closed = False
+
+    def is_empty(self) -> bool:
+        """Tell whether nothing is left to do or to wait for."""
+        return not (
+            self.leases_by_id or self.acknowledged or self.polls_by_number
+        )
+
+    def pollable_ids(self) -> tuple[str, ...]:
+        """Return the attempts whose start has an outcome."""
+        return tuple(
+            attempt_id
+            for attempt_id, lease in self.leases_by_id.items()
+            if lease.started is not None
+        )
+
+    def uncovered_ids(self) -> tuple[str, ...]:
+        """Return the pollable attempts that no poll in flight carries."""
+        covered: set[str] = set()
+        for poll in self.polls_by_number.values():
+            covered.update(poll.attempt_ids)
+        return tuple(
+            attempt_id
+            for attempt_id in self.pollable_ids()
+            if attempt_id not in covered
+        )
+
+    def stop_ids(self) -> tuple[str, ...]:
+        """Return the attempts that shall stop."""
+        return tuple(
+            attempt_id
+            for attempt_id, lease in self.leases_by_id.items()
+            if lease.stop_wanted
+        )
+
+    def leases_of(self, attempt_ids: Iterable[str]) -> tuple[Lease, ...]:
+        """Return the leases among these that have not ended."""
+        found = (self.leases_by_id.get(one) for one in attempt_ids)
+        return tuple(lease for lease in found if lease is not None)
+
+    def note_answer(self, now: float) -> None:
+        """Ask again without a pause."""
+        self.answered_s = now
+        self.absent_since_s = None
+        self.delay_s = 0
+        self.next_poll_s = now
+
+    def note_failure(
+        self, now: float, first_s: float, longest_s: float
+    ) -> None:
+        """Pause before the next poll, twice as long as the last time."""
+        self.delay_s = min(max(first_s, self.delay_s * 2), longest_s)
+        self.next_poll_s = now + self.delay_s
--- /dev/null
+++ b/src/apricotlead/coordination/task_leases.py
@@ -0,0 +1,597 @@
+"""Starts attempts, renews their leases and learns how they ended."""
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from heapq import heappop, heappush
+from typing import Any, ClassVar, Protocol
+
+from msgspec import Struct
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.lease_channel import (
+    MAX_POLLS,
+    Call,
+    CallPurpose,
+    Channel,
+    Lease,
+)
+from apricotlead.protocol.jobs import ENDED_ATTEMPT_STATES, AttemptState
+from apricotlead.protocol.signals import (
+    AttemptAdopted,
+    AttemptEnded,
+    AttemptForgotten,
+    AttemptStarting,
+    CallWorker,
+    JournalClosed,
+    Signal,
+    StopAttempts,
+    Tick,
+    Token,
+    WorkerReplied,
+)
+from apricotlead.protocol.workers import (
+    Accepted,
+    AttemptReport,
+    CallFailed,
+    LeasesReply,
+    RenewLeases,
+    StartTask,
+    StopTasks,
+    WorkerReply,
+    WorkerRequest,
+)
+from apricotlead.state.job_table import Attempt, JobTable
+from apricotlead.state.session_view import SessionView
+
+# The transport reports a call as failed at its timeout; a report that is
+# still missing this much later is not waited for.
+_GIVE_UP_S = 1.0
+
+
+class LeaseSettings(Struct, frozen=True):
+    """Times in seconds; ``max_drift`` bounds the drift of any two clocks.
+
+    A worker that does not answer is asked to extend leases for
+    ``persist_s`` after its last answer, and then only whether it is there:
+    requests that arrive while their answers are lost would otherwise extend
+    leases forever, and no attempt could ever be called lost.
+
+    A former owner of a journal that is cut off from the store and from the
+    adopter renews leases for at most ``outage_s`` after its session lease.
+    The adopter waits as long before it calls an attempt lost on a worker
+    that it never reached; otherwise the task could run twice. It waits only
+    one lease where the platform no longer lists the worker.
+
+    Endings are acknowledged to a silent worker for ``acknowledge_s``.
+    """
+
+    lease_s: float = 6.0
+    grant_ttl_s: float = 2.0
+    max_drift: float = 0.02
+    long_poll_s: float = 2.0
+    short_poll_s: float = 0.2
+    call_timeout_s: float = 2.0
+    first_retry_s: float = 0.1
+    longest_retry_s: float = 1.0
+    stop_retry_s: float = 1.0
+    persist_s: float = 3.0
+    outage_s: float = 3600.0
+    acknowledge_s: float = 600.0
+
+
+class WorkerList(Protocol):
+    """The part of the cell directory that is needed."""
+
+    workers_by_id: Mapping[str, Any]
+
+
+class TaskLeases(Component):
+    """One long poll per journal and worker carries all its attempts.
+
+    An attempt ends here when its worker says so, when its start provably
+    never happened, or when it is lost: the worker restarted, or it was not
+    reached from the last time it can have extended the lease until the lease
+    must have lapsed, and then once more. Timers are in a heap, so a tick
+    costs O(log n) per channel that is due.
+    """
+
+    name: ClassVar[str] = 'leases'
+    __slots__ = (
+        '_calls_by_number',
+        '_channels_by_key',
+        '_directory',
+        '_number',
+        '_settings',
+        '_table',
+        '_timers',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        settings: LeaseSettings,
+        table: JobTable,
+        view: SessionView,
+        directory: WorkerList | None = None,
+    ) -> None:
+        """Begin without attempts."""
+        self._settings = settings
+        self._table = table
+        self._view = view
+        self._directory = directory
+        self._number = 0
+        self._channels_by_key: dict[tuple[str, str], Channel] = {}
+        self._calls_by_number: dict[int, Call] = {}
+        self._timers: list[tuple[float, int, Channel | int]] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: LeaseSettings,
+        table: JobTable,
+        view: SessionView,
+        directory: WorkerList | None = None,
+    ) -> 'TaskLeases':
+        """Return task leases for these settings."""
+        return cls(settings, table, view, directory)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the channels with their attempts."""
+        return {
+            'calls_in_flight': len(self._calls_by_number),
+            'channels': [
+                {
+                    'journal': channel.journal_id,
+                    'worker': channel.worker_id,
+                    'attempts': len(channel.leases_by_id),
+                    'silent_s': now - channel.answered_s,
+                }
+                for channel in self._channels_by_key.values()
+            ],
+        }
+
+    @handles(AttemptStarting)
+    def start(self, signal: AttemptStarting, now: float) -> Iterable[Signal]:
+        """Send the start, unless the own session lease has run out."""
+        attempt = self._living(signal.attempt_id)
+        if attempt is None:
+            return ()
+        if not self._view.is_valid(now):
+            return (_ending(attempt, 'lapsed', ran=False),)
+        channel = self._channel_of(attempt, now)
+        if signal.attempt_id in channel.leases_by_id:
+            return ()
+        # The worker refuses the start after ``not_after_s``, which is at
+        # most ``grant_ttl_s`` from when the grant was made.
+        lost_after_s = now + self._drifted(
+            self._settings.grant_ttl_s + self._settings.lease_s,
+        )
+        lease = Lease(attempt, lost_after_s)
+        channel.leases_by_id[signal.attempt_id] = lease
+        call = self._new_call('start', channel, (signal.attempt_id,), now)
+        return (self._send(call, self._start_request(attempt)),)
+
+    @handles(AttemptAdopted)
+    def adopt(self, signal: AttemptAdopted, now: float) -> Iterable[Signal]:
+        """Renew the lease of an attempt that a former owner started."""
+        attempt = self._living(signal.attempt_id)
+        if attempt is None:
+            return ()
+        channel = self._channel_of(attempt, now)
+        lost_after_s = now + self._drifted(
+            self._settings.outage_s + self._settings.lease_s,
+        )
+        lease = Lease(attempt, lost_after_s)
+        lease.is_adopted = True
+        lease.started = False
+        channel.leases_by_id[signal.attempt_id] = lease
+        # The poll leaves with the next tick, with all attempts in it.
+        self._wake(channel, now)
+        return ()
+
+    @handles(StopAttempts)
+    def stop(self, signal: StopAttempts, now: float) -> Iterable[Signal]:
+        """Ask the workers to stop attempts until they have ended."""
+        channels: dict[int, Channel] = {}
+        for attempt_id in signal.attempt_ids:
+            channel = self._find_channel(attempt_id)
+            if channel is not None:
+                channel.leases_by_id[attempt_id].stop_wanted = True
+                channel.next_stop_s = now
+                channels[id(channel)] = channel
+        return self._work_all(channels.values(), now)
+
+    @handles(AttemptForgotten)
+    def acknowledge(
+        self,
+        signal: AttemptForgotten,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Let the worker forget an attempt whose ending is durable."""
+        attempt = self._table.attempts_by_id.get(signal.attempt_id)
+        if attempt is None or attempt.finished is None:
+            return ()
+        # A worker has nothing to forget of an attempt that never ran.
+        if attempt.finished.ran is not False:
+            channel = self._channel_of(attempt, now)
+            channel.acknowledged[signal.attempt_id] = None
+            self._wake(channel, now)
+        return ()
+
+    @handles(JournalClosed)
+    def close_journal(
+        self,
+        signal: JournalClosed,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Drop the journal's attempts without telling anybody."""
+        for key, channel in tuple(self._channels_by_key.items()):
+            if channel.journal_id == signal.journal_id:
+                channel.is_closed = True
+                self._channels_by_key.pop(key)
+        self._calls_by_number = {
+            number: call
+            for number, call in self._calls_by_number.items()
+            if not call.channel.is_closed
+        }
+        return ()
+
+    @handles(WorkerReplied)
+    def take_reply(self, signal: WorkerReplied, now: float) -> Iterable[Signal]:
+        """Conclude from an answer or its absence; late ones are dropped."""
+        call = self._calls_by_number.get(signal.token.number)
+        if call is None:
+            return ()
+        return self._conclude(signal.token.number, call, signal.reply, now)
+
+    @handles(Tick)
+    def act_on_time(self, signal: Tick, now: float) -> Iterable[Signal]:
+        """Send what is due and give up calls without any report."""
+        following: list[Signal] = []
+        while self._timers and self._timers[0][0] <= now:
+            due_s, _, target = heappop(self._timers)
+            if isinstance(target, int):
+                following.extend(self._give_up(target, now))
+            elif target.wake_s == due_s:
+                following.extend(self._work_all((target,), now))
+        return following
+
+    def _living(self, attempt_id: str) -> Attempt | None:
+        attempt = self._table.attempts_by_id.get(attempt_id)
+        if attempt is None or attempt.finished is not None:
+            return None
+        return attempt
+
+    def _drifted(self, duration_s: float) -> float:
+        """Return how long a duration of another clock can last on the own."""
+        return duration_s * (1 + self._settings.max_drift)
+
+    def _channel_of(self, attempt: Attempt, now: float) -> Channel:
+        key = (attempt.journal_id, attempt.assigned.worker_id)
+        channel = self._channels_by_key.get(key)
+        if channel is None:
+            channel = Channel(attempt, now)
+            self._channels_by_key[key] = channel
+        channel.address = attempt.assigned.address
+        return channel
+
+    def _find_channel(self, attempt_id: str) -> Channel | None:
+        attempt = self._table.attempts_by_id.get(attempt_id)
+        if attempt is None:
+            return None
+        key = (attempt.journal_id, attempt.assigned.worker_id)
+        channel = self._channels_by_key.get(key)
+        if channel is None or attempt_id not in channel.leases_by_id:
+            return None
+        return channel
+
+    def _wake(self, channel: Channel, due_s: float) -> None:
+        if due_s < channel.wake_s:
+            channel.wake_s = due_s
+            self._number += 1
+            heappush(self._timers, (due_s, self._number, channel))
+
+    def _new_call(
+        self,
+        purpose: CallPurpose,
+        channel: Channel,
+        attempt_ids: tuple[str, ...],
+        now: float,
+        wait_s: float = 0,
+    ) -> Call:
+        due_s = now + wait_s + self._settings.call_timeout_s
+        acknowledged = tuple(channel.acknowledged) if purpose == 'poll' else ()
+        return Call(purpose, channel, attempt_ids, now, due_s, acknowledged)
+
+    def _send(self, call: Call, request: WorkerRequest) -> CallWorker:
+        self._number += 1
+        number = self._number
+        self._calls_by_number[number] = call
+        if call.purpose == 'poll':
+            call.channel.polls_by_number[number] = call
+        heappush(self._timers, (call.due_s + _GIVE_UP_S, number, number))
+        return CallWorker(
+            Token(self.name, call.purpose, number),
+            call.channel.worker_id,
+            call.channel.address,
+            request,
+            call.due_s - call.sent_s,
+        )
+
+    def _start_request(self, attempt: Attempt) -> StartTask:
+        assigned = attempt.assigned
+        job = self._table.jobs_by_id[assigned.job_id]
+        return StartTask(
+            assigned.attempt_id,
+            assigned.worker_epoch,
+            assigned.boot_id,
+            assigned.not_after_s,
+            attempt.journal_id,
+            self._table.epoch_of(attempt.journal_id),
+            self._settings.lease_s,
+            job.tasks[assigned.task].spec,
+        )
+
+    def _give_up(self, number: int, now: float) -> Iterable[Signal]:
+        call = self._calls_by_number.get(number)
+        if call is None:
+            return ()
+        return self._conclude(number, call, CallFailed(sent=True), now)
+
+    def _conclude(
+        self,
+        number: int,
+        call: Call,
+        reply: WorkerReply,
+        now: float,
+    ) -> list[Signal]:
+        self._calls_by_number.pop(number)
+        call.channel.polls_by_number.pop(number, None)
+        following = list(_CONCLUSIONS[call.purpose](self, call, reply, now))
+        following.extend(self._work_all((call.channel,), now))
+        return following
+
+    def _conclude_start(
+        self,
+        call: Call,
+        reply: WorkerReply,
+        now: float,
+    ) -> Iterator[Signal]:
+        channel = call.channel
+        for lease in channel.leases_of(call.attempt_ids):
+            if isinstance(reply, Accepted):
+                lease.started = True
+                lease.lost_after_s = now + self._drifted(self._settings.lease_s)
+                channel.note_answer(now)
+            elif isinstance(reply, CallFailed) and reply.sent:
+                lease.started = False
+            else:
+                yield self._end(channel, lease, 'lapsed', ran=False)
+
+    def _conclude_poll(
+        self,
+        call: Call,
+        reply: WorkerReply,
+        now: float,
+    ) -> Iterator[Signal]:
+        if isinstance(reply, LeasesReply):
+            yield from self._take_states(call, reply, now)
+        elif isinstance(reply, CallFailed):
+            yield from self._take_failure(call, reply, now)
+        else:
+            # Another session has adopted the journal; this one will hear of
+            # it from the store and must conclude nothing before.
+            self._extend(call, now)
+            call.channel.note_answer(now)
+            call.channel.next_poll_s = now + self._settings.longest_retry_s
+
+    def _conclude_stop(
+        self,
+        call: Call,
+        reply: WorkerReply,
+        now: float,
+    ) -> Iterable[Signal]:
+        """The end of a stopped attempt is told by a poll."""
+        return ()
+
+    def _take_states(
+        self,
+        call: Call,
+        reply: LeasesReply,
+        now: float,
+    ) -> Iterator[Signal]:
+        channel = call.channel
+        self._extend(call, now)
+        channel.note_answer(now)
+        if not any(one.state in ENDED_ATTEMPT_STATES for one in reply.attempts):
+            # A worker that answers too early must not be asked in a loop.
+            channel.next_poll_s = call.sent_s + self._settings.short_poll_s
+        for acknowledged_id in call.acknowledged_ids:
+            channel.acknowledged.pop(acknowledged_id, None)
+        for lease in channel.leases_of(channel.pollable_ids()):
+            if not lease.is_of_boot(reply.boot_id):
+                yield self._end(channel, lease, 'lapsed', ran=None)
+        for report in reply.attempts:
+            for known in channel.leases_of((report.attempt_id,)):
+                yield from self._take_state(channel, known, report, reply)
+
+    def _take_state(
+        self,
+        channel: Channel,
+        lease: Lease,
+        report: AttemptReport,
+        reply: LeasesReply,
+    ) -> Iterator[Signal]:
+        if report.state in ENDED_ATTEMPT_STATES:
+            yield self._end_as_reported(channel, lease, report)
+        elif report.state == 'running':
+            lease.started = True
+        elif lease.started:
+            # The worker had it and has it no more.
+            yield self._end(channel, lease, 'lapsed', ran=None)
+        elif reply.clock_s > lease.attempt.assigned.not_after_s:
+            yield self._end(channel, lease, 'lapsed', ran=False)
+
+    def _extend(self, call: Call, now: float) -> None:
+        """Note that the worker extended leases at ``now`` at the latest."""
+        lost_after_s = now + self._drifted(self._settings.lease_s)
+        for lease in call.channel.leases_of(call.attempt_ids):
+            lease.lost_after_s = lost_after_s
+            lease.is_adopted = False
+
+    def _take_failure(
+        self,
+        call: Call,
+        reply: CallFailed,
+        now: float,
+    ) -> Iterator[Signal]:
+        channel = call.channel
+        channel.note_failure(
+            now,
+            self._settings.first_retry_s,
+            self._settings.longest_retry_s,
+        )
+        if reply.sent:
+            # The request may reach the worker at any time before the lease
+            # lapses there, and then it extends it by one more duration.
+            for extended in channel.leases_of(call.attempt_ids):
+                extended.lost_after_s += self._drifted(self._settings.lease_s)
+        self._note_absence(channel, now)
+        if now >= channel.answered_s + self._settings.acknowledge_s:
+            channel.acknowledged.clear()
+        for lease in channel.leases_of(channel.uncovered_ids()):
+            if self._is_lost(channel, lease, call.sent_s):
+                yield self._end(channel, lease, 'lapsed', ran=None)
+
+    def _note_absence(self, channel: Channel, now: float) -> None:
+        workers = self._directory.workers_by_id if self._directory else {}
+        if not workers or channel.worker_id in workers:
+            channel.absent_since_s = None
+        elif channel.absent_since_s is None:
+            channel.absent_since_s = now
+
+    def _is_lost(self, channel: Channel, lease: Lease, sent_s: float) -> bool:
+        """Tell whether a call sent then found the lease certainly lapsed."""
+        if sent_s >= lease.lost_after_s:
+            return True
+        if not lease.is_adopted or channel.absent_since_s is None:
+            return False
+        absent_s = sent_s - channel.absent_since_s
+        return absent_s >= self._drifted(self._settings.lease_s)
+
+    def _end_as_reported(
+        self,
+        channel: Channel,
+        lease: Lease,
+        report: AttemptReport,
+    ) -> AttemptEnded:
+        channel.leases_by_id.pop(report.attempt_id)
+        return AttemptEnded(
+            channel.journal_id,
+            report.attempt_id,
+            report.state,
+            ran=True,
+            message=report.message,
+            output=report.output,
+        )
+
+    def _end(
+        self,
+        channel: Channel,
+        lease: Lease,
+        state: AttemptState,
+        *,
+        ran: bool | None,
+    ) -> AttemptEnded:
+        channel.leases_by_id.pop(lease.attempt.assigned.attempt_id)
+        return _ending(lease.attempt, state, ran=ran)
+
+    def _work_all(
+        self,
+        channels: Iterable[Channel],
+        now: float,
+    ) -> list[Signal]:
+        following: list[Signal] = []
+        for channel in channels:
+            if not channel.is_closed:
+                channel.wake_s = float('inf')
+                following.extend(self._send_stops(channel, now))
+                following.extend(self._send_poll(channel, now))
+                self._close_if_empty(channel)
+        return following
+
+    def _close_if_empty(self, channel: Channel) -> None:
+        if channel.is_empty():
+            channel.is_closed = True
+            key = (channel.journal_id, channel.worker_id)
+            self._channels_by_key.pop(key, None)
+
+    def _send_stops(self, channel: Channel, now: float) -> Iterator[Signal]:
+        stop_ids = channel.stop_ids()
+        if not stop_ids:
+            return
+        if now >= channel.next_stop_s:
+            channel.next_stop_s = now + self._settings.stop_retry_s
+            call = self._new_call('stop', channel, stop_ids, now)
+            epoch = self._table.epoch_of(channel.journal_id)
+            yield self._send(
+                call,
+                StopTasks(channel.journal_id, epoch, stop_ids),
+            )
+        self._wake(channel, channel.next_stop_s)
+
+    def _send_poll(self, channel: Channel, now: float) -> Iterator[Signal]:
+        uncovered = channel.uncovered_ids()
+        in_flight = len(channel.polls_by_number)
+        is_idle = not uncovered and (in_flight or not channel.acknowledged)
+        if is_idle or in_flight >= MAX_POLLS:
+            return
+        if now < channel.next_poll_s:
+            self._wake(channel, channel.next_poll_s)
+            return
+        wait_s = self._wait_s(uncovered, in_flight)
+        if not self._may_extend(channel, now):
+            if in_flight:
+                return
+            uncovered, wait_s = (), 0
+        call = self._new_call('poll', channel, uncovered, now, wait_s)
+        yield self._send(call, self._poll_request(call, wait_s))
+
+    def _wait_s(self, attempt_ids: tuple[str, ...], in_flight: int) -> float:
+        if not attempt_ids:
+            return 0
+        if in_flight:
+            return self._settings.short_poll_s
+        return self._settings.long_poll_s
+
+    def _may_extend(self, channel: Channel, now: float) -> bool:
+        if now >= self._view.lease_end_s + self._settings.outage_s:
+            return False
+        return now < channel.answered_s + self._settings.persist_s
+
+    def _poll_request(self, call: Call, wait_s: float) -> RenewLeases:
+        journal_id = call.channel.journal_id
+        return RenewLeases(
+            journal_id,
+            self._table.epoch_of(journal_id),
+            call.attempt_ids,
+            call.acknowledged_ids,
+            self._settings.lease_s,
+            wait_s,
+        )
+
+
+_CONCLUSIONS: dict[CallPurpose, Callable[..., Iterable[Signal]]] = {
+    'start': TaskLeases._conclude_start,
+    'poll': TaskLeases._conclude_poll,
+    'stop': TaskLeases._conclude_stop,
+}
+
+
+def _ending(
+    attempt: Attempt,
+    state: AttemptState,
+    *,
+    ran: bool | None,
+) -> AttemptEnded:
+    attempt_id = attempt.assigned.attempt_id
+    return AttemptEnded(attempt.journal_id, attempt_id, state, ran=ran)
--- a/src/apricotlead/protocol/errors.py
+++ b/src/apricotlead/protocol/errors.py
@@ -134,3 +134,10 @@
 
     kind = 'outcome_unknown'
     remedy = 'Check the effect before sending the request again.'
+
+
+class AttemptsUsedUp(ApricotleadError):
+    """A task of the job failed as often as it may be started."""
+
+    kind = 'attempts_used_up'
+    remedy = 'Correct the task that failed and submit the job again.'
--- a/src/apricotlead/protocol/jobs.py
+++ b/src/apricotlead/protocol/jobs.py
@@ -99,7 +99,9 @@
 class TaskStatus(Struct, frozen=True, omit_defaults=True):
     """A task as a caller sees it."""
 
-    state: Literal['queued', 'running', 'done', 'refused', 'cancelled']
+    state: Literal[
+        'queued', 'running', 'done', 'refused', 'cancelled', 'may_have_run'
+    ]
     attempts: int = 0
     worker_id: str = ''
     output: str = ''
--- a/src/apricotlead/protocol/peers.py
+++ b/src/apricotlead/protocol/peers.py
@@ -9,10 +9,11 @@
 
 
 class TaskDemand(Struct, frozen=True):
-    """One wanted attempt."""
+    """One wanted attempt; other workers than in ``avoid`` are preferred."""
 
     attempt_id: str
     demand: Resources
+    avoid: tuple[str, ...] = ()
 
 
 class ReserveCapacity(Struct, frozen=True, tag='reserve'):
@@ -107,11 +108,17 @@
 
 
 class JobAnswer(Struct, frozen=True, tag='job_answer'):
-    """The home's answer; one of ``status`` and ``error`` is set."""
+    """The home's answer; one of ``status`` and ``error`` is set.
+
+    ``owner`` is the session that answers, so that the next question about
+    the same journal goes to it alone.
+    """
 
     ask_id: str
     status: JobStatus | None = None
     error: ErrorReport | None = None
+    owner: str = ''
+    retry_after_s: float | None = None
 
 
 PeerMessage = (
--- a/src/apricotlead/protocol/signals.py
+++ b/src/apricotlead/protocol/signals.py
@@ -216,6 +216,14 @@
     tasks: tuple[int, ...]
 
 
+class TasksWithdrawn(Struct, frozen=True):
+    """Queued tasks of the job shall not be placed any more."""
+
+    journal_id: str
+    job_id: str
+    tasks: tuple[int, ...]
+
+
 class TasksPlaced(Struct, frozen=True):
     """Room was granted; the job book records the assignment."""
 
