Serve batch and gang jobs end to end

Cause: the components for jobs existed but were not joined.

Ruled out: nothing; first wiring.

Before and after: before, only lookups were served.

--- a/src/apricotlead/assembly.py
+++ b/src/apricotlead/assembly.py
@@ -1,6 +1,5 @@
 """Joins all components of one entry instance; does no I/O."""
 
-from collections.abc import Mapping
 from typing import Self
 
 from msgspec import Struct
@@ -10,7 +9,9 @@
 from apricotlead.coordination.component import Component
 from apricotlead.coordination.config_keeper import ConfigKeeper
 from apricotlead.coordination.directory_keeper import DirectoryKeeper
+from apricotlead.coordination.dispatcher import Dispatcher
 from apricotlead.coordination.gossip import GossipKeeper
+from apricotlead.coordination.job_book import JobBook
 from apricotlead.coordination.journals import JournalKeeper
 from apricotlead.coordination.lookups import LookupDesk
 from apricotlead.coordination.outlier_ejection import OutlierEjection
@@ -20,15 +21,16 @@
 from apricotlead.coordination.service_routing import ServiceRouter
 from apricotlead.coordination.sessions import SessionKeeper
 from apricotlead.coordination.store_settlement import StoreSettlement
+from apricotlead.coordination.task_leases import TaskLeases
 from apricotlead.coordination.worker_monitor import WorkerMonitor
 from apricotlead.coordination.worker_ownership import WorkerOwnership
-from apricotlead.protocol.peers import TeamLoad
 from apricotlead.protocol.randomness import RandomSource
 from apricotlead.protocol.resources import Resources
 from apricotlead.settings import Settings
 from apricotlead.state.capacity_ledger import CapacityLedger
 from apricotlead.state.cell_directory import CellDirectory
 from apricotlead.state.config_view import ConfigView
+from apricotlead.state.job_table import JobTable
 from apricotlead.state.session_view import SessionView
 from apricotlead.state.usage_table import UsageTable
 
@@ -86,6 +88,7 @@
         admission,
         allotments,
         *_capacity(settings, shared),
+        *_jobs(settings, shared, allotments),
         lookups,
     )
     return Parts(
@@ -104,6 +107,7 @@
     directory: CellDirectory
     usage: UsageTable
     ledger: CapacityLedger
+    jobs: JobTable
 
     @classmethod
     def from_config(cls, settings: Settings, rng: RandomSource) -> Self:
@@ -114,6 +118,7 @@
             CellDirectory(),
             UsageTable(),
             CapacityLedger(),
+            JobTable(settings.max_attempts),
         )
 
     def own_capacity(self) -> tuple[Resources, Resources, Resources]:
@@ -121,9 +126,6 @@
         ledger = self.ledger
         return ledger.total_free(), ledger.total_capacity, ledger.largest_free()
 
-    def loads_by_team(self) -> Mapping[str, TeamLoad]:
-        return {}
-
     def pending_tasks(self, queue: str) -> int:
         return 0
 
@@ -172,7 +174,7 @@
             shared.config_view,
             shared.usage,
             shared.rng,
-            shared.loads_by_team,
+            shared.jobs.loads_by_team,
             shared.own_capacity,
         ),
     )
@@ -204,3 +206,28 @@
             shared.usage,
         ),
     )
+
+
+def _jobs(
+    settings: Settings,
+    shared: _Shared,
+    allotments: Allotments,
+) -> tuple[Component, ...]:
+    return (
+        JobBook.from_config(settings.jobs, shared.jobs, shared.session_view),
+        Dispatcher.from_config(
+            settings.dispatch,
+            shared.jobs,
+            shared.session_view,
+            shared.config_view,
+            shared.usage,
+            allotments,
+            shared.rng,
+        ),
+        TaskLeases.from_config(
+            settings.leases,
+            shared.jobs,
+            shared.session_view,
+            shared.directory,
+        ),
+    )
--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -1,7 +1,6 @@
 """The daemon of an entry instance: joins the layers and runs one loop."""
 
 import json
-import signal
 import sys
 from collections.abc import Callable
 from functools import partial
@@ -10,8 +9,6 @@
 from typing import Any
 
 import eliot
-import eventlet
-from eventlet import wsgi
 from statsd import StatsClient
 
 from apricotlead.assembly import Parts, assemble
@@ -34,6 +31,13 @@
 )
 from apricotlead.transport.peer_links import PeerLinks
 from apricotlead.transport.platform_client import PlatformClient
+from apricotlead.transport.serving import (
+    pause,
+    run_together,
+    serve_http,
+    split_address,
+    wait_for_stop,
+)
 from apricotlead.transport.worker_client import WorkerClient
 
 _ANSWER_WAIT_S = 10.0
@@ -93,10 +97,9 @@
         make_signals: list[Callable[[int], Signal]],
     ) -> list[Outcome]:
         """Pass many requests at once, so that their records share a batch."""
-        pile = eventlet.GreenPile()
-        for make_signal in make_signals:
-            pile.spawn(self.ask, make_signal)
-        return list(pile)
+        return run_together(
+            partial(self.ask, make_signal) for make_signal in make_signals
+        )
 
     def look_up(self, request: Request) -> Outcome:
         """Serve a request to a latency-bound service."""
@@ -142,17 +145,16 @@
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
-        stop = eventlet.event.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, partial(_request_stop, stop))
-        listener = eventlet.listen(_split(self._settings.http_address))
-        address = '{}:{}'.format(*listener.getsockname())
-        eventlet.spawn_n(self._serve_http, listener)
+        address = serve_http(
+            self._settings.http_address,
+            self.application,
+            self._settings.max_connections,
+        )
         self._engine.start()
         ready = json.dumps({'address': address})
         sys.stdout.write(f'{ready}\n')
         sys.stdout.flush()
-        stop.wait()
+        wait_for_stop()
         self._drain()
 
     def _session_id(self) -> str:
@@ -161,15 +163,6 @@
     def _receive(self, envelope: Envelope) -> None:
         self._engine.receive(envelope)
 
-    def _serve_http(self, listener: Any) -> None:
-        wsgi.server(
-            listener,
-            self.application,
-            max_size=self._settings.max_connections,
-            log_output=False,
-            debug=False,
-        )
-
     def _run_lookup(self, lookup: Any, body: bytes) -> Outcome:
         while True:
             step = lookup.next_step(monotonic_now())
@@ -193,7 +186,7 @@
                 quiet_since_s = monotonic_now()
             if monotonic_now() - quiet_since_s > self._settings.drain_quiet_s:
                 break
-            eventlet.sleep(_DRAIN_POLL_S)
+            pause(_DRAIN_POLL_S)
         self.peers.close()
         self.log(message_type='apricotlead:stopped')
 
@@ -212,15 +205,5 @@
 
 
 def _metrics(settings: Settings) -> StatsClient:
-    host, port = _split(settings.statsd_address)
+    host, port = split_address(settings.statsd_address)
     return StatsClient(host, port, prefix='apricotlead')
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
-def _request_stop(stop: Any, number: int, frame: Any) -> None:
-    if not stop.ready():
-        eventlet.hubs.get_hub().schedule_call_global(0, stop.send)
--- a/src/apricotlead/settings.py
+++ b/src/apricotlead/settings.py
@@ -10,13 +10,16 @@
 from apricotlead.coordination.allotments import AllotmentSettings
 from apricotlead.coordination.config_keeper import ConfigKeeperSettings
 from apricotlead.coordination.directory_keeper import DirectorySettings
+from apricotlead.coordination.dispatcher import DispatchSettings
 from apricotlead.coordination.gossip import GossipSettings
+from apricotlead.coordination.job_book import JobBookSettings
 from apricotlead.coordination.journals import JournalSettings
 from apricotlead.coordination.lookups import LookupSettings
 from apricotlead.coordination.outlier_ejection import EjectionSettings
 from apricotlead.coordination.reservations import ReservationSettings
 from apricotlead.coordination.service_routing import RoutingSettings
 from apricotlead.coordination.sessions import SessionSettings
+from apricotlead.coordination.task_leases import LeaseSettings
 from apricotlead.coordination.worker_monitor import MonitorSettings
 from apricotlead.coordination.worker_ownership import OwnershipSettings
 from apricotlead.protocol.errors import ApricotleadError
@@ -53,6 +56,7 @@
     drain_s: float = 30.0
     drain_quiet_s: float = 1.0
     view_bound_s: float = 3.0
+    max_attempts: int = 4
     sessions: SessionSettings = field(default_factory=SessionSettings)
     journals: JournalSettings = field(default_factory=JournalSettings)
     ownership: OwnershipSettings = field(default_factory=OwnershipSettings)
@@ -65,6 +69,9 @@
     reservations: ReservationSettings = field(
         default_factory=ReservationSettings,
     )
+    jobs: JobBookSettings = field(default_factory=JobBookSettings)
+    dispatch: DispatchSettings = field(default_factory=DispatchSettings)
+    leases: LeaseSettings = field(default_factory=LeaseSettings)
     allotments: AllotmentSettings = field(default_factory=AllotmentSettings)
     routing: RoutingSettings = field(default_factory=RoutingSettings)
     lookups: LookupSettings = field(default_factory=LookupSettings)
