--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -16,7 +16,9 @@
 _CONNECT_FRACTION = 0.75
 # Pools beyond this many hosts are closed, least recently used first.
 _MAX_HOSTS = 4096
-_IDLE_PER_HOST = 8
+# An executor takes 64 connections from all entry instances together, and an
+# idle one counts.
+_IDLE_PER_HOST = 4
 
 
 class HttpCall(Struct, frozen=True):
--- a/src/apricotlead_standins/cli.py
+++ b/src/apricotlead_standins/cli.py
@@ -138,7 +138,12 @@
     instance['address'] = server.address
     instance['datacentre'] = options.datacentre
     if options.platform:
-        registrar = Registrar(options.platform, instance, standin.is_leaving)
+        registrar = Registrar(
+            options.platform,
+            instance,
+            standin.is_leaving,
+            server.gate.is_silent,
+        )
         eventlet.spawn(registrar.run)
     _announce(instance['instance_id'], server)
     server.wait()
--- a/src/apricotlead_standins/faults.py
+++ b/src/apricotlead_standins/faults.py
@@ -92,6 +92,10 @@
         except BadRequest as error:
             return error_response(BAD_REQUEST, 'bad_input', str(error))
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the stand-in is paused or down."""
+        return self.faults.outage or now < self._paused_until_s
+
     def set_faults(self, faults: Faults, now: float) -> None:
         """Replace the switches."""
         self.faults = faults
--- a/src/apricotlead_standins/registration.py
+++ b/src/apricotlead_standins/registration.py
@@ -1,5 +1,6 @@
 """Registers a worker or an executor with the platform's list."""
 
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from itertools import count
@@ -18,23 +19,30 @@
 class Registrar:
     """Registers one instance again and again, until its process ends."""
 
-    __slots__ = ('_instance', '_is_leaving', '_platform')
+    __slots__ = ('_instance', '_is_leaving', '_is_silent', '_platform')
 
     def __init__(
         self,
         platform: str,
         instance: dict[str, Any],
         is_leaving: Callable[[], bool],
+        is_silent: Callable[[float], bool],
     ) -> None:
-        """Register ``instance`` with the platform at ``IP:port``."""
+        """Register ``instance`` with the platform at ``IP:port``.
+
+        Nothing is sent while ``is_silent(now)``, so that an instance that is
+        paused or down drops from the list.
+        """
         self._platform = platform
         self._instance = instance
         self._is_leaving = is_leaving
+        self._is_silent = is_silent
 
     def run(self) -> None:
         """Register once a period."""
         for _ in count():
-            self.register()
+            if not self._is_silent(time.monotonic()):
+                self.register()
             eventlet.sleep(_PERIOD_S)
 
     def register(self) -> bool:
--- a/src/apricotlead_standins/server.py
+++ b/src/apricotlead_standins/server.py
@@ -43,7 +43,14 @@
     and after each request that was handled.
     """
 
-    __slots__ = ('_changed', '_gate', '_socket', '_thread', 'address')
+    __slots__ = (
+        '_changed',
+        '_clock',
+        '_socket',
+        '_thread',
+        'address',
+        'gate',
+    )
 
     def __init__(
         self,
@@ -52,9 +59,11 @@
         port: int = 0,
         seed: int | None = None,
         max_connections: int = _MAX_CONNECTIONS,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Bind, and begin to serve; ``address`` is ``IP:port``."""
-        self._gate = FaultGate(standin, random.Random(seed))
+        self.gate = FaultGate(standin, random.Random(seed))
+        self._clock = clock
         self._changed = Event()
         self._socket = listen((host, port), backlog=_BACKLOG)
         bound_host, bound_port = self._socket.getsockname()[:2]
@@ -94,11 +103,11 @@
         return (answer.body,)
 
     def _answer(self, request: Request) -> Response | NoResponse:
-        answer = self._gate.handle(request, time.monotonic())
+        answer = self.gate.handle(request, self._clock())
         self._wake_parked()
         while isinstance(answer, Parked):
             self._sleep_until(answer.due_s)
-            answer = answer.resume(time.monotonic())
+            answer = answer.resume(self._clock())
         return answer
 
     def _wake_parked(self) -> None:
@@ -107,8 +116,7 @@
         changed.send()
 
     def _sleep_until(self, due_s: float) -> None:
-        wait_s = max(0, due_s - time.monotonic())
-        self._changed.wait(timeout=wait_s)
+        self._changed.wait(timeout=max(0, due_s - self._clock()))
 
 
 def _read_request(environ: dict[str, Any]) -> Request:
--- a/src/apricotlead_standins/worker.py
+++ b/src/apricotlead_standins/worker.py
@@ -1,6 +1,6 @@
 """A worker: runs what it is given, under leases and fences."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from msgspec import Struct
@@ -160,7 +160,10 @@
                 self.clock_s(now),
                 self.boot_id,
                 self._settings.capacity,
-                self._reports(self._attempts_by_id, now),
+                tuple(
+                    attempt.report(self._as_of_s(now))
+                    for attempt in self._attempts_by_id.values()
+                ),
             ),
         )
 
@@ -240,8 +243,11 @@
         if now >= until_s or not all(each.is_running for each in attempts):
             return self._leases_reply(message, now)
         due_s = min([until_s, *map(self._due_s, attempts)])
+        boot_id = self.boot_id
 
         def resume(later: float) -> Result:
+            if self.boot_id != boot_id:
+                return NoResponse()
             self.advance(later)
             return self._wait(message, until_s, later)
 
@@ -252,7 +258,10 @@
             LeasesReply(
                 self.clock_s(now),
                 self.boot_id,
-                self._reports(message.attempt_ids, now),
+                tuple(
+                    self._report(message.journal_id, attempt_id, now)
+                    for attempt_id in message.attempt_ids
+                ),
             ),
         )
 
@@ -265,12 +274,11 @@
         if message.checkpoint:
             stop_s += self._settings.checkpoint_s
         for attempt_id in message.attempt_ids:
-            attempt = self._attempts_by_id.get(attempt_id)
-            if attempt is None:
+            if attempt_id not in self._attempts_by_id:
                 # The start may still be under way; it must not run later.
                 self._bury(attempt_id, ran=False, clock_s=clock_s)
-            else:
-                attempt.stop(stop_s)
+        for attempt in self._attempts_of(message):
+            attempt.stop(stop_s)
         self.advance(now)
         return self._accept(now)
 
@@ -301,7 +309,7 @@
 
     def _forget(self, message: RenewLeases, now: float) -> None:
         for attempt_id in message.acknowledged_ids:
-            attempt = self._attempts_by_id.get(attempt_id)
+            attempt = self._find(message.journal_id, attempt_id)
             if attempt is not None and not attempt.is_running:
                 self._attempts_by_id.pop(attempt_id)
                 self._bury(attempt_id, ran=True, clock_s=self.clock_s(now))
@@ -319,27 +327,33 @@
                 return
             tombstones.pop(oldest)
 
-    def _attempts_of(self, message: RenewLeases) -> list[Attempt]:
+    def _find(self, journal_id: str, attempt_id: str) -> Attempt | None:
+        """Return an attempt of the journal whose epoch was checked."""
+        attempt = self._attempts_by_id.get(attempt_id)
+        if attempt is None or attempt.start.journal_id != journal_id:
+            return None
+        return attempt
+
+    def _attempts_of(self, message: RenewLeases | StopTasks) -> list[Attempt]:
         known = (
-            self._attempts_by_id.get(attempt_id)
+            self._find(message.journal_id, attempt_id)
             for attempt_id in message.attempt_ids
         )
         return [attempt for attempt in known if attempt is not None]
 
-    def _reports(
+    def _report(
         self,
-        attempt_ids: Iterable[str],
+        journal_id: str,
+        attempt_id: str,
         now: float,
-    ) -> tuple[AttemptReport, ...]:
-        as_of_s = self.clock_s(now) - self._settings.usage_lag_s
-        reports = []
-        for attempt_id in attempt_ids:
-            attempt = self._attempts_by_id.get(attempt_id)
-            if attempt is None:
-                reports.append(AttemptReport(attempt_id, _UNKNOWN))
-            else:
-                reports.append(attempt.report(as_of_s))
-        return tuple(reports)
+    ) -> AttemptReport:
+        attempt = self._find(journal_id, attempt_id)
+        if attempt is None:
+            return AttemptReport(attempt_id, _UNKNOWN)
+        return attempt.report(self._as_of_s(now))
+
+    def _as_of_s(self, now: float) -> float:
+        return self.clock_s(now) - self._settings.usage_lag_s
 
     def _accept(self, now: float) -> Response:
         return json_response(Accepted(self.clock_s(now), self.boot_id))
--- /dev/null
+++ b/tests/standin_harness.py
@@ -0,0 +1,121 @@
+"""Stand-ins behind the library's clients, in memory or over loopback."""
+
+import random
+import time
+
+from apricotlead.transport.http_pool import (
+    Answered,
+    HttpPool,
+    NeverSent,
+    NoAnswer,
+)
+from apricotlead_standins.faults import FaultGate, Faults
+from apricotlead_standins.http_messages import NoResponse, Parked, Request
+from apricotlead_standins.server import StandInServer
+
+_MAX_RESUMES = 10_000
+
+
+class InMemoryPool:
+    """Takes the place of ``HttpPool``; ``now`` is in seconds.
+
+    While a call waits, the clock moves on to the time of its answer.
+    """
+
+    def __init__(self, datacentre=''):
+        """Begin without stand-ins."""
+        self.datacentre = datacentre
+        self.now = 1000.0
+        self.gates_by_address = {}
+
+    def add(self, address, standin):
+        """Put a stand-in behind an address; return its fault switches."""
+        gate = FaultGate(standin, random.Random(1))
+        self.gates_by_address[address] = gate
+        return gate
+
+    def call(self, request):
+        """Deliver a request, and move the clock to its answer."""
+        gate = self.gates_by_address.get(request.address)
+        if gate is None:
+            return NeverSent('nothing listens there')
+        deadline_s = self.now + request.timeout_s
+        headers = {name.lower(): text for name, text in request.headers.items()}
+        headers['x-apricotlead-datacentre'] = self.datacentre
+        answer = gate.handle(
+            Request(request.method, request.path, request.body, headers),
+            self.now,
+        )
+        for _ in range(_MAX_RESUMES):
+            if not isinstance(answer, Parked):
+                return _result(answer)
+            if answer.due_s > deadline_s:
+                self.now = deadline_s
+                return NoAnswer('timeout')
+            self.now = max(self.now, answer.due_s)
+            answer = answer.resume(self.now)
+        raise AssertionError('the answer is never due')
+
+
+class InMemory:
+    """One stand-in, called without sockets on a controlled clock."""
+
+    address = 'standin'
+
+    def __init__(self, make_standin):
+        """Make the stand-in with the clock's time."""
+        self.pool = InMemoryPool('marka')
+        self.standin = make_standin(self.now())
+        self.gate = self.pool.add(self.address, self.standin)
+
+    def now(self):
+        """Return the time in seconds."""
+        return self.pool.now
+
+    def pass_time(self, seconds):
+        """Move the clock on."""
+        self.pool.now += seconds
+
+    def set_faults(self, **switches):
+        """Replace the fault switches."""
+        self.gate.set_faults(Faults(**switches), self.now())
+
+    def close(self):
+        """Nothing is open."""
+
+
+class OverHttp:
+    """One stand-in behind loopback; ``pass_time`` adds to its real clock."""
+
+    def __init__(self, make_standin):
+        """Serve on a free port."""
+        self.skipped_s = 0.0
+        self.standin = make_standin(self.now())
+        self.server = StandInServer(self.standin, clock=self.now)
+        self.address = self.server.address
+        self.gate = self.server.gate
+        self.pool = HttpPool('marka')
+
+    def now(self):
+        """Return the time in seconds."""
+        return time.monotonic() + self.skipped_s
+
+    def pass_time(self, seconds):
+        """Move the clock on."""
+        self.skipped_s += seconds
+
+    def set_faults(self, **switches):
+        """Replace the fault switches."""
+        self.gate.set_faults(Faults(**switches), self.now())
+
+    def close(self):
+        """Stop serving."""
+        self.pool.close()
+        self.server.close()
+
+
+def _result(answer):
+    if isinstance(answer, NoResponse):
+        return NoAnswer('closed')
+    headers = {name.lower(): text for name, text in answer.headers.items()}
+    return Answered(answer.status, answer.body, headers)
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,108 @@
+"""The executor stand-in keeps to its slots, queue and deadlines."""
+
+from testtools import TestCase
+
+from apricotlead.transport.http_pool import HttpCall
+from apricotlead_standins.executor import Executor, ExecutorSettings
+from apricotlead_standins.faults import FaultGate, Faults
+from apricotlead_standins.http_messages import Parked, Request
+from tests.standin_harness import InMemory, OverHttp
+
+SETTINGS = ExecutorSettings('e', 'tally', 2, 1, service_time_s=1)
+
+
+def make_executor(_):
+    """Make an idle executor."""
+    return Executor(ExecutorSettings('e', 'tally'))
+
+
+class TestExecutor(TestCase):
+    """Guards against a stand-in that is kinder than a real executor."""
+
+    def setUp(self):
+        """Start an idle executor with two slots and a queue of one."""
+        super().setUp()
+        self.executor = Executor(SETTINGS)
+        self.gate = FaultGate(self.executor, None)
+
+    def send(self, request_id, now, deadline_ms='60000'):
+        """Send a request; return the answer, perhaps parked."""
+        headers = {
+            'x-apricotlead-request': request_id,
+            'x-apricotlead-deadline-ms': deadline_ms,
+        }
+        request = Request('POST', '/v1/run', b'body', headers)
+        return self.gate.handle(request, now)
+
+    def finish(self, answer):
+        """Resume until the answer is there; return it and its time."""
+        due_s = 0
+        for _ in range(100):
+            if not isinstance(answer, Parked):
+                break
+            due_s = max(due_s, answer.due_s)
+            answer = answer.resume(due_s)
+        return answer, round(due_s, 3)
+
+    def test_slots_queue_and_refusal(self):
+        """Guards against more at once than slots, and a false refusal."""
+        sent = [self.send(name, 0) for name in 'abc']
+        refused = self.send('d', 0.4)
+        self.assertEqual(503, refused.status)
+        self.assertEqual('not-run', refused.headers['X-Apricotlead-Outcome'])
+        self.assertEqual('3', refused.headers['X-Apricotlead-Outstanding'])
+        self.assertEqual('0.600', refused.headers['Retry-After'])
+        times = [self.finish(answer)[1] for answer in sent]
+        self.assertEqual([1, 1, 2], times)
+        self.assertEqual({'a', 'b', 'c'}, set(self.counts()))
+
+    def counts(self):
+        """Return how often each request ran."""
+        return self.executor.run_counts_by_request
+
+    def test_deadline_stops_work_and_frees_the_slot(self):
+        """Guards against work that goes on after its deadline."""
+        stopped = self.send('a', 0, '500')
+        self.send('b', 0)
+        queued = self.send('c', 0)
+        answer, at_s = self.finish(stopped)
+        self.assertEqual((504, 0.5), (answer.status, at_s))
+        outcome = answer.headers['X-Apricotlead-Outcome']
+        self.assertEqual('may-have-run', outcome)
+        self.assertEqual(1.5, self.finish(queued)[1])
+
+    def test_deadline_in_the_queue_is_not_run(self):
+        """Guards against "not run" for work that ran, or the reverse."""
+        for name in 'ab':
+            self.send(name, 0)
+        answer, _ = self.finish(self.send('c', 0, '500'))
+        self.assertEqual('not-run', answer.headers['X-Apricotlead-Outcome'])
+        self.assertNotIn('c', self.counts())
+
+    def test_leaving_finishes_what_it_has(self):
+        """Guards against a stop that cuts off requests in progress."""
+        running = self.send('a', 0)
+        self.gate.handle(Request('POST', '/admin/leave'), 0.1)
+        refused = self.send('b', 0.2)
+        self.assertEqual('not-run', refused.headers['X-Apricotlead-Outcome'])
+        self.assertEqual('yes', refused.headers['X-Apricotlead-Leaving'])
+        self.assertEqual(200, self.finish(running)[0].status)
+
+    def test_failing_executor_frees_its_slots(self):
+        """Guards against failures that fill the executor."""
+        self.gate.set_faults(Faults(fails_everything=True), 0)
+        statuses = {self.send(str(number), 0).status for number in range(9)}
+        self.assertEqual({500}, statuses)
+
+    def test_answer_over_both_ways(self):
+        """Guards against an answer that loses its id or length."""
+        for harness in (InMemory, OverHttp):
+            site = harness(make_executor)
+            self.addCleanup(site.close)
+            headers = {'X-Apricotlead-Request': 'r1'}
+            answer = site.pool.call(
+                HttpCall('POST', site.address, '/v1/run', b'x', headers, 5),
+            )
+            self.assertEqual((200, b'tally:x'), (answer.status, answer.body))
+            self.assertEqual('7', answer.headers['x-apricotlead-length'])
+            self.assertEqual('r1', answer.headers['x-apricotlead-request'])
--- /dev/null
+++ b/tests/test_worker_client.py
@@ -0,0 +1,370 @@
+"""The contract of a worker, through the client, with fault cases."""
+
+import eventlet
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from testtools import TestCase
+
+from apricotlead.protocol.jobs import TaskSpec
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.workers import (
+    Accepted,
+    CallFailed,
+    Heartbeat,
+    RenewLeases,
+    StartTask,
+    StopTasks,
+    ThrottleTask,
+    WorkerRefused,
+)
+from apricotlead.transport.worker_client import WorkerClient
+from apricotlead_standins.worker import Worker, WorkerSettings
+from apricotlead_standins.worker_messages import Resources as Capacity
+from tests.standin_harness import InMemory, OverHttp
+
+DEMAND = Resources(1000, 512)
+LEASE_S = 6.0
+
+
+def make_worker(now):
+    """Boot a worker of four cores."""
+    return Worker(WorkerSettings('w', Capacity(4000, 4096, 1)), 'boot', now)
+
+
+def start(run_s=60.0, command='', **changed):
+    """Start attempt ``a`` by epochs 1, within two seconds of boot."""
+    fields = {
+        'attempt_id': 'a',
+        'worker_epoch': 1,
+        'boot_id': 'boot',
+        'not_after_s': 2.0,
+        'journal_id': 'j',
+        'journal_epoch': 1,
+        'lease_s': LEASE_S,
+        'task': TaskSpec(DEMAND, run_s, command),
+    }
+    return StartTask(**{**fields, **changed})
+
+
+def renew(journal_epoch=1, **changed):
+    """Renew the lease of ``a``."""
+    changed.setdefault('lease_s', LEASE_S)
+    return RenewLeases('j', journal_epoch, ('a',), **changed)
+
+
+STOP = StopTasks('j', 1, ('a',))
+ACKNOWLEDGE = renew(acknowledged_ids=('a',))
+
+# Steps are messages, or seconds that pass. The reply to the last message is
+# accepted ('') or refused for this reason; then so many runs have begun.
+FENCE_CASES = {
+    'older owner': ((Heartbeat('b', 2), Heartbeat('a', 1)), 'stale_epoch', 0),
+    'older grant': ((Heartbeat('b', 2), start()), 'stale_epoch', 0),
+    'former home starts': ((renew(2), start()), 'stale_epoch', 0),
+    'former home renews': ((start(), renew(2), renew()), 'stale_epoch', 1),
+    'former home stops': ((start(), renew(2), STOP), 'stale_epoch', 1),
+    'former owner throttles': (
+        (start(), Heartbeat('b', 2), ThrottleTask('a', 1, 10)),
+        'stale_epoch',
+        1,
+    ),
+    'grant of another boot': ((start(boot_id='x'),), 'other_boot', 0),
+    'start too late': ((2.1, start()), 'expired', 0),
+    'start at the last moment': ((1.9, start()), '', 1),
+    'stop overtakes start': ((STOP, start()), 'expired', 0),
+    'throttle of none': ((ThrottleTask('a', 1, 10),), 'unknown_attempt', 0),
+    'doubled start': ((start(), start()), '', 1),
+    'doubled start, late': ((start(), 3.0, start()), '', 1),
+    'doubled start, new owner': (
+        (start(), Heartbeat('b', 2), start()),
+        '',
+        1,
+    ),
+    'doubled start, new home': ((start(), renew(2), start()), '', 1),
+    'doubled start, ended': ((start(run_s=0), start()), '', 1),
+    'doubled start, forgotten': (
+        (start(run_s=0), ACKNOWLEDGE, start()),
+        '',
+        1,
+    ),
+}
+
+# The state of ``a`` that a last question without renewal shows.
+ENDING_CASES = {
+    'runs': ((start(),), 'running'),
+    'ends': ((start(run_s=3), 3.1), 'succeeded'),
+    'sleeps longer than declared': (
+        (start(run_s=1, command='sleep 4'), 3.0),
+        'running',
+    ),
+    'fails': ((start(run_s=1, command='echo x; fail'), 1.1), 'failed'),
+    'lease lapses': ((start(), 6.1), 'lapsed'),
+    'renewed in time': ((start(), 5.0, renew(), 5.0), 'running'),
+    'renewed too late': ((start(), 6.1, renew(), 0.1), 'lapsed'),
+    'renewal that was long under way': (
+        (start(), 4.0, renew(lease_until_s=7.0), 3.1),
+        'lapsed',
+    ),
+    'doubled start does not renew': ((start(), 5.0, start(), 1.1), 'lapsed'),
+    'ended before the lapse': ((start(run_s=5), 60.0), 'succeeded'),
+    'writes its checkpoint': ((start(), STOP), 'running'),
+    'stopped': ((start(), STOP, 0.3), 'stopped'),
+    'stopped without checkpoint': (
+        (start(), StopTasks('j', 1, ('a',), checkpoint=False)),
+        'stopped',
+    ),
+    'acknowledged': ((start(run_s=1), 1.1, ACKNOWLEDGE), 'unknown'),
+    'acknowledged while it runs': ((start(), ACKNOWLEDGE), 'running'),
+    'throttled': (
+        (start(run_s=4), ThrottleTask('a', 1, 500), 5.0),
+        'running',
+    ),
+    'other journal': ((start(journal_id='k'),), 'unknown'),
+}
+
+
+class WorkerContract:
+    """What homes and owners rely on."""
+
+    def setUp(self):
+        """Boot a worker."""
+        super().setUp()
+        self.boot()
+
+    def boot(self):
+        """Replace the worker by a fresh one."""
+        self.site = self.harness(make_worker)
+        self.addCleanup(self.site.close)
+        self.client = WorkerClient(self.site.pool)
+
+    def call(self, message, timeout_s=5.0):
+        """Send a message."""
+        return self.client.call(self.site.address, message, timeout_s)
+
+    def carry_out(self, steps):
+        """Send messages and pass time; return the last reply."""
+        for step in steps:
+            if isinstance(step, float):
+                self.site.pass_time(step)
+            else:
+                reply = self.call(step)
+        return reply
+
+    def state(self, journal_epoch=1):
+        """Ask for the state of ``a`` without renewing its lease."""
+        reply = self.call(renew(journal_epoch, lease_s=0))
+        return reply.attempts[0].state
+
+    def listed(self):
+        """Ask as the newest owner what the worker has."""
+        return self.call(Heartbeat('z', 9)).attempts
+
+    def test_fences(self):
+        """Guards against starts that must not, or must, count as run."""
+        for name, (steps, reason, runs) in FENCE_CASES.items():
+            self.boot()
+            reply = self.carry_out(steps)
+            refusal = getattr(reply, 'reason', '')
+            self.assertEqual(
+                (name, reason, runs),
+                (name, refusal, self.site.standin.log.started),
+            )
+            self.assertEqual('boot', reply.boot_id)
+
+    def test_endings(self):
+        """Guards against an attempt that outlives its lease, or a lost end."""
+        for name, (steps, state) in ENDING_CASES.items():
+            self.boot()
+            self.carry_out(steps)
+            self.assertEqual((name, state), (name, self.state()))
+
+    def test_output_is_kept_until_acknowledged(self):
+        """Guards against a result that is lost with its first answer."""
+        self.call(start(run_s=1, command='echo 1 2'))
+        self.site.pass_time(1.1)
+        self.site.set_faults(lose_answers=1)
+        self.assertEqual(CallFailed(sent=True), self.call(renew()))
+        report = self.call(renew()).attempts[0]
+        self.assertEqual(('succeeded', '1 2'), (report.state, report.output))
+        self.assertEqual(['a'], [each.attempt_id for each in self.listed()])
+        self.call(ACKNOWLEDGE)
+        self.assertEqual((), self.listed())
+
+    def test_long_poll_answers_at_the_end(self):
+        """Guards against an answer that is early or misses the end."""
+        self.call(start(run_s=0.05))
+        reply = self.call(renew(wait_s=4.0))
+        self.assertEqual('succeeded', reply.attempts[0].state)
+        self.call(start(attempt_id='b'))
+        reply = self.call(RenewLeases('j', 1, ('b',), wait_s=0.05))
+        self.assertEqual('running', reply.attempts[0].state)
+
+    def test_usage_lags_and_follows_throttle(self):
+        """Guards against fresher use than a real worker reports."""
+        self.call(start(command='use 1.5'))
+        used = [self.listed()[0].used.cpu_millis]
+        for seconds in (1.1, 0.5, 1.1):
+            self.site.pass_time(seconds)
+            used.append(self.listed()[0].used.cpu_millis)
+            self.call(ThrottleTask('a', 9, 800))
+        self.assertEqual([0, 1500, 1500, 800], used)
+        self.assertEqual(DEMAND, self.listed()[0].demand)
+
+    def test_overcommit_is_recorded(self):
+        """Guards against a stand-in that hides an overcommit."""
+        for name in 'abcd':
+            self.call(start(attempt_id=name))
+        self.assertFalse(self.site.standin.log.overcommitted)
+        self.call(start(attempt_id='e'))
+        self.assertEqual(5000, self.site.standin.log.peak.cpu_millis)
+        self.assertTrue(self.site.standin.log.overcommitted)
+
+    def test_restart_loses_attempts_and_changes_boot(self):
+        """Guards against grants of the earlier boot that still hold."""
+        self.call(start())
+        self.site.standin.restart('later', self.site.now())
+        reply = self.call(Heartbeat('a', 1))
+        self.assertEqual(('later', ()), (reply.boot_id, reply.attempts))
+        self.assertEqual('other_boot', self.call(start()).reason)
+
+    def test_pause_ends_leases_on_time(self):
+        """Guards against a start or a lease that a pause lengthens."""
+        self.call(start(run_s=60))
+        paused_s = self.site.now()
+        self.site.set_faults(pause_s=0.1)
+        self.call(start(attempt_id='b'))
+        begun_s = self.site.standin.log.dump()['runs'][1]['begin_s']
+        self.assertGreaterEqual(begun_s, paused_s + 0.1)
+        self.site.set_faults()
+        self.site.pass_time(7.0)
+        self.assertEqual('lapsed', self.state())
+        run = self.site.standin.log.dump()['runs'][0]
+        self.assertLess(run['end_s'] - run['begin_s'], LEASE_S + 0.3)
+
+    def test_failing_worker_and_dead_worker(self):
+        """Guards against fault switches that do nothing."""
+        self.site.set_faults(fails_everything=True)
+        self.call(start())
+        self.assertEqual('failed', self.state())
+        self.site.set_faults(outage=True)
+        self.assertEqual(CallFailed(sent=True), self.call(renew()))
+
+
+class TestWorkerInMemory(WorkerContract, TestCase):
+    """The contract without sockets."""
+
+    harness = InMemory
+
+
+class TestWorkerOverHttp(WorkerContract, TestCase):
+    """The contract over loopback."""
+
+    harness = OverHttp
+
+    def test_unreachable_worker_was_not_sent_anything(self):
+        """Guards against waiting for a start that never left."""
+        reply = self.client.call('127.0.0.1:1', start())
+        self.assertEqual(CallFailed(sent=False), reply)
+
+    def test_parked_renewal_wakes(self):
+        """Guards against a long poll that misses a stop or an adoption."""
+        cases = (
+            (StopTasks('j', 1, ('a',), checkpoint=False), 'stopped'),
+            (renew(2), 'stale_epoch'),
+        )
+        for message, seen in cases:
+            self.boot()
+            self.call(start(lease_s=100.0))
+            poll = eventlet.spawn(self.call, renew(wait_s=50.0), 5.0)
+            eventlet.sleep(0.05)
+            self.assertFalse(poll.dead)
+            self.call(message)
+            reply = poll.wait()
+            if isinstance(reply, WorkerRefused):
+                self.assertEqual(seen, reply.reason)
+            else:
+                self.assertEqual(seen, reply.attempts[0].state)
+
+
+class WorkerFuzz(RuleBasedStateMachine):
+    """Messages that come doubled, late and out of order."""
+
+    names = strategies.sampled_from('abc')
+    epochs = strategies.integers(1, 3)
+
+    def __init__(self):
+        """Boot a worker."""
+        super().__init__()
+        self.site = InMemory(make_worker)
+        self.client = WorkerClient(self.site.pool)
+        self.accepted = set()
+        self.refused = set()
+        self.lease_ends_by_name = {}
+
+    def call(self, message):
+        """Send a message."""
+        return self.client.call(self.site.address, message)
+
+    def lease(self, name, lease_s=LEASE_S):
+        """Note the latest time that a lease may run to."""
+        until_s = self.site.now() + lease_s
+        known_s = self.lease_ends_by_name.get(name, 0)
+        self.lease_ends_by_name[name] = max(known_s, until_s)
+
+    @rule(name=names, epoch=epochs, not_after_s=strategies.sampled_from((1, 9)))
+    def start(self, name, epoch, not_after_s):
+        """Deliver a copy of one of two starts of an attempt."""
+        attempt_id = f'{name}{epoch}{not_after_s}'
+        message = start(
+            run_s=epoch * 4,
+            attempt_id=attempt_id,
+            worker_epoch=epoch,
+            journal_epoch=epoch,
+            not_after_s=not_after_s,
+        )
+        if attempt_id not in self.accepted:
+            self.lease(attempt_id)
+        took = isinstance(self.call(message), Accepted)
+        (self.accepted if took else self.refused).add(attempt_id)
+
+    @rule(name=names, epoch=epochs, acknowledged=strategies.booleans())
+    def renew(self, name, epoch, acknowledged):
+        """Renew all leases of a name, and perhaps acknowledge."""
+        names = tuple(f'{name}{number}9' for number in (1, 2, 3))
+        reply = self.call(
+            RenewLeases('j', epoch, names, names * acknowledged, LEASE_S),
+        )
+        if not isinstance(reply, WorkerRefused):
+            for each in names:
+                self.lease(each)
+
+    @rule(name=names, epoch=epochs, later=epochs)
+    def stop(self, name, epoch, later):
+        """Stop an attempt, perhaps before its start comes."""
+        self.call(StopTasks('j', later, (f'{name}{epoch}9',)))
+
+    @rule(epoch=epochs)
+    def heartbeat(self, epoch):
+        """Come as an owner."""
+        self.call(Heartbeat('x', epoch))
+
+    @rule(seconds=strategies.sampled_from((0.1, 1.5, 5.0)))
+    def pass_time(self, seconds):
+        """Let time pass without a message."""
+        self.site.pass_time(seconds)
+
+    @invariant()
+    def refusals_are_true_and_runs_are_single(self):
+        """Each attempt ran once if it was accepted, else never."""
+        self.site.standin.advance(self.site.now())
+        runs = self.site.standin.log.dump()['runs']
+        ids = [run['attempt_id'] for run in runs]
+        assert len(ids) == len(set(ids))
+        assert set(ids) == self.accepted
+        assert not self.accepted & self.refused
+        for run in runs:
+            end_s = run['end_s'] or self.site.now()
+            assert end_s <= self.lease_ends_by_name[run['attempt_id']] + 1e-6
+
+
+TestWorkerFuzz = WorkerFuzz.TestCase
