Let a planned stop cut off no request

Cause: the process left while callers held open connections; their next request met a closed connection, and they could not know whether it ran.

Ruled out: waiting until no request is open. Requests on open connections are so short that a poll sees none of them, and the stop came between two.

Conclusion: only a connection without any request since the stop began can still be closed under a caller.

--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -32,9 +32,9 @@
 from apricotlead.transport.peer_links import PeerLinks
 from apricotlead.transport.platform_client import PlatformClient
 from apricotlead.transport.serving import (
+    HttpServer,
     pause,
     run_together,
-    serve_http,
     split_address,
     wait_for_stop,
 )
@@ -145,17 +145,17 @@
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
-        address = serve_http(
+        server = HttpServer(
             self._settings.http_address,
             self.application,
             self._settings.max_connections,
         )
         self._engine.start()
-        ready = json.dumps({'address': address})
+        ready = json.dumps({'address': server.address})
         sys.stdout.write(f'{ready}\n')
         sys.stdout.flush()
         wait_for_stop()
-        self._drain()
+        self._drain(server)
 
     def _session_id(self) -> str:
         return self._parts.session_view.session_id
@@ -173,22 +173,24 @@
             if outcome is not None:
                 return outcome
 
-    def _drain(self) -> None:
-        """Refuse new requests, pass on what is kept, finish what is open."""
+    def _drain(self, server: HttpServer) -> None:
+        """Refuse new requests, hand over what is kept, finish what is open.
+
+        For ``drain_notice_s`` new requests are still answered, with a refusal
+        that closes their connection, so that the balancer and callers with
+        open connections go elsewhere before the listener closes.
+        """
         self.log(message_type='apricotlead:draining')
+        ends_s = monotonic_now() + self._settings.drain_s
         self.application.draining = True
         self._engine.deliver(Shutdown())
-        ends_s = monotonic_now() + self._settings.drain_s
-        quiet_since_s = monotonic_now()
-        while monotonic_now() < ends_s:
-            busy = self.application.open_count or not self._parts.is_drained()
-            if busy:
-                quiet_since_s = monotonic_now()
-            if monotonic_now() - quiet_since_s > self._settings.drain_quiet_s:
-                break
+        pause(self._settings.drain_notice_s)
+        server.stop()
+        finished = server.wait(ends_s - monotonic_now())
+        while monotonic_now() < ends_s and not self._parts.is_drained():
             pause(_DRAIN_POLL_S)
         self.peers.close()
-        self.log(message_type='apricotlead:stopped')
+        self.log(message_type='apricotlead:stopped', finished=finished)
 
 
 def run_entry(settings: Settings) -> None:
--- a/src/apricotlead/settings.py
+++ b/src/apricotlead/settings.py
@@ -54,7 +54,7 @@
     seed: int | None = None
     max_connections: int = 2000
     drain_s: float = 30.0
-    drain_quiet_s: float = 1.0
+    drain_notice_s: float = 2.0
     view_bound_s: float = 3.0
     max_attempts: int = 4
     sessions: SessionSettings = field(default_factory=SessionSettings)
--- a/src/apricotlead/transport/http_server.py
+++ b/src/apricotlead/transport/http_server.py
@@ -126,14 +126,17 @@
             response = self._respond(environ)
         finally:
             self.open_count -= 1
-        start_response(
-            _STATUS_LINES.get(response.status, f'{response.status} Answer'),
-            [
-                ('Content-Type', response.content_type),
-                ('Content-Length', str(len(response.body))),
-                *response.headers,
-            ],
-        )
+        headers = [
+            ('Content-Type', response.content_type),
+            ('Content-Length', str(len(response.body))),
+            *response.headers,
+        ]
+        if self.draining:
+            # Callers must not send their next request on a connection that
+            # is about to be closed.
+            headers.append(('Connection', 'close'))
+        status = _STATUS_LINES.get(response.status, f'{response.status} Answer')
+        start_response(status, headers)
         return (response.body,)
 
     def _respond(self, environ: dict[str, Any]) -> Response:
--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -10,21 +10,48 @@
 from eventlet.event import Event
 
 
-def serve_http(address: str, application: Any, max_connections: int) -> str:
-    """Serve a WSGI application in the background; return ``IP:port``.
-
-    ``address`` is ``IP:port``, port 0 for any free one.
-    """
-    listener = eventlet.listen(split_address(address))
-    eventlet.spawn_n(
-        wsgi.server,
-        listener,
-        application,
-        max_size=max_connections,
-        log_output=False,
-        debug=False,
-    )
-    return '{}:{}'.format(*listener.getsockname())
+class HttpServer:
+    """Serves a WSGI application in the background until it is stopped."""
+
+    __slots__ = ('_listener', '_thread')
+
+    def __init__(
+        self,
+        address: str,
+        application: Any,
+        max_connections: int,
+    ) -> None:
+        """Listen on ``address`` (``IP:port``, port 0 for any free one)."""
+        self._listener = eventlet.listen(split_address(address))
+        self._thread = eventlet.spawn(
+            wsgi.server,
+            self._listener,
+            application,
+            max_size=max_connections,
+            log_output=False,
+            debug=False,
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the bound ``IP:port``."""
+        return '{}:{}'.format(*self._listener.getsockname())
+
+    def stop(self) -> None:
+        """Accept no more connections; open requests go on to their end.
+
+        New connections are refused, which tells their callers that nothing
+        ran. Connections without a request are closed.
+        """
+        # The server leaves its accept loop on SystemExit, closes idle
+        # connections and waits for the others.
+        eventlet.kill(self._thread, SystemExit)
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait for the open requests; tell whether all have ended."""
+        with eventlet.Timeout(timeout_s, exception=False):
+            self._thread.wait()
+        return self._thread.dead
 
 
 def wait_for_stop() -> None:
