--- a/src/apricotlead/coordination/journal_adoption.py
+++ b/src/apricotlead/coordination/journal_adoption.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, convert, structs
 
 from apricotlead.coordination.journal_writer import OwnedJournal
+from apricotlead.coordination.lapsed_sessions import LapsedSessions
 from apricotlead.coordination.rendezvous import rank_of
 from apricotlead.coordination.store_calls import StoreCalls
 from apricotlead.protocol.jobs import JournalRecord
@@ -17,7 +18,6 @@
     journal_key,
     put_struct,
     read_journal,
-    read_session,
     segment_number,
     segment_prefix,
     session_key,
@@ -49,7 +49,9 @@
     All journal rows are read every ``sweep_interval_s`` (times 0.5 to 1.5),
     and every ``urgent_interval_s`` for ``urgent_s`` after a session lapsed
     or began to leave, by the ``urgent_ranks`` sessions that come first for
-    it; each further rank begins ``rank_step_s`` later.
+    it; each further rank begins ``rank_step_s`` later. A lapsed session is
+    remembered for ``remember_s``; after that the check of a claim finds out
+    about it.
     """
 
     sweep_interval_s: float = 20.0
@@ -60,6 +62,7 @@
     read_timeout_s: float = 5.0
     retry_s: float = 0.3
     max_adoptions: int = 8
+    remember_s: float = 7200.0
 
 
 class AdoptedJournal(Struct, frozen=True):
@@ -116,6 +119,7 @@
 
     __slots__ = (
         '_calls',
+        '_lapsed',
         '_noted_s_by_id',
         '_retries',
         '_rng',
@@ -123,7 +127,6 @@
         '_sweep_due_s',
         '_sweep_sent_s',
         '_sweep_token',
-        '_versions_by_lapsed_id',
         '_view',
         'adopting_ids',
     )
@@ -138,6 +141,7 @@
         """Begin with no adoption; the first sweep comes at once."""
         self._settings = settings
         self._calls = calls
+        self._lapsed = LapsedSessions()
         self._view = view
         self._rng = rng
         self._noted_s_by_id: dict[str, float] = {}
@@ -145,14 +149,13 @@
         self._sweep_due_s = _NEVER
         self._sweep_sent_s = _NEVER
         self._sweep_token: Token | None = None
-        self._versions_by_lapsed_id: dict[str, int] = {}
         self.adopting_ids: set[str] = set()
 
     def note_lapsed(self, lapsed: PeerLapsed, now: float) -> None:
         """Look soon for journals of the session, in order of rank."""
         session_id = lapsed.session_id
         self._noted_s_by_id[session_id] = now
-        self._versions_by_lapsed_id[session_id] = lapsed.row_version
+        self._lapsed.note(session_id, lapsed.row_version, now)
         delay_s = self._delay_of(session_id)
         if delay_s < self._settings.urgent_ranks * self._settings.rank_step_s:
             self._sweep_due_s = min(self._sweep_due_s, now + delay_s)
@@ -162,12 +165,14 @@
         self.adopting_ids.clear()
         self._retries.clear()
 
-    def tick(self, now: float) -> Iterable[Signal]:
-        """Return the sweeps and reads that are due."""
+    def repeat_reads(self, now: float) -> Iterable[Signal]:
+        """Return the reads of claimed journals that are to be repeated."""
         due = [retry for retry in self._retries if retry.due_s <= now]
         self._retries = [one for one in self._retries if one.due_s > now]
-        for retry in due:
-            yield self._read(retry.reading)
+        return [self._read(retry.reading) for retry in due]
+
+    def sweep_due(self, now: float) -> Iterable[Signal]:
+        """Return the read of all journal rows when its time has come."""
         if self._sweep_token is None:
             if now >= self._sweep_due_s:
                 yield self._sweep(now)
@@ -211,7 +216,8 @@
             return (self._begin_reading(claiming.session_id, journal),)
         self.adopting_ids.discard(claiming.journal_id)
         if isinstance(reply, CheckFailed):
-            self._learn_owner(claiming, reply)
+            row = reply.row(session_key(claiming.former_id))
+            self._lapsed.learn(claiming.former_id, row, now)
         return ()
 
     def snapshot_read(
@@ -261,12 +267,23 @@
 
     def _end_sweep(self, now: float) -> None:
         self._sweep_token = None
+        self._forget_old(now)
         if self._is_urgent(now):
             self._sweep_due_s = now + self._settings.urgent_interval_s
         else:
             factor = self._rng.uniform(0.5, 1.5)
             self._sweep_due_s = now + self._settings.sweep_interval_s * factor
 
+    def _forget_old(self, now: float) -> None:
+        old_ids = [
+            session_id
+            for session_id, noted_s in self._noted_s_by_id.items()
+            if now - noted_s > self._settings.remember_s
+        ]
+        for session_id in old_ids:
+            self._noted_s_by_id.pop(session_id)
+            self._lapsed.forget(session_id)
+
     def _is_urgent(self, now: float) -> bool:
         settings = self._settings
         longest_delay_s = settings.urgent_ranks * settings.rank_step_s
@@ -281,10 +298,8 @@
             return True
         if row.owner in self._view.peers_by_id:
             return False
-        if row.owner != NO_OWNER:
-            # Not live, not marked: it is leaving, or it may have no row.
-            if self._versions_by_lapsed_id.get(row.owner) == 0:
-                return False
+        if not self._lapsed.may_take_from(row.owner, now):
+            return False
         former_id = row.owner or row.former_owner
         noted_s = self._noted_s_by_id.setdefault(former_id, now)
         return now >= noted_s + self._delay_of(former_id)
@@ -308,18 +323,7 @@
     def _owner_check(self, owner: str) -> tuple[Check, ...]:
         if owner in {NO_OWNER, self._view.session_id}:
             return ()
-        version = self._versions_by_lapsed_id.get(owner, 0)
-        return (Check(session_key(owner), version),)
-
-    def _learn_owner(self, claiming: Claiming, reply: CheckFailed) -> None:
-        row = reply.row(session_key(claiming.former_id))
-        if not row.version:
-            self._versions_by_lapsed_id.pop(claiming.former_id, None)
-            return
-        is_adopted = read_session(row).state == 'adopted'
-        self._versions_by_lapsed_id[claiming.former_id] = (
-            row.version if is_adopted else 0
-        )
+        return (self._lapsed.check_of(owner),)
 
     def _begin_reading(self, session_id: str, journal: OwnedJournal) -> Signal:
         if journal.row.snapshot:
--- a/src/apricotlead/coordination/journal_writer.py
+++ b/src/apricotlead/coordination/journal_writer.py
@@ -375,7 +375,14 @@
         reply: CheckFailed,
     ) -> Iterable[Signal]:
         row_check = self._row_check()
-        if reply.row(row_check.key).version != row_check.version:
+        segment = segment_key(
+            self.journal.journal_id,
+            self.journal.next_segment,
+        )
+        is_deposed = reply.row(row_check.key).version != row_check.version
+        # Another write in the place of this batch means that the state here
+        # is not that of the store; the journal is adopted again and replayed.
+        if is_deposed or reply.row(segment).version:
             yield from self.close()
         again: list[Waiting] = []
         for waiting in batch.batch:
--- a/src/apricotlead/coordination/journals.py
+++ b/src/apricotlead/coordination/journals.py
@@ -142,8 +142,9 @@
         if now >= self._opening_due_s:
             yield self._open_fresh()
         yield from self._open_adopted()
+        yield from self._adoptions.repeat_reads(now)
         if not self._is_leaving:
-            yield from self._adoptions.tick(now)
+            yield from self._adoptions.sweep_due(now)
         for writer in self._writers_by_id.values():
             yield from writer.next_snapshot()
         if now >= self._write_due_s:
--- a/src/apricotlead/coordination/sessions.py
+++ b/src/apricotlead/coordination/sessions.py
@@ -84,6 +84,9 @@
 class SessionKeeper(Component):
     """Keeps the own session row alive and the session view current.
 
+    ``PeersChanged`` is sent after the first successful scan, and after each
+    that shows other live sessions than the one before.
+
     The lease counts from the send time of a renewal. In a store outage the
     lease ends by the own clock, but the session is lost only when its row
     shows that a peer adopted it. A peer's row is marked adopted before
@@ -93,6 +96,7 @@
     name = 'sessions'
     __slots__ = (
         '_calls',
+        '_has_scanned',
         '_is_open',
         '_leaving',
         '_marking',
@@ -127,6 +131,7 @@
             settings.max_drift,
             settings.scan_interval_s + settings.scan_timeout_s,
         )
+        self._has_scanned = False
         self._leaving = False
         self._marking: set[str] = set()
         self._reported_by_id: dict[str, int] = {}
@@ -305,6 +310,7 @@
             self._observer.fail()
             return
         self._observer.observe(reply.rows, scan.sent_s, now)
+        self._forget_reports()
         yield from self._update_peers()
         for observed in self._observer.sessions_by_id.values():
             if observed.session_id != self._view.session_id:
@@ -322,8 +328,9 @@
             and not observed.lapsed
             and observed.session_id != self._view.session_id
         }
-        if peers_by_id == self._view.peers_by_id:
+        if self._has_scanned and peers_by_id == self._view.peers_by_id:
             return ()
+        self._has_scanned = True
         self._view.peers_by_id = peers_by_id
         return (PeersChanged(self._view.live_ids()),)
 
@@ -349,6 +356,14 @@
         self._reported_by_id[session_id] = version
         return (PeerLapsed(session_id, version),)
 
+    def _forget_reports(self) -> None:
+        sessions_by_id = self._observer.sessions_by_id
+        self._reported_by_id = {
+            session_id: version
+            for session_id, version in self._reported_by_id.items()
+            if session_id in sessions_by_id
+        }
+
     def _mark(self, observed: ObservedSession, now: float) -> Iterable[Signal]:
         if not self._may_write_for(observed, now, observed.row.ttl_s):
             return ()
--- a/src/apricotlead/coordination/worker_ownership.py
+++ b/src/apricotlead/coordination/worker_ownership.py
@@ -6,16 +6,17 @@
 from msgspec import Struct
 
 from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.lapsed_sessions import LapsedSessions
 from apricotlead.coordination.rendezvous import preferred
 from apricotlead.coordination.store_calls import StoreCalls
 from apricotlead.protocol.randomness import RandomSource
 from apricotlead.protocol.rows import (
     NO_OWNER,
+    WORKER_PREFIX,
     WorkerRow,
     id_of,
     put_struct,
     read_worker,
-    session_key,
     worker_key,
 )
 from apricotlead.protocol.signals import (
@@ -27,6 +28,7 @@
     Signal,
     StoreReplied,
     Tick,
+    Token,
     WorkerClaimed,
     WorkerDropped,
 )
@@ -36,6 +38,7 @@
     Committed,
     Row,
     Rows,
+    StoreFailed,
     StoreReply,
 )
 from apricotlead.state.cell_directory import CellDirectory
@@ -62,10 +65,9 @@
     release_delay_s: float = 0.5
 
 
-class _Owned(Struct):
+class _Owned(Struct, frozen=True):
     epoch: int
     version: int
-    announced: bool = False
 
 
 class _Dropped(Struct, frozen=True):
@@ -104,12 +106,16 @@
         '_directory',
         '_directory_version',
         '_dropped_by_id',
-        '_lapsed_by_id',
+        '_has_peers',
+        '_lapsed',
         '_leaving',
         '_owned_by_id',
         '_read_due_s',
+        '_read_sent_s',
+        '_read_tokens',
         '_rows_by_id',
         '_settings',
+        '_unannounced_ids',
         '_view',
         '_wanted_ids',
         '_write_due_s',
@@ -129,9 +135,12 @@
         self._directory = directory
         self._calls = StoreCalls(self.name, rng)
         self._directory_version = -1
-        self._lapsed_by_id: dict[str, int] = {}
+        self._lapsed = LapsedSessions()
         self._leaving = False
+        self._has_peers = False
         self._read_due_s = _NEVER
+        self._read_sent_s = _NEVER
+        self._read_tokens: set[Token] = set()
         self._write_due_s = _NEVER
         self._writing = False
         self._wanted_ids: dict[str, None] = {}
@@ -151,6 +160,9 @@
     @handles(Tick)
     def on_tick(self, signal: Tick, now: float) -> Iterable[Signal]:
         """Read, claim and release within the bounds."""
+        if not self._has_peers:
+            # Before the first scan every worker would seem to fall here.
+            return
         if self._directory_version != self._directory.version:
             yield from self._rebalance(now)
         if not self._view.is_valid(now):
@@ -164,12 +176,13 @@
     @handles(PeersChanged)
     def on_peers(self, signal: PeersChanged, now: float) -> Iterable[Signal]:
         """Work out anew which workers fall to this session."""
+        self._has_peers = True
         return self._rebalance(now)
 
     @handles(PeerLapsed)
     def on_lapsed(self, signal: PeerLapsed, now: float) -> Iterable[Signal]:
         """Remember which check allows to take the peer's workers."""
-        self._lapsed_by_id[signal.session_id] = signal.row_version
+        self._lapsed.note(signal.session_id, signal.row_version, now)
         self._read_due_s = now
         return ()
 
@@ -196,8 +209,13 @@
         purpose = self._calls.take(signal.token)
         if purpose is None:
             return ()
-        if not isinstance(purpose, _Reading):
+        if isinstance(purpose, _Reading):
+            self._read_tokens.discard(signal.token)
+        else:
             self._writing = False
+        if isinstance(signal.reply, StoreFailed):
+            retry_s = now + signal.reply.retry_after_s
+            self._write_due_s = max(self._write_due_s, retry_s)
         if purpose.session_id != self._view.session_id:
             return ()
         if isinstance(purpose, _Reading):
@@ -225,11 +243,18 @@
         self._owned_by_id: dict[str, _Owned] = {}
         self._dropped_by_id: dict[str, _Dropped] = {}
         self._rows_by_id: dict[str, Row] = {}
+        self._unannounced_ids: list[str] = []
 
     def _rebalance(self, now: float) -> Iterable[Signal]:
         self._directory_version = self._directory.version
         self._wanted_ids = {} if self._leaving else self._find_wanted()
         self._read_due_s = min(self._read_due_s, now)
+        missing_ids = set(self._missing_ids())
+        self._rows_by_id = {
+            worker_id: row
+            for worker_id, row in self._rows_by_id.items()
+            if worker_id in missing_ids
+        }
         dropped: list[Signal] = []
         for worker_id in tuple(self._owned_by_id):
             if worker_id not in self._wanted_ids:
@@ -267,10 +292,13 @@
         }
 
     def _announce(self) -> Iterable[Signal]:
-        for worker_id, owned in self._owned_by_id.items():
-            if not owned.announced:
-                owned.announced = True
-                yield WorkerClaimed(worker_id, owned.epoch)
+        unannounced_ids = self._unannounced_ids
+        self._unannounced_ids = []
+        return [
+            WorkerClaimed(worker_id, self._owned_by_id[worker_id].epoch)
+            for worker_id in unannounced_ids
+            if worker_id in self._owned_by_id
+        ]
 
     def _missing_ids(self) -> list[str]:
         return [
@@ -282,22 +310,38 @@
 
     def _read(self, now: float) -> Iterable[Signal]:
         self._read_due_s = now + self._settings.read_interval_s
+        if self._read_tokens:
+            if now - self._read_sent_s <= self._settings.read_timeout_s:
+                return
+            self._give_up_reads()
+        self._read_sent_s = now
         keys = sorted(map(worker_key, self._missing_ids()))
         chunk = self._settings.workers_per_read
         for start in range(0, len(keys), chunk):
-            yield self._calls.read(
+            read = self._calls.read(
                 _Reading(self._view.session_id),
                 tuple(keys[start : start + chunk]),
             )
+            self._read_tokens.add(read.token)
+            yield read
+
+    def _give_up_reads(self) -> None:
+        for token in self._read_tokens:
+            self._calls.give_up(token)
+        self._read_tokens.clear()
 
     def _have_read(self, reply: StoreReply) -> Iterable[Signal]:
         if isinstance(reply, Rows):
-            for row in reply.rows:
-                self._rows_by_id[id_of(row)] = row
+            missing_ids = set(self._missing_ids())
+            self._rows_by_id.update(
+                (id_of(row), row)
+                for row in reply.rows
+                if id_of(row) in missing_ids
+            )
         return ()
 
     def _write(self, now: float) -> Iterable[Signal]:
-        write = self._release(now) or self._claim()
+        write = self._release(now) or self._claim(now)
         if write is None:
             return ()
         sessions = len(self._view.peers_by_id) + 1
@@ -353,12 +397,11 @@
             if dropped is not None and row.version != dropped.version:
                 self._dropped_by_id.pop(worker_id)
 
-    def _claim(self) -> Signal | None:
+    def _claim(self, now: float) -> Signal | None:
         rows = [
-            self._rows_by_id[worker_id]
-            for worker_id in self._missing_ids()
-            if worker_id in self._rows_by_id
-            and self._may_claim(self._rows_by_id[worker_id])
+            row
+            for row in self._rows_by_id.values()
+            if self._may_claim(row, now)
         ][: self._settings.workers_per_write]
         if not rows:
             return None
@@ -376,20 +419,18 @@
             ),
         )
 
-    def _may_claim(self, row: Row) -> bool:
+    def _may_claim(self, row: Row, now: float) -> bool:
         owner = read_worker(row).owner
         if owner in {NO_OWNER, self._view.session_id}:
             return True
         if owner in self._view.peers_by_id:
             return False
-        # A session without a row that it still wrote itself is lapsed; one
-        # that is leaving (version 0 in the report) releases by itself.
-        return self._lapsed_by_id.get(owner) != 0
+        return self._lapsed.may_take_from(owner, now)
 
     def _owner_checks(self, rows: Sequence[Row]) -> Iterable[Check]:
         owners = {read_worker(row).owner for row in rows}
         for owner in sorted(owners - {NO_OWNER, self._view.session_id}):
-            yield Check(session_key(owner), self._lapsed_by_id.get(owner, 0))
+            yield self._lapsed.check_of(owner)
 
     def _claimed(
         self,
@@ -400,7 +441,7 @@
         if isinstance(reply, Committed):
             return self._take(claiming, reply, now)
         if isinstance(reply, CheckFailed):
-            self._learn(reply)
+            self._learn(reply, now)
         return (Count('ownership.claim_failed'),)
 
     def _take(
@@ -415,25 +456,20 @@
                 epoch,
                 reply.versions[worker_key(worker_id)],
             )
-            if worker_id not in self._wanted_ids:
+            if worker_id in self._wanted_ids:
+                self._unannounced_ids.append(worker_id)
+            else:
                 self._drop(worker_id, now)
         if self._view.is_valid(now):
-            return tuple(self._announce())
+            return self._announce()
         return ()
 
-    def _learn(self, reply: CheckFailed) -> None:
+    def _learn(self, reply: CheckFailed, now: float) -> None:
         for row in reply.rows:
-            if row.key.startswith('worker/'):
+            if row.key.startswith(WORKER_PREFIX):
                 self._rows_by_id[id_of(row)] = row
-            elif not row.version:
-                self._lapsed_by_id.pop(id_of(row), None)
             else:
-                self._learn_owner(row)
-
-    def _learn_owner(self, row: Row) -> None:
-        state = row.value['state']
-        is_adopted = state == 'adopted'
-        self._lapsed_by_id[id_of(row)] = row.version if is_adopted else 0
+                self._lapsed.learn(id_of(row), row, now)
 
 
 def _falls_to(
