Fuzz the job lifecycle against a simulated cell

Cause: a task that runs twice or a job that is lost shows only when faults of the store, the desks, the workers and the homes meet.

Ruled out: a fuzz of each component alone; the promises hold only together.

Before and after: the fuzz found a gang that ended as may_have_run after its attempts were used up.

--- a/src/apricotlead/state/job_table.py
+++ b/src/apricotlead/state/job_table.py
@@ -177,9 +177,14 @@
     def _final_state_of_open_gang(self) -> JobState | None:
         if not self.is_gang():
             return None
-        if self.has_outcome('may_have_run') or self.has_outcome('done'):
-            return 'may_have_run'
-        return 'refused' if self.has_outcome('refused') else None
+        if self.has_outcome('refused'):
+            return 'refused'
+        # Only a non-idempotent gang keeps tasks that are done in a round
+        # that failed; it cannot start again as a whole.
+        is_partial = self.has_outcome('may_have_run') or self.has_outcome(
+            'done'
+        )
+        return 'may_have_run' if is_partial else None
 
 
 class _Held:
--- /dev/null
+++ b/tests/test_job_lifecycle_fuzz.py
@@ -0,0 +1,206 @@
+"""Fuzzes jobs, dispatch and leases together against a simple cell."""
+
+from random import Random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from apricotlead.protocol.jobs import (
+    JobAccepted,
+    JobEnded,
+    Submission,
+    TaskSpec,
+)
+from apricotlead.protocol.outcomes import Done, NotRun
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.signals import AdmitJob, FindJob
+from tests.job_cell import Cell
+
+SETTLE_S = 150
+# Calls, parked requests and questions are over this long after the last
+# fault; the rest of the time is for retries.
+DEMAND = Resources(1000, 1000)
+
+
+class JobLifecycleMachine(RuleBasedStateMachine):
+    """Guards against lost jobs, double runs and false refusals."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def open_cell(self, seed):
+        """Begin with three homes and four workers."""
+        self.cell = Cell(Random(seed))
+        self.rng = self.cell.rng
+        self.tickets = 0
+        self.homes_by_ticket = {}
+        self.cell.run(0.2)
+
+    @rule(
+        kind=st.sampled_from(('batch', 'gang')),
+        count=st.integers(1, 4),
+        idempotent=st.booleans(),
+        urgent=st.booleans(),
+        request=st.sampled_from(('', '', '', 'r1', 'r2')),
+        run_s=st.sampled_from((0.05, 0.5, 3, 12)),
+    )
+    def submit(self, kind, count, idempotent, urgent, request, run_s):
+        """Hand a job to any home."""
+        self.tickets += 1
+        spec = TaskSpec(DEMAND, run_s, f'ticket-{self.tickets}')
+        submission = Submission(
+            'queue',
+            (spec,) * count,
+            kind,
+            'urgent' if urgent else 'normal',
+            idempotent,
+            request,
+        )
+        self.cell.submissions[self.tickets] = submission
+        self.deliver(AdmitJob(self.tickets, 'team', submission))
+
+    @rule(cancel=st.booleans())
+    def find(self, cancel):
+        """Ask any home about an accepted job, or cancel it."""
+        accepted = sorted(self.accepted())
+        if accepted:
+            self.tickets += 1
+            job_id = self.rng.choice(accepted)
+            if cancel:
+                self.cell.cancelled_ids.add(job_id)
+            self.deliver(FindJob(self.tickets, job_id, 'team', cancel))
+
+    @rule(duration=st.sampled_from((0.03, 0.1, 0.3, 1, 4)))
+    def advance(self, duration):
+        """Let time pass."""
+        self.cell.run(duration)
+
+    @rule(rate=st.sampled_from((0, 0.05, 0.3)))
+    def set_fault_rate(self, rate):
+        """Lose, double and delay that part of all messages."""
+        self.cell.fault_rate = rate
+
+    @rule(up=st.booleans())
+    def set_store(self, up):
+        """Stop or start the store."""
+        self.cell.store_is_up = up
+
+    @rule(action=st.sampled_from(('die', 'pause', 'long pause', 'cut', 'heal')))
+    def disturb_home(self, action):
+        """Kill, pause or cut off a home while another one stays."""
+        alive = self.cell.alive()
+        if action == 'heal':
+            self.heal_homes()
+        elif len(alive) > 1:
+            self.disturb(self.rng.choice(alive), action)
+
+    @rule(action=st.sampled_from(('restart', 'down', 'up', 'cut', 'join')))
+    def disturb_worker(self, action):
+        """Restart or stop a worker, or cut its link to one home."""
+        worker = self.rng.choice(self.cell.workers[1:])
+        link = (self.rng.choice(self.cell.homes).number, worker.worker_id)
+        if action == 'down':
+            worker.is_down = True
+        elif action in {'restart', 'up'}:
+            worker.is_down = False
+            worker.restart()
+        elif action == 'cut':
+            self.cell.cut_links.add(link)
+        else:
+            self.cell.cut_links.discard(link)
+
+    def teardown(self):
+        """Stop all faults and check what each caller was promised."""
+        if not hasattr(self, 'cell'):
+            return
+        self.cell.fault_rate = 0
+        self.cell.store_is_up = True
+        self.cell.cut_links.clear()
+        self.heal_homes()
+        self.cell.run(SETTLE_S)
+        self.check_ends()
+        self.check_refusals()
+        self.check_answers()
+        for home in self.cell.alive():
+            units = {key: used for key, used in home.limits.in_use.items()}
+            for journal_id in home.table.journal_ids():
+                assert not units.get(('team', journal_id)), 'unit leaked'
+
+    def check_ends(self):
+        """Each accepted job has ended in a state that its tasks show."""
+        ends = {
+            record.job_id: record.state
+            for record in self.records()
+            if isinstance(record, JobEnded)
+        }
+        for job_id, accepted in self.accepted().items():
+            assert job_id in ends, f'{job_id} was lost'
+            submission = accepted.submission
+            for task, _ in enumerate(submission.tasks):
+                finished = self.cell.finishes[f'{job_id}.{task}', 'succeeded']
+                assert finished or ends[job_id] != 'done', f'{job_id} not run'
+            if ends[job_id] == 'cancelled':
+                assert job_id in self.cell.cancelled_ids
+            if ends[job_id] == 'may_have_run':
+                assert not submission.idempotent
+
+    def check_refusals(self):
+        """No submission that was answered as not run is in a journal."""
+        commands = {
+            accepted.submission.tasks[0].command
+            for accepted in self.accepted().values()
+        }
+        for ticket, submission in self.cell.submissions.items():
+            for outcome in self.cell.answers[ticket]:
+                if isinstance(outcome, NotRun):
+                    assert submission.tasks[0].command not in commands
+
+    def check_answers(self):
+        """Nobody is answered twice; a request id has one job."""
+        jobs_by_request = {}
+        for ticket, home in self.homes_by_ticket.items():
+            outcomes = self.cell.answers[ticket]
+            if home.is_dead and not outcomes:
+                continue
+            assert len(outcomes) == 1, f'ticket {ticket}: {outcomes}'
+            submission = self.cell.submissions.get(ticket)
+            if isinstance(outcomes[0], Done) and submission:
+                key = submission.request_id or ticket
+                job_id = outcomes[0].answer.job_id
+                assert jobs_by_request.setdefault(key, job_id) == job_id
+
+    def disturb(self, home, action):
+        """Do it to this home."""
+        if action == 'die':
+            home.is_dead = True
+        elif action == 'cut':
+            home.is_cut = True
+        else:
+            pause_s = 60 if action == 'long pause' else 2
+            home.paused_until = self.cell.now + pause_s
+
+    def heal_homes(self):
+        """Join and resume those that live."""
+        for home in self.cell.homes:
+            home.is_cut = False
+            home.paused_until = 0
+
+    def deliver(self, signal):
+        """Bring a caller's request to any home that runs."""
+        home = self.rng.choice(self.cell.alive())
+        self.homes_by_ticket[signal.ticket] = home
+        home.deliver(signal)
+
+    def records(self):
+        """Return all durable records."""
+        for journal in self.cell.journals.values():
+            yield from journal.records
+
+    def accepted(self):
+        """Return the accepted jobs by id."""
+        return {
+            record.job_id: record
+            for record in self.records()
+            if isinstance(record, JobAccepted)
+        }
+
+
+TestJobLifecycleFuzz = JobLifecycleMachine.TestCase
