--- a/src/apricotlead/coordination/gang_holds.py
+++ b/src/apricotlead/coordination/capacity_holds.py
@@ -1,4 +1,4 @@
-"""Keeps small tasks from starving a gang that needs room all at once."""
+"""Keeps small tasks from starving a gang or a large urgent task."""
 
 from collections.abc import Iterable
 
@@ -7,39 +7,47 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.capacity_ledger import CapacityLedger, OwnedWorker
 
+# Jobs that one review tries to hold workers for; bounds its time when many
+# wait that the owned workers could never take.
+_MAX_TRIED = 8
+
 
 class HoldSettings(Struct, frozen=True):
     """Times in seconds.
 
-    A gang that has asked for longer than ``patience_s`` gets workers held for
-    it. It loses them after ``longest_hold_s``, or when it has not asked again
-    for ``silence_s`` (a home asks again after about 4 s). Holds are reviewed
-    every ``review_s``.
+    A job that has asked for longer than ``patience_s`` (urgent jobs:
+    ``urgent_patience_s``) gets workers held for it. It loses them after
+    ``longest_hold_s``, or when it has not asked again for ``silence_s`` (the
+    home of a gang asks again after about 4 s). Holds are reviewed every
+    ``review_s``.
     """
 
     patience_s: float = 2.0
+    urgent_patience_s: float = 0.3
     silence_s: float = 8.0
     longest_hold_s: float = 120.0
-    review_s: float = 0.5
+    review_s: float = 0.1
 
 
-class _WaitingGang(Struct):
+class _WaitingJob(Struct):
     since_s: float
     asked_s: float
+    urgent: bool
     demands: tuple[Resources, ...]
 
 
-class GangHolds:
-    """Workers that drain for the gang that has waited longest.
+class CapacityHolds:
+    """Workers that drain for the job that has waited longest.
 
-    A gang is known by its job id, since each of its tries brings fresh
-    request and attempt ids. Other work but urgent work avoids the held
-    workers, so that their room adds up. One gang at a time has a hold, and
-    only one that the owned workers could take if they were idle.
+    Only gangs and urgent jobs have holds. They are known by job id, since
+    each try brings fresh request and attempt ids. All work but urgent work
+    avoids the held workers, so that their room adds up. One job at a time
+    has a hold, urgent ones first, and only one that the owned workers could
+    take if they were idle.
     """
 
     __slots__ = (
-        '_gangs_by_job_id',
+        '_waiting_by_job_id',
         '_holder',
         '_ledger',
         '_next_review_s',
@@ -52,7 +60,7 @@
         """Begin with nothing held."""
         self._policy = settings
         self._ledger = ledger
-        self._gangs_by_job_id: dict[str, _WaitingGang] = {}
+        self._waiting_by_job_id: dict[str, _WaitingJob] = {}
         self._holder = ''
         self._since_s = 0.0
         self._next_review_s = float('-inf')
@@ -66,36 +74,37 @@
         self,
         job_id: str,
         demands: Iterable[Resources],
+        urgent: bool,
         now: float,
     ) -> None:
-        """Note that a gang asks for room; its first request counts as its age.
+        """Note that a job asks for room; its age counts from the first time.
 
         Owners that are asked for parts of one gang therefore agree about
         which gang is the oldest.
         """
-        gang = self._gangs_by_job_id.get(job_id)
-        if gang is None:
-            gang = _WaitingGang(now, now, ())
-            self._gangs_by_job_id[job_id] = gang
-        gang.asked_s = now
-        gang.demands = tuple(demands)
+        waiting = self._waiting_by_job_id.get(job_id)
+        if waiting is None:
+            waiting = _WaitingJob(now, now, urgent, ())
+            self._waiting_by_job_id[job_id] = waiting
+        waiting.asked_s = now
+        waiting.demands = tuple(demands)
 
     def served(self, job_id: str) -> None:
-        """Note that a gang got all its room."""
-        self._gangs_by_job_id.pop(job_id, None)
+        """Note that a job got all the room that it asked for."""
+        self._waiting_by_job_id.pop(job_id, None)
         if job_id == self._holder:
             self._end_hold()
 
     def clear(self) -> None:
-        """Forget all gangs."""
-        self._gangs_by_job_id.clear()
+        """Forget all jobs."""
+        self._waiting_by_job_id.clear()
         self._end_hold()
 
     def advance(self, now: float) -> bool:
         """End an overdue hold, begin a due one; tell if a hold ended.
 
-        Costs O(waiting gangs) per review, and O(workers log workers) for each
-        gang that a hold is tried for.
+        Costs O(waiting jobs) per review, and O(workers log workers) for each
+        job that a hold is tried for.
         """
         if now < self._next_review_s:
             return False
@@ -108,18 +117,18 @@
 
     def _forget_silent(self, now: float) -> None:
         oldest_s = now - self._policy.silence_s
-        for job_id, gang in tuple(self._gangs_by_job_id.items()):
-            if gang.asked_s < oldest_s:
-                self._gangs_by_job_id.pop(job_id)
+        for job_id, waiting in tuple(self._waiting_by_job_id.items()):
+            if waiting.asked_s < oldest_s:
+                self._waiting_by_job_id.pop(job_id)
 
     def _end_overdue(self, now: float) -> bool:
         if not self._holder:
             return False
-        gang = self._gangs_by_job_id.get(self._holder)
-        if gang is not None:
+        waiting = self._waiting_by_job_id.get(self._holder)
+        if waiting is not None:
             if now < self._since_s + self._policy.longest_hold_s:
                 return False
-            gang.since_s = now
+            waiting.since_s = now
         self._end_hold()
         return True
 
@@ -128,14 +137,13 @@
         self.worker_ids = frozenset()
 
     def _begin_hold(self, now: float) -> None:
-        ripe_s = now - self._policy.patience_s
-        waiting = sorted(
-            (gang.since_s, job_id)
-            for job_id, gang in self._gangs_by_job_id.items()
-            if gang.since_s <= ripe_s
+        ripe = sorted(
+            (not waiting.urgent, waiting.since_s, job_id)
+            for job_id, waiting in self._waiting_by_job_id.items()
+            if self._is_ripe(waiting, now)
         )
-        for _, job_id in waiting:
-            demands = self._gangs_by_job_id[job_id].demands
+        for _, _, job_id in ripe[:_MAX_TRIED]:
+            demands = self._waiting_by_job_id[job_id].demands
             worker_ids = _workers_to_drain(self._ledger, demands)
             if worker_ids:
                 self._holder = job_id
@@ -143,6 +151,12 @@
                 self.worker_ids = worker_ids
                 return
 
+    def _is_ripe(self, waiting: _WaitingJob, now: float) -> bool:
+        patience_s = self._policy.patience_s
+        if waiting.urgent:
+            patience_s = self._policy.urgent_patience_s
+        return waiting.since_s + patience_s <= now
+
 
 def _workers_to_drain(
     ledger: CapacityLedger,
--- a/src/apricotlead/coordination/granting.py
+++ b/src/apricotlead/coordination/granting.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct, structs
 
+from apricotlead.coordination.capacity_holds import CapacityHolds
 from apricotlead.coordination.fair_share import PolicySource
-from apricotlead.coordination.gang_holds import GangHolds
 from apricotlead.coordination.parked_requests import OpenRequest
 from apricotlead.coordination.placement import (
     Policy,
@@ -55,7 +55,7 @@
         view: SessionView,
         ledger: CapacityLedger,
         quarantine: Quarantine,
-        holds: GangHolds,
+        holds: CapacityHolds,
         policies: PolicySource,
     ) -> None:
         """Keep what decides about a grant."""
@@ -153,14 +153,11 @@
         return self._not_after_s(worker, now) - latest_clock_s
 
     def _cannot_fit(self, request: OpenRequest) -> bool:
-        """Tell cheaply that nothing of the request can be placed."""
-        demands = request.open_by_attempt_id.values()
-        if request.whole:
-            total = sum(demands, Resources())
-            if not total.fits_in(self._ledger.total_free()):
-                return True
-        largest = self._ledger.largest_free()
-        return not any(demand.fits_in(largest) for demand in demands)
+        """Tell cheaply that a request that is served as a whole has no room."""
+        if not request.whole:
+            return False
+        total = sum(request.open_by_attempt_id.values(), Resources())
+        return not total.fits_in(self._ledger.total_free())
 
     def _preset_for(self, request: OpenRequest) -> Preset:
         """Return the preset; favoured work may use the kept share too."""
--- a/src/apricotlead/coordination/quarantine.py
+++ b/src/apricotlead/coordination/quarantine.py
@@ -53,6 +53,10 @@
         self._ejection.advance(now)
         return self._sync(self._ejection.out_ids())
 
+    def restore(self, worker_id: str) -> None:
+        """Block a quarantined worker again that was claimed anew."""
+        self._sync((worker_id,))
+
     def forget(self, worker_id: str) -> None:
         """Drop a worker that is no longer owned."""
         self._ejection.forget(worker_id)
--- a/src/apricotlead/coordination/reservations.py
+++ b/src/apricotlead/coordination/reservations.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from apricotlead.coordination.capacity_holds import CapacityHolds, HoldSettings
 from apricotlead.coordination.component import (
     Component,
     handles,
@@ -18,7 +19,6 @@
     team_share,
     team_weight,
 )
-from apricotlead.coordination.gang_holds import GangHolds, HoldSettings
 from apricotlead.coordination.granting import GrantBounds, Granter
 from apricotlead.coordination.parked_requests import (
     OpenRequest,
@@ -105,7 +105,7 @@
         self._policies = policies
         self._usage = usage
         self._parked = ParkedRequests()
-        self._holds = GangHolds(settings.holds, ledger)
+        self._holds = CapacityHolds(settings.holds, ledger)
         self._granter = Granter(
             settings.bounds,
             view,
@@ -130,9 +130,13 @@
         self._requests_by_key[key] = request
         if len(request.open_by_attempt_id) < len(message.demands):
             return self._refuse(request)
-        if message.gang:
-            demands = request.open_by_attempt_id.values()
-            self._holds.asked(request.job_id, demands, now)
+        if request.favoured:
+            self._holds.asked(
+                request.job_id,
+                request.open_by_attempt_id.values(),
+                message.priority == 'urgent',
+                now,
+            )
         return (
             *self._serve(request, now),
             *self._park_or_refuse(request, now),
@@ -220,7 +224,7 @@
         for grant in grants:
             self._recent.add(team, demands_by_id[grant.attempt_id], now)
         request.grants.extend(grants)
-        if request.whole:
+        if not request.open_by_attempt_id and not request.message.partial:
             self._holds.served(request.job_id)
         return self._send_grants(request, grants)
 
--- a/src/apricotlead/coordination/worker_monitor.py
+++ b/src/apricotlead/coordination/worker_monitor.py
@@ -131,6 +131,7 @@
         if watch is not None and watch.epoch >= signal.epoch:
             return ()
         self._ledger.claim(signal.worker_id, signal.epoch)
+        self._quarantine.restore(signal.worker_id)
         watch = _Watch(signal.epoch, now)
         self._watches_by_id[signal.worker_id] = watch
         effects = self._beat(signal.worker_id, watch, now)
@@ -220,14 +221,15 @@
     ) -> Iterable[Signal]:
         """Send the heartbeat of this turn and schedule the next."""
         period_s = self._settings.heartbeat_s
-        late_s = (now - watch.due_s) % period_s
-        self._schedule(worker_id, watch, now - late_s + period_s)
         # An answer that is overdue by a period will not come.
         overdue_s = watch.sent_s + self._settings.reply_timeout_s + period_s
         if watch.pending and now < overdue_s:
+            self._schedule(worker_id, watch, now + self._settings.early_s)
             return ()
         if watch.pending:
             self._ledger.block(worker_id, _UNREACHABLE)
+        late_s = (now - watch.due_s) % period_s
+        self._schedule(worker_id, watch, now - late_s + period_s)
         return self._beat(worker_id, watch, now)
 
     def _beat(
