--- a/demo/stenora.py
+++ b/demo/stenora.py
@@ -128,6 +128,11 @@
             raise RuntimeError(str(answer))
         return answer
 
+    def version(self) -> int:
+        """Return the configuration version at the operators' instance."""
+        health = self.ask(self.entries[0], '/v1/health')
+        return health.body['config_version']
+
     def has_version(self, version: int) -> bool:
         """Tell whether all entry instances have this configuration."""
         return all(
