--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -112,9 +112,8 @@
 def stop(chaos: Chaos) -> str:
     """Stop an entry instance as planned and start another."""
     victim = chaos.rng.choice(chaos.stenora.entries)
-    return (
-        f'{victim}, now {chaos.stenora.replace_entry(victim, Node.terminate)}'
-    )
+    successor = chaos.stenora.replace_entry(victim, Node.terminate)
+    return f'{victim}, now {successor}'
 
 
 @fault
@@ -149,7 +148,8 @@
     for name in names:
         chaos.set_faults(name, cut_datacentres=[datacentre])
         chaos.later(STORE_FAULT_S, partial(chaos.set_faults, name))
-    return f'{datacentre} from {names}'
+    joined = ', '.join(names)
+    return f'{datacentre} from {joined}'
 
 
 @fault
