--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,15 +1,27 @@
 """A table service and an object store in memory, for tests."""
 
+from apricotlead.coordination.component import Component, handles
 from apricotlead.coordination.scheduler import Scheduler
 from apricotlead.coordination.store_settlement import StoreSettlement
 from apricotlead.protocol.signals import (
     GetObject,
+    JournalClosed,
+    JournalOpened,
     ObjectReplied,
+    PeerLapsed,
+    PeersChanged,
     PutObject,
     ReadRows,
+    RecordsCommitted,
+    RecordsRejected,
     ScanRows,
+    SessionLost,
+    SessionOpened,
     StoreReplied,
+    Tick,
     Transact,
+    WorkerClaimed,
+    WorkerDropped,
 )
 from apricotlead.protocol.table import (
     CheckFailed,
@@ -100,25 +112,87 @@
         return ObjectReplied(effect.token, succeeded=True, content=found)
 
 
+class Recorder(Component):
+    """Keeps the signals between components, in order, in ``seen``."""
+
+    name = 'recorder'
+
+    def __init__(self):
+        """Begin with none."""
+        self.seen = []
+
+    @handles(
+        SessionOpened,
+        SessionLost,
+        PeersChanged,
+        PeerLapsed,
+        JournalOpened,
+        JournalClosed,
+        RecordsCommitted,
+        RecordsRejected,
+        WorkerClaimed,
+        WorkerDropped,
+    )
+    def on_signal(self, signal, now):
+        """Keep the signal."""
+        self.seen.append(signal)
+        return ()
+
+    def take(self, *signal_types):
+        """Return and forget the kept signals of these types."""
+        taken = [one for one in self.seen if isinstance(one, signal_types)]
+        self.seen = [one for one in self.seen if one not in taken]
+        return taken
+
+
 class FakeInstance:
     """Components behind a scheduler, joined to a fake store.
 
-    Each call is answered at once; other effects are kept in ``effects``.
+    Each call is answered at once, but those of the types in ``holds`` wait
+    in ``held`` for ``release``. Other effects are kept in ``effects``.
     """
 
-    def __init__(self, store, *components):
-        """Join the components."""
+    def __init__(self, store, view, *components):
+        """Join the components and a recorder; ``view`` is theirs."""
         self.store = store
-        self.scheduler = Scheduler(components, StoreSettlement())
+        self.view = view
+        self.recorder = Recorder()
+        self.scheduler = Scheduler(
+            (*components, self.recorder),
+            StoreSettlement(),
+        )
         self.effects = []
+        self.holds = ()
+        self.held = []
 
     def deliver(self, signal, now):
         """Deliver a signal and carry out all that follows."""
         queue = [signal]
         while queue:
             for effect in self.scheduler.deliver(queue.pop(0), now):
-                reply = self.store.carry_out(effect)
-                if reply is None:
-                    self.effects.append(effect)
+                if isinstance(effect, self.holds):
+                    self.held.append(effect)
                 else:
-                    queue.append(reply)
+                    queue.extend(self._reply_to(effect))
+
+    def release(self, now):
+        """Carry the held calls out and deliver their replies."""
+        held = self.held
+        self.held = []
+        self.holds = ()
+        replies = [reply for one in held for reply in self._reply_to(one)]
+        for reply in replies:
+            self.deliver(reply, now)
+
+    def run(self, begin_s, end_s, step_s=0.1):
+        """Deliver ticks from ``begin_s`` to ``end_s``."""
+        count = round((end_s - begin_s) / step_s)
+        for number in range(1, count + 1):
+            self.deliver(Tick(), begin_s + number * step_s)
+
+    def _reply_to(self, effect):
+        reply = self.store.carry_out(effect)
+        if reply is None:
+            self.effects.append(effect)
+            return []
+        return [reply]
--- /dev/null
+++ b/tests/test_journals.py
@@ -0,0 +1,360 @@
+"""Records are durable once and belong to one owner, whatever fails."""
+
+from random import Random
+
+import msgspec
+from testtools import TestCase
+
+from apricotlead.coordination.journal_writer import WriterSettings
+from apricotlead.coordination.journals import JournalKeeper, JournalSettings
+from apricotlead.protocol.jobs import JobAccepted, JobEnded, Submission
+from apricotlead.protocol.rows import (
+    JournalRow,
+    SessionRow,
+    journal_key,
+    session_key,
+)
+from apricotlead.protocol.signals import (
+    AppendRecords,
+    JournalClosed,
+    JournalOpened,
+    PeerLapsed,
+    RecordsCommitted,
+    RecordsRejected,
+    SessionLost,
+    SessionOpened,
+    Shutdown,
+    Token,
+    Transact,
+)
+from apricotlead.protocol.table import Row
+from apricotlead.state.session_view import SessionView
+from tests.fakes import FakeInstance, FakeStore
+
+OWN = 'own'
+PEER = 'peer'
+FOREVER_S = 1e6
+
+
+def job(number, journal_id=OWN):
+    """Return the record of an accepted job."""
+    return JobAccepted(f'{journal_id}.{number}', 'team', Submission('q', ()))
+
+
+def append(number, request_key='', journal_id=OWN):
+    """Ask for one job to be made durable."""
+    record = job(number, journal_id)
+    return AppendRecords(
+        Token('recorder', number=number),
+        journal_id,
+        (record,),
+        request_key,
+        record.job_id,
+    )
+
+
+class JournalCase(TestCase):
+    """A journal keeper with a valid session and an open journal."""
+
+    settings = JournalSettings()
+
+    def setUp(self):
+        """Open the journal."""
+        super().setUp()
+        self.store = FakeStore()
+        self.view = SessionView(OWN, 'a')
+        self.view.lease_end_s = FOREVER_S
+        self.keeper = JournalKeeper.from_config(
+            self.settings,
+            self.view,
+            Random(1),
+        )
+        self.instance = FakeInstance(self.store, self.view, self.keeper)
+        self.recorder = self.instance.recorder
+        self.instance.deliver(SessionOpened(OWN), 0)
+        self.instance.run(0, 1)
+        self.assertEqual(
+            [JournalOpened(OWN, 1)],
+            self.recorder.take(JournalOpened),
+        )
+
+    def put_row(self, key, struct, version):
+        """Put a row in the store as another session does."""
+        self.store.rows_by_key[key] = Row(
+            key,
+            version,
+            msgspec.to_builtins(struct),
+            'of-a-peer',
+        )
+
+    def put_session(self, session_id, state, version=700):
+        """Put a session row."""
+        row = SessionRow('entry', '127.0.0.1:1', 'a', 4, state=state)
+        self.put_row(session_key(session_id), row, version)
+
+    def put_journal(self, owner, **fields):
+        """Put the journal of a peer with one segment."""
+        row = JournalRow(owner, epoch=4, **fields)
+        self.put_row(journal_key(PEER), row, 800)
+        self.store.rows_by_key[f'segment/{PEER}/0000000000'] = Row(
+            f'segment/{PEER}/0000000000',
+            801,
+            [msgspec.to_builtins(job(1, PEER))],
+            'of-a-peer',
+        )
+
+    def numbers(self, signal_type):
+        """Return the numbers of the appends with this result."""
+        taken = self.recorder.take(signal_type)
+        return [signal.token.number for signal in taken]
+
+
+class TestAppends(JournalCase):
+    """Guards against records that are lost, doubled or refused wrongly."""
+
+    def test_one_batch_is_in_flight(self):
+        """What comes while a batch is out goes into the next one."""
+        self.instance.holds = (Transact,)
+        for number in (1, 2, 3):
+            self.instance.deliver(append(number), 1)
+            self.instance.run(1 + number / 10, 1.1 + number / 10)
+        self.assertEqual(1, len(self.instance.held))
+        self.assertEqual([], self.numbers(RecordsCommitted))
+        self.instance.release(1.5)
+        self.instance.run(1.5, 2.5)
+        self.assertEqual([1, 2, 3], self.numbers(RecordsCommitted))
+        self.assertEqual(2, len(self.store.keys('segment/')))
+
+    def test_store_down_refuses_within_the_bound(self):
+        """A definite refusal is enough; the records are never written."""
+        self.store.is_down = True
+        self.instance.deliver(append(1), 1)
+        self.instance.run(1, 2.1)
+        self.assertEqual([1], self.numbers(RecordsRejected))
+        self.store.is_down = False
+        self.instance.run(2.1, 5)
+        self.assertEqual([], self.store.keys('segment/'))
+
+    def test_batch_of_unknown_outcome_is_not_refused(self):
+        """Only what waits behind it is."""
+        self.store.loses_answers = True
+        self.instance.deliver(append(1), 1)
+        self.instance.run(1, 1.2)
+        self.instance.deliver(append(2), 1.2)
+        self.instance.run(1.2, 9)
+        self.assertEqual([2], self.numbers(RecordsRejected))
+        self.store.loses_answers = False
+        self.instance.run(9, 12)
+        self.assertEqual([1], self.numbers(RecordsCommitted))
+        self.assertEqual(1, len(self.store.keys('segment/')))
+
+    def test_nothing_is_sent_without_a_valid_lease(self):
+        """The own clock ends the right to append."""
+        self.view.lease_end_s = 1
+        self.instance.holds = (Transact,)
+        self.instance.deliver(append(1), 1)
+        self.instance.run(1, 3)
+        self.assertEqual([], self.instance.held)
+        self.assertEqual([1], self.numbers(RecordsRejected))
+
+    def test_request_key_is_used_once(self):
+        """Repeats name the first job, also within one batch."""
+        for number in (1, 2, 3):
+            key = 'team/r' if number < 3 else ''
+            self.instance.deliver(append(number, key), 1)
+        self.instance.run(1, 2)
+        self.instance.deliver(append(4, 'team/r'), 2)
+        self.instance.run(2, 3)
+        rejected = self.recorder.take(RecordsRejected)
+        self.assertEqual(
+            [(2, 'own.1'), (4, 'own.1')],
+            [(one.token.number, one.existing_job_id) for one in rejected],
+        )
+        self.assertEqual([1, 3], self.numbers(RecordsCommitted))
+
+    def test_deposed_owner_closes_the_journal(self):
+        """The row check fails, even where the segment's place is free."""
+        row = JournalRow(PEER, epoch=2)
+        self.put_row(journal_key(OWN), row, 900)
+        self.instance.deliver(append(1), 1)
+        self.instance.run(1, 2)
+        self.assertEqual(
+            [JournalClosed(OWN)],
+            self.recorder.take(JournalClosed),
+        )
+        self.assertEqual([1], self.numbers(RecordsRejected))
+        self.assertEqual([], self.store.keys('segment/'))
+
+    def test_batch_in_flight_outlives_the_session(self):
+        """Its records are reported by what the store says in the end."""
+        self.instance.holds = (Transact,)
+        self.instance.deliver(append(1), 1)
+        self.instance.run(1, 1.2)
+        self.instance.deliver(append(2), 1.2)
+        self.instance.deliver(SessionLost(OWN), 1.3)
+        self.assertEqual([2], self.numbers(RecordsRejected))
+        self.instance.release(1.4)
+        self.assertEqual([1], self.numbers(RecordsCommitted))
+        self.assertTrue(self.keeper.is_drained())
+
+    def test_unknown_journal_is_refused_at_once(self):
+        """Nobody waits for a journal that is not owned here."""
+        self.instance.deliver(append(1, journal_id=PEER), 1)
+        self.assertEqual([1], self.numbers(RecordsRejected))
+
+
+class TestAdoption(JournalCase):
+    """Guards against taking a journal too early, twice, or not at all."""
+
+    def adopt_after(self, *lapsed):
+        """Report lapsed sessions and let time pass."""
+        for one in lapsed:
+            self.instance.deliver(one, 1)
+        self.instance.run(1, 20)
+        return self.recorder.take(JournalOpened)
+
+    def test_lapsed_owner(self):
+        """The epoch goes up and the records are replayed."""
+        self.put_session(PEER, 'adopted')
+        self.put_journal(PEER)
+        opened = JournalOpened(PEER, 5, (job(1, PEER),))
+        self.assertEqual([opened], self.adopt_after(PeerLapsed(PEER, 700)))
+        self.instance.deliver(append(9, journal_id=PEER), 20)
+        self.instance.run(20, 21)
+        self.assertEqual([9], self.numbers(RecordsCommitted))
+        self.assertEqual(2, len(self.store.keys(f'segment/{PEER}/')))
+
+    def test_owner_that_is_not_marked_keeps_its_journal(self):
+        """Whatever was reported, the store refuses the claim."""
+        for state in ('live', 'leaving'):
+            self.put_session(PEER, state)
+            self.put_journal(PEER)
+            self.assertEqual([], self.adopt_after(PeerLapsed(PEER, 699)))
+
+    def test_handed_over_journal_needs_no_wait(self):
+        """A journal without an owner is taken from a leaving session."""
+        self.put_session(PEER, 'leaving')
+        self.put_journal('', former_owner=PEER)
+        self.assertEqual(1, len(self.adopt_after(PeerLapsed(PEER, 0))))
+
+    def test_owner_whose_row_is_gone(self):
+        """A journal that was overlooked is found by the check on absence."""
+        self.put_journal(PEER)
+        self.instance.run(1, 40)
+        self.assertEqual(1, len(self.recorder.take(JournalOpened)))
+
+    def test_claim_of_a_lost_session_opens_nothing(self):
+        """The journal belongs to a session that is no more."""
+        self.put_session(PEER, 'adopted')
+        self.put_journal(PEER)
+        self.instance.deliver(PeerLapsed(PEER, 700), 1)
+        self.instance.holds = (Transact,)
+        self.instance.run(1, 2)
+        self.assertEqual(1, len(self.instance.held))
+        self.view.session_id = 'next'
+        self.instance.deliver(SessionLost(OWN), 2)
+        self.instance.release(2)
+        self.assertEqual([], self.recorder.take(JournalOpened))
+
+    def test_replay_that_ends_after_the_lease_waits(self):
+        """The journal opens only when the lease is valid again."""
+        self.put_session(PEER, 'adopted')
+        self.put_journal(PEER)
+        self.instance.deliver(PeerLapsed(PEER, 700), 1)
+        self.instance.holds = (Transact,)
+        self.instance.run(1, 2)
+        self.view.lease_end_s = 3
+        self.instance.release(4)
+        self.instance.run(4, 5)
+        self.assertEqual([], self.recorder.take(JournalOpened))
+        self.view.lease_end_s = FOREVER_S
+        self.instance.run(5, 9)
+        self.assertEqual(1, len(self.recorder.take(JournalOpened)))
+
+    def test_gap_in_the_segments_is_read_again(self):
+        """An incomplete read does not pass for the whole journal."""
+        self.put_session(PEER, 'adopted')
+        self.put_journal(PEER)
+        key = f'segment/{PEER}/0000000000'
+        row = self.store.rows_by_key.pop(key)
+        later = msgspec.structs.replace(row, key=f'segment/{PEER}/0000000001')
+        self.store.rows_by_key[later.key] = later
+        self.assertEqual([], self.adopt_after(PeerLapsed(PEER, 700)))
+        self.store.rows_by_key[key] = row
+        self.instance.run(20, 21)
+        self.assertEqual(1, len(self.recorder.take(JournalOpened)))
+
+
+class TestHandover(JournalCase):
+    """Guards against a planned stop that loses or delays accepted jobs."""
+
+    def test_waiting_records_go_out_first(self):
+        """The journal is closed here before its row is released."""
+        self.instance.deliver(append(1), 1)
+        self.instance.deliver(Shutdown(), 1)
+        self.instance.deliver(append(2), 1)
+        self.assertFalse(self.keeper.is_drained())
+        self.instance.run(1, 2)
+        self.assertEqual([2], self.numbers(RecordsRejected))
+        self.assertEqual([1], self.numbers(RecordsCommitted))
+        self.assertEqual(
+            {'owner': '', 'epoch': 1, 'former_owner': OWN},
+            self.store.value(journal_key(OWN)),
+        )
+        self.assertTrue(self.keeper.is_drained())
+
+    def test_refused_handover_is_repeated(self):
+        """A short outage does not leave the journal to the lapse."""
+        self.store.is_down = True
+        self.instance.deliver(Shutdown(), 1)
+        self.instance.run(1, 2)
+        self.assertEqual(
+            [JournalClosed(OWN)],
+            self.recorder.take(JournalClosed),
+        )
+        self.assertFalse(self.keeper.is_drained())
+        self.store.is_down = False
+        self.instance.run(2, 3)
+        self.assertEqual('', self.store.value(journal_key(OWN))['owner'])
+
+
+class TestCompaction(JournalCase):
+    """Guards against journals that grow without bound or lose records."""
+
+    settings = JournalSettings(
+        writer=WriterSettings(compact_after_records=4, ended_jobs_kept=1),
+    )
+
+    def test_snapshot_replaces_segments(self):
+        """Old segments go with later batches; live jobs stay."""
+        for number in range(1, 12):
+            self.instance.deliver(append(number), number)
+            ended = AppendRecords(
+                Token('recorder', number=100 + number),
+                OWN,
+                (JobEnded(f'{OWN}.{number}', 'done'),),
+            )
+            if number > 1:
+                self.instance.deliver(ended, number)
+            self.instance.run(number, number + 1)
+        row = self.store.value(journal_key(OWN))
+        self.assertGreater(row['first_segment'], 4)
+        self.assertLess(len(self.store.keys('segment/')), 6)
+        snapshot = self.store.objects_by_key[row['snapshot']]
+        self.assertIn(b'"own.1"', snapshot)
+        self.assertNotIn(b'"own.2"', snapshot)
+
+    def test_failed_object_write_keeps_the_segments(self):
+        """The row is never moved to a snapshot that may not exist."""
+        self.store.loses_answers = True
+        self.instance.holds = (Transact,)
+        for number in range(1, 7):
+            self.instance.deliver(append(number), 1)
+        self.instance.run(1, 1.2)
+        self.store.loses_answers = False
+        self.instance.release(1.2)
+        self.store.is_down = True
+        self.instance.run(1.2, 3)
+        self.store.is_down = False
+        self.instance.run(3, 4)
+        self.assertNotIn('snapshot', self.store.value(journal_key(OWN)))
