--- a/tests/capacity_rig.py
+++ b/tests/capacity_rig.py
@@ -19,7 +19,11 @@
 )
 from apricotlead.protocol.config import CellConfig, Preset
 from apricotlead.protocol.instances import Instance
-from apricotlead.protocol.peers import ReserveCapacity, TaskDemand
+from apricotlead.protocol.peers import (
+    ReleaseGrants,
+    ReserveCapacity,
+    TaskDemand,
+)
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.signals import (
     CallWorker,
@@ -28,7 +32,11 @@
     WorkerClaimed,
     WorkerReplied,
 )
-from apricotlead.protocol.workers import Heartbeat, HeartbeatReply
+from apricotlead.protocol.workers import (
+    AttemptReport,
+    Heartbeat,
+    HeartbeatReply,
+)
 from apricotlead.state.capacity_ledger import CapacityLedger
 from apricotlead.state.session_view import PeerSession, SessionView
 
@@ -73,7 +81,9 @@
 
     def __init__(self, monitor=None, desk=None, ejection=None):
         """Build the parts, with a lease far into the future."""
-        self.now = 100.0
+        self.began_s = 100.0
+        self.now = self.began_s
+        self.released_ids = set()
         self.view = SessionView('owner', 'here')
         self.view.lease_end_s = 1e6
         self.view.peers_by_id[HOME] = PeerSession(HOME, '127.0.0.1:1', 'here')
@@ -116,6 +126,30 @@
         self.now += seconds
         return self.deliver(Tick())
 
+    def pass_time(self, seconds):
+        """Let time pass; workers answer that they run what was granted."""
+        effects = self.tick(seconds)
+        following = []
+        for call in effects:
+            if isinstance(call, CallWorker):
+                reply = self._running(call.worker_id)
+                following.extend(self.answer([call], reply))
+        return messages_of([*effects, *following])
+
+    def _running(self, worker_id):
+        worker = self.ledger.workers_by_id[worker_id]
+        demands = {
+            attempt_id: grant.demand
+            for attempt_id, grant in worker.grants_by_id.items()
+        } | worker.charges_by_id
+        reports = tuple(
+            AttemptReport(attempt_id, 'running', demand=demand)
+            for attempt_id, demand in demands.items()
+            if attempt_id not in self.released_ids
+        )
+        clock_s = self.now - self.began_s
+        return HeartbeatReply(clock_s, 'boot', worker.capacity, reports)
+
     def own_worker(self, worker_id, cpu=16000, memory=32000, accelerators=0):
         """Claim a worker and answer its first heartbeat."""
         capacity = Resources(cpu, memory, accelerators)
@@ -144,17 +178,21 @@
         return following
 
     def ask(self, request_id, cpu=1000, memory=0, tasks=1, **options):
-        """Send a request; return the messages to the home."""
+        """Send a request; return the messages to the home.
+
+        ``at`` numbers the further tries of a job.
+        """
+        attempt = options.pop('at', '1')
         demands = tuple(
             TaskDemand(
-                f'{request_id}.{task}.1-1',
+                f'{request_id}.{task}.1-{attempt}',
                 Resources(cpu, memory, options.get('accelerators', 0)),
             )
             for task in range(tasks)
         )
         options.pop('accelerators', None)
         message = ReserveCapacity(
-            request_id,
+            request_id if attempt == '1' else f'{request_id}/{attempt}',
             options.pop('home', HOME),
             options.pop('team', 'team'),
             options.pop('priority', 'normal'),
@@ -165,6 +203,8 @@
 
     def send(self, message):
         """Deliver a message of the home; return the messages to it."""
+        if isinstance(message, ReleaseGrants):
+            self.released_ids.update(message.attempt_ids)
         effects = self.deliver(PeerReceived(HOME, message))
         return messages_of(effects)
 
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -2,16 +2,169 @@
 
 from testtools import TestCase
 
+from apricotlead.protocol.config import Preset
+from apricotlead.protocol.peers import (
+    CapacityGranted,
+    ReleaseGrants,
+)
+from apricotlead.protocol.signals import PeersChanged
 from tests.capacity_rig import CapacityRig
 
+PARKED = 0.3
+
+
+def summary(messages):
+    """Return request id and number of attempts, negative if refused."""
+    return [
+        (message.request_id, len(message.grants))
+        if isinstance(message, CapacityGranted)
+        else (message.request_id, -len(message.attempt_ids))
+        for message in messages
+    ]
+
 
 class TestReservationDesk(TestCase):
     """Guards against room that is given out twice, or to the wrong one."""
 
-    def test_grants_once_for_a_doubled_request(self):
-        """A request that the network doubled must not book twice."""
-        rig = CapacityRig()
-        rig.own_worker('w1', cpu=4000)
-        first = rig.ask('r1', cpu=3000)
-        self.assertEqual(first, rig.ask('r1', cpu=3000))
-        self.assertEqual(1000, rig.ledger.free_of('w1').cpu_millis)
+    def setUp(self):
+        """Own one worker of four cores."""
+        super().setUp()
+        self.rig = CapacityRig()
+        self.rig.own_worker('w1', cpu=4000)
+
+    def ask(self, *arguments, **options):
+        """Return the summary of the answers."""
+        return summary(self.rig.ask(*arguments, **options))
+
+    def release(self, *attempt_ids):
+        """Release grants; return the answers to other requests."""
+        return summary(self.rig.send(ReleaseGrants(attempt_ids)))
+
+    def tick(self, seconds):
+        """Let time pass; return the answers."""
+        return summary(self.rig.pass_time(seconds))
+
+    def test_answers_a_repeated_request_alike(self):
+        """A doubled request must not book twice, nor revive a grant."""
+        first = self.rig.ask('r', cpu=1000, tasks=5)
+        self.assertEqual([('r', 4), ('r', -1)], summary(first))
+        self.assertEqual(first, self.rig.ask('r', cpu=1000, tasks=5))
+        self.release('r.0.1-1')
+        again = self.ask('r', cpu=1000, tasks=5)
+        self.assertEqual([('r', 3), ('r', -1)], again)
+        self.tick(6)
+        self.assertEqual([('r', -5)], self.ask('r', cpu=1000, tasks=5))
+        self.assertEqual(1000, self.rig.ledger.free_of('w1').cpu_millis)
+
+    def test_refused_at_once(self):
+        """Malformed, gone, or without a lease: nothing is booked."""
+        self.assertEqual([('a', -1)], self.ask('a', cpu=-1, park_s=1))
+        self.assertEqual([], self.ask('b', home='gone'))
+        self.assertEqual([('c', -1)], self.ask('c', avoid_workers=('w1',)))
+        self.rig.view.lease_end_s = self.rig.now
+        self.assertEqual([('d', -1)], self.ask('d', park_s=1))
+        self.rig.view.lease_end_s = self.rig.now + 0.1
+        self.assertEqual([('e', -1)], self.ask('e'), 'too late for a start')
+        self.assertEqual(4000, self.rig.ledger.free_of('w1').cpu_millis)
+
+    def test_not_after_in_the_clock_of_the_worker(self):
+        """Grants end with the lease, or after the longest time."""
+        self.rig.view.lease_end_s = self.rig.now + 1
+        self.assertEqual(0.98, self.rig.ask('a')[0].grants[0].not_after_s)
+        self.rig.now += 0.5
+        self.rig.view.lease_end_s = self.rig.now + 4
+        end_s = self.rig.ask('b')[0].grants[0].not_after_s
+        self.assertAlmostEqual(2.5 * 0.98, end_s)
+
+    def test_gang_gets_all_or_nothing(self):
+        """Part of a gang must not hold room, unless others are asked too."""
+        self.rig.own_worker('w2', cpu=4000)
+        cases = (('a', 3, 3000, False, -3), ('b', 4, 2000, False, 4))
+        for name, tasks, cpu, partial, expected in cases:
+            answer = self.ask(name, cpu, tasks=tasks, gang=True)
+            self.assertEqual([(name, expected)], answer)
+        self.release(*(f'b.{task}.1-1' for task in range(4)))
+        answer = self.ask('c', 3000, tasks=3, gang=True, partial=True)
+        self.assertEqual([('c', 2), ('c', -1)], answer)
+
+    def test_parked_requests_are_served_in_order(self):
+        """Urgent first, gang before batch, then the lower share."""
+        self.ask('r', cpu=4000)
+        self.rig.usage.shares_by_team = {'rich': 0.5, 'poor': 0.1}
+        for name, options in (
+            ('batch-rich', {'team': 'rich'}),
+            ('batch-poor', {'team': 'poor'}),
+            ('gang', {'team': 'rich', 'gang': True}),
+            ('urgent', {'team': 'rich', 'priority': 'urgent'}),
+        ):
+            parked = self.ask(name, cpu=1300, park_s=PARKED, **options)
+            self.assertEqual([], parked)
+        served = self.release('r.0.1-1')
+        self.assertEqual(
+            [('urgent', 1), ('gang', 1), ('batch-poor', 1)], served
+        )
+        self.assertEqual([], self.tick(PARKED / 2))
+        self.assertEqual([('batch-rich', -1)], self.tick(PARKED))
+
+    def test_parked_requests_that_nobody_wants(self):
+        """Withdrawn ones, and those of homes that have gone, get nothing."""
+        self.ask('r', cpu=4000)
+        self.ask('a', park_s=PARKED)
+        self.ask('b', tasks=2, gang=True, park_s=PARKED)
+        self.release('a.0.1-1', 'b.1.1-1')
+        self.assertEqual([], self.tick(PARKED))
+        self.ask('c', park_s=PARKED)
+        self.rig.view.peers_by_id.clear()
+        self.rig.deliver(PeersChanged(()))
+        self.assertEqual([], self.release('r.0.1-1'))
+        self.assertEqual(4000, self.rig.ledger.free_of('w1').cpu_millis)
+
+    def test_pause_of_a_minute(self):
+        """Requests parked before a pause are refused after it."""
+        self.ask('r', cpu=4000, tasks=2, park_s=PARKED)
+        self.rig.view.lease_end_s = self.rig.now + 4
+        self.assertEqual([('r', -1)], self.tick(60))
+        self.assertEqual([('s', -1)], self.ask('s', park_s=PARKED))
+
+    def test_kept_share(self):
+        """Only gang and urgent work may use what the preset keeps."""
+        self.rig.policies.in_force = Preset('peak', reserved_fraction=0.5)
+        self.assertEqual([('a', -1)], self.ask('a', cpu=2001))
+        self.assertEqual([('b', 1)], self.ask('b', cpu=2000))
+        self.assertEqual([('c', -1)], self.ask('c', cpu=1))
+        self.assertEqual([('d', 1)], self.ask('d', cpu=1000, gang=True))
+        urgent = self.ask('e', cpu=1000, priority='urgent')
+        self.assertEqual([('e', 1)], urgent)
+
+    def test_small_tasks_do_not_starve_a_gang(self):
+        """Room adds up for a gang that has waited; others come later."""
+        self.ask('s1', cpu=2000)
+        self.ask('s2', cpu=2000)
+        self.assertEqual([('g', -1)], self.ask('g', cpu=4000, gang=True))
+        self.tick(2)
+        self.release('s1.0.1-1')
+        self.tick(0.2)
+        self.assertEqual([('s3', -1)], self.ask('s3', cpu=2000))
+        urgent = self.ask('u', cpu=100, priority='urgent')
+        self.assertEqual([('u', 1)], urgent)
+        self.release('s2.0.1-1', 'u.0.1-1')
+        parked = self.ask('g', cpu=4000, gang=True, park_s=PARKED, at='2')
+        self.assertEqual([], parked)
+        self.assertEqual([('g/2', 1)], self.tick(0.2))
+
+    def test_hold_ends_when_the_gang_is_silent(self):
+        """Held workers must not idle for a gang that has gone."""
+        self.ask('s1', cpu=3000)
+        self.ask('g', cpu=4000, gang=True)
+        self.tick(2)
+        self.assertEqual([], self.ask('s2', park_s=PARKED))
+        self.assertEqual([('s2', -1)], self.tick(1))
+        self.tick(4.9)
+        self.assertEqual([], self.ask('s3', park_s=PARKED))
+        self.assertEqual([('s3', 1)], self.tick(0.2))
+
+    def test_no_hold_for_what_can_never_fit(self):
+        """A gang larger than all owned workers must not stop the others."""
+        self.ask('g', cpu=5000, gang=True)
+        self.tick(2)
+        self.assertEqual([('s', 1)], self.ask('s', cpu=4000))
