Judge a restart only by answers to calls newer than the lease

Cause: an answer from before a restart of the worker that arrived late made an attempt of the new boot count as lost, and its task ran twice.

Ruled out: dropping all answers to calls from before the lease; they still tell the endings of other attempts.

Conclusion: faults now meet within one example; the fuzz finds such orders.

--- a/src/apricotlead/coordination/dispatcher.py
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -29,6 +29,7 @@
     AttemptAdopted,
     AttemptEnded,
     JournalClosed,
+    JournalOpened,
     PeersChanged,
     Signal,
     TaskQueued,
@@ -277,10 +278,10 @@
             self._queue.remove(pending)
         return ()
 
-    @handles(JournalClosed)
+    @handles(JournalClosed, JournalOpened)
     def close_journal(
         self,
-        signal: JournalClosed,
+        signal: JournalClosed | JournalOpened,
         now: float,
     ) -> Iterable[Signal]:
         """Drop the journal's work; its units go with its allotment."""
--- a/src/apricotlead/coordination/lease_channel.py
+++ b/src/apricotlead/coordination/lease_channel.py
@@ -24,23 +24,36 @@
 
     __slots__ = (
         'attempt',
+        'begun_s',
         'is_adopted',
         'lost_after_s',
         'started',
         'stop_wanted',
     )
 
-    def __init__(self, attempt: Attempt, lost_after_s: float) -> None:
+    def __init__(
+        self,
+        attempt: Attempt,
+        begun_s: float,
+        lost_after_s: float,
+    ) -> None:
         """Begin with a start whose answer is outstanding."""
         self.attempt = attempt
+        self.begun_s = begun_s
         self.lost_after_s = lost_after_s
         self.is_adopted = False
         self.started: bool | None = None
         self.stop_wanted = False
 
-    def is_of_boot(self, boot_id: str) -> bool:
-        """Tell whether the worker has not restarted since the assignment."""
-        return self.attempt.assigned.boot_id == boot_id
+    def is_of_earlier_boot(self, boot_id: str, asked_s: float) -> bool:
+        """Tell whether the worker has restarted since the assignment.
+
+        ``boot_id`` answers a call sent at ``asked_s``. The late answer to a
+        call that is older than the lease can come from the boot before.
+        """
+        if asked_s < self.begun_s:
+            return False
+        return self.attempt.assigned.boot_id != boot_id
 
 
 class Call(Struct, frozen=True, eq=False):
--- a/src/apricotlead/coordination/task_leases.py
+++ b/src/apricotlead/coordination/task_leases.py
@@ -22,6 +22,7 @@
     AttemptStarting,
     CallWorker,
     JournalClosed,
+    JournalOpened,
     Signal,
     StopAttempts,
     Tick,
@@ -165,7 +166,7 @@
         lost_after_s = now + self._drifted(
             self._settings.grant_ttl_s + self._settings.lease_s,
         )
-        lease = Lease(attempt, lost_after_s)
+        lease = Lease(attempt, now, lost_after_s)
         channel.leases_by_id[signal.attempt_id] = lease
         call = self._new_call('start', channel, (signal.attempt_id,), now)
         return (self._send(call, self._start_request(attempt)),)
@@ -180,7 +181,7 @@
         lost_after_s = now + self._drifted(
             self._settings.outage_s + self._settings.lease_s,
         )
-        lease = Lease(attempt, lost_after_s)
+        lease = Lease(attempt, now, lost_after_s)
         lease.is_adopted = True
         lease.started = False
         channel.leases_by_id[signal.attempt_id] = lease
@@ -217,10 +218,10 @@
             self._wake(channel, now)
         return ()
 
-    @handles(JournalClosed)
+    @handles(JournalClosed, JournalOpened)
     def close_journal(
         self,
-        signal: JournalClosed,
+        signal: JournalClosed | JournalOpened,
         now: float,
     ) -> Iterable[Signal]:
         """Drop the journal's attempts without telling anybody."""
@@ -408,7 +409,7 @@
         for acknowledged_id in call.acknowledged_ids:
             channel.acknowledged.pop(acknowledged_id, None)
         for lease in channel.leases_of(channel.pollable_ids()):
-            if not lease.is_of_boot(reply.boot_id):
+            if lease.is_of_earlier_boot(reply.boot_id, call.sent_s):
                 yield self._end(channel, lease, 'lapsed', ran=None)
         for report in reply.attempts:
             for known in channel.leases_of((report.attempt_id,)):
--- a/tests/job_cell.py
+++ b/tests/job_cell.py
@@ -19,7 +19,7 @@
 from apricotlead.coordination.store_settlement import StoreSettlement
 from apricotlead.coordination.task_leases import LeaseSettings, TaskLeases
 from apricotlead.protocol.config import CellConfig, Preset
-from apricotlead.protocol.jobs import JobAccepted
+from apricotlead.protocol.jobs import JobAccepted, JobEnded
 from apricotlead.protocol.peers import (
     CapacityGranted,
     CapacityRefused,
@@ -58,9 +58,11 @@
 SLOTS = 4
 
 
-class Limits:
+class Limits(Component):
     """Counts units by team and journal; must never fall below zero."""
 
+    name = 'allotments'
+
     def __init__(self):
         self.in_use = Counter()
 
@@ -75,6 +77,13 @@
     def restore(self, team, journal_id, in_use):
         self.in_use[team, journal_id] = in_use
 
+    @handles(JournalClosed)
+    def close(self, signal, now):
+        for key in tuple(self.in_use):
+            if key[1] == signal.journal_id:
+                self.in_use.pop(key)
+        return ()
+
 
 class Keeper(Component):
     """Hands records to the store of the cell."""
@@ -173,7 +182,14 @@
         self.leases = TaskLeases(LeaseSettings(outage_s=OUTAGE_S), *common)
         self.book = JobBook(JobBookSettings(), *common)
         self.scheduler = Scheduler(
-            (self.book, self.dispatcher, self.leases, Keeper(self), Desk(self)),
+            (
+                self.book,
+                self.dispatcher,
+                self.leases,
+                self.limits,
+                Keeper(self),
+                Desk(self),
+            ),
             StoreSettlement(),
         )
         self.open_session()
@@ -184,10 +200,11 @@
 
     def open_session(self):
         generation = len(self.cell.journals)
-        self.view.session_id = f's{self.number}-{generation}'
-        self.cell.sessions[self.view.session_id] = self
+        session_id = f's{self.number}-{generation}'
+        self.view.session_id = session_id
+        self.cell.sessions[session_id] = self
         self.renew()
-        self.cell.open_journal(self, 'j.' + self.view.session_id)
+        self.cell.open_journal(self, f'j.{session_id}')
 
     def renew(self):
         self.lease_end = self.cell.now + SESSION_TTL_S
@@ -346,8 +363,8 @@
 class Call:
     """A request on its way to a worker; concluded at most once.
 
-    It can arrive after its sender has given it up, but not after the worker
-    has answered a later one.
+    It can arrive after its sender has given it up, but a renewal not after
+    the worker has answered a later one.
     """
 
     def __init__(self, cell, home, effect, number):
@@ -361,15 +378,17 @@
 
     def arrive(self):
         is_old = self.number < self.cell.answered_calls[self.link]
-        is_dropped = is_old and not self.is_open
+        is_renewal = isinstance(self.effect.request, RenewLeases)
+        is_dropped = is_old and is_renewal and not self.is_open
         if not self.worker.is_down and not is_dropped:
             self.worker.take(self.effect.request, self.answer)
 
     def answer(self, reply):
         answered = self.cell.answered_calls
         answered[self.link] = max(answered[self.link], self.number)
-        if not self.cell.strikes():
-            self.cell.after(self.cell.delay(), self.conclude, reply)
+        if self.link in self.cell.deaf_links or self.cell.strikes():
+            return
+        self.cell.after(self.cell.delay(), self.conclude, reply)
 
     def conclude(self, reply):
         if self.is_open:
@@ -400,12 +419,15 @@
         self.request_keys = {}
         self.append_ends = defaultdict(float)
         self.cut_links = set()
+        # Requests arrive on these, but answers do not.
+        self.deaf_links = set()
         self.call_count = 0
         self.answered_calls = Counter()
         self.answers = defaultdict(list)
         self.submissions = {}
         self.idempotent_by_job = {}
         self.cancelled_ids = set()
+        self.ended_ids = set()
         self.starts = Counter()
         self.finishes = Counter()
         self.homes = [Home(self, number) for number in range(homes)]
@@ -482,12 +504,18 @@
 
     def note_record(self, record):
         if isinstance(record, JobAccepted):
-            self.idempotent_by_job[record.job_id] = record.submission.idempotent
+            is_idempotent = record.submission.idempotent
+            self.idempotent_by_job[record.job_id] = is_idempotent
+        elif isinstance(record, JobEnded):
+            self.ended_ids.add(record.job_id)
 
     def adopt_lapsed(self):
         self.after(0.5, self.adopt_lapsed)
         for session_id, home in tuple(self.sessions.items()):
-            adopters = [one for one in self.alive() if one is not home]
+            live = self.sessions.values()
+            adopters = [
+                one for one in self.alive() if one is not home and one in live
+            ]
             is_lapsed = home.lease_end * 1.02 + 0.1 < self.now
             if is_lapsed and adopters and self.store_is_up:
                 self.adopt(session_id, home, self.rng.choice(adopters))
@@ -546,6 +574,9 @@
             return
         if not self.strikes():
             self.after(self.delay(), call.arrive)
+        if self.strikes(0.3):
+            # The connection breaks; the request can arrive all the same.
+            self.after(0.05, call.conclude, CallFailed(sent=True))
         # Now and then the transport never reports what became of it.
         if not self.strikes(0.1):
             failed = CallFailed(sent=True)
@@ -561,5 +592,59 @@
                 continue
             for attempt in worker.running():
                 assert task_of(attempt.id) != task, f'{task} runs twice'
-        if not self.idempotent_by_job[task.rpartition('.')[0]]:
+        job_id = task.rpartition('.')[0]
+        assert job_id not in self.ended_ids, f'{task} starts after the end'
+        if not self.idempotent_by_job[job_id]:
             assert self.starts[task] == 1, f'{task} started again'
+
+    # Faults.
+
+    def disturb_home(self, action):
+        """Do it to a home while another one stays."""
+        alive = self.alive()
+        if action == 'heal':
+            self.heal()
+        elif len(alive) > 1:
+            home = self.rng.choice(alive)
+            home.is_dead = action == 'die'
+            home.is_cut = action in {'cut', 'island'}
+            if action in {'pause', 'long pause'}:
+                pause_s = 60 if action == 'long pause' else 2
+                home.paused_until = self.now + pause_s
+            if action == 'island':
+                self.cut_off(home)
+
+    def cut_off(self, home):
+        """Leave the workers of a home to it alone."""
+        self.cut_links.update(
+            (other.number, worker.worker_id)
+            for worker in self.workers[1:]
+            if worker.owner is home
+            for other in self.homes
+            if other is not home
+        )
+
+    def disturb_worker(self, action):
+        """Do it to a worker, or to its link to one home; one stays."""
+        worker = self.rng.choice(self.workers[1:])
+        link = (self.rng.choice(self.homes).number, worker.worker_id)
+        if action in {'restart', 'up'}:
+            worker.is_down = False
+            worker.restart()
+        elif action == 'down':
+            worker.is_down = True
+        elif action == 'cut':
+            self.cut_links.add(link)
+        elif action == 'deafen':
+            self.deaf_links.add(link)
+        else:
+            self.cut_links.discard(link)
+            self.deaf_links.discard(link)
+
+    def heal(self):
+        """Join and resume all that live."""
+        self.cut_links.clear()
+        self.deaf_links.clear()
+        for home in self.homes:
+            home.is_cut = False
+            home.paused_until = 0
--- a/tests/test_job_lifecycle_fuzz.py
+++ b/tests/test_job_lifecycle_fuzz.py
@@ -16,9 +16,12 @@
 from apricotlead.protocol.signals import AdmitJob, FindJob
 from tests.job_cell import Cell
 
-SETTLE_S = 150
-# Calls, parked requests and questions are over this long after the last
-# fault; the rest of the time is for retries.
+# Simulated seconds after the last fault in which each job must end.
+SETTLE_S = 200
+KINDS = ('batch', 'gang')
+RUN_S = (0.05, 0.5, 3, 12, 25)
+HOME_FAULTS = ('die', 'pause', 'long pause', 'cut', 'island', 'heal')
+WORKER_FAULTS = ('restart', 'down', 'up', 'cut', 'deafen', 'join')
 DEMAND = Resources(1000, 1000)
 
 
@@ -35,27 +38,16 @@
         self.cell.run(0.2)
 
     @rule(
-        kind=st.sampled_from(('batch', 'gang')),
+        kind=st.sampled_from(KINDS),
         count=st.integers(1, 4),
         idempotent=st.booleans(),
         urgent=st.booleans(),
         request=st.sampled_from(('', '', '', 'r1', 'r2')),
-        run_s=st.sampled_from((0.05, 0.5, 3, 12)),
+        run_s=st.sampled_from(RUN_S),
     )
     def submit(self, kind, count, idempotent, urgent, request, run_s):
         """Hand a job to any home."""
-        self.tickets += 1
-        spec = TaskSpec(DEMAND, run_s, f'ticket-{self.tickets}')
-        submission = Submission(
-            'queue',
-            (spec,) * count,
-            kind,
-            'urgent' if urgent else 'normal',
-            idempotent,
-            request,
-        )
-        self.cell.submissions[self.tickets] = submission
-        self.deliver(AdmitJob(self.tickets, 'team', submission))
+        self.submit_job(kind, count, idempotent, urgent, request, run_s)
 
     @rule(cancel=st.booleans())
     def find(self, cancel):
@@ -83,29 +75,32 @@
         """Stop or start the store."""
         self.cell.store_is_up = up
 
-    @rule(action=st.sampled_from(('die', 'pause', 'long pause', 'cut', 'heal')))
+    @rule(action=st.sampled_from(HOME_FAULTS))
     def disturb_home(self, action):
-        """Kill, pause or cut off a home while another one stays."""
-        alive = self.cell.alive()
-        if action == 'heal':
-            self.heal_homes()
-        elif len(alive) > 1:
-            self.disturb(self.rng.choice(alive), action)
-
-    @rule(action=st.sampled_from(('restart', 'down', 'up', 'cut', 'join')))
+        """Kill, pause or cut off a home, or end all that."""
+        self.cell.disturb_home(action)
+
+    @rule(action=st.sampled_from(WORKER_FAULTS))
     def disturb_worker(self, action):
-        """Restart or stop a worker, or cut its link to one home."""
-        worker = self.rng.choice(self.cell.workers[1:])
-        link = (self.rng.choice(self.cell.homes).number, worker.worker_id)
-        if action == 'down':
-            worker.is_down = True
-        elif action in {'restart', 'up'}:
-            worker.is_down = False
-            worker.restart()
-        elif action == 'cut':
-            self.cell.cut_links.add(link)
-        else:
-            self.cell.cut_links.discard(link)
+        """Restart or stop a worker, or disturb its link to one home."""
+        self.cell.disturb_worker(action)
+
+    @rule(steps=st.integers(10, 60), rate=st.sampled_from((0, 0.1, 0.3)))
+    def storm(self, steps, rate):
+        """Let faults of all kinds meet in a short time."""
+        self.cell.fault_rate = rate
+        choose = self.rng.choice
+        for _ in range(steps):
+            self.cell.run(choose((0.05, 0.3, 1, 3)))
+            part = self.rng.random()
+            if part < 0.1:
+                self.cell.disturb_home(choose(HOME_FAULTS))
+            elif part < 0.4:
+                self.cell.disturb_worker(choose(WORKER_FAULTS))
+            elif part < 0.6:
+                size = self.rng.randint(1, 4)
+                flags = (choose((True, False)), choose((True, False)))
+                self.submit_job(choose(KINDS), size, *flags, '', choose(RUN_S))
 
     def teardown(self):
         """Stop all faults and check what each caller was promised."""
@@ -113,8 +108,7 @@
             return
         self.cell.fault_rate = 0
         self.cell.store_is_up = True
-        self.cell.cut_links.clear()
-        self.heal_homes()
+        self.cell.heal()
         self.cell.run(SETTLE_S)
         self.check_ends()
         self.check_refusals()
@@ -167,21 +161,20 @@
                 job_id = outcomes[0].answer.job_id
                 assert jobs_by_request.setdefault(key, job_id) == job_id
 
-    def disturb(self, home, action):
-        """Do it to this home."""
-        if action == 'die':
-            home.is_dead = True
-        elif action == 'cut':
-            home.is_cut = True
-        else:
-            pause_s = 60 if action == 'long pause' else 2
-            home.paused_until = self.cell.now + pause_s
-
-    def heal_homes(self):
-        """Join and resume those that live."""
-        for home in self.cell.homes:
-            home.is_cut = False
-            home.paused_until = 0
+    def submit_job(self, kind, count, idempotent, urgent, request, run_s):
+        """Hand over a job whose command names its ticket."""
+        self.tickets += 1
+        spec = TaskSpec(DEMAND, run_s, f'ticket-{self.tickets}')
+        submission = Submission(
+            'queue',
+            (spec,) * count,
+            kind,
+            'urgent' if urgent else 'normal',
+            idempotent,
+            request,
+        )
+        self.cell.submissions[self.tickets] = submission
+        self.deliver(AdmitJob(self.tickets, 'team', submission))
 
     def deliver(self, signal):
         """Bring a caller's request to any home that runs."""
