Split the allotments into accounts, plan and component

On a scratch copy, a trial that ignores the units being given up in a write, and one that takes without a lease, now fail the fuzz; the earlier fuzz passed both, its steps were too sparse.

Conclusion: gangs and single tasks are separate demands, and a closed account without units is dropped instead of being read each second.

--- a/src/apricotlead/coordination/allotments.py
+++ b/src/apricotlead/coordination/allotments.py
@@ -3,20 +3,20 @@
 from collections.abc import Iterable
 from typing import Any
 
-from msgspec import Struct, ValidationError, convert, field
+from msgspec import Struct, ValidationError, convert
 from msgspec import to_builtins as builtins_of
 from msgspec.structs import replace
 
 from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.limit_account import (
+    NEVER_S,
+    Account,
+    AllotmentSettings,
+)
+from apricotlead.coordination.limit_plan import PlanContext, plan_row
 from apricotlead.coordination.limit_row import (
     LimitRow,
-    Share,
-    Want,
-    fair_units,
     limit_key,
-    other_wants,
-    units_to_return,
-    units_to_take,
     usable_units,
 )
 from apricotlead.protocol.randomness import RandomSource
@@ -47,62 +47,6 @@
 
 _READ = 'read'
 _WRITE = 'write'
-_NEVER = float('-inf')
-
-
-class AllotmentSettings(Struct, frozen=True):
-    """Times in seconds; budgets in rows a second for the whole fleet.
-
-    ``cycle_s`` is the least time between two reads, and between two writes,
-    of one team's row by one session. A refused take counts as demand for
-    ``demand_ttl_s``. A gang holds back others for at most ``patience_s``,
-    then rests for as long.
-    """
-
-    cycle_s: float = 1.0
-    jitter: float = 0.2
-    read_timeout_s: float = 2.0
-    idle_s: float = 5.0
-    demand_ttl_s: float = 2.0
-    want_refresh_s: float = 3.0
-    want_ttl_s: float = 10.0
-    patience_s: float = 30.0
-    sweep_s: float = 60.0
-    chunk_divisor: int = 4
-    read_budget_per_s: float = 300.0
-    write_budget_per_s: float = 200.0
-
-
-class _Demand(Struct):
-    """The largest refused take; times on the own clock."""
-
-    amount: int = 0
-    since_s: float = _NEVER
-    last_s: float = _NEVER
-
-
-class _Account(Struct):
-    """One journal's units of one team.
-
-    ``cap`` is what may be in use by the row; ``pending`` bounds it while a
-    write is in flight that gives units up. ``peak`` is the most in use since
-    ``window_s``.
-    """
-
-    in_use: int = 0
-    cap: int = 0
-    pending: int | None = None
-    peak: int = 0
-    window_s: float = _NEVER
-    growth: int = 0
-    closing: bool = False
-    demand: _Demand = field(default_factory=_Demand)
-
-    def usable(self) -> int:
-        """Return how many units may be in use now."""
-        if self.pending is None:
-            return self.cap
-        return min(self.cap, self.pending)
 
 
 class _TeamBook(Struct):
@@ -111,11 +55,10 @@
     team: str
     row: LimitRow = LimitRow()
     row_version: int = -1
-    accounts: dict[str, _Account] = {}
+    accounts: dict[str, Account] = {}
     seen_wants: dict[str, tuple[str, float]] = {}
     stale_wants: frozenset[str] = frozenset()
-    refreshed_s: dict[str, float] = {}
-    read_s: float = _NEVER
+    read_s: float = NEVER_S
     gap_s: float = 0.0
     write: tuple[Token, LimitRow] | None = None
     sweep: bool = False
@@ -159,7 +102,7 @@
         self._books_by_team: dict[str, _TeamBook] = {}
         self._epochs_by_journal: dict[str, int] = {}
         self._read: tuple[Token, float] | None = None
-        self._write_due_s = _NEVER
+        self._write_due_s = NEVER_S
 
     @classmethod
     def from_config(
@@ -191,12 +134,9 @@
         book = self._book(team)
         account = self._account(book, journal_id)
         if self._may_take(book, account, journal_id, amount, now):
-            account.in_use += amount
-            account.peak = max(account.peak, account.in_use)
-            if amount >= account.demand.amount:
-                account.demand = _Demand()
+            account.take(amount)
             return True
-        self._note_demand(account, amount, now)
+        account.note_refusal(amount, now)
         return False
 
     def give_back(
@@ -210,7 +150,7 @@
         book = self._books_by_team.get(team)
         account = book and book.accounts.get(journal_id)
         if account:
-            account.in_use = max(0, account.in_use - amount)
+            account.give_back(amount)
 
     def restore(self, team: str, journal_id: str, in_use: int) -> None:
         """Set the units in use of an adopted journal after its replay."""
@@ -317,10 +257,10 @@
             self._books_by_team[team] = book
         return book
 
-    def _account(self, book: _TeamBook, journal_id: str) -> _Account:
+    def _account(self, book: _TeamBook, journal_id: str) -> Account:
         account = book.accounts.get(journal_id)
         if account is None:
-            account = _Account()
+            account = Account(self._settings)
             book.accounts[journal_id] = account
             self._recompute(book)
         return account
@@ -333,20 +273,19 @@
     def _may_take(
         self,
         book: _TeamBook,
-        account: _Account,
+        account: Account,
         journal_id: str,
         amount: int,
         now: float,
     ) -> bool:
         if not self._is_open(book, account, journal_id, now):
             return False
-        held_back = self._held_back(account, amount, now)
-        return account.in_use + amount + held_back <= account.usable()
+        return account.has_room(amount, book.row.limit, now)
 
     def _is_open(
         self,
         book: _TeamBook,
-        account: _Account,
+        account: Account,
         journal_id: str,
         now: float,
     ) -> bool:
@@ -369,37 +308,6 @@
             return book.row.limit
         return team.limit
 
-    def _held_back(self, account: _Account, amount: int, now: float) -> int:
-        """Return the units that a waiting gang holds back from smaller takes.
-
-        Without this, single tasks use up each unit that comes back and a
-        gang never has all of its units at once.
-        """
-        demand = account.demand
-        if amount >= demand.amount or not self._is_wanting(account, now):
-            return 0
-        return demand.amount
-
-    def _note_demand(self, account: _Account, amount: int, now: float) -> None:
-        demand = account.demand
-        lapsed = now - demand.last_s > self._settings.demand_ttl_s
-        if lapsed or amount > demand.amount:
-            account.demand = _Demand(amount, now, now)
-        elif amount == demand.amount:
-            demand.last_s = now
-
-    def _is_wanting(self, account: _Account, now: float) -> bool:
-        demand = account.demand
-        if now - demand.last_s > self._settings.demand_ttl_s:
-            return False
-        if demand.amount == 1:
-            return True
-        waited_s = now - demand.since_s
-        return (
-            waited_s % (2 * self._settings.patience_s)
-            < self._settings.patience_s
-        )
-
     # Reading.
 
     def _is_due(self, book: _TeamBook, now: float) -> bool:
@@ -419,11 +327,7 @@
         if book.sweep or self._limit_changed(book):
             return bool(self._epochs_by_journal)
         return any(
-            account.closing
-            or (
-                self._is_wanting(account, now)
-                and account.in_use + account.demand.amount > account.usable()
-            )
+            account.closing or account.is_short(book.row.limit, now)
             for account in book.accounts.values()
         )
 
@@ -467,6 +371,7 @@
                 continue
             book.sweep = False
             yield from self._write_if_needed(book, now)
+            self._drop_closed(book)
 
     def _take_row(self, book: _TeamBook, row: Row, now: float) -> None:
         if row.version < book.row_version:
@@ -571,28 +476,27 @@
 
     def _drop_closed(self, book: _TeamBook) -> None:
         for journal_id, account in tuple(book.accounts.items()):
-            if account.closing and not book.row.units_of(journal_id):
+            returned = not book.row.units_of(journal_id)
+            if account.closing and returned and book.write is None:
                 book.accounts.pop(journal_id)
                 if not self._has_accounts(journal_id):
                     self._epochs_by_journal.pop(journal_id, None)
 
     def _plan(self, book: _TeamBook, op_id: str, now: float) -> LimitRow:
         """Return the row as this session wants it, from the known one."""
-        row = self._with_known_limit(book)
-        wants = {
-            journal_id: want
-            for journal_id, want in row.wants.items()
-            if journal_id not in book.stale_wants
-        }
-        row = replace(row, wants=wants)
-        for journal_id, account in book.accounts.items():
-            epoch = self._epochs_by_journal.get(journal_id)
-            share = row.allotments.get(journal_id, Share(0, 0))
-            if epoch is None or share.epoch > epoch:
-                continue
-            row = self._with_returns(book, row, journal_id, op_id, now)
-            row = self._with_growth(book, row, journal_id, op_id, now)
-        return row
+        context = PlanContext(
+            self._settings,
+            len(self._view.live_ids()),
+            book.stale_wants,
+            op_id,
+            now,
+        )
+        return plan_row(
+            self._with_known_limit(book),
+            book.accounts,
+            self._epochs_by_journal,
+            context,
+        )
 
     def _with_known_limit(self, book: _TeamBook) -> LimitRow:
         if not self._limit_changed(book):
@@ -602,158 +506,3 @@
             limit=self._known_limit(book),
             config_version=self._config_view.version,
         )
-
-    def _with_returns(
-        self,
-        book: _TeamBook,
-        row: LimitRow,
-        journal_id: str,
-        op_id: str,
-        now: float,
-    ) -> LimitRow:
-        account = book.accounts[journal_id]
-        units = row.units_of(journal_id)
-        returned = max(
-            units_to_return(row, journal_id, account.in_use, book.stale_wants),
-            self._idle_units(account, units, now),
-        )
-        return self._with_units(row, journal_id, units - returned, op_id)
-
-    def _idle_units(self, account: _Account, units: int, now: float) -> int:
-        """Return the units that were not needed for a whole window."""
-        if account.closing:
-            return units
-        if now - account.window_s < self._settings.idle_s:
-            return 0
-        peak = account.peak
-        account.peak = account.in_use
-        first_window = account.window_s == _NEVER
-        account.window_s = now
-        if first_window or self._is_wanting(account, now):
-            return 0
-        account.growth = 0
-        return max(0, units - max(peak, account.in_use))
-
-    def _with_units(
-        self,
-        row: LimitRow,
-        journal_id: str,
-        units: int,
-        op_id: str,
-    ) -> LimitRow:
-        """Set an allotment; claims it if its epoch is an older one."""
-        epoch = self._epochs_by_journal[journal_id]
-        share = row.allotments.get(journal_id)
-        if share is not None and (share.units, share.epoch) == (units, epoch):
-            return row
-        allotments = dict(row.allotments)
-        allotments.pop(journal_id, None)
-        if units > 0:
-            allotments[journal_id] = Share(units, epoch, op_id)
-        if allotments == row.allotments:
-            return row
-        return replace(row, allotments=allotments)
-
-    def _with_growth(
-        self,
-        book: _TeamBook,
-        row: LimitRow,
-        journal_id: str,
-        op_id: str,
-        now: float,
-    ) -> LimitRow:
-        account = book.accounts[journal_id]
-        units = row.units_of(journal_id)
-        need = account.in_use + account.demand.amount - units
-        wanting = self._is_wanting(account, now) and not account.closing
-        if not wanting or account.demand.amount == 0:
-            return self._without_want(row, journal_id)
-        if need <= 0:
-            return self._with_served_want(book, row, journal_id, op_id, now)
-        wish = self._wish(book, row, journal_id, need)
-        taken = units_to_take(row, journal_id, wish, book.stale_wants)
-        row = self._with_units(row, journal_id, units + taken, op_id)
-        if taken:
-            account.growth = min(2 * wish, row.limit)
-        wanted = self._claim(book, row, journal_id) - taken - units
-        if taken >= need:
-            return self._with_served_want(book, row, journal_id, op_id, now)
-        if wanted <= 0:
-            return self._without_want(row, journal_id)
-        wanted = min(wanted, wish - taken)
-        return self._with_want(book, row, journal_id, wanted, op_id, now)
-
-    def _wish(
-        self,
-        book: _TeamBook,
-        row: LimitRow,
-        journal_id: str,
-        need: int,
-    ) -> int:
-        """Return how many units to ask for: the need, and some in reserve."""
-        account = book.accounts[journal_id]
-        parts = self._settings.chunk_divisor * len(self._view.live_ids())
-        wish = need + max(account.growth, row.limit // parts)
-        if other_wants(row, journal_id, book.stale_wants):
-            claim = self._claim(book, row, journal_id)
-            wish = min(wish, max(need, claim - row.units_of(journal_id)))
-        return min(wish, row.limit)
-
-    def _claim(self, book: _TeamBook, row: LimitRow, journal_id: str) -> int:
-        """Return the allotment for which others have to give up units.
-
-        It is the fair part, or what a gang needs at once. A gang that does
-        not fit beside what its own journal has running waits for that first.
-        """
-        account = book.accounts[journal_id]
-        claim = max(1, fair_units(row, journal_id, book.stale_wants))
-        gang_claim = account.in_use + account.demand.amount
-        if account.demand.amount > 1 and gang_claim <= row.limit:
-            claim = max(claim, gang_claim)
-        return claim
-
-    def _with_want(
-        self,
-        book: _TeamBook,
-        row: LimitRow,
-        journal_id: str,
-        units: int,
-        op_id: str,
-        now: float,
-    ) -> LimitRow:
-        before = row.wants.get(journal_id)
-        refreshed_s = book.refreshed_s.get(journal_id, _NEVER)
-        recent = now - refreshed_s < self._settings.want_refresh_s
-        if before is not None and before.units == units and recent:
-            return row
-        book.refreshed_s[journal_id] = now
-        seq = row.next_seq if before is None else before.seq
-        return replace(
-            row,
-            wants=row.wants | {journal_id: Want(units, seq, op_id)},
-            next_seq=max(row.next_seq, seq + 1),
-        )
-
-    def _with_served_want(
-        self,
-        book: _TeamBook,
-        row: LimitRow,
-        journal_id: str,
-        op_id: str,
-        now: float,
-    ) -> LimitRow:
-        """Keep the place of a gang that has its units but has not taken them.
-
-        Without a place it would owe them to the next one at once.
-        """
-        if book.accounts[journal_id].demand.amount > 1:
-            if journal_id in row.wants:
-                return self._with_want(book, row, journal_id, 0, op_id, now)
-        return self._without_want(row, journal_id)
-
-    def _without_want(self, row: LimitRow, journal_id: str) -> LimitRow:
-        if journal_id not in row.wants:
-            return row
-        wants = dict(row.wants)
-        wants.pop(journal_id)
-        return replace(row, wants=wants)
--- /dev/null
+++ b/src/apricotlead/coordination/limit_account.py
@@ -0,0 +1,138 @@
+"""What one journal has in use and asks for, of one team's limit."""
+
+from msgspec import Struct, field
+
+NEVER_S = float('-inf')
+
+
+class AllotmentSettings(Struct, frozen=True):
+    """Times in seconds; budgets in rows a second for the whole fleet.
+
+    ``cycle_s`` is the least time between two reads, and between two writes,
+    of one team's row by one session. A refused take counts as demand for
+    ``demand_ttl_s``. A gang holds back others for at most ``patience_s``,
+    then rests for as long.
+    """
+
+    cycle_s: float = 1.0
+    jitter: float = 0.2
+    read_timeout_s: float = 2.0
+    idle_s: float = 5.0
+    demand_ttl_s: float = 2.0
+    want_refresh_s: float = 3.0
+    want_ttl_s: float = 10.0
+    patience_s: float = 30.0
+    sweep_s: float = 60.0
+    chunk_divisor: int = 4
+    read_budget_per_s: float = 300.0
+    write_budget_per_s: float = 200.0
+
+
+class _Gang(Struct):
+    """The largest refused take of several units at once."""
+
+    amount: int = 0
+    since_s: float = NEVER_S
+    last_s: float = NEVER_S
+
+
+class Account(Struct):
+    """One journal's units of one team; times on the own clock.
+
+    ``cap`` is what may be in use by the row; ``pending`` bounds it while a
+    write is in flight that gives units up. ``peak`` is the most in use since
+    ``window_s``. ``reserve`` is the size of the next chunk beyond the need.
+    """
+
+    settings: AllotmentSettings
+    in_use: int = 0
+    cap: int = 0
+    pending: int | None = None
+    peak: int = 0
+    window_s: float = NEVER_S
+    reserve: int = 0
+    closing: bool = False
+    single_s: float = NEVER_S
+    gang: _Gang = field(default_factory=_Gang)
+    want_sent_s: float = NEVER_S
+
+    def usable(self) -> int:
+        """Return how many units may be in use now."""
+        if self.pending is None:
+            return self.cap
+        return min(self.cap, self.pending)
+
+    def has_room(self, amount: int, limit: int, now: float) -> bool:
+        """Tell whether ``amount`` more units may be taken.
+
+        Smaller takes leave room for a waiting gang; otherwise they would use
+        up each unit that comes back, and it would never have all at once.
+        """
+        held_back = 0
+        if amount < self.gang.amount <= limit and self._is_patient(now):
+            held_back = self.gang.amount
+        return self.in_use + amount + held_back <= self.usable()
+
+    def take(self, amount: int) -> None:
+        """Count units as in use; the demand for them is served."""
+        self.in_use += amount
+        self.peak = max(self.peak, self.in_use)
+        if amount >= self.gang.amount:
+            self.gang = _Gang()
+        if amount == 1:
+            self.single_s = NEVER_S
+
+    def give_back(self, amount: int) -> None:
+        """Count units as idle."""
+        self.in_use = max(0, self.in_use - amount)
+
+    def note_refusal(self, amount: int, now: float) -> None:
+        """Remember a refused take as demand."""
+        if amount == 1:
+            self.single_s = now
+            return
+        lapsed = now - self.gang.last_s > self.settings.demand_ttl_s
+        if lapsed or amount > self.gang.amount:
+            self.gang = _Gang(amount, now, now)
+        elif amount == self.gang.amount:
+            self.gang.last_s = now
+
+    def asked(self, limit: int, now: float) -> int:
+        """Return how many more units are needed at once, 0 without demand.
+
+        A gang that does not fit into the limit beside what its own journal
+        has running waits for that, and asks for nothing meanwhile.
+        """
+        if self.closing:
+            return 0
+        fits = self.in_use + self.gang.amount <= limit
+        if self.gang.amount and fits and self._is_patient(now):
+            return self.gang.amount
+        return int(now - self.single_s <= self.settings.demand_ttl_s)
+
+    def is_short(self, limit: int, now: float) -> bool:
+        """Tell whether there is demand that the usable units don't cover."""
+        asked = self.asked(limit, now)
+        return asked > 0 and self.in_use + asked > self.usable()
+
+    def idle_units(self, units: int, limit: int, now: float) -> int:
+        """Return how many of ``units`` were not needed for a whole window."""
+        if self.closing:
+            return units
+        if now - self.window_s < self.settings.idle_s:
+            return 0
+        needed = max(self.peak, self.in_use)
+        first_window = self.window_s == NEVER_S
+        self.peak = self.in_use
+        self.window_s = now
+        if first_window or self.asked(limit, now):
+            return 0
+        self.reserve = 0
+        return max(0, units - needed)
+
+    def _is_patient(self, now: float) -> bool:
+        if now - self.gang.last_s > self.settings.demand_ttl_s:
+            return False
+        patience_s = self.settings.patience_s
+        waited_s = now - self.gang.since_s
+        return waited_s % (2 * patience_s) < patience_s
--- /dev/null
+++ b/src/apricotlead/coordination/limit_plan.py
@@ -0,0 +1,162 @@
+"""How one session wants a team's row to be, from the row as it is."""
+
+from collections.abc import Collection, Mapping
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from apricotlead.coordination.limit_account import Account, AllotmentSettings
+from apricotlead.coordination.limit_row import (
+    LimitRow,
+    Share,
+    Want,
+    fair_units,
+    other_wants,
+    units_to_return,
+    units_to_take,
+)
+
+
+class PlanContext(Struct, frozen=True):
+    """What a plan depends on beside the row and the accounts.
+
+    ``sessions`` is the number of live sessions; ``stale`` are the journals
+    whose wants no longer count; ``op_id`` is that of the write.
+    """
+
+    settings: AllotmentSettings
+    sessions: int
+    stale: Collection[str]
+    op_id: str
+    now: float
+
+
+def plan_row(
+    row: LimitRow,
+    accounts_by_journal: Mapping[str, Account],
+    epochs_by_journal: Mapping[str, int],
+    context: PlanContext,
+) -> LimitRow:
+    """Return the row after returns, growth and wants of the own journals.
+
+    Equal to ``row`` where there is nothing to write. A journal that a later
+    owner has claimed is left alone.
+    """
+    standing = {
+        journal_id: want
+        for journal_id, want in row.wants.items()
+        if journal_id not in context.stale
+    }
+    row = replace(row, wants=standing)
+    for journal_id, account in accounts_by_journal.items():
+        epoch = epochs_by_journal.get(journal_id)
+        share = row.allotments.get(journal_id, Share(0, 0))
+        if epoch is not None and share.epoch <= epoch:
+            plan = _JournalPlan(journal_id, epoch, account, context)
+            row = plan.with_growth(plan.with_returns(row))
+    return row
+
+
+class _JournalPlan(Struct, frozen=True):
+    journal_id: str
+    epoch: int
+    account: Account
+    context: PlanContext
+
+    def with_returns(self, row: LimitRow) -> LimitRow:
+        """Give up idle units that others need or that nobody needed."""
+        units = row.units_of(self.journal_id)
+        now = self.context.now
+        needed_by_others = units_to_return(
+            row,
+            self.journal_id,
+            self.account.in_use,
+            self.context.stale,
+        )
+        idle = self.account.idle_units(units, row.limit, now)
+        return self._with_units(row, units - max(needed_by_others, idle))
+
+    def with_growth(self, row: LimitRow) -> LimitRow:
+        """Take free units for the demand, or announce a want."""
+        asked = self.account.asked(row.limit, self.context.now)
+        if not asked:
+            return self._without_want(row)
+        units = row.units_of(self.journal_id)
+        need = self.account.in_use + asked - units
+        if need <= 0:
+            return self._with_served_want(row, asked)
+        wish = self._wish(row, need, asked)
+        taken = units_to_take(row, self.journal_id, wish, self.context.stale)
+        row = self._with_units(row, units + taken)
+        if taken:
+            self.account.reserve = min(2 * wish, row.limit)
+        if taken >= need:
+            return self._with_served_want(row, asked)
+        wanted = min(wish, self._claim(row, asked) - units) - taken
+        if wanted <= 0:
+            return self._without_want(row)
+        return self._with_want(row, wanted)
+
+    def _wish(self, row: LimitRow, need: int, asked: int) -> int:
+        """Return how many units to ask for: the need, and some in reserve."""
+        parts = self.context.settings.chunk_divisor * self.context.sessions
+        wish = need + max(self.account.reserve, row.limit // parts)
+        if other_wants(row, self.journal_id, self.context.stale):
+            claimed = self._claim(row, asked) - row.units_of(self.journal_id)
+            wish = min(wish, max(need, claimed))
+        return min(wish, row.limit)
+
+    def _claim(self, row: LimitRow, asked: int) -> int:
+        """Return the allotment for which others have to give up units.
+
+        It is the fair part, or what a gang needs at once.
+        """
+        fair = fair_units(row, self.journal_id, self.context.stale)
+        gang_claim = self.account.in_use + asked if asked > 1 else 1
+        return max(fair, gang_claim)
+
+    def _with_units(self, row: LimitRow, units: int) -> LimitRow:
+        """Set the allotment; claims it if its epoch is an older one."""
+        share = row.allotments.get(self.journal_id, Share(0, self.epoch))
+        if (share.units, share.epoch) == (units, self.epoch):
+            return row
+        allotments = dict(row.allotments)
+        allotments.pop(self.journal_id, None)
+        if units > 0:
+            share = Share(units, self.epoch, self.context.op_id)
+            allotments[self.journal_id] = share
+        return replace(row, allotments=allotments)
+
+    def _with_want(self, row: LimitRow, units: int) -> LimitRow:
+        """Announce a want, or refresh it now and then."""
+        account = self.account
+        now = self.context.now
+        before = row.wants.get(self.journal_id)
+        refresh_s = self.context.settings.want_refresh_s
+        recent = now - account.want_sent_s < refresh_s
+        if before is not None and before.units == units and recent:
+            return row
+        account.want_sent_s = now
+        seq = row.next_seq if before is None else before.seq
+        want = Want(units, seq, self.context.op_id)
+        return replace(
+            row,
+            wants=row.wants | {self.journal_id: want},
+            next_seq=max(row.next_seq, seq + 1),
+        )
+
+    def _with_served_want(self, row: LimitRow, asked: int) -> LimitRow:
+        """Keep the place of a gang that has its units but did not take them.
+
+        Without a place it would owe them to the next one at once.
+        """
+        if asked > 1 and self.journal_id in row.wants:
+            return self._with_want(row, 0)
+        return self._without_want(row)
+
+    def _without_want(self, row: LimitRow) -> LimitRow:
+        if self.journal_id not in row.wants:
+            return row
+        wants = dict(row.wants)
+        wants.pop(self.journal_id)
+        return replace(row, wants=wants)
--- a/tests/test_allotments_fuzz.py
+++ b/tests/test_allotments_fuzz.py
@@ -44,11 +44,11 @@
 CHANCES = {
     'change_any': 0.05,
     'take': 0.6,
-    'end': 0.3,
-    'pause': 0.02,
+    'end': 0.8,
+    'pause': 0.03,
     'resume': 0.03,
     'adopt': 0.3,
-    'learn_of_loss': 0.03,
+    'learn_of_loss': 0.02,
 }
 
 
@@ -112,7 +112,7 @@
     @rule(
         mode=st.sampled_from(sorted(FATES_BY_MODE)),
         seed=st.integers(0, 10**6),
-        steps=st.integers(1, 80),
+        steps=st.integers(20, 120),
     )
     def burst(self, mode, seed, steps):
         """Let time pass with faults and work in random order.
@@ -143,7 +143,7 @@
 
     def change_any(self):
         """Change the limit on a base that may be old."""
-        limit = self.rng.randint(0, 9)
+        limit = self.rng.choice((0, 2, 6, 12, 20))
         lag = self.rng.choice((0, 0, 0, 1))
         self.change(self.rng.randrange(3), limit, lag)
 
@@ -208,8 +208,8 @@
             if owner is member
         ]
         journal_id = self.rng.choice([member.journal_id, *journals])
-        amount = self.rng.choice((1, 1, 1, 4))
-        for _ in range(3):
+        amount = 4 if self.rng.random() < 0.03 else 1
+        for _ in range(self.rng.randint(1, 4)):
             self.try_take(member, journal_id, amount)
 
     def try_take(self, member, journal_id, amount):
--- a/tests/test_config_keeper.py
+++ b/tests/test_config_keeper.py
@@ -72,15 +72,15 @@
         self.now = run(self.members, self.now, 0.5)
         return member.outcomes_by_ticket[ticket]
 
-    def write_in_flight(self, member):
-        """Answer reads until the member's write is in flight; return it."""
+    def write_in_flight(self, member, fate='done'):
+        """Settle reads until the member's write is in flight; return it."""
         for _ in range(20):
             self.now += 0.05
             member.tick(self.now)
             for call in member.take_calls():
                 if isinstance(call, Transact):
                     return call
-                member.answer(call, self.now)
+                member.answer(call, self.now, fate)
         raise AssertionError('nothing was written')
 
     def test_one_of_two_racing_operators_wins(self):
@@ -116,7 +116,10 @@
         write = self.write_in_flight(first)
         first.answer(write, self.now, 'lost')
         self.now = run([second], self.now, 1.5)
-        self.commit(second, ChoosePreset('maintenance'))
+        self.commit_alone(second, ChoosePreset('maintenance'))
+        repeat = self.write_in_flight(first, 'unsent')
+        first.answer(repeat, self.now)
+        self.assertIn(ticket, first.outcomes_by_ticket)
         self.now = run(self.members, self.now, 2)
         self.assertEqual(
             Done({'version': 2}),
