--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from apricotlead.settings import Settings, SettingsError
-from tests.test_assembly import SETTINGS
+from tests.embedded_cell import SETTINGS
 
 
 class TestSettings(TestCase):
