--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -100,20 +100,23 @@
         self._manager.clear()
 
     def _call(self, request: HttpCall) -> HttpResult:
+        host, _, port = request.address.rpartition(':')
+        if not port.isdecimal():
+            return NeverSent(f'malformed address {request.address}')
         try:
-            return self._exchange(request)
+            return self._exchange(request, host, int(port))
         except (
             _errors.ConnectTimeoutError,
             _errors.NewConnectionError,
             _errors.LocationValueError,
         ) as error:
             return NeverSent(str(error))
-        except (_errors.HTTPError, OSError) as error:
+        except (_errors.HTTPError, OSError, ValueError) as error:
+            # ValueError is a header that cannot be sent.
             return NoAnswer(str(error))
 
-    def _exchange(self, request: HttpCall) -> Answered:
-        host, _, port = request.address.rpartition(':')
-        pool = self._manager.connection_from_host(host, int(port))
+    def _exchange(self, request: HttpCall, host: str, port: int) -> Answered:
+        pool = self._manager.connection_from_host(host, port)
         response = pool.urlopen(
             request.method,
             request.path,
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -1,5 +1,6 @@
 """Calls tell what is known, and never take another request's answer."""
 
+import socket
 from itertools import count
 
 import eventlet
@@ -80,6 +81,20 @@
         return False
 
 
+def full_host(test):
+    """Return an address whose queue of connections is full."""
+    listener = socket.socket()
+    test.addCleanup(listener.close)
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(0)
+    for _ in range(4):
+        waiting = socket.socket()
+        test.addCleanup(waiting.close)
+        waiting.setblocking(False)
+        waiting.connect_ex(listener.getsockname())
+    return '127.0.0.1:{1}'.format(*listener.getsockname())
+
+
 class TestHttpPool(TestCase):
     """Guards against a wrong statement about a call's outcome."""
 
@@ -113,10 +128,17 @@
 
     def test_what_never_left(self):
         """Guards against waiting for work that no server has."""
-        for address in ('127.0.0.1:1', 'not an address:1'):
-            answer = self.pool.call(HttpCall('GET', address, '/'))
+        addresses = ('127.0.0.1:1', 'not an address:1', 'w7', full_host(self))
+        for address in addresses:
+            answer = self.pool.call(HttpCall('GET', address, '/', timeout_s=1))
             self.assertEqual((address, NeverSent), (address, type(answer)))
 
+    def test_header_that_cannot_be_sent(self):
+        """Guards against an exception that leaves a caller without answer."""
+        headers = {'X-Apricotlead-Request': 'a\r\nb'}
+        call = HttpCall('GET', self.server.address, '/fast', b'', headers)
+        self.assertIsInstance(self.pool.call(call), NoAnswer)
+
     def test_connection_is_reused_after_a_whole_answer(self):
         """Guards against a connection for each call."""
         bodies = {self.get('/fast').body for _ in range(5)}
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -287,84 +287,124 @@
 
 
 class WorkerFuzz(RuleBasedStateMachine):
-    """Messages that come doubled, late and out of order."""
+    """Messages that come doubled, late and out of order.
 
-    names = strategies.sampled_from('abc')
-    epochs = strategies.integers(1, 3)
+    Owner and home take over together, so one epoch stands for both. Start
+    messages are made in advance, and copies of any of them come at any time.
+    """
+
+    numbers = strategies.integers(0, 2)
+    stale = strategies.sampled_from((0, 0, 0, 1))
+    delays = strategies.sampled_from((0.0, 0.0, 0.4, 1.1))
+    caps = strategies.sampled_from((0.5, 9.0))
 
     def __init__(self):
         """Boot a worker."""
         super().__init__()
         self.site = InMemory(make_worker)
         self.client = WorkerClient(self.site.pool)
+        self.booted_s = self.site.now()
+        self.epoch = 0
+        self.take_over()
+        self.starts = [self.make_start(number) for number in range(3)]
         self.accepted = set()
-        self.refused = set()
-        self.lease_ends_by_name = {}
+        self.stopped_early = set()
+        self.lease_ends_by_number = {}
+
+    def clock_s(self):
+        """Return the worker's clock."""
+        return self.site.now() - self.booted_s
+
+    def make_start(self, number):
+        """Make a start that holds for two seconds."""
+        return start(
+            run_s=30.0,
+            attempt_id=str(number),
+            worker_epoch=self.epoch,
+            journal_epoch=self.epoch,
+            not_after_s=self.clock_s() + 2,
+            lease_s=1.0,
+        )
 
-    def call(self, message):
-        """Send a message."""
-        return self.client.call(self.site.address, message)
-
-    def lease(self, name, lease_s=LEASE_S):
-        """Note the latest time that a lease may run to."""
-        until_s = self.site.now() + lease_s
-        known_s = self.lease_ends_by_name.get(name, 0)
-        self.lease_ends_by_name[name] = max(known_s, until_s)
-
-    @rule(name=names, epoch=epochs, not_after_s=strategies.sampled_from((1, 9)))
-    def start(self, name, epoch, not_after_s):
-        """Deliver a copy of one of two starts of an attempt."""
-        attempt_id = f'{name}{epoch}{not_after_s}'
-        message = start(
-            run_s=epoch * 4,
-            attempt_id=attempt_id,
-            worker_epoch=epoch,
-            journal_epoch=epoch,
-            not_after_s=not_after_s,
+    def call(self, message, stale=0):
+        """Send a message; check that it is refused if it is stale."""
+        reply = self.client.call(self.site.address, message)
+        assert isinstance(reply, WorkerRefused) == bool(stale)
+
+    @rule(number=numbers)
+    def make_anew(self, number):
+        """Make the start again with the grant of now, if it never came."""
+        if number not in self.accepted | self.stopped_early:
+            self.starts[number] = self.make_start(number)
+
+    @rule(number=numbers, late_s=delays)
+    def start(self, number, late_s):
+        """Deliver a copy of a start."""
+        self.site.pass_time(late_s)
+        message = self.starts[number]
+        reply = self.client.call(self.site.address, message)
+        allowed = (
+            number not in self.stopped_early
+            and message.worker_epoch >= self.epoch
+            and self.clock_s() <= message.not_after_s
         )
-        if attempt_id not in self.accepted:
-            self.lease(attempt_id)
-        took = isinstance(self.call(message), Accepted)
-        (self.accepted if took else self.refused).add(attempt_id)
-
-    @rule(name=names, epoch=epochs, acknowledged=strategies.booleans())
-    def renew(self, name, epoch, acknowledged):
-        """Renew all leases of a name, and perhaps acknowledge."""
-        names = tuple(f'{name}{number}9' for number in (1, 2, 3))
-        reply = self.call(
-            RenewLeases('j', epoch, names, names * acknowledged, LEASE_S),
+        took = isinstance(reply, Accepted)
+        assert took == (allowed or number in self.accepted)
+        if took and number not in self.accepted:
+            self.accepted.add(number)
+            self.lease_ends_by_number[number] = self.clock_s() + 1
+
+    @rule(number=numbers, late_s=delays, stale=stale, cap_s=caps)
+    def renew(self, number, late_s, stale, cap_s):
+        """Renew a lease."""
+        self.site.pass_time(late_s)
+        until_s = self.clock_s() + cap_s
+        message = RenewLeases(
+            'j',
+            self.epoch - stale,
+            (str(number),),
+            lease_s=1.0,
+            lease_until_s=until_s,
         )
-        if not isinstance(reply, WorkerRefused):
-            for each in names:
-                self.lease(each)
-
-    @rule(name=names, epoch=epochs, later=epochs)
-    def stop(self, name, epoch, later):
+        self.call(message, stale)
+        known_s = self.lease_ends_by_number.get(number, 0)
+        if not stale and self.clock_s() < known_s:
+            end_s = min(self.clock_s() + 1, until_s)
+            self.lease_ends_by_number[number] = max(known_s, end_s)
+
+    @rule(stale=stale)
+    def acknowledge(self, stale):
+        """Acknowledge all attempts, whether ended or not."""
+        ids = tuple(message.attempt_id for message in self.starts)
+        self.call(RenewLeases('j', self.epoch - stale, (), ids), stale)
+
+    @rule(number=numbers, stale=stale)
+    def stop(self, number, stale):
         """Stop an attempt, perhaps before its start comes."""
-        self.call(StopTasks('j', later, (f'{name}{epoch}9',)))
-
-    @rule(epoch=epochs)
-    def heartbeat(self, epoch):
-        """Come as an owner."""
-        self.call(Heartbeat('x', epoch))
-
-    @rule(seconds=strategies.sampled_from((0.1, 1.5, 5.0)))
-    def pass_time(self, seconds):
-        """Let time pass without a message."""
-        self.site.pass_time(seconds)
+        message = StopTasks('j', self.epoch - stale, (str(number),))
+        self.call(message, stale)
+        if not stale and number not in self.accepted:
+            self.stopped_early.add(number)
+
+    @rule()
+    def take_over(self):
+        """Come with a higher epoch."""
+        self.epoch += 1
+        self.call(Heartbeat('x', self.epoch))
+        self.call(RenewLeases('j', self.epoch, ()))
+        self.call(Heartbeat('w', self.epoch - 1), stale=1)
 
     @invariant()
-    def refusals_are_true_and_runs_are_single(self):
-        """Each attempt ran once if it was accepted, else never."""
-        self.site.standin.advance(self.site.now())
+    def runs_are_single_and_end_with_their_lease(self):
+        """Each accepted attempt ran once, no other ran."""
         runs = self.site.standin.log.dump()['runs']
-        ids = [run['attempt_id'] for run in runs]
+        ids = [int(run['attempt_id']) for run in runs]
         assert len(ids) == len(set(ids))
         assert set(ids) == self.accepted
-        assert not self.accepted & self.refused
-        for run in runs:
-            end_s = run['end_s'] or self.site.now()
-            assert end_s <= self.lease_ends_by_name[run['attempt_id']] + 1e-6
+        for number, run in zip(ids, runs, strict=True):
+            end_s = run['end_s'] or self.booted_s
+            lease_end_s = self.booted_s + self.lease_ends_by_number[number]
+            assert end_s <= lease_end_s + 1e-6
 
 
 TestWorkerFuzz = WorkerFuzz.TestCase
