Work out worker ownership in steps of bounded cost

Cause: each change of the live sessions hashed every candidate worker at once.

Ruled out: a cache of scores; its size is workers times sessions, and the first change after a start still pays for all.

Conclusion: hashes_per_tick bounds the step. A change that comes during one examines the remaining workers first.

--- a/src/apricotlead/coordination/worker_ownership.py
+++ b/src/apricotlead/coordination/worker_ownership.py
@@ -53,7 +53,9 @@
     All sessions together make at most ``writes_per_s`` transactions a second,
     each for at most ``workers_per_write`` workers. A dropped worker is
     released after ``release_delay_s``, so that starts under grants that are
-    already given out come before the next owner's higher epoch.
+    already given out come before the next owner's higher epoch. Who takes
+    which worker is worked out with about ``hashes_per_tick`` hashes in each
+    tick, which take about 3 ms.
     """
 
     writes_per_s: float = 100.0
@@ -63,6 +65,7 @@
     workers_per_read: int = 200
     read_timeout_s: float = 2.0
     release_delay_s: float = 0.5
+    hashes_per_tick: int = 2000
 
 
 class _Owned(Struct, frozen=True):
@@ -116,6 +119,7 @@
         '_rows_by_id',
         '_settings',
         '_unannounced_ids',
+        '_unexamined_by_id',
         '_view',
         '_wanted_ids',
         '_write_due_s',
@@ -143,6 +147,8 @@
         self._read_tokens: set[Token] = set()
         self._write_due_s = _NEVER
         self._writing = False
+        # Dictionaries keep their order, so that a seed reproduces a run.
+        self._unexamined_by_id: dict[str, Sequence[str]] = {}
         self._wanted_ids: dict[str, None] = {}
         self._forget_all()
 
@@ -165,6 +171,7 @@
             return
         if self._directory_version != self._directory.version:
             yield from self._rebalance(now)
+        yield from self._examine(now)
         if not self._view.is_valid(now):
             return
         yield from self._announce()
@@ -247,50 +254,75 @@
 
     def _rebalance(self, now: float) -> Iterable[Signal]:
         self._directory_version = self._directory.version
-        self._wanted_ids = {} if self._leaving else self._find_wanted()
         self._read_due_s = min(self._read_due_s, now)
-        missing_ids = set(self._missing_ids())
+        candidates_by_id = {} if self._leaving else self._find_candidates()
+        # What the last change left to examine comes first, so that frequent
+        # changes do not starve the workers at the end of the list.
+        self._unexamined_by_id = {
+            worker_id: candidates_by_id[worker_id]
+            for worker_id in self._unexamined_by_id
+            if worker_id in candidates_by_id
+        }
+        self._unexamined_by_id.update(candidates_by_id)
+        self._wanted_ids = {
+            worker_id: None
+            for worker_id in self._wanted_ids
+            if worker_id in candidates_by_id
+        }
         self._rows_by_id = {
             worker_id: row
             for worker_id, row in self._rows_by_id.items()
-            if worker_id in missing_ids
+            if worker_id in candidates_by_id
         }
-        dropped: list[Signal] = []
-        for worker_id in tuple(self._owned_by_id):
-            if worker_id not in self._wanted_ids:
-                self._drop(worker_id, now)
-                dropped.append(WorkerDropped(worker_id))
-        return dropped
-
-    def _drop(self, worker_id: str, now: float) -> None:
-        owned = self._owned_by_id.pop(worker_id)
-        self._dropped_by_id[worker_id] = _Dropped(
-            owned.epoch,
-            owned.version,
-            now + self._settings.release_delay_s,
-        )
+        foreign_ids = self._owned_by_id.keys() - self._wanted_ids.keys()
+        return [
+            *(self._drop(worker_id, now) for worker_id in sorted(foreign_ids)),
+            *self._examine(now),
+        ]
 
-    def _find_wanted(self) -> dict[str, None]:
+    def _examine(self, now: float) -> Iterable[Signal]:
         own_id = self._view.session_id
+        hashes_left = self._settings.hashes_per_tick
+        while self._unexamined_by_id and hashes_left > 0:
+            worker_id = next(iter(self._unexamined_by_id))
+            member_ids = self._unexamined_by_id.pop(worker_id)
+            hashes_left -= len(member_ids)
+            if preferred(worker_id, member_ids) == own_id:
+                self._wanted_ids[worker_id] = None
+                continue
+            self._wanted_ids.pop(worker_id, None)
+            self._rows_by_id.pop(worker_id, None)
+            if worker_id in self._owned_by_id:
+                yield self._drop(worker_id, now)
+
+    def _find_candidates(self) -> dict[str, Sequence[str]]:
+        own_datacentre = self._view.datacentre
         ids_by_datacentre: dict[str, list[str]] = {
-            self._view.datacentre: [own_id],
+            own_datacentre: [self._view.session_id],
         }
         for peer in self._view.peers_by_id.values():
             ids_by_datacentre.setdefault(peer.datacentre, []).append(
                 peer.session_id,
             )
+        own_ids = ids_by_datacentre.pop(own_datacentre)
         everyone = self._view.live_ids()
-        # A dictionary keeps the order, so that a seed reproduces a run.
         return {
-            worker.instance_id: None
-            for worker in self._directory.workers_by_id.values()
-            if _falls_to(
-                own_id,
-                worker.instance_id,
-                ids_by_datacentre.get(worker.datacentre, everyone),
+            worker.instance_id: (
+                own_ids if worker.datacentre == own_datacentre else everyone
             )
+            for worker in self._directory.workers_by_id.values()
+            if worker.datacentre not in ids_by_datacentre
         }
 
+    def _drop(self, worker_id: str, now: float) -> WorkerDropped:
+        owned = self._owned_by_id.pop(worker_id)
+        self._dropped_by_id[worker_id] = _Dropped(
+            owned.epoch,
+            owned.version,
+            now + self._settings.release_delay_s,
+        )
+        return WorkerDropped(worker_id)
+
     def _announce(self) -> Iterable[Signal]:
         unannounced_ids = self._unannounced_ids
         self._unannounced_ids = []
@@ -470,13 +502,3 @@
                 self._rows_by_id[id_of(row)] = row
             else:
                 self._lapsed.learn(id_of(row), row, now)
-
-
-def _falls_to(
-    own_id: str,
-    worker_id: str,
-    member_ids: Sequence[str],
-) -> bool:
-    if own_id not in member_ids:
-        return False
-    return preferred(worker_id, member_ids) == own_id
