--- a/src/apricotlead/coordination/journal_writer.py
+++ b/src/apricotlead/coordination/journal_writer.py
@@ -21,6 +21,7 @@
 from apricotlead.protocol.signals import (
     AppendRecords,
     Count,
+    DeleteObject,
     JournalClosed,
     ObjectReplied,
     PutObject,
@@ -100,6 +101,10 @@
     sent_s: float
 
 
+class DeletingSnapshot(Struct, frozen=True):
+    """A replaced snapshot is deleted; what comes of it does not matter."""
+
+
 class HandingOver(Struct, frozen=True):
     """The journal row is left without an owner."""
 
@@ -266,8 +271,12 @@
         """Take over the new row; its old segments are deleted by batches."""
         self._flight_count -= 1
         if isinstance(reply, Committed):
+            replaced_key = self.journal.row.snapshot
             self._take_compacted(compacting, reply)
-            return (Count('journal.compacted'),)
+            return (
+                Count('journal.compacted'),
+                *self._delete_snapshot(replaced_key),
+            )
         self._postpone_snapshot()
         if isinstance(reply, CheckFailed):
             return self.close()
@@ -474,6 +483,14 @@
         self._snapshot = None
         self._snapshot_ready = False
 
+    def _delete_snapshot(self, key: str) -> Iterable[Signal]:
+        # No session can still need it: one that claimed the journal while
+        # its row named this object made the compaction fail.
+        if not key:
+            return ()
+        token = self._calls.token(DeletingSnapshot())
+        return (DeleteObject(token, key),)
+
     def _hand_over(self, now: float) -> Iterable[Signal]:
         # From here on the row may change at any moment.
         self._must_release = True
--- a/src/apricotlead/coordination/journals.py
+++ b/src/apricotlead/coordination/journals.py
@@ -273,6 +273,8 @@
     def _open_fresh(self) -> Signal:
         self._opening_due_s = float('inf')
         session_id = self._view.session_id
+        # A sweep must not take it for an adoption that came to nothing.
+        self._adoptions.adopting_ids.add(session_id)
         row = JournalRow(session_id, epoch=1)
         key = journal_key(session_id)
         return self._calls.transact(
@@ -293,6 +295,7 @@
             journal = OwnedJournal(journal_id, opening.row, version)
             self._adopted.append(AdoptedJournal(journal, (), ()))
             return self._open_adopted() if self._view.is_valid(now) else ()
+        self._adoptions.adopting_ids.discard(journal_id)
         if isinstance(reply, StoreFailed) and not self._is_leaving:
             self._opening_due_s = now + self._settings.retry_s
         return ()
--- a/src/apricotlead/protocol/signals.py
+++ b/src/apricotlead/protocol/signals.py
@@ -320,6 +320,13 @@
     key: str
 
 
+class DeleteObject(Effect, frozen=True):
+    """Delete an object; it is no fault if it does not exist."""
+
+    token: Token
+    key: str
+
+
 class CallWorker(Effect, frozen=True):
     """Send a request to a worker; ``timeout_s`` bounds the wait."""
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 from apricotlead.coordination.scheduler import Scheduler
 from apricotlead.coordination.store_settlement import StoreSettlement
 from apricotlead.protocol.signals import (
+    DeleteObject,
     GetObject,
     JournalClosed,
     JournalOpened,
@@ -51,7 +52,7 @@
 
     def carry_out(self, effect):
         """Return the reply signal of a store effect, ``None`` for others."""
-        if isinstance(effect, (PutObject, GetObject)):
+        if isinstance(effect, (PutObject, GetObject, DeleteObject)):
             return self._object(effect)
         if not isinstance(effect, (Transact, ReadRows, ScanRows)):
             return None
@@ -108,6 +109,9 @@
         if isinstance(effect, PutObject):
             self.objects_by_key[effect.key] = effect.content
             return ObjectReplied(effect.token, not self.loses_answers)
+        if isinstance(effect, DeleteObject):
+            self.objects_by_key.pop(effect.key, None)
+            return ObjectReplied(effect.token, succeeded=True)
         found = self.objects_by_key.get(effect.key)
         return ObjectReplied(effect.token, succeeded=True, content=found)
 
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -25,6 +25,7 @@
     SessionLost,
     SessionOpened,
     Shutdown,
+    Tick,
     Token,
     Transact,
 )
@@ -110,6 +111,31 @@
         return [signal.token.number for signal in taken]
 
 
+class TestOpening(JournalCase):
+    """Guards against a fresh journal that is opened twice."""
+
+    def test_sweep_leaves_a_journal_that_is_being_opened(self):
+        """Its row can be in the store before the answer comes."""
+        self.view.session_id = 'next'
+        self.instance.deliver(SessionLost(OWN), 1)
+        self.instance.deliver(SessionOpened('next'), 1)
+        self.store.loses_answers = True
+        self.instance.deliver(Tick(), 1)
+        self.store.loses_answers = False
+        self.instance.holds = (Transact,)
+        self.instance.run(1, 40)
+        claimed = [
+            effect.transaction.witness
+            for effect in self.instance.held
+            if effect.transaction.puts[0].value['epoch'] > 1
+        ]
+        self.assertNotIn(journal_key('next'), claimed)
+        self.instance.release(40)
+        self.instance.run(40, 41)
+        opened = self.recorder.take(JournalOpened)
+        self.assertIn(JournalOpened('next', 1), opened)
+
+
 class TestAppends(JournalCase):
     """Guards against records that are lost, doubled or refused wrongly."""
 
@@ -327,7 +353,7 @@
     )
 
     def test_snapshot_replaces_segments(self):
-        """Old segments go with later batches; live jobs stay."""
+        """Old segments and snapshots are deleted; live jobs stay."""
         for number in range(1, 12):
             self.instance.deliver(append(number), number)
             ended = AppendRecords(
@@ -341,6 +367,7 @@
         row = self.store.value(journal_key(OWN))
         self.assertGreater(row['first_segment'], 4)
         self.assertLess(len(self.store.keys('segment/')), 6)
+        self.assertEqual([row['snapshot']], list(self.store.objects_by_key))
         snapshot = self.store.objects_by_key[row['snapshot']]
         self.assertIn(b'"own.1"', snapshot)
         self.assertNotIn(b'"own.2"', snapshot)
--- a/tests/test_worker_ownership.py
+++ b/tests/test_worker_ownership.py
@@ -43,8 +43,10 @@
     )
 
 
-class TestWorkerOwnership(TestCase):
-    """Guards against workers that two sessions own, or none."""
+class OwnershipCase(TestCase):
+    """An ownership without workers, in a session that is alone."""
+
+    settings = SETTINGS
 
     def setUp(self):
         """Be the only session, with a valid lease and no worker."""
@@ -54,7 +56,7 @@
         self.view.lease_end_s = FOREVER_S
         self.directory = CellDirectory()
         self.ownership = WorkerOwnership.from_config(
-            SETTINGS,
+            self.settings,
             self.view,
             self.directory,
             Random(1),
@@ -92,6 +94,10 @@
         taken = self.recorder.take(WorkerClaimed)
         return sorted(signal.worker_id for signal in taken)
 
+
+class TestWorkerOwnership(OwnershipCase):
+    """Guards against workers that two sessions own, or none."""
+
     def test_no_claim_before_the_peers_are_known(self):
         """A session that starts must not take what others own."""
         self.directory.replace(workers(3))
@@ -216,3 +222,23 @@
         self.instance.holds = (ReadRows,)
         self.instance.run(0, 6)
         self.assertLessEqual(len(self.instance.held), 3)
+
+
+class TestRebalancingSteps(OwnershipCase):
+    """Guards against a change that stops the event loop, or is forgotten."""
+
+    settings = msgspec.structs.replace(SETTINGS, hashes_per_tick=2)
+
+    def test_frequent_changes_starve_no_worker(self):
+        """Each step is bounded, and each worker is examined in the end."""
+        self.begin(*workers(30))
+        self.instance.run(0, 0.5)
+        self.assertLess(self.ownership.dump(0)['wanted'], 15)
+        for number in range(1, 30):
+            self.set_peer('b' if number % 2 else '', now=number / 10)
+        self.assertEqual(30, self.ownership.dump(3)['wanted'])
+        self.instance.run(3, 9)
+        self.assertEqual(30, len(self.claimed_ids()))
+        self.set_peer('a', now=9)
+        self.instance.run(9, 15)
+        self.assertTrue(0 < len(self.ownership.dump(15)['owned']) < 30)
