--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -19,11 +19,13 @@
     JournalClosed,
     JournalOpened,
     PeerLapsed,
+    PutObject,
     RecordsCommitted,
     RecordsRejected,
     SessionLost,
     SessionOpened,
     Shutdown,
+    Tick,
     Token,
     Transact,
 )
@@ -109,6 +111,31 @@
         return [signal.token.number for signal in taken]
 
 
+class TestOpening(JournalCase):
+    """Guards against a fresh journal that is opened twice."""
+
+    def test_sweep_leaves_a_journal_that_is_being_opened(self):
+        """Its row can be in the store before the answer comes."""
+        self.view.session_id = 'next'
+        self.instance.deliver(SessionLost(OWN), 1)
+        self.instance.deliver(SessionOpened('next'), 1)
+        self.store.loses_answers = True
+        self.instance.deliver(Tick(), 1)
+        self.store.loses_answers = False
+        self.instance.holds = (Transact,)
+        self.instance.run(1, 40)
+        claimed = [
+            effect.transaction.witness
+            for effect in self.instance.held
+            if effect.transaction.puts[0].value['epoch'] > 1
+        ]
+        self.assertNotIn(journal_key('next'), claimed)
+        self.instance.release(40)
+        self.instance.run(40, 41)
+        opened = self.recorder.take(JournalOpened)
+        self.assertIn(JournalOpened('next', 1), opened)
+
+
 class TestAppends(JournalCase):
     """Guards against records that are lost, doubled or refused wrongly."""
 
@@ -326,7 +353,7 @@
     )
 
     def test_snapshot_replaces_segments(self):
-        """Old segments go with later batches; live jobs stay."""
+        """Old segments and snapshots are deleted; live jobs stay."""
         for number in range(1, 12):
             self.instance.deliver(append(number), number)
             ended = AppendRecords(
@@ -340,21 +367,20 @@
         row = self.store.value(journal_key(OWN))
         self.assertGreater(row['first_segment'], 4)
         self.assertLess(len(self.store.keys('segment/')), 6)
+        self.assertEqual([row['snapshot']], list(self.store.objects_by_key))
         snapshot = self.store.objects_by_key[row['snapshot']]
         self.assertIn(b'"own.1"', snapshot)
         self.assertNotIn(b'"own.2"', snapshot)
 
     def test_failed_object_write_keeps_the_segments(self):
         """The row is never moved to a snapshot that may not exist."""
-        self.store.loses_answers = True
-        self.instance.holds = (Transact,)
+        self.instance.holds = (PutObject,)
         for number in range(1, 7):
             self.instance.deliver(append(number), 1)
-        self.instance.run(1, 1.2)
-        self.store.loses_answers = False
-        self.instance.release(1.2)
+        self.instance.run(1, 2)
+        self.assertEqual(1, len(self.instance.held))
         self.store.is_down = True
-        self.instance.run(1.2, 3)
+        self.instance.release(2)
         self.store.is_down = False
-        self.instance.run(3, 4)
+        self.instance.run(2, 3)
         self.assertNotIn('snapshot', self.store.value(journal_key(OWN)))
