Hold workers only for jobs that ask again

Cause: a gang that several owners are asked for kept its age when it got room, so each such gang made every owner hold idle workers for up to 8 s.

Ruled out: forgetting the gang when it gets room here. Its age would begin anew at each try, and no owner would ever hold its part.

Conclusion: room is held only for a job that came back after its patience.

--- a/src/apricotlead/coordination/capacity_holds.py
+++ b/src/apricotlead/coordination/capacity_holds.py
@@ -15,8 +15,8 @@
 class HoldSettings(Struct, frozen=True):
     """Times in seconds.
 
-    A job that has asked for longer than ``patience_s`` (urgent jobs:
-    ``urgent_patience_s``) gets workers held for it. It loses them after
+    A job that asks again ``patience_s`` (urgent jobs: ``urgent_patience_s``)
+    after it first asked gets workers held for it. It loses them after
     ``longest_hold_s``, or when it has not asked again for ``silence_s`` (the
     home of a gang asks again after about 4 s). Holds are reviewed every
     ``review_s``.
@@ -34,6 +34,7 @@
     asked_s: float
     urgent: bool
     demands: tuple[Resources, ...]
+    has_room: bool = False
 
 
 class CapacityHolds:
@@ -87,13 +88,21 @@
             waiting = _WaitingJob(now, now, urgent, ())
             self._waiting_by_job_id[job_id] = waiting
         waiting.asked_s = now
+        waiting.has_room = False
         waiting.demands = tuple(demands)
 
-    def served(self, job_id: str) -> None:
-        """Note that a job got all the room that it asked for."""
-        self._waiting_by_job_id.pop(job_id, None)
+    def served(self, job_id: str, wholly: bool) -> None:
+        """Note that a job got all the room that it asked for here.
+
+        A job that is not ``wholly`` placed here keeps its age, because it
+        comes back if other owners have no room for the rest.
+        """
         if job_id == self._holder:
             self._end_hold()
+        if wholly:
+            self._waiting_by_job_id.pop(job_id, None)
+        elif job_id in self._waiting_by_job_id:
+            self._waiting_by_job_id[job_id].has_room = True
 
     def clear(self) -> None:
         """Forget all jobs."""
@@ -140,7 +149,7 @@
         ripe = sorted(
             (not waiting.urgent, waiting.since_s, job_id)
             for job_id, waiting in self._waiting_by_job_id.items()
-            if self._is_ripe(waiting, now)
+            if self._is_ripe(waiting)
         )
         for _, _, job_id in ripe[:_MAX_TRIED]:
             demands = self._waiting_by_job_id[job_id].demands
@@ -151,11 +160,13 @@
                 self.worker_ids = worker_ids
                 return
 
-    def _is_ripe(self, waiting: _WaitingJob, now: float) -> bool:
+    def _is_ripe(self, waiting: _WaitingJob) -> bool:
+        """Tell whether the job asked again after its patience had passed."""
         patience_s = self._policy.patience_s
         if waiting.urgent:
             patience_s = self._policy.urgent_patience_s
-        return waiting.since_s + patience_s <= now
+        asked_for_s = waiting.asked_s - waiting.since_s
+        return asked_for_s >= patience_s and not waiting.has_room
 
 
 def _workers_to_drain(
--- a/src/apricotlead/coordination/reservations.py
+++ b/src/apricotlead/coordination/reservations.py
@@ -232,8 +232,9 @@
             self._recent.add(team, demands_by_id[grant.attempt_id], now)
         self._shares_by_team.pop(team, None)
         request.grants.extend(grants)
-        if not request.open_by_attempt_id and not request.message.partial:
-            self._holds.served(request.job_id)
+        if request.favoured and not request.open_by_attempt_id:
+            wholly = not request.message.partial
+            self._holds.served(request.job_id, wholly)
         return self._send_grants(request, grants)
 
     def _park_or_refuse(
