--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,138 @@
+"""Room is asked for in order, and held by nobody who does not need it."""
+
+from random import Random
+from types import SimpleNamespace
+
+from testtools import TestCase
+
+from apricotlead.coordination.dispatcher import Dispatcher, DispatchSettings
+from apricotlead.protocol.config import MAINTENANCE, ORDINARY, CellConfig
+from apricotlead.protocol.peers import (
+    CapacityGranted,
+    CapacityRefused,
+    ReleaseGrants,
+    ReserveCapacity,
+)
+from apricotlead.protocol.signals import (
+    AttemptEnded,
+    JournalClosed,
+    TaskQueued,
+    TasksPlaced,
+    TasksWithdrawn,
+    Tick,
+)
+from apricotlead.state.job_table import JobTable
+from tests.job_cell import Limits
+from tests.job_samples import JOURNAL, accepted, grant, of_type, session_view
+
+
+class TestDispatcher(TestCase):
+    """Guards the order of work, and grants and units against leaks."""
+
+    def setUp(self):
+        """Open a journal."""
+        super().setUp()
+        self.table = JobTable()
+        self.table.open_journal(JOURNAL, 1)
+        self.shares = {}
+        self.preset = ORDINARY
+        self.limits = Limits()
+        self.dispatcher = Dispatcher(
+            DispatchSettings(),
+            self.table,
+            session_view(),
+            SimpleNamespace(config=CellConfig(), preset=lambda: self.preset),
+            SimpleNamespace(share_of=lambda team, *_: self.shares.get(team, 0)),
+            self.limits,
+            Random(1),
+        )
+
+    def queue(self, number, tasks=1, **fields):
+        """Queue a job."""
+        record = accepted(number, tasks, **fields)
+        self.table.replay(record)
+        signal = TaskQueued(JOURNAL, record.job_id, tuple(range(tasks)))
+        self.dispatcher.enqueue(signal, 0)
+
+    def tick(self, now=0):
+        """Return the wanted attempts in order, and the released ones."""
+        signals = self.dispatcher.act_on_time(Tick(), now)
+        requests = of_type(signals, ReserveCapacity)
+        wanted = [one.attempt_id for each in requests for one in each.demands]
+        releases = of_type(signals, ReleaseGrants)
+        return wanted, [one for each in releases for one in each.attempt_ids]
+
+    def grant(self, *attempt_ids, now=0):
+        """Deliver grants; return the placements."""
+        grants = tuple(grant(one) for one in attempt_ids)
+        signal = CapacityGranted('request', 'own', grants)
+        return of_type(self.dispatcher.take_grants(signal, now), TasksPlaced)
+
+    def test_order(self):
+        """Class goes before kind, kind before share, share before age."""
+        self.shares = {'rich': 0.9, 'poor': 0.1}
+        self.queue(1, team='rich')
+        self.queue(2, team='poor')
+        self.queue(3, kind='gang')
+        self.queue(4, priority='urgent')
+        order = [one.split('.')[1] for one in self.tick()[0]]
+        self.assertEqual(['4', '3', '2', '1'], order)
+
+    def test_preset_holds_batch_work_only(self):
+        """Maintenance must not start batch tasks."""
+        self.preset = MAINTENANCE
+        self.queue(1)
+        self.queue(2, kind='gang')
+        self.assertEqual(['j.2.0.1-1'], self.tick()[0])
+
+    def test_grants_nobody_waits_for_are_released_but_not_those_in_use(self):
+        """A doubled answer must neither hold room nor free room in use."""
+        self.queue(1)
+        wanted = self.tick()[0]
+        self.assertEqual(1, len(self.grant(*wanted)))
+        self.assertEqual([], self.grant(*wanted, 'j.9.0.1-9', 'other.1.0.1-1'))
+        self.assertEqual(['j.9.0.1-9'], self.tick(1)[1])
+        self.dispatcher.release(AttemptEnded(JOURNAL, *wanted, 'lapsed'), 2)
+        self.assertEqual(0, self.limits.in_use['team', JOURNAL])
+        self.assertEqual(wanted, self.tick(2)[1])
+
+    def test_lost_request_is_repeated_with_fresh_attempts(self):
+        """An answer that never comes must not hold up the task."""
+        self.queue(1)
+        lost = self.tick()[0]
+        self.assertEqual(([], lost), self.tick(1.5))
+        again = self.tick(3)[0]
+        self.assertNotEqual(lost, again)
+        self.assertEqual([], self.grant(*lost))
+        self.assertEqual(1, len(self.grant(*again)))
+
+    def test_gang_lets_go_when_a_grant_is_missing(self):
+        """Gangs that hold a part each must not block each other."""
+        self.queue(1, 2, kind='gang')
+        wanted = self.tick()[0]
+        self.assertEqual([], self.grant(wanted[0]))
+        self.assertCountEqual(wanted, self.tick(2.5)[1])
+        self.assertEqual(0, self.limits.in_use['team', JOURNAL])
+
+    def test_gang_is_placed_as_a_whole(self):
+        """A refused part is asked for again while the rest is held."""
+        self.queue(1, 2, kind='gang')
+        first, second = self.tick()[0]
+        self.grant(first)
+        refusal = CapacityRefused('request', 'own', (second,))
+        self.dispatcher.take_refusals(refusal, 0)
+        placed = self.grant(*self.tick(0.2)[0], now=0.3)
+        self.assertEqual((0, 1), placed[0].tasks)
+
+    def test_withdrawn_and_closed_work(self):
+        """Cancelled work gives all back; a lost journal says nothing."""
+        for number in (1, 2):
+            self.queue(number, 2, kind='gang')
+        wanted = self.tick()[0]
+        self.grant(wanted[0], wanted[2])
+        self.dispatcher.withdraw(TasksWithdrawn(JOURNAL, 'j.1', (0, 1)), 0)
+        self.assertCountEqual(wanted[:2], self.tick()[1])
+        self.assertEqual(2, self.limits.in_use['team', JOURNAL])
+        self.dispatcher.close_journal(JournalClosed(JOURNAL), 0)
+        self.assertEqual(([], []), self.tick(9))
+        self.assertEqual([], self.grant(wanted[3]))
--- /dev/null
+++ b/tests/test_job_book.py
@@ -0,0 +1,158 @@
+"""Callers hear what is true, and peers find the owner of a job."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.job_book import JobBook, JobBookSettings
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun
+from apricotlead.protocol.peers import AskJob, JobAnswer
+from apricotlead.protocol.signals import (
+    AdmitJob,
+    Answer,
+    AppendRecords,
+    AttemptAdopted,
+    AttemptEnded,
+    FindJob,
+    JournalClosed,
+    JournalOpened,
+    RecordsCommitted,
+    RecordsRejected,
+    SendToPeer,
+    StopAttempts,
+    TaskQueued,
+    TasksPlaced,
+    TasksWithdrawn,
+    Tick,
+)
+from apricotlead.state.job_table import JobTable
+from tests.job_samples import (
+    JOURNAL,
+    accepted,
+    assigned,
+    grant,
+    of_type,
+    session_view,
+)
+
+SUBMISSION = accepted(request_id='r').submission
+
+
+class TestJobBook(TestCase):
+    """Guards the answers to callers and the order of records and effects."""
+
+    def setUp(self):
+        """Open a journal beside two peers."""
+        super().setUp()
+        self.book = JobBook(
+            JobBookSettings(),
+            JobTable(),
+            session_view('peer-1', 'peer-2'),
+        )
+        self.book.open_journal(JournalOpened(JOURNAL, 1), 0)
+
+    def admit(self):
+        """Hand in a job; return its append."""
+        return self.book.admit(AdmitJob(7, 'team', SUBMISSION), 0)[0]
+
+    def commit(self, append):
+        """Make records durable; return what follows."""
+        return self.book.go_on(RecordsCommitted(append.token, JOURNAL), 0)
+
+    def reject(self, append, existing=''):
+        """Let the store refuse records."""
+        signal = RecordsRejected(append.token, JOURNAL, existing, 0.5)
+        return self.book.fall_back(signal, 0)
+
+    def asked(self, signals):
+        """Return the peers that were asked."""
+        return [one.session_id for one in of_type(signals, SendToPeer)]
+
+    def test_acceptance_waits_for_the_commit(self):
+        """A caller must not hear of a job that can still be lost."""
+        append = self.admit()
+        self.assertIsInstance(append, AppendRecords)
+        self.assertEqual('team/r', append.request_key)
+        answer, queued = self.commit(append)
+        self.assertEqual('j.1', answer.outcome.answer.job_id)
+        self.assertEqual(TaskQueued(JOURNAL, 'j.1', (0,)), queued)
+        self.assertEqual((), self.commit(append))
+
+    def test_unaccepted_job(self):
+        """Refused, deduplicated and unknown are three different answers."""
+        refused = self.reject(self.admit())[0].outcome
+        self.assertEqual(0.5, refused.retry_after_s)
+        self.commit(self.admit())
+        first = self.reject(self.admit(), existing='j.2')[0].outcome
+        self.assertEqual('j.2', first.answer.job_id)
+        self.reject(self.admit(), existing='elsewhere.1')
+        late = self.book.act_on_time(Tick(), 9)[0].outcome
+        self.assertIsInstance(late, Done)
+        self.admit()
+        closed = self.book.close_journal(JournalClosed(JOURNAL), 0)
+        self.assertIsInstance(closed[0].outcome, MayHaveRun)
+        without = self.admit().outcome
+        self.assertIsInstance(without, NotRun)
+
+    def test_cancellation_in_waves(self):
+        """Queued tasks go at once, running ones are stopped, none starts."""
+        records = (accepted(1, 3), assigned(1, 0))
+        following = self.book.open_journal(
+            JournalOpened(JOURNAL, 2, records),
+            0,
+        )
+        adopted, queued = following
+        self.assertIsInstance(adopted, AttemptAdopted)
+        placed = TasksPlaced(JOURNAL, 'j.1', (1,), (grant('j.1.1.2-1'),))
+        assignment = self.book.record_placement(placed, 0)[0]
+        find = FindJob(8, 'j.1', 'team', cancel=True)
+        withdrawn, append = self.book.find(find, 0)
+        self.assertEqual(TasksWithdrawn(JOURNAL, 'j.1', (2,)), withdrawn)
+        late = TasksPlaced(JOURNAL, 'j.1', (2,), (grant('j.1.2.2-2'),))
+        ended = self.book.record_placement(late, 0)[0]
+        self.assertEqual(('j.1.2.2-2', False), (ended.attempt_id, ended.ran))
+        unstarted = self.commit(assignment)
+        self.assertEqual(1, len(of_type(unstarted, AttemptEnded)))
+        stops = of_type(self.commit(append), StopAttempts)
+        self.assertEqual(('j.1.0.1-1', 'j.1.1.2-1'), stops[0].attempt_ids)
+
+    def test_rejected_ending_is_written_again(self):
+        """An ending must not be lost in a store outage."""
+        records = (accepted(), assigned())
+        self.book.open_journal(JournalOpened(JOURNAL, 2, records), 0)
+        ended = AttemptEnded(JOURNAL, assigned().attempt_id, 'succeeded')
+        append = self.book.record_ending(ended, 0)[0]
+        self.assertEqual((), self.book.record_ending(ended, 0))
+        self.assertEqual((), self.reject(append))
+        again = self.book.act_on_time(Tick(), 1)[0]
+        self.assertEqual(append.records, again.records)
+
+    def test_foreign_job(self):
+        """Each peer is asked once, then the known owner alone."""
+        find = FindJob(8, 'other.1', 'team')
+        self.assertEqual(2, len(self.asked(self.book.find(find, 0))))
+        answer = JobAnswer('own-1', owner='peer-2')
+        self.assertEqual(
+            (Answer(8, Done(None)),),
+            self.book.pass_answer(answer, 0),
+        )
+        self.assertEqual((), self.book.pass_answer(answer, 0))
+        self.assertEqual(['peer-2'], self.asked(self.book.find(find, 0)))
+        widened = self.book.act_on_time(Tick(), 0.6)
+        self.assertEqual(['peer-1'], self.asked(widened))
+        late = self.book.act_on_time(Tick(), 3)[0].outcome
+        self.assertEqual('owner_unreachable', late.error.kind)
+
+    def test_lost_answer_to_a_cancellation_is_no_refusal(self):
+        """The owner may have ended the job before its answer was lost."""
+        self.book.find(FindJob(8, 'other.1', 'team', cancel=True), 0)
+        late = self.book.act_on_time(Tick(), 3)[0].outcome
+        self.assertIsInstance(late, MayHaveRun)
+
+    def test_peer_sees_only_jobs_of_its_team(self):
+        """A job of another team must look like one that does not exist."""
+        self.commit(self.admit())
+        for team, kind in (('team', None), ('others', 'not_found')):
+            ask = AskJob('a', 'peer-1', 'j.1', team)
+            sent = self.book.answer_peer(ask, 0)[0].message
+            self.assertEqual(kind, sent.error and sent.error.kind)
+        foreign = AskJob('a', 'peer-1', 'other.1', 'team')
+        self.assertEqual((), self.book.answer_peer(foreign, 0))
--- /dev/null
+++ b/tests/test_job_table.py
@@ -0,0 +1,92 @@
+"""Replay gives the same jobs again, however often and from whatever log."""
+
+from testtools import TestCase
+
+from apricotlead.protocol.jobs import (
+    AttemptFinished,
+    CancelRequested,
+    JobEnded,
+)
+from apricotlead.protocol.peers import TeamLoad
+from apricotlead.state.job_table import JobTable
+from tests.job_samples import JOURNAL, SPEC, accepted, assigned
+
+FINISHED = AttemptFinished(assigned(1, 0, 1).attempt_id, 'failed')
+RECORDS = (
+    accepted(1, 2),
+    assigned(1, 0, 1),
+    assigned(1, 1, 2),
+    FINISHED,
+    AttemptFinished(assigned(1, 1, 2).attempt_id, 'lapsed', ran=False),
+    assigned(1, 0, 3),
+    accepted(2),
+    CancelRequested('j.2'),
+    JobEnded('j.2', 'cancelled'),
+    # A gang whose first round failed with one task done.
+    accepted(3, 2, kind='gang'),
+    assigned(3, 0, 1),
+    assigned(3, 1, 2),
+    AttemptFinished(assigned(3, 0, 1).attempt_id, 'succeeded'),
+    AttemptFinished(assigned(3, 1, 2).attempt_id, 'failed'),
+    assigned(3, 0, 3),
+    assigned(3, 1, 4),
+    AttemptFinished(assigned(3, 1, 4).attempt_id, 'succeeded'),
+)
+
+
+def table_of(records):
+    """Return a table with these records replayed."""
+    table = JobTable()
+    table.open_journal(JOURNAL, 1)
+    for record in records:
+        table.replay(record)
+    return table
+
+
+def seen(table):
+    """Return all that callers and peers see."""
+    statuses = [table.status(f'j.{number}') for number in (1, 2, 3)]
+    return statuses, table.loads_by_team()
+
+
+class TestJobTable(TestCase):
+    """Guards adoption and compaction against another view of the jobs."""
+
+    def test_replay_is_idempotent_and_compaction_keeps_the_view(self):
+        """A doubled record or a compacted log must change nothing."""
+        table = table_of(RECORDS)
+        doubled = [record for record in RECORDS for _ in range(2)]
+        compacted = table.compacted_records(JOURNAL)
+        repeated = table_of(doubled)
+        self.assertEqual(seen(table), seen(repeated))
+        self.assertEqual(compacted, repeated.compacted_records(JOURNAL))
+        self.assertEqual(seen(table), seen(table_of(compacted)))
+        self.assertEqual(seen(table), seen(table_of((*RECORDS, *RECORDS))))
+
+    def test_loads(self):
+        """Two attempts run, and one task waits."""
+        one = SPEC.demand
+        loads = table_of(RECORDS).loads_by_team()
+        self.assertEqual({'team': TeamLoad(one + one, one)}, loads)
+
+    def test_closed_journal_leaves_nothing(self):
+        """Jobs of a lost journal must not be shown or counted."""
+        table = table_of(RECORDS)
+        table.close_journal(JOURNAL)
+        self.assertEqual(([None, None, None], {}), seen(table))
+        self.assertEqual({}, table.attempts_by_id)
+
+    def test_final_states(self):
+        """Each way in which a task can fail shows in the job's end."""
+        lost = AttemptFinished(FINISHED.attempt_id, 'lapsed', ran=None)
+        missed = AttemptFinished(FINISHED.attempt_id, 'lapsed', ran=False)
+        cases = (
+            ({'idempotent': False}, lost, 'may_have_run'),
+            ({'idempotent': False}, FINISHED, 'may_have_run'),
+            ({'idempotent': False}, missed, None),
+            ({'idempotent': True}, lost, None),
+        )
+        for fields, finished, expected in cases:
+            job = accepted(1, 1, **fields)
+            table = table_of((job, assigned(1, 0, 1), finished))
+            self.assertEqual(expected, table.jobs_by_id['j.1'].final_state())
