Make the test of the order depend on shares

Ruled out: nothing else.

Before and after: with the share left out of the order 'pytest tests/test_dispatcher.py' passed before and fails now; as it is it passes.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -70,9 +70,9 @@
 
     def test_order(self):
         """Class goes before kind, kind before share, share before age."""
-        self.shares = {'rich': 0.9, 'poor': 0.1}
-        self.queue(1, team='rich')
-        self.queue(2, team='poor')
+        self.shares = {'a-rich': 0.9, 'z-poor': 0.1}
+        self.queue(1, team='a-rich')
+        self.queue(2, team='z-poor')
         self.queue(3, kind='gang')
         self.queue(4, priority='urgent')
         order = [one.split('.')[1] for one in self.tick()[0]]
