--- a/src/apricotlead/settings.py
+++ b/src/apricotlead/settings.py
@@ -113,6 +113,23 @@
             raise SettingsError(
                 'operator_key_digest must be a SHA-256 digest in hexadecimal.',
             )
+        self._check_times()
+
+    def _check_times(self) -> None:
+        drifts = {
+            self.sessions.max_drift,
+            self.config.max_drift,
+            self.leases.max_drift,
+            self.reservations.bounds.max_drift,
+        }
+        if len(drifts) > 1:
+            raise SettingsError('max_drift must be the same in all sections.')
+        if self.leases.grant_ttl_s < self.reservations.bounds.ttl_s:
+            raise SettingsError(
+                'leases.grant_ttl_s must not be less than '
+                'reservations.bounds.ttl_s, or an attempt could count as lost '
+                'while its start is still accepted.',
+            )
         longest_s = self.lookups.longest_deadline_s
         if longest_s >= self.sessions.session_ttl_s:
             raise SettingsError(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,6 +17,8 @@
             ({'sessions': {'session_tll_s': 5}}, 'sessions.session_tll_s'),
             ({'http_address': 'localhost:80'}, 'http_address'),
             ({'operator_key_digest': 'secret'}, 'operator_key_digest'),
+            ({'leases': {'max_drift': 0.5}}, 'max_drift'),
+            ({'leases': {'grant_ttl_s': 1}}, 'grant_ttl_s'),
             ({'lookups': {'longest_deadline_s': 9.0}}, 'longest_deadline_s'),
         )
         for change, named in table:
