Cut off requests in progress when a stand-in's server closes

Cause: A closed server went on with its parked requests, so a test that lets a worker die in process saw it answer later.

Ruled out: Closing only the listening socket; the WSGI server then waits for the requests in progress.

Conclusion: A closed server answers nothing more. A registration without an instance id is refused, since it would have broken a later read of the list.

--- a/src/apricotlead_standins/instance_list.py
+++ b/src/apricotlead_standins/instance_list.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct
 
+from apricotlead_standins.http_messages import BadRequest
+
 
 class Registration(Struct, frozen=True):
     """A change to the list.
@@ -31,7 +33,12 @@
         self._shown_by_id: dict[str, tuple[float, dict[str, Any]]] = {}
 
     def register(self, registration: Registration, now: float) -> None:
-        """Note a change; it shows after the lag."""
+        """Note a change; it shows after the lag.
+
+        Raises :class:`BadRequest` for an instance without an id.
+        """
+        if 'instance_id' not in registration.instance:
+            raise BadRequest('the instance has no instance_id')
         self._due.append((now + self._lag_s, registration))
 
     def instances(self, now: float) -> list[dict[str, Any]]:
--- a/src/apricotlead_standins/server.py
+++ b/src/apricotlead_standins/server.py
@@ -46,6 +46,7 @@
     __slots__ = (
         '_changed',
         '_clock',
+        '_pool',
         '_socket',
         '_thread',
         'address',
@@ -65,6 +66,7 @@
         self.gate = FaultGate(standin, random.Random(seed))
         self._clock = clock
         self._changed = Event()
+        self._pool = GreenPool(max_connections)
         self._socket = listen((host, port), backlog=_BACKLOG)
         bound_host, bound_port = self._socket.getsockname()[:2]
         self.address = f'{bound_host}:{bound_port}'
@@ -72,7 +74,7 @@
             wsgi.server,
             self._socket,
             self._serve,
-            custom_pool=GreenPool(max_connections),
+            custom_pool=self._pool,
             log_output=False,
             debug=True,
         )
@@ -85,6 +87,8 @@
         """Stop serving; requests in progress are cut off."""
         self._thread.kill()
         self._socket.close()
+        for connection in tuple(self._pool.coroutines_running):
+            connection.kill()
 
     def _serve(
         self,
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -266,6 +266,16 @@
         reply = self.client.call('127.0.0.1:1', start())
         self.assertEqual(CallFailed(sent=False), reply)
 
+    def test_closed_server_answers_nothing(self):
+        """Guards against a dead worker that goes on with its requests."""
+        self.call(start(lease_s=100.0))
+        poll = eventlet.spawn(self.call, renew(wait_s=50.0), 20.0)
+        eventlet.sleep(0.05)
+        self.site.server.close()
+        with eventlet.Timeout(10.0):
+            self.assertEqual(CallFailed(sent=True), poll.wait())
+        self.assertIsInstance(self.call(renew()), CallFailed)
+
     def test_parked_renewal_wakes(self):
         """Guards against a long poll that misses a stop or an adoption."""
         cases = (
