--- a/src/apricotlead/cli.py
+++ b/src/apricotlead/cli.py
@@ -1,4 +1,4 @@
-"""The command line: ``apricotlead entry``, ``check``, and operators' calls."""
+"""The command line: the daemon, and calls for callers and operators."""
 
 import sys
 from typing import Any
@@ -9,9 +9,22 @@
 from apricotlead.protocol.errors import ApricotleadError
 from apricotlead.settings import Settings
 
+_CALL_TIMEOUT_S = 15.0
+_EXIT_ERROR = 2
+
+
+class CallError(ApricotleadError):
+    """An entry instance refused a call, or could not be reached."""
+
+    kind = 'call'
+    remedy = 'Check the address, the key and the message above.'
+
 
 class Commands:
-    """apricotlead, a cluster scheduler."""
+    """apricotlead, a cluster scheduler.
+
+    ADDRESS is the IP:port of any entry instance.
+    """
 
     def entry(self, settings: str) -> None:
         """Run an entry instance until SIGTERM or SIGINT.
@@ -19,7 +32,7 @@
         ``settings`` is the path of a YAML file.
         """
         # Imported here, so that no other command loads the network stack.
-        from apricotlead.entry import run_entry  # noqa: PLC0415
+        from apricotlead.entry import run_entry
 
         run_entry(Settings.from_file(settings))
 
@@ -30,15 +43,26 @@
 
     def digest(self, key: str) -> str:
         """Print the digest of a key, as the configuration keeps it."""
-        from apricotlead.transport.http_server import (  # noqa: PLC0415
-            key_digest,
-        )
+        from apricotlead.transport.http_server import key_digest
 
         return key_digest(str(key))
 
+    def submit(self, address: str, job: dict[str, Any], key: str = '') -> Any:
+        """Submit a job, given as the JSON body of ``POST /v1/jobs``."""
+        return _call(address, '/v1/jobs', job, _caller(key))
+
+    def status(self, address: str, job_id: str, key: str = '') -> Any:
+        """Print the status of a job."""
+        return _call(address, f'/v1/jobs/{job_id}', None, _caller(key))
+
+    def cancel(self, address: str, *job_ids: str, key: str = '') -> Any:
+        """Cancel jobs."""
+        body = {'job_ids': job_ids}
+        return _call(address, '/v1/jobs/cancel', body, _caller(key))
+
     def config(self, address: str, operator_key: str) -> Any:
-        """Print the configuration in force at an entry instance."""
-        return self._operator_call(address, operator_key, None)
+        """Print the configuration in force."""
+        return _call(address, '/v1/config', None, _operator(operator_key))
 
     def change(
         self,
@@ -49,30 +73,58 @@
     ) -> Any:
         """Change the configuration that is at ``base_version``."""
         body = {'base_version': base_version, 'change': change}
-        return self._operator_call(address, operator_key, body)
-
-    def _operator_call(
-        self,
-        address: str,
-        operator_key: str,
-        body: dict[str, Any] | None,
-    ) -> Any:
-        import urllib3  # noqa: PLC0415
+        return _call(address, '/v1/config', body, _operator(operator_key))
 
-        response = urllib3.request(
-            'GET' if body is None else 'POST',
-            f'http://{address}/v1/config',
-            body=None if body is None else msgspec.json.encode(body),
-            headers={'X-Apricotlead-Operator-Key': str(operator_key)},
-            retries=False,
-        )
-        return msgspec.json.decode(response.data)
+    def state(self, address: str, operator_key: str) -> Any:
+        """Dump the state of an entry instance."""
+        return _call(address, '/v1/state', None, _operator(operator_key))
 
 
 def main() -> None:
     """Run a command; print an error for people and exit with 2."""
     try:
-        fire.Fire(Commands, name='apricotlead')
+        fire.Fire(Commands, name='apricotlead', serialize=_render)
     except ApricotleadError as error:
         sys.stderr.write(f'apricotlead: {error}\n')
-        sys.exit(2)
+        sys.exit(_EXIT_ERROR)
+
+
+def _caller(key: str) -> dict[str, str]:
+    return {'X-Apricotlead-Key': str(key)}
+
+
+def _operator(key: str) -> dict[str, str]:
+    return {'X-Apricotlead-Operator-Key': str(key)}
+
+
+def _call(
+    address: str,
+    path: str,
+    body: dict[str, Any] | None,
+    headers: dict[str, str],
+) -> Any:
+    import urllib3
+
+    try:
+        response = urllib3.request(
+            'GET' if body is None else 'POST',
+            f'http://{address}{path}',
+            body=None if body is None else msgspec.json.encode(body),
+            headers=headers,
+            retries=False,
+            timeout=_CALL_TIMEOUT_S,
+        )
+    except urllib3.exceptions.HTTPError as error:
+        raise CallError(f'{address} gave no answer: {error}.') from error
+    if response.status >= 400:
+        told = response.data.decode()
+        raise CallError(f'{response.status}: {told}.')
+    return msgspec.json.decode(response.data)
+
+
+def _render(printed: Any) -> Any:
+    """Return text as it is, and all else as indented JSON."""
+    if printed is None or isinstance(printed, str):
+        return printed
+    encoded = msgspec.json.encode(printed)
+    return msgspec.json.format(encoded).decode()
