--- a/src/apricotlead/cli.py
+++ b/src/apricotlead/cli.py
@@ -83,7 +83,7 @@
 def main() -> None:
     """Run a command; print an error for people and exit with 2."""
     try:
-        fire.Fire(Commands, name='apricotlead', serialize=_render)
+        fire.Fire(Commands(), name='apricotlead', serialize=_render)
     except ApricotleadError as error:
         sys.stderr.write(f'apricotlead: {error}\n')
         sys.exit(_EXIT_ERROR)
