--- a/src/apricotlead/coordination/journal_writer.py
+++ b/src/apricotlead/coordination/journal_writer.py
@@ -34,6 +34,7 @@
     CheckFailed,
     Committed,
     Put,
+    StoreFailed,
     StoreReply,
 )
 from apricotlead.state.journal_log import JournalLog, encode_snapshot
@@ -47,7 +48,10 @@
     larger append) and deletes at most ``deletes_per_batch`` old segments.
     A snapshot is written after ``compact_after_records`` records, or as many
     as the last snapshot held if that is more, so that its cost per record
-    stays bounded.
+    stays bounded. An adopted journal whose jobs have all ended is deleted
+    after ``retire_after_s`` without a record, by writes that delete at most
+    ``deletes_per_retirement`` segments each; until then the status of its
+    jobs can be read.
     """
 
     refuse_after_s: float = 1.0
@@ -57,6 +61,8 @@
     deletes_per_batch: int = 20
     compact_after_records: int = 5000
     ended_jobs_kept: int = 2000
+    retire_after_s: float = 172_800.0
+    deletes_per_retirement: int = 200
 
 
 class OwnedJournal(Struct):
@@ -101,6 +107,14 @@
     sent_s: float
 
 
+class Retiring(Struct, frozen=True):
+    """Segments, and at last the row, of a retired journal are deleted."""
+
+    writer: 'JournalWriter'
+    deleted_keys: tuple[str, ...]
+    sent_s: float
+
+
 class DeletingSnapshot(Struct, frozen=True):
     """A replaced snapshot is deleted; what comes of it does not matter."""
 
@@ -123,11 +137,13 @@
     """
 
     __slots__ = (
+        '_active_s',
         '_calls',
         '_compact_due_count',
         '_deleted_keys',
         '_flight_count',
         '_is_leaving',
+        '_is_retiring',
         '_log',
         '_must_release',
         '_settings',
@@ -145,7 +161,8 @@
         calls: StoreCalls,
         journal: OwnedJournal,
         log: JournalLog,
-        deleted_keys: Iterable[str] = (),
+        deleted_keys: Iterable[str],
+        now: float,
     ) -> None:
         """Begin with the log of an opened or adopted journal.
 
@@ -153,12 +170,14 @@
         """
         self._settings = settings
         self._calls = calls
+        self._active_s = now
         self.journal = journal
         self._log = log
         self._deleted_keys = deque(deleted_keys)
         self._compact_due_count = settings.compact_after_records
         self._flight_count = 0
         self._is_leaving = False
+        self._is_retiring = False
         self._must_release = False
         self._snapshot: Snapshotting | None = None
         self._snapshot_ready = False
@@ -170,18 +189,18 @@
     def is_finished(self) -> bool:
         """Tell whether the journal is closed and nothing is unsettled."""
         return (
-            self.is_closed and not self._must_release and not self._flight_count
+            self.is_closed
+            and not self._must_release
+            and not self._is_retiring
+            and not self._flight_count
         )
 
     @property
     def is_idle(self) -> bool:
         """Tell whether nothing is to be done before the next append."""
-        return not (
-            self._waiting
-            or self._flight_count
-            or self._snapshot
-            or self._is_leaving
-        )
+        if self._is_leaving or self._is_retiring:
+            return False
+        return not (self._waiting or self._flight_count or self._snapshot)
 
     def waiting_since(self) -> float:
         """Return when the oldest waiting append came, else infinity."""
@@ -207,6 +226,7 @@
         )
         if self.is_closed or self._is_leaving or crowded:
             return (self._rejection(signal),)
+        self._active_s = now
         self._enqueue(Waiting(signal, now))
         return ()
 
@@ -226,6 +246,8 @@
             return ()
         if self._must_release:
             return (self._handover(now),)
+        if self._is_retiring:
+            return (self._delete_some(now),)
         if self.is_closed:
             return ()
         return self._next_open_write(now)
@@ -298,9 +320,43 @@
         while self._waiting:
             yield self._rejection(self._dequeue().append)
 
+    def retire_if_over(self, now: float) -> Iterable[Signal]:
+        """Close the journal and delete it once nobody needs it."""
+        unused_s = now - self._active_s
+        if not self.is_idle or unused_s < self._settings.retire_after_s:
+            return ()
+        self._active_s = now
+        if self._log.has_open_jobs():
+            return ()
+        self._is_retiring = True
+        self._deleted_keys.extend(
+            self._segment_keys(self.journal.next_segment),
+        )
+        return self.close()
+
+    def retired(
+        self,
+        retiring: Retiring,
+        reply: StoreReply,
+    ) -> Iterable[Signal]:
+        """Go on until the row is deleted or another session has it."""
+        self._flight_count -= 1
+        row_key = self._row_check().key
+        if isinstance(reply, StoreFailed):
+            self._deleted_keys.extendleft(reversed(retiring.deleted_keys))
+            return ()
+        if isinstance(reply, Committed) and row_key in reply.versions:
+            self.journal.version = reply.versions[row_key]
+            return ()
+        self._is_retiring = False
+        if isinstance(reply, CheckFailed) and reply.row(row_key).version:
+            return ()
+        return self._delete_snapshot(self.journal.row.snapshot)
+
     def abandon(self) -> Iterable[Signal]:
         """Stop without a handover: the own session is lost."""
         self._must_release = False
+        self._is_retiring = False
         return self.close()
 
     def _next_open_write(self, now: float) -> Iterable[Signal]:
@@ -361,7 +417,9 @@
             for waiting in batch
             if waiting.append.request_key
         }
-        deleted_keys = self._take_deleted()
+        deleted_keys = self._take_deleted(
+            self._settings.deletes_per_batch,
+        )
         self._flight_count += 1
         return self._calls.transact(
             Appending(self, batch, deleted_keys, now),
@@ -377,8 +435,31 @@
             deleted_keys,
         )
 
-    def _take_deleted(self) -> tuple[str, ...]:
-        count = min(len(self._deleted_keys), self._settings.deletes_per_batch)
+    def _segment_keys(self, end: int) -> Iterable[str]:
+        for number in range(self.journal.row.first_segment, end):
+            yield segment_key(self.journal.journal_id, number)
+
+    def _delete_some(self, now: float) -> Signal:
+        deleted_keys = self._take_deleted(
+            self._settings.deletes_per_retirement,
+        )
+        check = self._row_check()
+        self._flight_count += 1
+        retiring = Retiring(self, deleted_keys, now)
+        if not self._deleted_keys:
+            keys = (*deleted_keys, check.key)
+            return self._calls.transact(retiring, (check,), deletes=keys)
+        # All jobs are over, so the journal may be empty from here on.
+        row = structs.replace(
+            self.journal.row,
+            snapshot='',
+            first_segment=self.journal.next_segment,
+        )
+        put = put_struct(check.key, row)
+        return self._calls.transact(retiring, (check,), (put,), deleted_keys)
+
+    def _take_deleted(self, most: int) -> tuple[str, ...]:
+        count = min(len(self._deleted_keys), most)
         return tuple(self._deleted_keys.popleft() for _ in range(count))
 
     def _commit(self, batch: Appending) -> Iterable[Signal]:
@@ -468,11 +549,7 @@
     ) -> None:
         journal = self.journal
         self._deleted_keys.extend(
-            segment_key(journal.journal_id, number)
-            for number in range(
-                journal.row.first_segment,
-                compacting.row.first_segment,
-            )
+            self._segment_keys(compacting.row.first_segment),
         )
         journal.row = compacting.row
         journal.version = reply.versions[journal_key(journal.journal_id)]
--- a/src/apricotlead/coordination/journals.py
+++ b/src/apricotlead/coordination/journals.py
@@ -21,6 +21,7 @@
     HandingOver,
     JournalWriter,
     OwnedJournal,
+    Retiring,
     Snapshotting,
     WriterSettings,
 )
@@ -58,13 +59,15 @@
     All sessions together make about ``batches_per_s`` appends a second. The
     interval between two batches of this session is at least
     ``min_batch_interval_s`` and grows with the time that the store takes for
-    one, up to ``max_batch_interval_s``.
+    one, up to ``max_batch_interval_s``. Every ``retire_interval_s`` adopted
+    journals that nobody needs any more are looked for.
     """
 
     batches_per_s: float = 200.0
     min_batch_interval_s: float = 0.02
     max_batch_interval_s: float = 0.5
     retry_s: float = 0.2
+    retire_interval_s: float = 60.0
     writer: WriterSettings = field(default_factory=WriterSettings)
     adoption: AdoptionSettings = field(default_factory=AdoptionSettings)
 
@@ -90,7 +93,7 @@
         '_closing',
         '_is_leaving',
         '_opening_due_s',
-        '_sent_s',
+        '_retire_due_s',
         '_settings',
         '_store_took_s',
         '_view',
@@ -121,7 +124,7 @@
         self._closing: list[JournalWriter] = []
         self._is_leaving = False
         self._opening_due_s = float('inf')
-        self._sent_s = _NEVER
+        self._retire_due_s = _NEVER
         self._store_took_s = 0.0
         self._write_due_s = _NEVER
         self._writers_by_id: dict[str, JournalWriter] = {}
@@ -145,12 +148,14 @@
             return
         if now >= self._opening_due_s:
             yield self._open_fresh()
-        yield from self._open_adopted()
+        yield from self._open_adopted(now)
         yield from self._adoptions.repeat_reads(now)
         if not self._is_leaving:
             yield from self._adoptions.sweep_due(now)
         for writer in self._busy_by_id.values():
             yield from writer.next_snapshot()
+        if now >= self._retire_due_s:
+            yield from self._retire(now)
         if now >= self._write_due_s:
             yield from self._write(now)
         self._remove_finished()
@@ -222,7 +227,7 @@
         """Continue what the reply belongs to."""
         purpose = self._calls.take(signal.token)
         reply = signal.reply
-        if isinstance(purpose, (Appending, Compacting, HandingOver)):
+        if isinstance(purpose, (Appending, Compacting, HandingOver, Retiring)):
             return self._written(purpose, reply, now)
         if isinstance(purpose, Sweeping):
             return self._swept(reply, now)
@@ -294,19 +299,19 @@
             version = reply.versions[journal_key(journal_id)]
             journal = OwnedJournal(journal_id, opening.row, version)
             self._adopted.append(AdoptedJournal(journal, (), ()))
-            return self._open_adopted() if self._view.is_valid(now) else ()
+            return self._open_adopted(now) if self._view.is_valid(now) else ()
         self._adoptions.adopting_ids.discard(journal_id)
         if isinstance(reply, StoreFailed) and not self._is_leaving:
             self._opening_due_s = now + self._settings.retry_s
         return ()
 
-    def _open_adopted(self) -> Iterable[Signal]:
+    def _open_adopted(self, now: float) -> Iterable[Signal]:
         adopted = tuple(self._adopted)
         self._adopted.clear()
         for one in adopted:
-            yield self._open(one)
+            yield self._open(one, now)
 
-    def _open(self, adopted: AdoptedJournal) -> Signal:
+    def _open(self, adopted: AdoptedJournal, now: float) -> Signal:
         journal = adopted.journal
         log = JournalLog(self._settings.writer.ended_jobs_kept)
         log.add(adopted.records)
@@ -316,6 +321,7 @@
             journal,
             log,
             adopted.stale_keys,
+            now,
         )
         if self._is_leaving:
             writer.leave()
@@ -346,12 +352,12 @@
         if adopted is not None:
             self._adopted.append(adopted)
             if self._view.is_valid(now):
-                return self._open_adopted()
+                return self._open_adopted(now)
         return ()
 
     def _written(
         self,
-        purpose: Appending | Compacting | HandingOver,
+        purpose: Appending | Compacting | HandingOver | Retiring,
         reply: StoreReply,
         now: float,
     ) -> Iterable[Signal]:
@@ -362,6 +368,8 @@
             return purpose.writer.appended(purpose, reply)
         if isinstance(purpose, Compacting):
             return purpose.writer.compacted(purpose, reply)
+        if isinstance(purpose, Retiring):
+            return purpose.writer.retired(purpose, reply)
         return purpose.writer.handed_over(reply)
 
     def _batch_interval_s(self) -> float:
@@ -387,6 +395,13 @@
                 return written
         return ()
 
+    def _retire(self, now: float) -> Iterable[Signal]:
+        self._retire_due_s = now + self._settings.retire_interval_s
+        for journal_id, writer in self._writers_by_id.items():
+            if journal_id != self._view.session_id:
+                yield from writer.retire_if_over(now)
+                self._busy_by_id[journal_id] = writer
+
     def _remove_finished(self) -> None:
         self._closing = [one for one in self._closing if not one.is_finished]
         for journal_id, writer in tuple(self._busy_by_id.items()):
--- a/src/apricotlead/state/journal_log.py
+++ b/src/apricotlead/state/journal_log.py
@@ -54,6 +54,10 @@
             for record in job.records
         )
 
+    def has_open_jobs(self) -> bool:
+        """Tell whether a job has not ended; looks at every job."""
+        return not all(map(_is_over, self._jobs_by_id.values()))
+
     def _add_one(self, record: JournalRecord) -> None:
         job_id = _job_of(record)
         job = self._jobs_by_id.setdefault(job_id, _JobRecords([]))
@@ -69,9 +73,7 @@
 
     def _forget_ended(self) -> None:
         ended_ids = [
-            job_id
-            for job_id, job in self._jobs_by_id.items()
-            if job.is_ended and job.open_attempts <= 0
+            job_id for job_id, job in self._jobs_by_id.items() if _is_over(job)
         ]
         surplus = max(len(ended_ids) - self._ended_jobs_kept, 0)
         for job_id in ended_ids[:surplus]:
@@ -88,6 +90,10 @@
     return _DECODER.decode(content)
 
 
+def _is_over(job: _JobRecords) -> bool:
+    return job.is_ended and job.open_attempts <= 0
+
+
 def _job_of(record: JournalRecord) -> str:
     if isinstance(record, AttemptFinished):
         # Attempt ids are {job_id}.{task}.{epoch}-{n}.
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -344,6 +344,44 @@
         self.assertEqual('', self.store.value(journal_key(OWN))['owner'])
 
 
+class TestRetirement(JournalCase):
+    """Guards against journal rows that pile up, or go while they matter."""
+
+    settings = JournalSettings(
+        writer=WriterSettings(retire_after_s=60, deletes_per_retirement=2),
+    )
+
+    def test_adopted_journal_is_deleted_once_all_jobs_are_over(self):
+        """The own journal and one with an open job stay."""
+        self.put_session(PEER, 'adopted')
+        self.put_journal(PEER)
+        self.instance.deliver(PeerLapsed(PEER, 700), 1)
+        self.instance.run(1, 200)
+        self.assertIn(journal_key(PEER), self.store.rows_by_key)
+        for number in range(3):
+            ended = AppendRecords(
+                Token('recorder', number=number),
+                PEER,
+                (JobEnded(f'{PEER}.1', 'done'),),
+            )
+            self.instance.deliver(ended, 200 + number)
+            self.instance.run(200 + number, 201 + number)
+        self.instance.run(203, 255)
+        self.assertEqual([], self.recorder.take(JournalClosed))
+        self.store.is_down = True
+        self.instance.run(255, 400)
+        self.assertEqual(
+            [JournalClosed(PEER)],
+            self.recorder.take(JournalClosed),
+        )
+        self.store.is_down = False
+        self.instance.run(400, 402)
+        self.assertEqual(
+            [journal_key(OWN)],
+            self.store.keys('journal/') + self.store.keys('segment/'),
+        )
+
+
 class TestCompaction(JournalCase):
     """Guards against journals that grow without bound or lose records."""
 
