--- a/tests/test_membership_fuzz.py
+++ b/tests/test_membership_fuzz.py
@@ -232,17 +232,14 @@
         self.pause(index, seconds)
         self.run(seconds + 2)
 
-    @rule(seconds=strategies.sampled_from((0.5, 3, 9)))
-    def outage(self, seconds):
-        """Take the store down for a while."""
-        self.store.is_down = True
-        self.put_event(seconds, setattr, self.store, 'is_down', False)
-
-    @rule(seconds=strategies.sampled_from((0.5, 3, 9)))
-    def lose_answers(self, seconds):
-        """Let calls take effect with their answers lost for a while."""
-        self.store.loses_answers = True
-        self.put_event(seconds, setattr, self.store, 'loses_answers', False)
+    @rule(
+        fault=strategies.sampled_from(('is_down', 'loses_answers')),
+        seconds=strategies.sampled_from((0.5, 3, 9)),
+    )
+    def store_fault(self, fault, seconds):
+        """Take the store down, or let its answers be lost, for a while."""
+        setattr(self.store, fault, True)
+        self.put_event(seconds, setattr, self.store, fault, False)
 
     @rule(seconds=strategies.sampled_from((0.02, 0.3, 3)))
     def slow_store(self, seconds):
