Move a hold when one of its workers goes

Cause: a hold on a worker that was dropped or lost idled the other held workers for up to 120 s, while the gang could not be placed.

Ruled out: adding a worker to the hold. The emptiest workers may have changed, so the choice is made anew.

Conclusion: a hold always consists of workers that can give their room.

--- a/src/apricotlead/coordination/capacity_holds.py
+++ b/src/apricotlead/coordination/capacity_holds.py
@@ -134,13 +134,21 @@
         if not self._holder:
             return False
         waiting = self._waiting_by_job_id.get(self._holder)
-        if waiting is not None:
+        if waiting is not None and self._is_useful():
             if now < self._since_s + self._policy.longest_hold_s:
                 return False
             waiting.since_s = now
         self._end_hold()
         return True
 
+    def _is_useful(self) -> bool:
+        """Tell whether all held workers can still give their room."""
+        workers_by_id = self._ledger.workers_by_id
+        return all(
+            worker_id in workers_by_id and workers_by_id[worker_id].is_open()
+            for worker_id in self.worker_ids
+        )
+
     def _end_hold(self) -> None:
         self._holder = ''
         self.worker_ids = frozenset()
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -7,7 +7,7 @@
     CapacityGranted,
     ReleaseGrants,
 )
-from apricotlead.protocol.signals import PeersChanged
+from apricotlead.protocol.signals import PeersChanged, WorkerDropped
 from tests.capacity_rig import CapacityRig
 
 PARKED = 0.3
@@ -178,6 +178,16 @@
         self.assertEqual([], self.ask('s3', park_s=PARKED))
         self.assertEqual([('s3', 1)], self.tick(0.2))
 
+    def test_hold_moves_when_its_worker_goes(self):
+        """A gang must not wait for room on a worker that was lost."""
+        self.rig.own_worker('w2', cpu=4000)
+        self.ask('s', cpu=3000, tasks=2)
+        self.wait_as_gang('g', cpu=4000)
+        self.assertEqual(['w1'], self.rig.desk.dump(0)['held_workers'])
+        self.rig.deliver(WorkerDropped('w1'))
+        self.tick(0.2)
+        self.assertEqual(['w2'], self.rig.desk.dump(0)['held_workers'])
+
     def test_no_hold_without_need(self):
         """Neither a gang too large for all owned workers, nor one with room."""
         self.ask('s1')
