Let leases go when the own session is long without the store

Cause: an owner past its outage bound asked each worker five times a second whether it is there, and each wish to stop a gang sent one more stop.

Ruled out: renewing on; an adopter counts on the end of the renewals.

Conclusion: a cut-off owner is silent after the bound.

--- a/src/apricotlead/coordination/task_leases.py
+++ b/src/apricotlead/coordination/task_leases.py
@@ -195,7 +195,8 @@
         channels: dict[int, Channel] = {}
         for attempt_id in signal.attempt_ids:
             channel = self._find_channel(attempt_id)
-            if channel is not None:
+            # A repeated wish waits for the next repetition of the stop.
+            if channel and not channel.leases_by_id[attempt_id].stop_wanted:
                 channel.leases_by_id[attempt_id].stop_wanted = True
                 channel.next_stop_s = now
                 channels[id(channel)] = channel
@@ -546,11 +547,12 @@
         is_idle = not uncovered and (in_flight or not channel.acknowledged)
         if is_idle or in_flight >= MAX_POLLS:
             return
-        if now < channel.next_poll_s:
-            self._wake(channel, channel.next_poll_s)
+        due_s = self._next_poll_s(channel, now)
+        if now < due_s:
+            self._wake(channel, due_s)
             return
         wait_s = self._wait_s(uncovered, in_flight)
-        if not self._may_extend(channel, now):
+        if now >= channel.answered_s + self._settings.persist_s:
             if in_flight:
                 return
             uncovered, wait_s = (), 0
@@ -564,10 +566,11 @@
             return self._settings.short_poll_s
         return self._settings.long_poll_s
 
-    def _may_extend(self, channel: Channel, now: float) -> bool:
+    def _next_poll_s(self, channel: Channel, now: float) -> float:
+        """Return when to poll; leases are let go after a long outage."""
         if now >= self._view.lease_end_s + self._settings.outage_s:
-            return False
-        return now < channel.answered_s + self._settings.persist_s
+            return now + self._settings.longest_retry_s
+        return channel.next_poll_s
 
     def _poll_request(self, call: Call, wait_s: float) -> RenewLeases:
         journal_id = call.channel.journal_id
--- a/tests/test_task_leases.py
+++ b/tests/test_task_leases.py
@@ -100,6 +100,16 @@
         ended_s, _ = self.fail_all([], 0.1, 200, sent=False)
         self.assertGreater(ended_s, 100 + LEASE_S)
 
+    def test_owner_that_is_cut_off_lets_leases_go(self):
+        """The adopter counts on the end of renewals after ``outage_s``."""
+        self.view.lease_end_s = 1
+        poll = self.leases.take_reply(
+            replied(self.start(), Accepted(0, 'boot')),
+            0,
+        )
+        ended_s, calls = self.fail_all(poll, 101, 130, sent=False)
+        self.assertEqual((None, []), (ended_s, calls))
+
     def test_adopted_attempt_ends_with_a_worker_that_is_gone(self):
         """A worker that is no longer listed must not hold its tasks long."""
         self.directory.workers_by_id = {'another': 1}
