--- a/src/apricotlead/coordination/job_book.py
+++ b/src/apricotlead/coordination/job_book.py
@@ -249,7 +249,7 @@
         self._table.open_journal(signal.journal_id, signal.epoch)
         if signal.epoch <= _FRESH_EPOCH:
             self._accepting_journal = signal.journal_id
-            self._last_job = 0
+            self._last_job = _last_job_number(signal)
         for record in signal.records:
             self._table.replay(record)
         return (
@@ -738,6 +738,16 @@
     )
 
 
+def _last_job_number(signal: JournalOpened) -> int:
+    """Return the highest number of a job in the records, 0 without any."""
+    numbers = (
+        int(record.job_id.rpartition('.')[2])
+        for record in signal.records
+        if isinstance(record, JobAccepted)
+    )
+    return max(numbers, default=0)
+
+
 def _forget_again(signal: JournalOpened) -> Iterator[Signal]:
     """Acknowledge the latest endings, as the former owner may not have."""
     endings = [
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -76,6 +76,12 @@
         self.assertEqual(TaskQueued(JOURNAL, 'j.1', (0,)), queued)
         self.assertEqual((), self.commit(append))
 
+    def test_numbers_go_on_in_a_journal_that_opens_again(self):
+        """A second job with the same id would be taken for the first."""
+        records = (accepted(1), accepted(4))
+        self.book.open_journal(JournalOpened(JOURNAL, 1, records), 0)
+        self.assertEqual('j.5', self.admit().job_id)
+
     def test_unaccepted_job(self):
         """Refused, deduplicated and unknown are three different answers."""
         refused = self.reject(self.admit())[0].outcome
--- /dev/null
+++ b/tests/test_owner_choice.py
@@ -0,0 +1,36 @@
+"""Requests go where there is room, and not all to one session."""
+
+from random import Random
+
+from testtools import TestCase
+
+from apricotlead.coordination.owner_choice import OwnerChoice
+from apricotlead.protocol.peers import Gossip, SessionLoad
+from apricotlead.protocol.resources import Resources
+from tests.job_samples import session_view
+
+DEMAND = Resources(1000, 1000)
+
+
+def load(session_id, cores, serial=1):
+    """Return a load with this many free cores of ten."""
+    free = Resources(1000 * cores, 1000 * cores)
+    capacity = Resources(10_000, 10_000)
+    return SessionLoad(session_id, serial, '', free, capacity, free)
+
+
+class TestOwnerChoice(TestCase):
+    """Guards against requests to full sessions and bursts to one."""
+
+    def test_own_desk_first_then_the_freest_that_fits(self):
+        """A burst follows the gossip only as far as the room it tells of."""
+        choice = OwnerChoice(session_view('a', 'b', 'full'), Random(1))
+        loads = (load('a', 3), load('b', 2), load('full', 0))
+        choice.learn(Gossip('a', loads))
+        choice.learn(Gossip('b', (load('full', 9, serial=0),)))
+        self.assertEqual('own', choice.choose(DEMAND, (), 0))
+        choice.note_own_refusal(DEMAND, 0)
+        chosen = [choice.choose(DEMAND, (), 0.05) for _ in range(5)]
+        self.assertCountEqual(['a', 'a', 'a', 'b', 'b'], chosen)
+        self.assertEqual('own', choice.choose(DEMAND, (), 0.2))
+        self.assertIsNone(choice.choose(DEMAND, ('own', 'a', 'b', 'full'), 1))
