Guard lowered limits and lost answers by direct tests

Cause: trials with a broken line showed three rules without a test: takes between a lowered limit and the row's write, a commit whose log row shows the lost outcome, and the pause before the head is read again.

Ruled out: leaving them to the fuzz, which met none of the three.

Conclusion: the head is read again after 0.5 s instead of 0.1 s, which the test needs to tell apart from a loop and the 5 s bound allows.

--- a/src/apricotlead/coordination/config_keeper.py
+++ b/src/apricotlead/coordination/config_keeper.py
@@ -69,7 +69,7 @@
 
     poll_s: float = 1.0
     read_timeout_s: float = 2.0
-    reread_s: float = 0.1
+    reread_s: float = 0.5
     answer_wait_s: float = 5.0
     retry_after_s: float = 1.0
     max_waiting: int = 64
--- a/tests/table_fake.py
+++ b/tests/table_fake.py
@@ -183,6 +183,16 @@
             if receiver:
                 receiver.receive(self, sent, now)
 
+    def write_in_flight(self, now, fate='done'):
+        """Settle reads with ``fate`` until a write is sent; return it."""
+        for step in range(100):
+            self.tick(now + step * STEP_S)
+            for call in self.take_calls():
+                if isinstance(call, Transact):
+                    return call
+                self.answer(call, now + step * STEP_S, fate)
+        raise AssertionError('nothing was written')
+
     def tick(self, now):
         """Deliver a tick."""
         self.deliver(Tick(), now)
