Test units that a write in flight gives up

Cause: a trial that ignores the write in flight passed the fuzz after its rules changed, so the fuzz alone does not guard that line reliably.

Before and after: with the broken line on a scratch copy the new test fails and 11 pass; unbroken, 'pytest' passes 36 tests (35 before).

Conclusion: rules that hang on one moment have direct tests; the fuzz covers their combination.

--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -174,6 +174,18 @@
         self.assertEqual({}, row.value['allotments'])
         self.assertEqual({}, row.value['wants'])
 
+    def test_units_in_a_write_that_returns_them_are_not_taken(self):
+        """Guards against a take while the row may no longer have the units."""
+        member = self.start(1, 10)[0]
+        worker = Worker(member, hold_s=0.1, backlog=20)
+        self.run_workers([member], [worker], 8, 10)
+        member.view.lease_end_s = self.now + 60
+        write = member.write_in_flight(self.now)
+        take = member.allotments.try_take
+        self.assertFalse(take(TEAM, 'j-s0', 1, self.now))
+        member.answer(write, self.now, 'refused')
+        self.assertTrue(take(TEAM, 'j-s0', 1, self.now))
+
     def test_store_calls_are_bounded(self):
         """Guards against more than a read and a write a team and second."""
         members = self.start(4, 10)
