Check the error type of a change that may have run

Ruled out: leaving it to the type of the outcome; the error names the remedy for the operator.

Conclusion: the test is as strict as when it was added.

--- a/tests/test_config_keeper.py
+++ b/tests/test_config_keeper.py
@@ -19,6 +19,7 @@
 )
 from apricotlead.protocol.errors import (
     BadInput,
+    OutcomeUnknown,
     StoreUnreachable,
     VersionConflict,
 )
@@ -133,7 +134,9 @@
         waiting = self.send(member, ChoosePreset('peak'))
         self.now += 6
         member.tick(self.now)
-        self.assertIsInstance(member.outcomes_by_ticket[unknown], MayHaveRun)
+        outcome = member.outcomes_by_ticket[unknown]
+        self.assertIsInstance(outcome, MayHaveRun)
+        self.assertIsInstance(outcome.error, OutcomeUnknown)
         self.assertIsInstance(member.outcomes_by_ticket[waiting], NotRun)
 
     def test_log_is_compacted_and_a_new_instance_catches_up(self):
