--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,14 @@
+"""``make bench``: all measurements, one after the other."""
+
+from bench import cell, control_cost, placement
+
+
+def main() -> None:
+    """Run each benchmark with its defaults."""
+    placement.main()
+    control_cost.main()
+    cell.main()
+
+
+if __name__ == '__main__':
+    main()
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -17,7 +17,8 @@
 
 OPERATOR_KEY = 'operator-key'
 _LOOPBACK = '127.0.0.1:0'
-_STOP_WAIT_S = 10
+# A stop may wait for the store as long as the settings' drain_s.
+_STOP_WAIT_S = 40
 _HTTP = urllib3.PoolManager(
     maxsize=64,
     retries=False,
--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -42,6 +42,7 @@
 
 _ANSWER_WAIT_S = 10.0
 _DRAIN_POLL_S = 0.05
+_MS_PER_S = 1000
 
 
 class EntryInstance:
@@ -114,10 +115,13 @@
             ),
             monotonic_now(),
         )
+        begun_s = monotonic_now()
         try:
             return self._run_lookup(lookup, request.body)
         finally:
-            desk.close(lookup, monotonic_now())
+            ended_s = monotonic_now()
+            desk.close(lookup, ended_s)
+            self.metrics.timing('lookup', (ended_s - begun_s) * _MS_PER_S)
 
     def config(self) -> Any:
         """Return the configuration in force here."""
--- a/src/apricotlead/transport/http_server.py
+++ b/src/apricotlead/transport/http_server.py
@@ -126,6 +126,7 @@
             response = self._respond(environ)
         finally:
             self.open_count -= 1
+        self.backend.metrics.incr(f'http.{response.status}')
         headers = [
             ('Content-Type', response.content_type),
             ('Content-Length', str(len(response.body))),
