Contain errors of handlers; refuse bodies that are cut short

Cause: an exception in a handler ended the tick loop for good, and left an instance that renewed nothing; a body cut short was passed on to an executor.

Ruled out: ending the process on an exception. A job that a handler cannot digest would end each instance that adopts it, one after the other.

Conclusion: the daemon notes an error with its traceback and counts it; the fuzzers still see it raised.

--- a/src/apricotlead/assembly.py
+++ b/src/apricotlead/assembly.py
@@ -59,10 +59,13 @@
     settings: Settings,
     rng: RandomSource,
     peer_address: str,
+    *,
+    contains_errors: bool = False,
 ) -> Parts:
     """Build all components of an entry instance.
 
-    ``peer_address`` is where its peer link listens (``IP:port``).
+    ``peer_address`` is where its peer link listens (``IP:port``). See
+    :class:`Scheduler` for ``contains_errors``.
     """
     shared = _Shared.from_config(settings, rng)
     allotments = Allotments.from_config(
@@ -99,7 +102,11 @@
         lookups,
     )
     return Parts(
-        Scheduler(components, StoreSettlement()),
+        Scheduler(
+            components,
+            StoreSettlement(),
+            contains_errors=contains_errors,
+        ),
         shared.session_view,
         shared.config_view,
         shared.directory,
--- a/src/apricotlead/coordination/scheduler.py
+++ b/src/apricotlead/coordination/scheduler.py
@@ -3,12 +3,15 @@
 from collections import deque
 from collections.abc import Iterable, Sequence
 from functools import partial
+from traceback import format_exception
 from typing import Any
 
 from apricotlead.coordination.component import Component
 from apricotlead.coordination.store_settlement import StoreSettlement
 from apricotlead.protocol.signals import (
+    Count,
     Effect,
+    Note,
     ObjectReplied,
     PeerReceived,
     RecordsCommitted,
@@ -38,14 +41,27 @@
     delivery runs until no component has anything more to say.
     """
 
-    __slots__ = ('_components', '_handlers_by_type', '_settlement')
+    __slots__ = (
+        '_components',
+        '_contains_errors',
+        '_handlers_by_type',
+        '_settlement',
+    )
 
     def __init__(
         self,
         components: Sequence[Component],
         settlement: StoreSettlement,
+        *,
+        contains_errors: bool = False,
     ) -> None:
-        """Index the handlers of all components by signal type."""
+        """Index the handlers of all components by signal type.
+
+        With ``contains_errors`` an exception in a handler becomes a note and
+        the other handlers go on. A daemon wants that: one job that a handler
+        cannot digest would otherwise end each instance that adopts it.
+        """
+        self._contains_errors = contains_errors
         self._components = tuple(components)
         self._settlement = settlement
         self._handlers_by_type: dict[type[Signal], list[Any]] = {}
@@ -94,10 +110,23 @@
             signal = signal.message
         following: list[Signal] = []
         for handler in self._handlers_by_type.get(type(signal), ()):
-            following.extend(handler(signal, now))
+            try:
+                following.extend(handler(signal, now))
+            except Exception as error:
+                if not self._contains_errors:
+                    raise
+                following.extend(_report(error, signal))
         return following
 
 
+def _report(error: Exception, signal: Signal) -> tuple[Effect, ...]:
+    fields = {
+        'signal': type(signal).__name__,
+        'traceback': ''.join(format_exception(error)),
+    }
+    return (Count('handler.failed'), Note('handler failed', fields))
+
+
 def _if_addressed(
     name: str,
     handler: Any,
--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -42,7 +42,6 @@
 
 _ANSWER_WAIT_S = 10.0
 _DRAIN_POLL_S = 0.05
-_MS_PER_S = 1000
 
 
 class EntryInstance:
@@ -69,6 +68,7 @@
             settings,
             Random(settings.seed),
             self.peers.listen(settings.peer_address),
+            contains_errors=True,
         )
         self.log = eliot.log_message
         self.metrics = _metrics(settings)
@@ -115,13 +115,11 @@
             ),
             monotonic_now(),
         )
-        begun_s = monotonic_now()
         try:
-            return self._run_lookup(lookup, request.body)
+            with self.metrics.timer('lookup'):
+                return self._run_lookup(lookup, request.body)
         finally:
-            ended_s = monotonic_now()
-            desk.close(lookup, ended_s)
-            self.metrics.timing('lookup', (ended_s - begun_s) * _MS_PER_S)
+            desk.close(lookup, monotonic_now())
 
     def config(self) -> Any:
         """Return the configuration in force here."""
--- a/src/apricotlead/transport/http_server.py
+++ b/src/apricotlead/transport/http_server.py
@@ -5,6 +5,7 @@
 from hashlib import sha256
 from hmac import compare_digest
 from math import ceil
+from traceback import format_exception
 from typing import Any
 
 import msgspec
@@ -18,6 +19,7 @@
     KeyRefused,
     LimitReached,
     NotFound,
+    OutcomeUnknown,
     Overloaded,
     TryLater,
     VersionConflict,
@@ -145,6 +147,14 @@
             return self._dispatch(environ)
         except ApricotleadError as error:
             return render_outcome(NotRun(error, _retry_after(error)))
+        except Exception as error:
+            self.backend.log(
+                message_type='apricotlead:request failed',
+                path=environ['PATH_INFO'],
+                traceback=''.join(format_exception(error)),
+            )
+            unknown = OutcomeUnknown('The request met an internal error.')
+            return render_outcome(MayHaveRun(unknown))
 
     def _dispatch(self, environ: dict[str, Any]) -> Response:
         parts = tuple(environ['PATH_INFO'].strip('/').split('/'))
@@ -220,10 +230,18 @@
 
 
 def _body(environ: dict[str, Any]) -> bytes:
-    length = int(environ.get('CONTENT_LENGTH') or 0)
-    if length > MAX_BODY_BYTES:
+    if environ.get('HTTP_TRANSFER_ENCODING'):
+        raise BadInput('The body has no Content-Length.')
+    try:
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+    except ValueError as error:
+        raise BadInput('The Content-Length is not a number.') from error
+    if not 0 <= length <= MAX_BODY_BYTES:
         raise BadInput(f'The body is longer than {MAX_BODY_BYTES} bytes.')
-    return environ['wsgi.input'].read(length)
+    body = environ['wsgi.input'].read(length)
+    if len(body) != length:
+        raise BadInput('The body ended before its Content-Length.')
+    return body
 
 
 def _check_operator(application: HttpApplication, request: Request) -> None:
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,62 @@
+"""Signals reach those they are for, and one fault does not stop the rest."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.component import Component, handles
+from apricotlead.coordination.scheduler import Scheduler
+from apricotlead.coordination.store_settlement import StoreSettlement
+from apricotlead.protocol.signals import Answer, Note, ReadRows, Tick, Token
+
+
+class Failing(Component):
+    """Fails on each tick."""
+
+    name = 'failing'
+
+    @handles(Tick)
+    def on_tick(self, signal, now):
+        """Yield one effect, then fail."""
+        yield Answer(1, None)
+        raise ValueError('broken')
+
+
+class Working(Component):
+    """Reads a row on each tick."""
+
+    name = 'working'
+
+    @handles(Tick)
+    def on_tick(self, signal, now):
+        """Ask for a row."""
+        return (ReadRows(Token(self.name), ('a',)),)
+
+
+def scheduler(*, contains_errors):
+    """Return a scheduler with a failing and a working component."""
+    return Scheduler(
+        (Failing(), Working()),
+        StoreSettlement(),
+        contains_errors=contains_errors,
+    )
+
+
+class TestScheduler(TestCase):
+    """Guards against one job that stops every instance that adopts it."""
+
+    def test_error_is_noted_and_the_others_go_on(self):
+        """Effects before the error count, and the traceback is kept."""
+        effects = scheduler(contains_errors=True).deliver(Tick(), 0)
+        kinds = [type(effect) for effect in effects]
+        self.assertIn(Answer, kinds)
+        self.assertIn(ReadRows, kinds)
+        note = effects[kinds.index(Note)]
+        self.assertIn('broken', note.fields['traceback'])
+
+    def test_error_is_raised_for_fuzzers(self):
+        """A fuzzer must see each fault."""
+        self.assertRaises(
+            ValueError,
+            scheduler(contains_errors=False).deliver,
+            Tick(),
+            0,
+        )
