Let operators declare workers down

Cause: a task whose home and worker vanish together waits an hour (outage_s) before it runs again, because nobody can prove that it does not run.

Ruled out: trusting the platform's list; in a partition it drops workers that go on running. A shorter outage_s stops work in a region that is cut off.

Conclusion: only a person can know that a data centre has no power.

--- a/src/apricotlead/cli.py
+++ b/src/apricotlead/cli.py
@@ -8,6 +8,7 @@
 
 from apricotlead.protocol.errors import ApricotleadError
 from apricotlead.settings import Settings
+from apricotlead.state.config_view import digest_of
 
 _CALL_TIMEOUT_S = 15.0
 _EXIT_ERROR = 2
@@ -43,9 +44,7 @@
 
     def digest(self, key: str) -> str:
         """Print the digest of a key, as the configuration keeps it."""
-        from apricotlead.transport.http_server import key_digest
-
-        return key_digest(str(key))
+        return digest_of(str(key))
 
     def submit(self, address: str, job: dict[str, Any], key: str = '') -> Any:
         """Submit a job, given as the JSON body of ``POST /v1/jobs``."""
--- a/src/apricotlead/protocol/config.py
+++ b/src/apricotlead/protocol/config.py
@@ -62,6 +62,8 @@
     teams_by_name: dict[str, Team] = field(default_factory=dict)
     queues_by_name: dict[str, Queue] = field(default_factory=dict)
     teams_by_key_digest: dict[str, str] = field(default_factory=dict)
+    # The version at which an operator declared each worker down.
+    down_versions_by_worker: dict[str, int] = field(default_factory=dict)
 
 
 class PutTeam(Struct, frozen=True, tag='put_team'):
@@ -101,8 +103,32 @@
     name: PresetName
 
 
+class DeclareDown(Struct, frozen=True, tag='declare_down'):
+    """Asserts that these workers run nothing and are cut from power.
+
+    Attempts on them count as lost at once, and they get no new work. A wrong
+    assertion lets tasks run twice: a worker that is only out of reach must
+    not be declared down.
+    """
+
+    worker_ids: tuple[str, ...]
+
+
+class DeclareUp(Struct, frozen=True, tag='declare_up'):
+    """Lets workers that were declared down take work again."""
+
+    worker_ids: tuple[str, ...]
+
+
 ConfigChange = (
-    PutTeam | PutQueue | GrantKey | WithdrawKey | PutPreset | ChoosePreset
+    PutTeam
+    | PutQueue
+    | GrantKey
+    | WithdrawKey
+    | PutPreset
+    | ChoosePreset
+    | DeclareDown
+    | DeclareUp
 )
 
 
--- a/src/apricotlead/state/config_view.py
+++ b/src/apricotlead/state/config_view.py
@@ -12,6 +12,8 @@
     CellConfig,
     ChoosePreset,
     ConfigChange,
+    DeclareDown,
+    DeclareUp,
     GrantKey,
     LoggedChange,
     Preset,
@@ -193,6 +195,36 @@
     return replace(config, preset_in_force=change.name)
 
 
+@_applies(DeclareDown)
+def _declare_down(config: CellConfig, change: DeclareDown) -> CellConfig:
+    declared = dict.fromkeys(change.worker_ids, config.version + 1)
+    down = config.down_versions_by_worker | declared
+    return replace(config, down_versions_by_worker=down)
+
+
+@_applies(DeclareUp)
+def _declare_up(config: CellConfig, change: DeclareUp) -> CellConfig:
+    down = {
+        worker_id: version
+        for worker_id, version in config.down_versions_by_worker.items()
+        if worker_id not in change.worker_ids
+    }
+    return replace(config, down_versions_by_worker=down)
+
+
+@_checks(DeclareDown)
+def _check_down(config: CellConfig, change: DeclareDown) -> None:
+    if not change.worker_ids:
+        raise BadInput('worker_ids names no worker.')
+
+
+@_checks(DeclareUp)
+def _check_up(config: CellConfig, change: DeclareUp) -> None:
+    for worker_id in change.worker_ids:
+        if worker_id not in config.down_versions_by_worker:
+            raise BadInput(f'Worker {worker_id!r} was not declared down.')
+
+
 @_checks(PutTeam)
 def _check_team(config: CellConfig, change: PutTeam) -> None:
     team = change.team
--- a/src/apricotlead/transport/http_server.py
+++ b/src/apricotlead/transport/http_server.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable
 from functools import partial
-from hashlib import sha256
 from hmac import compare_digest
 from math import ceil
 from traceback import format_exception
@@ -28,6 +27,7 @@
 from apricotlead.protocol.jobs import Submission
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
 from apricotlead.protocol.signals import AskStatus, ChangeConfig, SubmitJob
+from apricotlead.state.config_view import digest_of
 
 KEY_HEADER = 'HTTP_X_APRICOTLEAD_KEY'
 OPERATOR_HEADER = 'HTTP_X_APRICOTLEAD_OPERATOR_KEY'
@@ -184,11 +184,6 @@
             return _error_response(502, error, headers)
 
 
-def key_digest(key: str) -> str:
-    """Return the form in which keys are kept: SHA-256, hexadecimal."""
-    return sha256(key.encode()).hexdigest()
-
-
 def _retry_headers(retry_after_s: float | None) -> list[tuple[str, str]]:
     """Name the time to come back, in whole seconds and in milliseconds.
 
@@ -245,7 +240,7 @@
 
 
 def _check_operator(application: HttpApplication, request: Request) -> None:
-    digest = key_digest(request.header(OPERATOR_HEADER))
+    digest = digest_of(request.header(OPERATOR_HEADER))
     expected = application.backend.operator_key_digest
     if not compare_digest(digest, expected):
         raise KeyRefused('The operator key is not valid.')
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 
-from apricotlead.transport.http_server import key_digest
+from apricotlead.state.config_view import digest_of
 
 
 def run(*arguments):
@@ -39,4 +39,4 @@
     def test_digest(self):
         """Operators grant keys by this digest."""
         code, output, _ = run('digest', 'secret')
-        self.assertEqual((0, key_digest('secret')), (code, output.strip()))
+        self.assertEqual((0, digest_of('secret')), (code, output.strip()))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -15,9 +15,9 @@
     VersionConflict,
 )
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun
+from apricotlead.state.config_view import digest_of
 from apricotlead.transport.http_server import (
     HttpApplication,
-    key_digest,
     render_outcome,
 )
 
@@ -25,7 +25,7 @@
 class Backend:
     """Answers every request with one outcome."""
 
-    operator_key_digest = key_digest('operator')
+    operator_key_digest = digest_of('operator')
 
     def __init__(self):
         """Begin with nothing asked and nothing logged."""
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -16,7 +16,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
-from apricotlead.transport.http_server import key_digest
+from apricotlead.state.config_view import digest_of
 
 # "Within seconds", as the brief says; the view bound is 3 s.
 KEY_STOPS_WITHIN_S = 5
@@ -253,7 +253,7 @@
         )
         platform = self.cell.node('platform').address
         call(platform, '/admin/faults', {'cut_datacentres': ['almaty-b']})
-        stenora.change('withdraw_key', key_digest=key_digest(key))
+        stenora.change('withdraw_key', key_digest=digest_of(key))
         time.sleep(KEY_STOPS_WITHIN_S)
         statuses = {
             stenora.look_up('x', 'courts', key, entry).status
