Measure packing under churn

Cause: packing is one of the stated measures and nothing compared the policies.

Ruled out: measuring it with processes only; task ends at random times hide the difference between policies.

--- a/bench/run.py
+++ b/bench/run.py
@@ -1,11 +1,12 @@
 """``make bench``: all measurements, one after the other."""
 
-from bench import cell, control_cost, placement
+from bench import cell, control_cost, packing, placement
 
 
 def main() -> None:
     """Run each benchmark with its defaults."""
     placement.main()
+    packing.main()
     control_cost.main()
     cell.main()
 
