--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -163,8 +163,17 @@
         """A write that took effect is not made again, nor forgotten."""
         self.faults(lose_fraction=0.3)
         job_ids = self.submit_mixed()
+        repeats = [
+            self.stenora.submit('courts', entry=entry, request_id='hearing-1')
+            for entry in self.stenora.entries * 3
+        ]
         self.faults()
-        self.check_ends(job_ids)
+        # A caller that repeats a request anywhere gets the one job of it.
+        repeated_ids = {
+            answer.body['job_id'] for answer in repeats if answer.status == 202
+        }
+        self.assertEqual(1, len(repeated_ids))
+        self.check_ends([*job_ids, *repeated_ids])
 
 
 class TestWorkerFaults(ProcessCase):
