--- /dev/null
+++ b/tests/test_peer_links.py
@@ -0,0 +1,63 @@
+"""Peer links carry envelopes, and survive what is not one."""
+
+import eventlet
+import pynng
+from testtools import TestCase
+
+from apricotlead.protocol.peers import AskJob, Gossip, ReleaseGrants
+from apricotlead.transport.peer_links import PeerLinks
+
+LOOPBACK = '127.0.0.1:0'
+MOST_POLLS = 500
+POLL_S = 0.01
+
+
+class TestPeerLinks(TestCase):
+    """Guards against a loop that stops on one bad or slow peer."""
+
+    def setUp(self):
+        """Listen as one instance, send as another."""
+        super().setUp()
+        self.received = []
+        self.receiver = PeerLinks(lambda: 'receiver', self.received.append)
+        self.address = self.receiver.listen(LOOPBACK)
+        self.sender = PeerLinks(lambda: 'sender', self.received.append)
+        self.addCleanup(self.receiver.close)
+        self.addCleanup(self.sender.close)
+
+    def wait_for(self, condition):
+        """Let other green threads run until the condition holds."""
+        for _ in range(MOST_POLLS):
+            if condition():
+                return
+            eventlet.sleep(POLL_S)
+        raise AssertionError('the condition never held')
+
+    def test_messages_arrive_as_they_were_sent(self):
+        """The sender's session is named with each."""
+        messages = (
+            Gossip('sender', config_version=3),
+            AskJob('1', 'sender', 'j.1', 'courts', cancel=True),
+            ReleaseGrants(('a', 'b')),
+        )
+        for message in messages:
+            self.sender.send(self.address, message)
+        self.wait_for(lambda: len(self.received) == len(messages))
+        self.assertEqual(
+            [('sender', sent) for sent in messages],
+            [(one.sender, one.message) for one in self.received],
+        )
+
+    def test_malformed_bytes_are_counted_and_dropped(self):
+        """Later messages still arrive."""
+        with pynng.Push0(dial=f'tcp://{self.address}') as socket:
+            socket.send(b'not an envelope')
+            self.wait_for(lambda: self.receiver.malformed_count)
+        self.sender.send(self.address, ReleaseGrants(('a',)))
+        self.wait_for(lambda: self.received)
+
+    def test_absent_peer_costs_no_wait(self):
+        """Messages beyond the queue are dropped and counted."""
+        for _ in range(2000):
+            self.sender.send('127.0.0.1:1', ReleaseGrants(('a',)))
+        self.assertNotEqual(0, self.sender.dropped_count)
