Close links to peers that are gone; catch stop signals before serving

Cause: found by reading. A link stayed open, and dialled, for each session that ever lived; a stop signal between the ready line and the handler killed the process without a graceful stop.

Ruled out: closing links from inside the decisions; they know no sockets.

Conclusion: sockets are bounded by the number of live peers.

--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -33,10 +33,10 @@
 from apricotlead.transport.platform_client import PlatformClient
 from apricotlead.transport.serving import (
     HttpServer,
+    StopRequest,
     pause,
     run_together,
     split_address,
-    wait_for_stop,
 )
 from apricotlead.transport.worker_client import WorkerClient
 
@@ -145,8 +145,14 @@
             'config_fresh': self._parts.config_view.is_fresh(now),
         }
 
+    def close_unused_links(self) -> None:
+        """Close the links to peers that are gone."""
+        live = self._parts.session_view.peers_by_id.values()
+        self.peers.keep_only({peer.address for peer in live})
+
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        stop = StopRequest()
         server = HttpServer(
             self._settings.http_address,
             self.application,
@@ -156,7 +162,7 @@
         ready = json.dumps({'address': server.address})
         sys.stdout.write(f'{ready}\n')
         sys.stdout.flush()
-        wait_for_stop()
+        stop.wait()
         self._drain(server)
 
     def _session_id(self) -> str:
--- a/src/apricotlead/transport/engine.py
+++ b/src/apricotlead/transport/engine.py
@@ -63,6 +63,9 @@
     metrics: Any
     log: Callable[..., None]
 
+    def close_unused_links(self) -> None:
+        """Close the links to peers that are gone."""
+
 
 class Engine:
     """Runs a scheduler on one eventlet loop.
@@ -153,6 +156,7 @@
             reply = self.links.platform.list_instances()
             if isinstance(reply, InstanceList):
                 self.deliver(InstancesListed(reply.instances))
+            self.links.close_unused_links()
             sleep(_LIST_INTERVAL_S)
 
 
--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -54,12 +54,20 @@
         return self._thread.dead
 
 
-def wait_for_stop() -> None:
-    """Wait for SIGTERM or SIGINT."""
-    stop = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, partial(_request_stop, stop))
-    stop.wait()
+class StopRequest:
+    """Catches SIGTERM and SIGINT from its creation on."""
+
+    __slots__ = ('_event',)
+
+    def __init__(self) -> None:
+        """Replace the handlers of both signals."""
+        self._event = Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, partial(_request_stop, self._event))
+
+    def wait(self) -> None:
+        """Wait for one of the signals."""
+        self._event.wait()
 
 
 def pause(duration_s: float) -> None:
