Name the end of a lookup on the executor's own clock

Cause: the deadline of a lookup was relative to its receipt. A request that an executor, or the sender, froze on its way ran after its unit of the team's limit had been returned (I4).

Ruled out: holding units for longer; no bound holds for a frozen process. A clock reading older than 2 s is not used, since 2% of drift would take more off a request's time than it needs.

Before and after: 'pytest tests/test_executor.py tests/test_lookups.py': the stand-in now refuses requests past their end or of another boot; the tests of old readings fail without the check of the age.

Conclusion: a limited lookup cannot run after its unit is back. The first one to an executor after 2 s without traffic costs one more exchange.

--- a/src/apricotlead/coordination/lookups.py
+++ b/src/apricotlead/coordination/lookups.py
@@ -22,6 +22,7 @@
 )
 from apricotlead.protocol.executors import (
     ExecutorAnswered,
+    ExecutorClock,
     ExecutorRefused,
     ExecutorResult,
     ExecutorSilent,
@@ -82,12 +83,23 @@
 class SendTo:
     """Send the request to this executor and wait at most ``timeout_s``.
 
-    ``deadline_s`` is the time after which the executor must not work on it.
+    ``deadline_s`` is the time left, after which the executor must not work
+    on it. ``not_after`` says the same on the executor's own clock, which
+    also holds for a request that was paused or frozen on its way.
     """
 
     executor: Instance
     timeout_s: float
     deadline_s: float
+    not_after: ExecutorClock | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ReadClock:
+    """Ask this executor for its clock, and wait at most ``timeout_s``."""
+
+    executor: Instance
+    timeout_s: float
 
 
 class LookupRequest(Struct, frozen=True):
@@ -108,10 +120,13 @@
 
     :meth:`next_step` returns where to send it, or its final outcome. A
     request is sent again only if the last try is proven not to have run, or
-    if the request is idempotent, and only within the retry budget.
+    if the request is idempotent, and only within the retry budget. A request
+    that counts against a limit is sent only with an end on the executor's
+    clock, so that it cannot run after its unit was returned.
     """
 
     __slots__ = (
+        '_chosen',
         '_desk',
         '_ends_s',
         '_ran_maybe',
@@ -133,6 +148,7 @@
         self._ends_s = ends_s
         self._tried_ids: list[str] = []
         self._ran_maybe = False
+        self._chosen: Instance | None = None
         self.team = team
 
     @property
@@ -140,24 +156,32 @@
         """Return the time after which no executor works on it."""
         return self._ends_s
 
-    def next_step(self, now: float) -> SendTo | Outcome:
+    def next_step(self, now: float) -> SendTo | ReadClock | Outcome:
         """Return the next executor, or the final outcome."""
         left_s = self._ends_s - now
         if left_s <= 0:
             return self._given_up(Overloaded('The deadline has passed.'))
-        retrying = bool(self._tried_ids)
-        if retrying and not self._desk.may_retry(len(self._tried_ids)):
-            return self._given_up(Overloaded('Executors refuse or fail.'))
-        try:
-            executor = self._choose(now)
-        except ApricotleadError as error:
-            return self._given_up(error)
-        self._tried_ids.append(executor.instance_id)
+        if self._chosen is None:
+            refusal = self._choose_next(now)
+            if refusal is not None:
+                return refusal
         timeout_s = self._desk.timeout_of_try(
             left_s,
             can_retry=self._request.idempotent,
         )
-        return SendTo(executor, timeout_s, left_s)
+        return self._send_or_ask(timeout_s, left_s, now)
+
+    def after_clock(self, result: ExecutorResult, now: float) -> None:
+        """Take the answer to :class:`ReadClock`; another step follows."""
+        router = self._desk.router
+        executor_id = self._chosen.instance_id
+        router.note_clock(executor_id, result, now)
+        if isinstance(result, ExecutorAnswered):
+            return
+        # Nothing was sent, so the next executor may be tried.
+        self._chosen = None
+        router.sent(executor_id)
+        router.finished(executor_id, result, now)
 
     def after(self, result: ExecutorResult, now: float) -> Outcome | None:
         """Take the result of the last try; ``None`` asks for another step."""
@@ -178,11 +202,37 @@
         """Tell whether an executor may work on it after the answer."""
         return self._ran_maybe
 
-    def _choose(self, now: float) -> Instance:
+    def _choose_next(self, now: float) -> Outcome | None:
+        retrying = bool(self._tried_ids)
+        if retrying and not self._desk.may_retry(len(self._tried_ids)):
+            return self._given_up(Overloaded('Executors refuse or fail.'))
         router = self._desk.router
-        executor = router.choose(self._request.service, now, self._tried_ids)
+        service = self._request.service
+        try:
+            self._chosen = router.choose(service, now, self._tried_ids)
+        except ApricotleadError as error:
+            return self._given_up(error)
+        self._tried_ids.append(self._chosen.instance_id)
+        return None
+
+    def _send_or_ask(
+        self,
+        timeout_s: float,
+        left_s: float,
+        now: float,
+    ) -> SendTo | ReadClock:
+        executor = self._chosen
+        router = self._desk.router
+        if self.team and router.needs_clock(executor.instance_id, now):
+            return ReadClock(executor, timeout_s)
+        self._chosen = None
+        not_after = router.not_after(
+            executor.instance_id,
+            self._ends_s,
+            now,
+        )
         router.sent(executor.instance_id)
-        return executor
+        return SendTo(executor, timeout_s, left_s, not_after)
 
     def _given_up(self, error: ApricotleadError) -> Outcome:
         if self._ran_maybe:
--- a/src/apricotlead/coordination/service_routing.py
+++ b/src/apricotlead/coordination/service_routing.py
@@ -8,6 +8,7 @@
 from apricotlead.protocol.errors import NotFound, Overloaded
 from apricotlead.protocol.executors import (
     ExecutorAnswered,
+    ExecutorClock,
     ExecutorRefused,
     ExecutorResult,
     ExecutorSilent,
@@ -18,6 +19,7 @@
 from apricotlead.state.session_view import SessionView
 
 _CHOICES = 2
+_MS_PER_S = 1000
 
 
 class RoutingSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -28,7 +30,8 @@
     ``failures_to_eject`` failures in a row, doubled with each ejection up to
     ``longest_ejection_s``; at most ``most_ejected`` of a service's executors
     are passed over at a time. A load that the executor told of itself counts
-    for ``load_age_s``.
+    for ``load_age_s``, and a reading of its clock for ``clock_age_s``: the
+    older the reading, the more the drift takes off a request's time.
     """
 
     connections: int = 64
@@ -38,6 +41,8 @@
     longest_ejection_s: float = 30.0
     most_ejected: float = 0.5
     load_age_s: float = 0.25
+    clock_age_s: float = 2.0
+    max_drift: float = 0.02
 
 
 class _ExecutorState(Struct):
@@ -48,6 +53,9 @@
     ejections: int = 0
     avoided_until_s: float = float('-inf')
     leaving: bool = False
+    clock: ExecutorClock | None = None
+    clock_read_s: float = float('-inf')
+    has_no_clock: bool = False
 
 
 class ServiceRouter:
@@ -124,6 +132,46 @@
         state = self._state(executor_id)
         state.outstanding -= 1
         self._learn(result, state, now)
+        self._learn_clock(state, result, now)
+
+    def note_clock(
+        self,
+        executor_id: str,
+        result: ExecutorResult,
+        now: float,
+    ) -> None:
+        """Take the answer to a question for the clock alone."""
+        state = self._state(executor_id)
+        self._learn_clock(state, result, now)
+        if isinstance(result, ExecutorAnswered):
+            state.has_no_clock = result.clock is None
+
+    def needs_clock(self, executor_id: str, now: float) -> bool:
+        """Tell whether the executor's clock must be read first."""
+        state = self._state(executor_id)
+        age_s = now - state.clock_read_s
+        return age_s > self._settings.clock_age_s and not state.has_no_clock
+
+    def not_after(
+        self,
+        executor_id: str,
+        ends_s: float,
+        now: float,
+    ) -> ExecutorClock | None:
+        """Return ``ends_s`` on the executor's clock, or a little earlier.
+
+        ``None`` without a recent reading, or where it does not tell any.
+        """
+        state = self._state(executor_id)
+        is_old = now - state.clock_read_s > self._settings.clock_age_s
+        if state.clock is None or is_old:
+            return None
+        left_s = (ends_s - state.clock_read_s) * (1 - self._settings.max_drift)
+        left_ms = int(left_s * _MS_PER_S)
+        return ExecutorClock(
+            state.clock.boot_id,
+            state.clock.clock_ms + left_ms,
+        )
 
     def dump(self, now: float) -> dict[str, dict[str, float]]:
         """Return outstanding requests and ejections by executor id."""
@@ -143,6 +191,17 @@
             if executor_id not in present and not state.outstanding:
                 self._states_by_id.pop(executor_id)
 
+    def _learn_clock(
+        self,
+        state: _ExecutorState,
+        result: ExecutorResult,
+        now: float,
+    ) -> None:
+        if isinstance(result, ExecutorSilent) or result.clock is None:
+            return
+        state.clock = result.clock
+        state.clock_read_s = now
+
     @singledispatchmethod
     def _learn(
         self,
--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -12,7 +12,7 @@
 from statsd import StatsClient
 
 from apricotlead.assembly import Parts, assemble
-from apricotlead.coordination.lookups import LookupRequest, SendTo
+from apricotlead.coordination.lookups import LookupRequest, ReadClock, SendTo
 from apricotlead.protocol.outcomes import Outcome
 from apricotlead.protocol.peers import Envelope
 from apricotlead.protocol.signals import Shutdown, Signal
@@ -174,6 +174,10 @@
     def _run_lookup(self, lookup: Any, body: bytes) -> Outcome:
         while True:
             step = lookup.next_step(monotonic_now())
+            if isinstance(step, ReadClock):
+                told = self._executors.read_clock(step)
+                lookup.after_clock(told, monotonic_now())
+                continue
             if not isinstance(step, SendTo):
                 return step
             answer = self._executors.send(step, body)
--- a/src/apricotlead/protocol/executors.py
+++ b/src/apricotlead/protocol/executors.py
@@ -3,6 +3,17 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True)
+class ExecutorClock:
+    """A reading of an executor's monotonic clock, in milliseconds.
+
+    It means nothing to another ``boot_id`` of the executor.
+    """
+
+    boot_id: str
+    clock_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class ExecutorAnswered:
     """The whole answer to this very request.
@@ -16,6 +27,7 @@
     content_type: str = 'application/octet-stream'
     outstanding: int | None = None
     leaving: bool = False
+    clock: ExecutorClock | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +40,7 @@
     reachable: bool = True
     retry_after_s: float = 0.1
     leaving: bool = False
+    clock: ExecutorClock | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/apricotlead/settings.py
+++ b/src/apricotlead/settings.py
@@ -121,6 +121,7 @@
             self.config.max_drift,
             self.leases.max_drift,
             self.reservations.bounds.max_drift,
+            self.routing.max_drift,
         }
         if len(drifts) > 1:
             raise SettingsError('max_drift must be the same in all sections.')
--- a/src/apricotlead/transport/executor_client.py
+++ b/src/apricotlead/transport/executor_client.py
@@ -3,9 +3,10 @@
 from typing import Protocol
 from uuid import uuid4
 
-from apricotlead.coordination.lookups import SendTo
+from apricotlead.coordination.lookups import ReadClock, SendTo
 from apricotlead.protocol.executors import (
     ExecutorAnswered,
+    ExecutorClock,
     ExecutorRefused,
     ExecutorResult,
     ExecutorSilent,
@@ -17,6 +18,9 @@
     NeverSent,
 )
 
+_BOOT_HEADER = 'X-Apricotlead-Boot'
+_CLOCK_HEADER = 'x-apricotlead-clock-ms'
+_NOT_AFTER_HEADER = 'X-Apricotlead-Not-After-Ms'
 _REQUEST_HEADER = 'X-Apricotlead-Request'
 _DEADLINE_HEADER = 'X-Apricotlead-Deadline-Ms'
 _LENGTH_HEADER = 'x-apricotlead-length'
@@ -57,6 +61,9 @@
             _REQUEST_HEADER: request_id,
             _DEADLINE_HEADER: str(int(step.deadline_s * _MS_PER_S)),
         }
+        if step.not_after is not None:
+            headers[_BOOT_HEADER] = step.not_after.boot_id
+            headers[_NOT_AFTER_HEADER] = str(step.not_after.clock_ms)
         answer = self._pool.call(
             HttpCall(
                 'POST',
@@ -73,6 +80,24 @@
             return ExecutorSilent(answer.reason)
         return _read(answer, request_id)
 
+    def read_clock(self, step: ReadClock) -> ExecutorResult:
+        """Ask an executor for its clock; nothing runs."""
+        answer = self._pool.call(
+            HttpCall(
+                'GET',
+                step.executor.address,
+                '/v1/clock',
+                timeout_s=step.timeout_s,
+            ),
+        )
+        if not isinstance(answer, Answered):
+            return ExecutorRefused(reachable=False)
+        return ExecutorAnswered(
+            answer.status,
+            answer.body,
+            clock=_clock(answer),
+        )
+
 
 def _read(answer: Answered, request_id: str) -> ExecutorResult:
     headers = answer.headers
@@ -82,7 +107,11 @@
     outcome = headers.get(_OUTCOME_HEADER)
     if outcome == _NOT_RUN:
         wait_s = float(headers.get('retry-after', _DEFAULT_RETRY_S))
-        return ExecutorRefused(retry_after_s=wait_s, leaving=leaving)
+        return ExecutorRefused(
+            retry_after_s=wait_s,
+            leaving=leaving,
+            clock=_clock(answer),
+        )
     if outcome == _MAY_HAVE_RUN:
         return ExecutorSilent('the executor did not finish in time')
     if headers.get(_LENGTH_HEADER) != str(len(answer.body)):
@@ -93,4 +122,13 @@
         headers.get('content-type', 'application/octet-stream'),
         int(headers.get(_OUTSTANDING_HEADER, 0)),
         leaving,
+        _clock(answer),
     )
+
+
+def _clock(answer: Answered) -> ExecutorClock | None:
+    boot_id = answer.headers.get(_BOOT_HEADER.lower())
+    clock_ms = answer.headers.get(_CLOCK_HEADER, '')
+    if boot_id is None or not clock_ms.isdecimal():
+        return None
+    return ExecutorClock(boot_id, int(clock_ms))
--- a/src/apricotlead_standins/cli.py
+++ b/src/apricotlead_standins/cli.py
@@ -80,6 +80,7 @@
             chosen.slots,
             chosen.queue_size,
             chosen.service_time_s,
+            _fresh_id('boot'),
         )
         instance = {
             'instance_id': instance_id,
--- a/src/apricotlead_standins/executor.py
+++ b/src/apricotlead_standins/executor.py
@@ -7,10 +7,13 @@
 
 from apricotlead_standins.faults import Faults, unknown_route
 from apricotlead_standins.http_messages import (
+    BOOT_HEADER,
+    CLOCK_HEADER,
     DEADLINE_HEADER,
     INTERNAL,
     LEAVING_HEADER,
     LENGTH_HEADER,
+    NOT_AFTER_HEADER,
     OUTCOME_HEADER,
     OUTSTANDING_HEADER,
     REQUEST_HEADER,
@@ -36,13 +39,17 @@
 
 
 class ExecutorSettings(Struct, frozen=True):
-    """The size of an executor, and its service time in seconds."""
+    """The size of an executor, and its service time in seconds.
+
+    ``boot_id`` names this run of it; its clock means nothing to another run.
+    """
 
     executor_id: str
     service: str = ''
     slots: int = 8
     queue_size: int = 4
     service_time_s: float = 0.01
+    boot_id: str = 'boot-1'
 
 
 class _Run(Struct, eq=False):
@@ -60,6 +67,7 @@
     """
 
     __slots__ = (
+        '_now',
         '_queued',
         '_running',
         '_settings',
@@ -76,6 +84,7 @@
         self.peak_outstanding = 0
         self.left_s: float | None = None
         self._settings = settings
+        self._now = 0.0
         self._running: list[_Run] = []
         self._queued: deque[_Run] = deque()
 
@@ -86,13 +95,16 @@
 
     def handle(self, request: Request, faults: Faults, now: float) -> Result:
         """Carry out a request; ``now`` is in monotonic seconds."""
+        self._advance(now)
+        if (request.method, request.path) == ('GET', '/v1/clock'):
+            return Response(headers=self._headers(request))
         if (request.method, request.path) != ('POST', '/v1/run'):
             return unknown_route(request)
-        self._advance(now)
         refusal = self._refuse(request, now)
         if refusal is not None:
             return refusal
-        run = _Run(request, _deadline_s(request, now))
+        deadline_s = min(_deadline_s(request, now), _not_after_s(request))
+        run = _Run(request, deadline_s)
         self._queued.append(run)
         self._fill_slots(now)
         self.peak_outstanding = max(self.peak_outstanding, self.outstanding)
@@ -131,12 +143,23 @@
     def _refuse(self, request: Request, now: float) -> Response | None:
         if self.left_s is not None:
             return self._refusal(request, 'draining', 0)
+        if self._is_expired(request, now):
+            return self._refusal(request, 'expired', 0)
         size = self._settings.slots + self._settings.queue_size
         if self.outstanding < size:
             return None
         free_s = min(run.end_s or now for run in self._running)
         return self._refusal(request, 'overloaded', max(0, free_s - now))
 
+    def _is_expired(self, request: Request, now: float) -> bool:
+        """Tell whether the request's time on this clock is over."""
+        if NOT_AFTER_HEADER not in request.headers:
+            return False
+        boot_id = request.headers.get(BOOT_HEADER.lower())
+        if boot_id != self._settings.boot_id:
+            return True
+        return now >= _not_after_s(request)
+
     def _refusal(
         self,
         request: Request,
@@ -169,6 +192,7 @@
 
     def _advance(self, now: float) -> None:
         """End runs and begin queued ones, in the order of their times."""
+        self._now = now
         while self._running:
             first = min(self._running, key=_stop_s)
             if now < _stop_s(first):
@@ -221,6 +245,8 @@
         headers = {
             REQUEST_HEADER: _request_id(request),
             OUTSTANDING_HEADER: str(self.outstanding),
+            BOOT_HEADER: self._settings.boot_id,
+            CLOCK_HEADER: str(int(self._now * _MS_PER_S)),
         }
         if self.left_s is not None:
             headers[LEAVING_HEADER] = 'yes'
@@ -238,10 +264,19 @@
 
 def _deadline_s(request: Request, now: float) -> float:
     """Return when to stop; the header gives the time left on receipt."""
-    text = request.headers.get(DEADLINE_HEADER)
+    return now + _seconds(request, DEADLINE_HEADER)
+
+
+def _not_after_s(request: Request) -> float:
+    """Return when to stop, on the executor's own clock."""
+    return _seconds(request, NOT_AFTER_HEADER)
+
+
+def _seconds(request: Request, header: str) -> float:
+    text = request.headers.get(header)
     if text is None:
         return float('inf')
     try:
-        return now + float(text) / _MS_PER_S
+        return float(text) / _MS_PER_S
     except ValueError as error:
-        raise BadRequest(f'{DEADLINE_HEADER}: {text}') from error
+        raise BadRequest(f'{header}: {text}') from error
--- a/src/apricotlead_standins/http_messages.py
+++ b/src/apricotlead_standins/http_messages.py
@@ -6,10 +6,13 @@
 from msgspec import MsgspecError, Struct
 from msgspec.json import Decoder, encode
 
+BOOT_HEADER = 'X-Apricotlead-Boot'
+CLOCK_HEADER = 'X-Apricotlead-Clock-Ms'
 DATACENTRE_HEADER = 'x-apricotlead-datacentre'
 DEADLINE_HEADER = 'x-apricotlead-deadline-ms'
 LEAVING_HEADER = 'X-Apricotlead-Leaving'
 LENGTH_HEADER = 'X-Apricotlead-Length'
+NOT_AFTER_HEADER = 'x-apricotlead-not-after-ms'
 OUTCOME_HEADER = 'X-Apricotlead-Outcome'
 OUTSTANDING_HEADER = 'X-Apricotlead-Outstanding'
 REQUEST_HEADER = 'X-Apricotlead-Request'
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -44,6 +44,22 @@
             answer = answer.resume(due_s)
         return answer, round(due_s, 3)
 
+    def test_request_past_its_time_on_the_own_clock(self):
+        """Guards against work that was frozen on its way (I4)."""
+        table = (
+            ('boot-1', '5000', 200),
+            ('boot-1', '1000', 503),
+            ('boot-0', '5000', 503),
+        )
+        for boot_id, not_after_ms, expected in table:
+            headers = {
+                'x-apricotlead-boot': boot_id,
+                'x-apricotlead-not-after-ms': not_after_ms,
+            }
+            request = Request('POST', '/v1/run', b'', headers)
+            answer, _ = self.finish(self.gate.handle(request, 1))
+            self.assertEqual(expected, answer.status)
+
     def test_slots_queue_and_refusal(self):
         """Guards against more at once than slots, and a false refusal."""
         sent = [self.send(name, 0) for name in 'abc']
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -10,6 +10,7 @@
     LookupDesk,
     LookupRequest,
     LookupSettings,
+    ReadClock,
     SendTo,
 )
 from apricotlead.coordination.retry_budget import RetryBudgetSettings
@@ -20,6 +21,7 @@
 from apricotlead.protocol.errors import LimitReached
 from apricotlead.protocol.executors import (
     ExecutorAnswered,
+    ExecutorClock,
     ExecutorRefused,
     ExecutorSilent,
 )
@@ -152,6 +154,49 @@
         self.assertThat(lookup.next_step(1.0), IsInstance(NotRun))
 
 
+class TestExecutorClock(LookupCase):
+    """Guards against lookups that run after their unit was returned (I4)."""
+
+    executors = (executor('near-1'),)
+
+    def read_clock(self, clock, now):
+        """Open a lookup of a team; answer its question for the clock."""
+        self.units.free = 1
+        lookup = self.desk.open(LookupRequest(SERVICE, key='courts'), now)
+        self.assertThat(lookup.next_step(now), IsInstance(ReadClock))
+        lookup.after_clock(ExecutorAnswered(200, b'', clock=clock), now)
+        return lookup
+
+    def test_end_is_named_on_the_executors_clock(self):
+        """It is never later than the own end, whatever the drift."""
+        lookup = self.read_clock(ExecutorClock('boot', 5000), 0)
+        step = lookup.next_step(0)
+        self.assertEqual(ExecutorClock('boot', 5980), step.not_after)
+
+    def test_old_reading_is_not_used(self):
+        """The drift since then could name a time that has passed."""
+        self.read_clock(ExecutorClock('boot', 5000), 0).next_step(0)
+        self.read_clock(ExecutorClock('boot', 65_000), 60)
+        self.units.free = 1
+        lookup = self.desk.open(LookupRequest(SERVICE), 120)
+        self.assertIsNone(lookup.next_step(120).not_after)
+
+    def test_executor_without_a_clock(self):
+        """It is asked once, and served with the time left alone."""
+        lookup = self.read_clock(None, 0)
+        self.assertIsNone(lookup.next_step(0).not_after)
+        self.units.free = 1
+        again = self.desk.open(LookupRequest(SERVICE, key='courts'), 60)
+        self.assertThat(again.next_step(60), IsInstance(SendTo))
+
+    def test_unreachable_executor(self):
+        """Nothing was sent to it, so the outcome is "not run"."""
+        lookup = self.desk.open(LookupRequest(SERVICE, key='courts'), 0)
+        lookup.next_step(0)
+        lookup.after_clock(UNREACHABLE, 0.1)
+        self.assertThat(lookup.next_step(0.1), IsInstance(NotRun))
+
+
 class TestRetryBudget(LookupCase):
     """Guards against retries that multiply the load on failing executors."""
 
