Bind lease renewals to the worker's clock

Cause: RenewLeases extended a lease from receipt, so one that a paused worker handled late outlived the bound of its sender, and the task could run twice. Each unanswered renewal also postponed the loss by one more lease.

Ruled out: an unbounded first renewal by an adopter. It knows no clock, so it asks without a wait first; that costs one round trip. Ending attempts at the bound without a recent failure was ruled out as well: after a pause of the home the answers that came in meanwhile are handled first.

Conclusion: a silent worker's attempt is lost lease_s / (1 - max_drift) after the last renewal was sent, however late that arrives. list_is_authoritative is off by default.

--- a/src/apricotlead/coordination/lease_channel.py
+++ b/src/apricotlead/coordination/lease_channel.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from apricotlead.coordination.worker_clock import WorkerClock
 from apricotlead.state.job_table import Attempt
 
 CallPurpose = Literal['start', 'poll', 'stop']
@@ -17,9 +18,9 @@
 
     ``started`` is ``None`` while the answer to the start is outstanding and
     ``False`` while it is unknown whether the worker has the attempt. From
-    ``lost_after_s`` (own clock) on, the attempt is certain not to run if the
-    worker was not reached in between. ``is_adopted`` lasts until the worker
-    has seen the epoch of this session.
+    ``lost_after_s`` (own clock) on, the attempt is certain not to run unless
+    a renewal in flight carries it. ``is_adopted`` lasts until the worker has
+    seen the epoch of this session.
     """
 
     __slots__ = (
@@ -70,8 +71,9 @@
 class Channel:
     """All that concerns one worker and one journal.
 
-    ``answered_s`` is the time of the worker's last answer, ``delay_s`` the
-    pause before the next call after a failed one (0 after an answer).
+    ``answered_s`` is the time of the worker's last answer, ``failed_s`` that
+    of the last failure since then, ``delay_s`` the pause before the next call
+    after a failed one (0 after an answer).
     """
 
     __slots__ = (
@@ -79,7 +81,9 @@
         'acknowledged',
         'address',
         'answered_s',
+        'clock',
         'delay_s',
+        'failed_s',
         'is_closed',
         'journal_id',
         'leases_by_id',
@@ -90,8 +94,9 @@
         'worker_id',
     )
 
-    def __init__(self, attempt: Attempt, now: float) -> None:
+    def __init__(self, attempt: Attempt, max_drift: float, now: float) -> None:
         """Begin without attempts; the worker counts as having answered."""
+        self.clock = WorkerClock(max_drift)
         self.journal_id = attempt.journal_id
         self.worker_id = attempt.assigned.worker_id
         self.address = attempt.assigned.address
@@ -100,6 +105,7 @@
         self.polls_by_number: dict[int, Call] = {}
         self.answered_s = now
         self.absent_since_s: float | None = None
+        self.failed_s = float('-inf')
         self.delay_s = 0.0
         self.next_poll_s = now
         self.next_stop_s = now
@@ -131,6 +137,10 @@
             if attempt_id not in covered
         )
 
+    def is_adopted(self, attempt_ids: Iterable[str]) -> bool:
+        """Tell whether the worker has not answered for one of these yet."""
+        return any(lease.is_adopted for lease in self.leases_of(attempt_ids))
+
     def stop_ids(self) -> tuple[str, ...]:
         """Return the attempts that shall stop."""
         return tuple(
@@ -144,10 +154,32 @@
         found = (self.leases_by_id.get(one) for one in attempt_ids)
         return tuple(lease for lease in found if lease is not None)
 
+    def least_clock_s(self, attempt_ids: Iterable[str], now: float) -> float:
+        """Return the least that the worker's clock shows for all of these.
+
+        The attempts can be of several boots. The least of their clocks is
+        safe for each, and the answer sorts out those of an earlier boot.
+        """
+        boot_ids = {
+            lease.attempt.assigned.boot_id
+            for lease in self.leases_of(attempt_ids)
+        }
+        return min(self.clock.least_s(boot_id, now) for boot_id in boot_ids)
+
+    def note_clock(self, boot_id: str, clock_s: float, now: float) -> None:
+        """Learn the worker's clock; forget boots that nothing refers to."""
+        self.clock.note(boot_id, clock_s, now)
+        boot_ids = {
+            lease.attempt.assigned.boot_id
+            for lease in self.leases_by_id.values()
+        }
+        self.clock.keep_only(boot_ids | {boot_id})
+
     def note_answer(self, now: float) -> None:
         """Ask again without a pause."""
         self.answered_s = now
         self.absent_since_s = None
+        self.failed_s = float('-inf')
         self.delay_s = 0
         self.next_poll_s = now
 
@@ -155,5 +187,6 @@
         self, now: float, first_s: float, longest_s: float
     ) -> None:
         """Pause before the next poll, twice as long as the last time."""
+        self.failed_s = now
         self.delay_s = min(max(first_s, self.delay_s * 2), longest_s)
         self.next_poll_s = now + self.delay_s
--- a/src/apricotlead/coordination/task_leases.py
+++ b/src/apricotlead/coordination/task_leases.py
@@ -59,8 +59,15 @@
     A former owner of a journal that is cut off from the store and from the
     adopter renews leases for at most ``outage_s`` after its session lease.
     The adopter waits as long before it calls an attempt lost on a worker
-    that it never reached; otherwise the task could run twice. It waits only
-    one lease where the platform no longer lists the worker.
+    that it never reached; otherwise the task could run twice. A long
+    ``outage_s`` keeps running tasks through a long store outage. Its cost is
+    that a task stays in doubt as long where its home and its worker fail
+    together; a short one stops running tasks whose home and worker are well.
+
+    Only with ``list_is_authoritative`` does the adopter wait no more than one
+    lease where the platform does not list the worker. The list must then
+    never lack a worker that runs: a list that lags, or is wrong in a
+    partition, would make a task run twice.
 
     Endings are acknowledged to a silent worker for ``acknowledge_s``.
     """
@@ -76,6 +83,7 @@
     stop_retry_s: float = 1.0
     persist_s: float = 3.0
     outage_s: float = 3600.0
+    list_is_authoritative: bool = False
     acknowledge_s: float = 600.0
 
 
@@ -89,10 +97,11 @@
     """One long poll per journal and worker carries all its attempts.
 
     An attempt ends here when its worker says so, when its start provably
-    never happened, or when it is lost: the worker restarted, or it was not
-    reached from the last time it can have extended the lease until the lease
-    must have lapsed, and then once more. Timers are in a heap, so a tick
-    costs O(log n) per channel that is due.
+    never happened, or when it is lost: the worker restarted, or it is silent
+    and the lease must have lapsed there. Each renewal names the end of the
+    lease on the worker's clock, so the time at which a renewal arrives does
+    not matter. Timers are in a heap, so a tick costs O(log n) per channel
+    that is due.
     """
 
     name: ClassVar[str] = 'leases'
@@ -161,10 +170,12 @@
         channel = self._channel_of(attempt, now)
         if signal.attempt_id in channel.leases_by_id:
             return ()
-        # The worker refuses the start after ``not_after_s``, which is at
-        # most ``grant_ttl_s`` from when the grant was made.
-        lost_after_s = now + self._drifted(
-            self._settings.grant_ttl_s + self._settings.lease_s,
+        self._note_grant(channel, attempt, now)
+        # The worker refuses the start after ``not_after_s``. One that it
+        # accepts at that moment has a full lease.
+        lost_after_s = channel.clock.passes_s(
+            attempt.assigned.boot_id,
+            attempt.assigned.not_after_s + self._settings.lease_s,
         )
         lease = Lease(attempt, now, lost_after_s)
         channel.leases_by_id[signal.attempt_id] = lease
@@ -178,7 +189,8 @@
         if attempt is None:
             return ()
         channel = self._channel_of(attempt, now)
-        lost_after_s = now + self._drifted(
+        self._note_grant(channel, attempt, now)
+        lost_after_s = now + self._longest(
             self._settings.outage_s + self._settings.lease_s,
         )
         lease = Lease(attempt, now, lost_after_s)
@@ -263,15 +275,30 @@
             return None
         return attempt
 
-    def _drifted(self, duration_s: float) -> float:
+    def _longest(self, duration_s: float) -> float:
         """Return how long a duration of another clock can last on the own."""
-        return duration_s * (1 + self._settings.max_drift)
+        return duration_s / (1 - self._settings.max_drift)
+
+    def _note_grant(
+        self,
+        channel: Channel,
+        attempt: Attempt,
+        now: float,
+    ) -> None:
+        """Learn what the grant tells about the worker's clock.
+
+        When the grant was made, the clock was at most ``grant_ttl_s`` before
+        ``not_after_s``, and that was not later than now.
+        """
+        assigned = attempt.assigned
+        clock_s = assigned.not_after_s - self._settings.grant_ttl_s
+        channel.clock.note(assigned.boot_id, clock_s, now)
 
     def _channel_of(self, attempt: Attempt, now: float) -> Channel:
         key = (attempt.journal_id, attempt.assigned.worker_id)
         channel = self._channels_by_key.get(key)
         if channel is None:
-            channel = Channel(attempt, now)
+            channel = Channel(attempt, self._settings.max_drift, now)
             self._channels_by_key[key] = channel
         channel.address = attempt.assigned.address
         return channel
@@ -362,7 +389,10 @@
         for lease in channel.leases_of(call.attempt_ids):
             if isinstance(reply, Accepted):
                 lease.started = True
-                lease.lost_after_s = now + self._drifted(self._settings.lease_s)
+                channel.note_clock(reply.boot_id, reply.clock_s, now)
+                # The lease began before the answer left.
+                lapsed_s = now + self._longest(self._settings.lease_s)
+                lease.lost_after_s = min(lease.lost_after_s, lapsed_s)
                 channel.note_answer(now)
             elif isinstance(reply, CallFailed) and reply.sent:
                 lease.started = False
@@ -402,6 +432,8 @@
         now: float,
     ) -> Iterator[Signal]:
         channel = call.channel
+        channel.note_clock(reply.boot_id, reply.clock_s, now)
+        self._note_fence(call, now)
         self._extend(call, now)
         channel.note_answer(now)
         if not any(one.state in ENDED_ATTEMPT_STATES for one in reply.attempts):
@@ -434,18 +466,28 @@
             yield self._end(channel, lease, 'lapsed', ran=False)
 
     def _extend(self, call: Call, now: float) -> None:
-        """Note that the worker extended leases at ``now`` at the latest."""
-        lost_after_s = now + self._drifted(self._settings.lease_s)
+        """Note that the worker can have extended leases as it was asked to."""
+        lapsed_s = call.sent_s + self._longest(self._settings.lease_s)
         for lease in call.channel.leases_of(call.attempt_ids):
-            lease.lost_after_s = lost_after_s
-            lease.is_adopted = False
+            lease.lost_after_s = max(lease.lost_after_s, lapsed_s)
+
+    def _note_fence(self, call: Call, now: float) -> None:
+        """Note that the worker refuses the former owner from now on.
+
+        That one can have extended the leases until ``now`` at the latest.
+        """
+        lapsed_s = now + self._longest(self._settings.lease_s)
+        for lease in call.channel.leases_of(call.attempt_ids):
+            if lease.is_adopted:
+                lease.is_adopted = False
+                lease.lost_after_s = lapsed_s
 
     def _take_failure(
         self,
         call: Call,
         reply: CallFailed,
         now: float,
-    ) -> Iterator[Signal]:
+    ) -> Iterable[Signal]:
         channel = call.channel
         channel.note_failure(
             now,
@@ -453,32 +495,44 @@
             self._settings.longest_retry_s,
         )
         if reply.sent:
-            # The request may reach the worker at any time before the lease
-            # lapses there, and then it extends it by one more duration.
-            for extended in channel.leases_of(call.attempt_ids):
-                extended.lost_after_s += self._drifted(self._settings.lease_s)
+            self._extend(call, now)
         self._note_absence(channel, now)
         if now >= channel.answered_s + self._settings.acknowledge_s:
             channel.acknowledged.clear()
-        for lease in channel.leases_of(channel.uncovered_ids()):
-            if self._is_lost(channel, lease, call.sent_s):
-                yield self._end(channel, lease, 'lapsed', ran=None)
+        return ()
 
     def _note_absence(self, channel: Channel, now: float) -> None:
+        if not self._settings.list_is_authoritative:
+            return
         workers = self._directory.workers_by_id if self._directory else {}
         if not workers or channel.worker_id in workers:
             channel.absent_since_s = None
         elif channel.absent_since_s is None:
             channel.absent_since_s = now
 
-    def _is_lost(self, channel: Channel, lease: Lease, sent_s: float) -> bool:
-        """Tell whether a call sent then found the lease certainly lapsed."""
-        if sent_s >= lease.lost_after_s:
-            return True
+    def _end_lost(self, channel: Channel, now: float) -> Iterator[Signal]:
+        """End attempts that cannot run any more on a silent worker.
+
+        A failure must have been noted lately: the answers that came in while
+        this process was paused are handled first.
+        """
+        silent_s = now - channel.failed_s
+        if silent_s > self._settings.call_timeout_s + _GIVE_UP_S:
+            return
+        for lease in channel.leases_of(channel.uncovered_ids()):
+            lost_after_s = self._lost_after_s(channel, lease)
+            if now >= lost_after_s:
+                yield self._end(channel, lease, 'lapsed', ran=None)
+            else:
+                self._wake(channel, lost_after_s)
+
+    def _lost_after_s(self, channel: Channel, lease: Lease) -> float:
         if not lease.is_adopted or channel.absent_since_s is None:
-            return False
-        absent_s = sent_s - channel.absent_since_s
-        return absent_s >= self._drifted(self._settings.lease_s)
+            return lease.lost_after_s
+        lapsed_s = channel.absent_since_s + self._longest(
+            self._settings.lease_s,
+        )
+        return min(lease.lost_after_s, lapsed_s)
 
     def _end_as_reported(
         self,
@@ -516,6 +570,7 @@
         for channel in channels:
             if not channel.is_closed:
                 channel.wake_s = float('inf')
+                following.extend(self._end_lost(channel, now))
                 following.extend(self._send_stops(channel, now))
                 following.extend(self._send_poll(channel, now))
                 self._close_if_empty(channel)
@@ -556,8 +611,11 @@
             if in_flight:
                 return
             uncovered, wait_s = (), 0
+        if channel.is_adopted(uncovered):
+            # The clock must be known before a renewal can extend leases.
+            wait_s = 0
         call = self._new_call('poll', channel, uncovered, now, wait_s)
-        yield self._send(call, self._poll_request(call, wait_s))
+        yield self._send(call, self._poll_request(call, wait_s, now))
 
     def _wait_s(self, attempt_ids: tuple[str, ...], in_flight: int) -> float:
         if not attempt_ids:
@@ -572,8 +630,20 @@
             return now + self._settings.longest_retry_s
         return channel.next_poll_s
 
-    def _poll_request(self, call: Call, wait_s: float) -> RenewLeases:
-        journal_id = call.channel.journal_id
+    def _poll_request(
+        self,
+        call: Call,
+        wait_s: float,
+        now: float,
+    ) -> RenewLeases:
+        channel = call.channel
+        journal_id = channel.journal_id
+        lease_until_s = None
+        if call.attempt_ids:
+            lease_until_s = self._settings.lease_s + channel.least_clock_s(
+                call.attempt_ids,
+                now,
+            )
         return RenewLeases(
             journal_id,
             self._table.epoch_of(journal_id),
@@ -581,6 +651,7 @@
             call.acknowledged_ids,
             self._settings.lease_s,
             wait_s,
+            lease_until_s,
         )
 
 
