Tell owners verdicts, parts of gangs and failed workers

Cause: ReleaseGrants carried no verdicts, so an owner's quarantine heard of failures only from heartbeats. ReserveCapacity.partial was never set, so a part of a split gang was served all or nothing. The desk reads avoid_workers, but the dispatcher filled TaskDemand.avoid only, so nothing was avoided.

Ruled out: reading TaskDemand.avoid in the desk. It is per task, belongs to another part, and the desk already treats avoid_workers as hard. Dropping the avoidance after the first refusal: in a full cell a worker that fails everything is the one with room. It is dropped after avoid_rounds (3) rounds. Review of the paths that release a started attempt found none, also not on JournalClosed; a test now guards it.

Before and after: python -m pytest tests/test_dispatcher.py: 3 of the 4 new tests failed before, all pass after. The fourth passed before too.

Conclusion: ReserveCapacity.avoid_workers is the only avoidance; TaskDemand.avoid is gone. partial is set whenever a request lacks tasks of its gang.

--- a/src/apricotlead/coordination/dispatch_outbox.py
+++ b/src/apricotlead/coordination/dispatch_outbox.py
@@ -7,7 +7,7 @@
 
 from apricotlead.coordination.component import route_to_session
 from apricotlead.coordination.dispatch_queue import Pending
-from apricotlead.protocol.jobs import Priority
+from apricotlead.protocol.jobs import AttemptState, Priority
 from apricotlead.protocol.peers import (
     Grant,
     ReleaseGrants,
@@ -21,13 +21,33 @@
 class _RequestKey(Struct, frozen=True):
     """What the demands of one request have in common.
 
-    ``gang_serial`` is 0 for batch work; a gang has requests of its own.
+    ``gang_serial`` and ``gang_size`` are 0 for batch work; a gang has requests
+    of its own. ``avoid_workers`` get none of the demands.
     """
 
     owner: str
     team: str
     priority: Priority
     gang_serial: int
+    gang_size: int
+    avoid_workers: tuple[str, ...]
+
+
+class _Releases:
+    """Attempts of one owner that have ended, and how they ended."""
+
+    __slots__ = ('attempt_ids', 'ids_by_state')
+
+    def __init__(self) -> None:
+        self.attempt_ids: list[str] = []
+        self.ids_by_state: dict[AttemptState, list[str]] = defaultdict(list)
+
+    def message(self) -> ReleaseGrants:
+        return ReleaseGrants(
+            tuple(self.attempt_ids),
+            failed_ids=tuple(self.ids_by_state['failed']),
+            succeeded_ids=tuple(self.ids_by_state['succeeded']),
+        )
 
 
 class DispatchOutbox:
@@ -57,21 +77,40 @@
         self._demands_by_key: dict[_RequestKey, list[TaskDemand]] = defaultdict(
             list,
         )
-        self._released_by_owner: dict[str, list[str]] = defaultdict(list)
+        self._released_by_owner: dict[str, _Releases] = defaultdict(_Releases)
         self._placed_by_job: dict[tuple[str, str], list[tuple[int, Grant]]] = (
             defaultdict(list)
         )
 
-    def ask(self, owner: str, pending: Pending, demand: TaskDemand) -> None:
+    def ask(
+        self,
+        owner: str,
+        pending: Pending,
+        demand: TaskDemand,
+        avoid_workers: tuple[str, ...],
+    ) -> None:
         """Add a wanted attempt."""
-        gang_serial = pending.serial if pending.is_gang else 0
-        key = _RequestKey(owner, pending.team, pending.priority, gang_serial)
+        key = _RequestKey(
+            owner,
+            pending.team,
+            pending.priority,
+            pending.serial if pending.is_gang else 0,
+            len(pending.tasks) if pending.is_gang else 0,
+            avoid_workers,
+        )
         self._demands_by_key[key].append(demand)
 
-    def release(self, owner: str, attempt_id: str) -> None:
+    def release(
+        self,
+        owner: str,
+        attempt_id: str,
+        state: AttemptState = 'unknown',
+    ) -> None:
         """Add an attempt that has ended or will never start."""
         if owner:
-            self._released_by_owner[owner].append(attempt_id)
+            releases = self._released_by_owner[owner]
+            releases.attempt_ids.append(attempt_id)
+            releases.ids_by_state[state].append(attempt_id)
 
     def place(self, pending: Pending, grants: tuple[Grant, ...]) -> None:
         """Add tasks for which all grants are there."""
@@ -90,9 +129,8 @@
 
     def flush_releases(self) -> Iterator[Signal]:
         """Yield one release per owner."""
-        for owner, attempt_ids in self._released_by_owner.items():
-            message = ReleaseGrants(tuple(attempt_ids))
-            yield from route_to_session(self._view, owner, message)
+        for owner, releases in self._released_by_owner.items():
+            yield from route_to_session(self._view, owner, releases.message())
         self._released_by_owner.clear()
 
     def _requests(
@@ -110,6 +148,8 @@
                 part,
                 gang=key.gang_serial > 0,
                 park_s=self._park_of(key.owner),
+                partial=len(part) < key.gang_size,
+                avoid_workers=key.avoid_workers,
             )
             yield from route_to_session(self._view, key.owner, request)
 
--- a/src/apricotlead/coordination/dispatch_queue.py
+++ b/src/apricotlead/coordination/dispatch_queue.py
@@ -8,7 +8,7 @@
 
 from apricotlead.protocol.jobs import Priority
 from apricotlead.protocol.resources import Resources
-from apricotlead.state.job_table import JobEntry
+from apricotlead.state.job_table import JobEntry, TaskEntry
 
 PendingState = Literal['ready', 'delayed', 'reserving', 'gone']
 # A team and a journal: the unit in which an allotment is given.
@@ -23,11 +23,12 @@
     """A batch task, or all tasks of a gang, that wait for room.
 
     ``rank`` orders by priority class, then gang before batch; ``refusals``
-    counts the rounds of reservation in vain.
+    counts the rounds of reservation in vain; ``avoid_workers`` are those on
+    which an attempt at any of the tasks failed.
     """
 
     __slots__ = (
-        'avoids',
+        'avoid_workers',
         'demands',
         'is_gang',
         'job_id',
@@ -56,7 +57,7 @@
         self.is_gang = job.is_gang()
         self.priority: Priority = job.submission.priority
         self.demands = tuple(entry.spec.demand for entry in entries)
-        self.avoids = tuple(entry.failed_workers() for entry in entries)
+        self.avoid_workers = _failed_workers(entries)
         self.refusals = 0
         self.state: PendingState = 'ready'
 
@@ -170,3 +171,10 @@
         ready.pop(pending.serial, None)
         if not ready:
             lanes.pop(pending.lane)
+
+
+def _failed_workers(entries: Iterable[TaskEntry]) -> tuple[str, ...]:
+    failed = {
+        worker_id for entry in entries for worker_id in entry.failed_workers()
+    }
+    return tuple(sorted(failed))
--- a/src/apricotlead/coordination/dispatcher.py
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -17,6 +17,7 @@
 )
 from apricotlead.coordination.owner_choice import OwnerChoice
 from apricotlead.protocol.config import CellConfig, Preset
+from apricotlead.protocol.jobs import AttemptState
 from apricotlead.protocol.peers import (
     CapacityGranted,
     CapacityRefused,
@@ -52,7 +53,10 @@
 
     ``gang_wait_s`` bounds a gang's round from its first request, and
     ``gang_hold_s`` from its first grant: a grant that is held for longer
-    would expire before all starts have reached their workers.
+    would expire before all starts have reached their workers. Workers on which
+    a task failed are avoided for ``avoid_rounds`` rounds in vain. In a full
+    cell a worker that fails everything is the one with room, so the first
+    refusal must not lead back to it.
     """
 
     park_s: float = 0.3
@@ -65,6 +69,7 @@
     longest_urgent_backoff_s: float = 0.3
     first_gang_backoff_s: float = 0.3
     longest_gang_backoff_s: float = 5.0
+    avoid_rounds: int = 3
     max_reserving: int = 1000
     max_gangs: int = 4
     max_owners_asked: int = 2
@@ -314,7 +319,7 @@
     @handles(AttemptEnded)
     def release(self, signal: AttemptEnded, now: float) -> Iterable[Signal]:
         """Give the unit back; the grant is released with the next tick."""
-        self._let_go(signal.attempt_id, now)
+        self._let_go(signal.attempt_id, now, signal.state)
         return ()
 
     @handles(CapacityGranted)
@@ -475,10 +480,20 @@
         round_.waiting_ids.add(attempt_id)
         due_s = now + self._settings.request_timeout_s
         self._timeouts.append((due_s, attempt_id))
-        wanted = TaskDemand(attempt_id, demand, pending.avoids[index])
-        self._outbox.ask(owner, pending, wanted)
+        self._outbox.ask(
+            owner,
+            pending,
+            TaskDemand(attempt_id, demand),
+            self._avoided_by(pending),
+        )
         return True
 
+    def _avoided_by(self, pending: Pending) -> tuple[str, ...]:
+        """Return the workers to avoid; none when there may be no other."""
+        if pending.refusals < self._settings.avoid_rounds:
+            return pending.avoid_workers
+        return ()
+
     def _new_attempt_id(self, pending: Pending, index: int) -> str:
         self._attempt_number += 1
         epoch = self._table.epoch_of(pending.journal_id)
@@ -536,11 +551,16 @@
         if self._table.holds(journal_of_attempt(grant.attempt_id)):
             self._outbox.release(owner, grant.attempt_id)
 
-    def _let_go(self, attempt_id: str, now: float) -> None:
+    def _let_go(
+        self,
+        attempt_id: str,
+        now: float,
+        state: AttemptState = 'unknown',
+    ) -> None:
         held = self._held_by_attempt.pop(attempt_id, None)
         if held is not None:
             self._limits.give_back(held.team, held.journal_id, 1, now)
-            self._outbox.release(held.owner, attempt_id)
+            self._outbox.release(held.owner, attempt_id, state)
 
     def _end_late_requests(self, now: float) -> None:
         while self._timeouts and self._timeouts[0][0] <= now:
--- a/src/apricotlead/protocol/peers.py
+++ b/src/apricotlead/protocol/peers.py
@@ -9,19 +9,18 @@
 
 
 class TaskDemand(Struct, frozen=True):
-    """One wanted attempt; other workers than in ``avoid`` are preferred."""
+    """One wanted attempt."""
 
     attempt_id: str
     demand: Resources
-    avoid: tuple[str, ...] = ()
 
 
 class ReserveCapacity(Struct, frozen=True, tag='reserve'):
     """Asks a worker owner for room; may be parked up to ``park_s``.
 
     A gang gets all or nothing, unless ``partial`` tells that other owners are
-    asked for the rest. ``avoid_workers`` are workers on which earlier attempts
-    of these tasks failed.
+    asked for the rest. No room is given on ``avoid_workers``, on which earlier
+    attempts of these tasks failed; the home drops them when it finds no other.
     """
 
     request_id: str
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -7,6 +7,7 @@
 
 from apricotlead.coordination.dispatcher import Dispatcher, DispatchSettings
 from apricotlead.protocol.config import MAINTENANCE, ORDINARY, CellConfig
+from apricotlead.protocol.jobs import AttemptFinished
 from apricotlead.protocol.peers import (
     CapacityGranted,
     CapacityRefused,
@@ -23,7 +24,14 @@
 )
 from apricotlead.state.job_table import JobTable
 from tests.job_cell import Limits
-from tests.job_samples import JOURNAL, accepted, grant, of_type, session_view
+from tests.job_samples import (
+    JOURNAL,
+    accepted,
+    assigned,
+    grant,
+    of_type,
+    session_view,
+)
 
 
 class TestDispatcher(TestCase):
@@ -136,3 +144,61 @@
         self.dispatcher.close_journal(JournalClosed(JOURNAL), 0)
         self.assertEqual(([], []), self.tick(9))
         self.assertEqual([], self.grant(wanted[3]))
+
+    def ask(self, now=0):
+        """Return the requests of a tick."""
+        signals = self.dispatcher.act_on_time(Tick(), now)
+        return of_type(signals, ReserveCapacity)
+
+    def test_releases_tell_how_attempts_ended(self):
+        """The owner quarantines workers by these verdicts."""
+        self.queue(1, 3)
+        wanted = self.tick()[0]
+        self.grant(*wanted)
+        states = ('failed', 'succeeded', 'stopped')
+        for attempt_id, state in zip(wanted, states, strict=True):
+            self.dispatcher.release(AttemptEnded(JOURNAL, attempt_id, state), 1)
+        signals = self.dispatcher.act_on_time(Tick(), 1)
+        release = of_type(signals, ReleaseGrants)[0]
+        self.assertEqual(tuple(wanted), release.attempt_ids)
+        self.assertEqual((wanted[0],), release.failed_ids)
+        self.assertEqual((wanted[1],), release.succeeded_ids)
+
+    def test_part_of_a_gang_is_asked_for_as_a_part(self):
+        """An owner must not take a part for the whole gang."""
+        self.queue(1, 2, kind='gang')
+        whole = self.ask()[0]
+        self.grant(whole.demands[0].attempt_id)
+        refused_ids = (whole.demands[1].attempt_id,)
+        refusal = CapacityRefused('request', 'own', refused_ids)
+        self.dispatcher.take_refusals(refusal, 0)
+        part = self.ask(0.2)[0]
+        self.assertEqual((False, True), (whole.partial, part.partial))
+
+    def test_workers_that_failed_are_avoided_unless_nothing_else_is_left(self):
+        """A task must neither return at once nor wait forever."""
+        record = accepted(1)
+        failure = AttemptFinished(assigned().attempt_id, 'failed')
+        for one in (record, assigned(), failure):
+            self.table.replay(one)
+        self.dispatcher.enqueue(TaskQueued(JOURNAL, record.job_id, (0,)), 0)
+        avoided = []
+        for now in range(0, 12, 3):
+            request = self.ask(now)[0]
+            avoided.append(request.avoid_workers)
+            refused_ids = (request.demands[0].attempt_id,)
+            refusal = CapacityRefused('request', 'own', refused_ids)
+            self.dispatcher.take_refusals(refusal, now)
+        self.assertEqual([('w',), ('w',), ('w',), ()], avoided)
+
+    def test_started_attempt_is_not_released_with_its_journal(self):
+        """The attempt runs on under the session that adopts the journal."""
+        self.queue(1)
+        wanted = self.tick()[0]
+        self.grant(*wanted)
+        self.table.close_journal(JOURNAL)
+        self.dispatcher.close_journal(JournalClosed(JOURNAL), 1)
+        self.grant(*wanted)
+        ending = AttemptEnded(JOURNAL, *wanted, 'lapsed', None)
+        self.dispatcher.release(ending, 1)
+        self.assertEqual(([], []), self.tick(1))
