Drop ended jobs and count the waiting tasks of each queue

Admission was given a count of 0, so max_pending_tasks never refused anything.

Ruled out: dropping at each ending. It costs O(jobs kept), so it waits for 200 more than are kept.

The count of waiting tasks did not exist before.

Conclusion: both are wired in assembly.py.

--- a/src/apricotlead/assembly.py
+++ b/src/apricotlead/assembly.py
@@ -135,7 +135,7 @@
         return ledger.total_free(), ledger.total_capacity, ledger.largest_free()
 
     def pending_tasks(self, queue: str) -> int:
-        return 0
+        return self.jobs.waiting_tasks(queue)
 
 
 class _Membership(Struct, frozen=True):
@@ -236,7 +236,12 @@
     allotments: Allotments,
 ) -> tuple[Component, ...]:
     return (
-        JobBook.from_config(settings.jobs, shared.jobs, shared.session_view),
+        JobBook.from_config(
+            settings.jobs,
+            shared.jobs,
+            shared.session_view,
+            settings.journals.writer.ended_jobs_kept,
+        ),
         Dispatcher.from_config(
             settings.dispatch,
             shared.jobs,
--- a/src/apricotlead/coordination/job_book.py
+++ b/src/apricotlead/coordination/job_book.py
@@ -68,6 +68,10 @@
 _LONGEST_DOUBLING = 10
 # Endings of the last seconds of a journal, at the rate of one session.
 _FORGOTTEN_AGAIN = 2000
+# As many as a snapshot of a journal keeps by default.
+_ENDED_JOBS_KEPT = 2000
+# Dropping costs O(jobs kept), so it waits until there are this many more.
+_DROPPED_AT_ONCE = 200
 
 
 class JobBookSettings(Struct, frozen=True):
@@ -187,6 +191,7 @@
         '_activities_by_job',
         '_appends_by_number',
         '_delayed',
+        '_ended_jobs_kept',
         '_finishing_ids',
         '_last_job',
         '_number',
@@ -201,9 +206,11 @@
         settings: JobBookSettings,
         table: JobTable,
         view: SessionView,
+        ended_jobs_kept: int = _ENDED_JOBS_KEPT,
     ) -> None:
-        """Begin without journals."""
+        """Begin without journals; each keeps the jobs that ended last."""
         self._settings = settings
+        self._ended_jobs_kept = ended_jobs_kept
         self._table = table
         self._view = view
         self._questions = OwnerQuestions(settings.questions, view)
@@ -221,9 +228,10 @@
         settings: JobBookSettings,
         table: JobTable,
         view: SessionView,
+        ended_jobs_kept: int = _ENDED_JOBS_KEPT,
     ) -> 'JobBook':
         """Return a job book for these settings."""
-        return cls(settings, table, view)
+        return cls(settings, table, view, ended_jobs_kept)
 
     def dump(self, now: float) -> dict[str, Any]:
         """Return counts of what is under way."""
@@ -252,6 +260,7 @@
             self._last_job = _last_job_number(signal)
         for record in signal.records:
             self._table.replay(record)
+        self._drop_ended(signal.journal_id)
         return (
             *self._resume(signal.journal_id),
             *_forget_again(signal),
@@ -474,6 +483,7 @@
     def _ended(self, append: _Append, now: float) -> Iterator[Signal]:
         activity = self._activities_by_job.pop(append.job_id)
         yield from self._answer_cancellers(activity, append.job_id)
+        self._drop_ended(append.journal_id)
 
     @_continues(_COMMITTED, 'cancel')
     def _cancelled(self, append: _Append, now: float) -> Iterator[Signal]:
@@ -484,6 +494,7 @@
         job = self._table.jobs_by_id[append.job_id]
         if job.ended is not None:
             self._activities_by_job.pop(append.job_id)
+            self._drop_ended(append.journal_id)
             return
         yield from _stop_all(job)
         yield from self._end_if_final(job)
@@ -506,6 +517,12 @@
             activity.is_ending = False
         yield from self._proceed(self._table.jobs_by_id[append.job_id])
 
+    def _drop_ended(self, journal_id: str) -> None:
+        """Keep no more ended jobs than the snapshots of the journal."""
+        surplus = self._table.ended_count(journal_id) - self._ended_jobs_kept
+        if surplus >= _DROPPED_AT_ONCE:
+            self._table.drop_ended(journal_id, self._ended_jobs_kept)
+
     def _resume(self, journal_id: str) -> Iterator[Signal]:
         for job in tuple(self._table.jobs_of(journal_id)):
             if job.ended is None:
--- a/src/apricotlead/state/job_table.py
+++ b/src/apricotlead/state/job_table.py
@@ -1,5 +1,6 @@
 """The jobs of the journals that this session owns, by replay of records."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from functools import singledispatchmethod
 from typing import Literal
@@ -270,6 +271,10 @@
         """Return the demand that runs and waits, by team, for the gossip."""
         return self._loads.by_team()
 
+    def waiting_tasks(self, queue: str) -> int:
+        """Return how many tasks of a queue wait for a worker."""
+        return self._loads.waiting_by_queue[queue]
+
     def ended_count(self, journal_id: str) -> int:
         """Return how many jobs of a held journal have ended."""
         return len(self._held_by_journal[journal_id].ended_ids)
@@ -406,11 +411,15 @@
 
 
 class _Loads:
-    """Sums of running and waiting demand of jobs that have not ended."""
+    """Sums of running and waiting demand of jobs that have not ended.
+
+    ``waiting_by_queue`` has the numbers of waiting tasks.
+    """
 
-    __slots__ = ('_running_by_team', '_waiting_by_team')
+    __slots__ = ('_running_by_team', '_waiting_by_team', 'waiting_by_queue')
 
     def __init__(self) -> None:
+        self.waiting_by_queue: Counter[str] = Counter()
         self._running_by_team: dict[str, Resources] = {}
         self._waiting_by_team: dict[str, Resources] = {}
 
@@ -437,12 +446,18 @@
         sums = self._sums_of(task)
         if sums is not None and job.ended is None:
             sums[job.team] += task.spec.demand
+            self._count_waiting(job, task, 1)
 
     def discount(self, job: JobEntry, task: TaskEntry) -> None:
         """Take off what ``count`` added; call it before a change."""
         sums = self._sums_of(task)
         if sums is not None and job.ended is None:
             sums[job.team] -= task.spec.demand
+            self._count_waiting(job, task, -1)
+
+    def _count_waiting(self, job: JobEntry, task: TaskEntry, by: int) -> None:
+        if task.live is None:
+            self.waiting_by_queue[job.submission.queue] += by
 
     def _sums_of(self, task: TaskEntry) -> dict[str, Resources] | None:
         if task.live is not None:
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.job_book import JobBook, JobBookSettings
+from apricotlead.protocol.jobs import JobEnded
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun
 from apricotlead.protocol.peers import AskJob, JobAnswer
 from apricotlead.protocol.signals import (
@@ -162,3 +163,14 @@
             self.assertEqual(kind, sent.error and sent.error.kind)
         foreign = AskJob('a', 'peer-1', 'other.1', 'team')
         self.assertEqual((), self.book.answer_peer(foreign, 0))
+
+    def test_ended_jobs_are_dropped(self):
+        """Jobs that ended long ago must not fill the memory."""
+        records = tuple(
+            record
+            for number in range(1, 2302)
+            for record in (accepted(number), JobEnded(f'j.{number}', 'done'))
+        )
+        self.book.open_journal(JournalOpened(JOURNAL, 2, records), 0)
+        kept = self.book.dump(0)['jobs']
+        self.assertEqual(2000, kept)
--- a/tests/test_job_table.py
+++ b/tests/test_job_table.py
@@ -69,6 +69,14 @@
         loads = table_of(RECORDS).loads_by_team()
         self.assertEqual({'team': TeamLoad(one + one, one)}, loads)
 
+    def test_waiting_tasks_of_a_queue(self):
+        """Admission refuses work for a full queue by this number."""
+        table = table_of(RECORDS)
+        self.assertEqual(1, table.waiting_tasks('queue'))
+        self.assertEqual(0, table.waiting_tasks('another'))
+        table.close_journal(JOURNAL)
+        self.assertEqual(0, table.waiting_tasks('queue'))
+
     def test_closed_journal_leaves_nothing(self):
         """Jobs of a lost journal must not be shown or counted."""
         table = table_of(RECORDS)
