--- a/src/apricotlead/coordination/dispatcher.py
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -53,10 +53,12 @@
 
     ``gang_wait_s`` bounds a gang's round from its first request, and
     ``gang_hold_s`` from its first grant: a grant that is held for longer
-    would expire before all starts have reached their workers. Workers on which
-    a task failed are avoided for ``avoid_rounds`` rounds in vain. In a full
-    cell a worker that fails everything is the one with room, so the first
-    refusal must not lead back to it.
+    would expire before all starts have reached their workers. A gang that the
+    limit has no units for tries again after ``limit_retry_s``: such a try
+    costs no message, and the limit keeps a gang's place only while it tries.
+    Workers on which a task failed are avoided for ``avoid_rounds`` rounds in
+    vain. In a full cell a worker that fails everything is the one with room,
+    so the first refusal must not lead back to it.
     """
 
     park_s: float = 0.3
@@ -69,6 +71,7 @@
     longest_urgent_backoff_s: float = 0.3
     first_gang_backoff_s: float = 0.3
     longest_gang_backoff_s: float = 5.0
+    limit_retry_s: float = 0.1
     avoid_rounds: int = 3
     max_reserving: int = 1000
     max_gangs: int = 4
@@ -456,7 +459,7 @@
             if pending.is_gang:
                 # A smaller gang of the team may fit within its limit.
                 self._queue.reserve(pending)
-                self._back_off(pending, now)
+                self._queue.delay(pending, now + self._settings.limit_retry_s)
             return False
         self._queue.reserve(pending)
         round_ = _Round(pending, now + self._settings.gang_wait_s)
