Tell in heartbeats and renewals only what changed

Cause: each heartbeat reply and each answer to a renewal repeated every running attempt with its demand and use. Besides, an attempt that started while a long poll was in flight was renewed by short polls of 0.2 s that never ended, because each long poll was sent while a short one was in flight.

Ruled out: leaving attempt ids out of renewal requests (the worker would extend the lease of an attempt that the home already counts as lost), and longer long polls (at 3 s one lost answer would leave less than 1 s of the lease).

Conclusion: the worker counts a version of its listing, the owner names the one it has of the boot, and the list comes only when it differs. Usage beyond a demand is part of the listing; the total comes in each reply. An attempt absent from the answer to a renewal runs. Short and long polls are merged.

--- a/src/apricotlead/coordination/lease_channel.py
+++ b/src/apricotlead/coordination/lease_channel.py
@@ -65,6 +65,7 @@
     sent_s: float
     due_s: float
     acknowledged_ids: tuple[str, ...] = ()
+    wait_s: float = 0.0
 
 
 class Channel:
--- a/src/apricotlead/coordination/overuse.py
+++ b/src/apricotlead/coordination/overuse.py
@@ -5,11 +5,11 @@
 from msgspec import Struct, field, structs
 
 from apricotlead.protocol.peers import RelieveWorker
-from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.signals import CallWorker, SendToPeer, Signal, Token
 from apricotlead.protocol.workers import (
     Accepted,
     AttemptReport,
+    HeartbeatReply,
     ThrottleTask,
     WorkerReply,
 )
@@ -42,19 +42,22 @@
         self,
         settings: OveruseSettings,
         worker: OwnedWorker,
-        reports: Sequence[AttemptReport],
+        reply: HeartbeatReply,
         view: SessionView,
         token: Token,
         now: float,
     ) -> Iterable[Signal]:
-        """Return throttles, and one stop where memory is over capacity."""
-        running = [report for report in reports if report.state == 'running']
+        """Return throttles, and one stop where memory is over capacity.
+
+        ``reply`` has the full list of attempts.
+        """
+        attempts = reply.attempts or ()
+        running = [report for report in attempts if report.state == 'running']
         signals: list[Signal] = []
         self._keep_throttles(running)
-        used = sum((report.used for report in running), Resources())
-        if used.cpu_millis > worker.capacity.cpu_millis:
+        if reply.used.cpu_millis > worker.capacity.cpu_millis:
             signals.extend(self._throttle(settings, worker, running, token))
-        if used.memory_mb > worker.capacity.memory_mb:
+        if reply.used.memory_mb > worker.capacity.memory_mb:
             signals.extend(self._relieve(settings, worker, running, view, now))
         return signals
 
--- a/src/apricotlead/coordination/task_leases.py
+++ b/src/apricotlead/coordination/task_leases.py
@@ -302,7 +302,15 @@
     ) -> Call:
         due_s = now + wait_s + self._settings.call_timeout_s
         acknowledged = tuple(channel.acknowledged) if purpose == 'poll' else ()
-        return Call(purpose, channel, attempt_ids, now, due_s, acknowledged)
+        return Call(
+            purpose,
+            channel,
+            attempt_ids,
+            now,
+            due_s,
+            acknowledged,
+            wait_s,
+        )
 
     def _send(self, call: Call, request: WorkerRequest) -> CallWorker:
         self._number += 1
@@ -412,6 +420,10 @@
         for lease in channel.leases_of(channel.pollable_ids()):
             if lease.is_of_earlier_boot(reply.boot_id, call.sent_s):
                 yield self._end(channel, lease, 'lapsed', ran=None)
+        told_ids = {report.attempt_id for report in reply.attempts}
+        silent_ids = (one for one in call.attempt_ids if one not in told_ids)
+        for running in channel.leases_of(silent_ids):
+            running.started = True
         for report in reply.attempts:
             for known in channel.leases_of((report.attempt_id,)):
                 yield from self._take_state(channel, known, report, reply)
@@ -544,6 +556,13 @@
     def _send_poll(self, channel: Channel, now: float) -> Iterator[Signal]:
         uncovered = channel.uncovered_ids()
         in_flight = len(channel.polls_by_number)
+        # The next long poll then carries the attempts of both. Otherwise the
+        # short polls of attempts that started later would never end.
+        if any(
+            poll.wait_s < self._settings.long_poll_s
+            for poll in channel.polls_by_number.values()
+        ):
+            return
         is_idle = not uncovered and (in_flight or not channel.acknowledged)
         if is_idle or in_flight >= MAX_POLLS:
             return
--- a/src/apricotlead/coordination/worker_monitor.py
+++ b/src/apricotlead/coordination/worker_monitor.py
@@ -5,7 +5,7 @@
 from itertools import count
 from typing import Any, ClassVar, Protocol
 
-from msgspec import Struct, field
+from msgspec import Struct, field, structs
 
 from apricotlead.coordination.component import Component, handles
 from apricotlead.coordination.overuse import OveruseSettings, OveruseWatch
@@ -70,15 +70,39 @@
 
 
 class _Watch(Struct):
-    """The heartbeats of one owned worker; ``pending`` is 0 without one."""
+    """The heartbeats of one owned worker; ``pending`` is 0 without one.
+
+    ``attempts`` is the listing ``version`` of boot ``boot_id``, 0 if none is
+    known. A watch belongs to one epoch, so a new owner and a new epoch begin
+    with the full list.
+    """
 
     epoch: int
     due_s: float
     pending: int = 0
     sent_s: float = float('-inf')
+    boot_id: str = ''
+    version: int = 0
+    attempts: tuple[AttemptReport, ...] = ()
     ended_ids: frozenset[str] = frozenset()
     overuse: OveruseWatch = field(default_factory=OveruseWatch)
 
+    def complete(self, reply: HeartbeatReply) -> HeartbeatReply | None:
+        """Return the reply with its full list; ``None`` if that is unknown.
+
+        Pass replies to the latest heartbeat only: it named the listing known
+        here, so an answer without a list can mean no other one.
+        """
+        if reply.attempts is not None:
+            self.boot_id = reply.boot_id
+            self.version = reply.version
+            self.attempts = reply.attempts
+            return reply
+        if (reply.boot_id, reply.version) != (self.boot_id, self.version):
+            self.version = 0
+            return None
+        return structs.replace(reply, attempts=self.attempts)
+
 
 class WorkerMonitor(Component):
     """Fences, asks and reconciles each owned worker once a second.
@@ -249,7 +273,12 @@
             reopened = (CapacityFreed(worker_id),)
         watch.pending = next(self._numbers)
         watch.sent_s = now
-        heartbeat = Heartbeat(self._view.session_id, watch.epoch)
+        heartbeat = Heartbeat(
+            self._view.session_id,
+            watch.epoch,
+            watch.version,
+            watch.boot_id if watch.version else '',
+        )
         call = CallWorker(
             Token(self.name, _HEARTBEAT, watch.pending),
             worker_id,
@@ -266,8 +295,11 @@
         reply: WorkerReply,
         now: float,
     ) -> Iterable[Signal]:
+        complete = None
         if isinstance(reply, HeartbeatReply):
-            return self._reconcile(worker_id, watch, reply, now)
+            complete = watch.complete(reply)
+        if complete is not None:
+            return self._reconcile(worker_id, watch, complete, now)
         if isinstance(reply, WorkerRefused) and reply.epoch > watch.epoch:
             return self._yield_to_owner(worker_id, watch, reply)
         self._ledger.block(worker_id, _UNREACHABLE)
@@ -290,7 +322,7 @@
         relief = watch.overuse.act(
             self._settings.overuse,
             worker,
-            reply.attempts,
+            reply,
             self._view,
             Token(self.name, _THROTTLE),
             now,
--- a/src/apricotlead/protocol/workers.py
+++ b/src/apricotlead/protocol/workers.py
@@ -25,20 +25,40 @@
     output: str = ''
 
 
-class Heartbeat(Struct, frozen=True, tag='heartbeat'):
-    """The owner's fence and question; route ``/v1/heartbeat``."""
+class Heartbeat(Struct, frozen=True, tag='heartbeat', omit_defaults=True):
+    """The owner's fence and question; route ``/v1/heartbeat``.
+
+    ``known_version`` is the listing that the owner has of boot
+    ``known_boot_id``, received under this epoch; 0 asks for the full list.
+    """
 
     owner: str
     epoch: int
-
-
-class HeartbeatReply(Struct, frozen=True, tag='heartbeat_reply'):
-    """Exactly the attempts the worker has; ``used`` in them lags."""
+    known_version: int = 0
+    known_boot_id: str = ''
+
+
+class HeartbeatReply(
+    Struct,
+    frozen=True,
+    tag='heartbeat_reply',
+    omit_defaults=True,
+):
+    """Exactly the attempts the worker has.
+
+    ``version`` (from 1, within one boot) goes up whenever ``attempts`` would
+    read differently. ``attempts`` is ``None`` if the owner knows this version
+    of this boot. The reports tell ``used`` only of attempts that use more
+    than their demand, and neither messages nor outputs. ``used`` is the sum
+    over all running attempts. Usage lags.
+    """
 
     clock_s: float
     boot_id: str
     capacity: Resources
-    attempts: tuple[AttemptReport, ...] = ()
+    attempts: tuple[AttemptReport, ...] | None = ()
+    version: int = 0
+    used: Resources = Resources()
 
 
 class StartTask(Struct, frozen=True, tag='start'):
@@ -58,13 +78,15 @@
     task: TaskSpec
 
 
-class RenewLeases(Struct, frozen=True, tag='leases'):
+class RenewLeases(Struct, frozen=True, tag='leases', omit_defaults=True):
     """Extends leases by ``lease_s`` from receipt; ``/v1/leases``.
 
     The worker answers when one of the attempts has ended, or after ``wait_s``.
     It forgets the attempts in ``acknowledged_ids``. No lease is extended past
     ``lease_until_s`` (on the worker's clock), which keeps a request that was
     long under way from extending a lease that its sender counts as lapsed.
+    All attempts are named, because the worker must not extend the lease of an
+    attempt that the home has already counted as lost.
     """
 
     journal_id: str
@@ -76,8 +98,17 @@
     lease_until_s: float | None = None
 
 
-class LeasesReply(Struct, frozen=True, tag='leases_reply'):
-    """The state of each attempt asked for; ``unknown`` if never seen."""
+class LeasesReply(
+    Struct,
+    frozen=True,
+    tag='leases_reply',
+    omit_defaults=True,
+):
+    """The attempts asked for that do not run; ``unknown`` if never seen.
+
+    An attempt that was asked for and is absent runs, and its lease is
+    extended.
+    """
 
     clock_s: float
     boot_id: str
--- a/src/apricotlead/state/capacity_ledger.py
+++ b/src/apricotlead/state/capacity_ledger.py
@@ -112,7 +112,7 @@
         """Reconcile a worker with its latest reply; tell if room grew.
 
         The caller passes replies in the order of their heartbeats, only of
-        the epoch under which the worker is owned.
+        the epoch under which the worker is owned, with the full list.
         """
         worker = self.workers_by_id[worker_id]
         before = worker.free if worker.boot_id else _NOTHING
@@ -123,7 +123,7 @@
         worker.clock_s = reply.clock_s
         worker.replied_at_s = now
         worker.capacity = reply.capacity
-        self._replace_attempts(worker, reply.attempts)
+        self._replace_attempts(worker, reply.attempts or ())
         self._refresh(worker)
         return worker.is_open() and not worker.free.fits_in(before)
 
--- a/tests/test_task_leases.py
+++ b/tests/test_task_leases.py
@@ -15,6 +15,7 @@
 from apricotlead.protocol.workers import (
     Accepted,
     CallFailed,
+    LeasesReply,
     RenewLeases,
     WorkerRefused,
 )
@@ -39,6 +40,7 @@
         """Assign one attempt."""
         super().setUp()
         table = JobTable()
+        self.table = table
         table.open_journal(JOURNAL, 1)
         table.replay(accepted())
         table.replay(assigned())
@@ -77,6 +79,30 @@
             following = self.leases.take_reply(replied(self.start(), reply), 1)
             self.assertIs(False, following[0].ran)
 
+    def test_short_polls_end_with_the_long_one(self):
+        """Attempts that start later must not be polled at the short period."""
+        second = assigned(attempt=2)
+        self.table.replay(second)
+        running = LeasesReply(0, 'boot')
+        polls = self.leases.take_reply(
+            replied(self.start(), Accepted(0, 'boot')),
+            0,
+        )
+        signal = AttemptStarting(JOURNAL, second.attempt_id)
+        start = self.leases.start(signal, 0)[0]
+        polls += self.leases.take_reply(
+            replied(start, Accepted(0, 'boot')),
+            0,
+        )
+        long, short = polls
+        following = self.leases.take_reply(replied(long, running), 2)
+        self.assertEqual([], following)
+        joint = self.leases.take_reply(replied(short, running), 2.1)[0]
+        self.assertEqual(
+            ((ATTEMPT, second.attempt_id), LeaseSettings().long_poll_s),
+            (joint.request.attempt_ids, joint.request.wait_s),
+        )
+
     def test_nothing_starts_without_a_session_lease(self):
         """After a pause the journal may have another owner."""
         self.view.lease_end_s = 0
