--- a/tests/test_task_leases.py
+++ b/tests/test_task_leases.py
@@ -17,7 +17,6 @@
     AttemptReport,
     CallFailed,
     LeasesReply,
-    RenewLeases,
     WorkerRefused,
 )
 from apricotlead.state.job_table import JobTable
