Stop receiving from peers before the socket is closed

Cause: the receiving green thread went on waiting on the closed descriptor. The next socket with that number then got its events, and its reads failed with EOFError.

Ruled out: a fault in HttpPool; 'pytest tests/test_platform_client.py' alone passes, after tests/test_peer_links.py two tests failed.

Before and after: 'pytest tests/test_peer_links.py tests/test_platform_client.py': 2 failed, 25 passed before; 27 passed after.

Conclusion: in a daemon it could only happen while it stops.

--- a/src/apricotlead/transport/peer_links.py
+++ b/src/apricotlead/transport/peer_links.py
@@ -9,7 +9,7 @@
 
 import msgspec
 import pynng
-from eventlet import spawn_n
+from eventlet import kill, spawn
 from eventlet.hubs import trampoline
 
 from apricotlead.protocol.peers import Envelope, PeerMessage
@@ -34,6 +34,7 @@
     __slots__ = (
         '_listener',
         '_on_envelope',
+        '_receiver',
         '_sockets_by_address',
         '_sender_id',
         'dropped_count',
@@ -49,6 +50,7 @@
         self._sender_id = sender_id
         self._on_envelope = on_envelope
         self._listener: Any = None
+        self._receiver: Any = None
         self._sockets_by_address: dict[str, Any] = {}
         self.dropped_count = 0
         self.malformed_count = 0
@@ -60,7 +62,7 @@
             recv_max_size=_LARGEST_MESSAGE_BYTES,
         )
         listener = self._listener.listen(f'tcp://{address}')
-        spawn_n(self._receive_forever)
+        self._receiver = spawn(self._receive_forever)
         return str(listener.local_address)
 
     def send(self, address: str, message: PeerMessage) -> bool:
@@ -84,6 +86,9 @@
         """Close all sockets."""
         self.keep_only(set())
         if self._listener is not None:
+            # The loop must not wait on a descriptor that the next socket of
+            # the process may get.
+            kill(self._receiver)
             self._listener.close()
 
     def _socket_to(self, address: str) -> Any:
