Keep a standing part of each limit at every session

Cause: a session took its first unit of a team only after a refused take, so the first lookup of a team at an instance was refused. Each session now holds limit // (4 * sessions) units without demand, as far as the row has them free and nobody waits.

Ruled out: a unit for each session whatever the limit; with 12 units and 4 sessions that would bind a third of the limit without demand. Standing parts claim no fair part, or sessions without work would shrink that of the others.

Conclusion: below 4 units a session there is no standing part, and the first lookup is refused as before.

--- a/src/apricotlead/coordination/allotments.py
+++ b/src/apricotlead/coordination/allotments.py
@@ -50,6 +50,8 @@
 _READ = 'read'
 _WRITE = 'write'
 _SWEEP = 'sweep'
+# The session that opened a journal has this epoch, adopters a higher one.
+_OWN_EPOCH = 1
 # Units that lay idle for so many rounds of reads are returned.
 _IDLE_ROUNDS = 10
 
@@ -181,7 +183,7 @@
         """Keep accounts for the journal; look for those it brings along."""
         self._epochs_by_journal[opened.journal_id] = opened.epoch
         for team in self._config_view.config.teams_by_name:
-            self._book(team).sweep = True
+            self._open_book(team)
         return ()
 
     @handles(JournalClosed)
@@ -210,7 +212,7 @@
         """Open books for new teams."""
         for team in applied.config.teams_by_name:
             if team not in self._books_by_team:
-                self._book(team).sweep = True
+                self._open_book(team)
         return ()
 
     @handles(Tick)
@@ -267,10 +269,22 @@
             self._books_by_team[team] = book
         return book
 
+    def _open_book(self, team: str) -> None:
+        """Have the row read, and an account for each own journal."""
+        book = self._book(team)
+        book.sweep = True
+        for journal_id in self._epochs_by_journal:
+            if self._is_own(journal_id):
+                self._account(book, journal_id)
+
+    def _is_own(self, journal_id: str) -> bool:
+        return self._epochs_by_journal.get(journal_id) == _OWN_EPOCH
+
     def _account(self, book: _TeamBook, journal_id: str) -> Account:
         account = book.accounts.get(journal_id)
         if account is None:
-            account = Account(self._settings)
+            own = self._is_own(journal_id)
+            account = Account(self._settings, is_own=own)
             book.accounts[journal_id] = account
             self._recompute(book)
         return account
@@ -368,7 +382,19 @@
         if book.sweep or self._limit_changed(book):
             return bool(self._epochs_by_journal)
         closing = any(account.closing for account in book.accounts.values())
-        return closing or self._is_short(book, now)
+        lacking = self._lacks_standing(book)
+        return closing or lacking or self._is_short(book, now)
+
+    def _lacks_standing(self, book: _TeamBook) -> bool:
+        """Tell whether a standing part is missing that the row has free."""
+        if book.row.wants or book.row.free() <= 0:
+            return False
+        sessions = len(self._view.live_ids())
+        return any(
+            book.row.units_of(journal_id)
+            < account.standing_units(book.row.limit, sessions)
+            for journal_id, account in book.accounts.items()
+        )
 
     def _limit_changed(self, book: _TeamBook) -> bool:
         return self._known_limit(book) != book.row.limit
--- a/src/apricotlead/coordination/limit_account.py
+++ b/src/apricotlead/coordination/limit_account.py
@@ -14,7 +14,9 @@
     the budgets and saves at most ``burst_s`` of it. Units are returned after
     ``idle_s`` to ``longest_idle_s``, by how often rows can be read. A refused
     take counts as demand for ``demand_ttl_s``. A gang holds back others for
-    at most ``patience_s``, then rests for as long.
+    at most ``patience_s``, then rests for as long. All sessions together keep
+    at most the limit divided by ``standing_divisor`` without demand, each an
+    equal whole part.
     """
 
     cycle_s: float = 0.1
@@ -30,6 +32,7 @@
     patience_s: float = 30.0
     sweep_s: float = 60.0
     chunk_divisor: int = 4
+    standing_divisor: int = 4
     read_budget_per_s: float = 300.0
     write_budget_per_s: float = 200.0
 
@@ -48,6 +51,8 @@
     ``cap`` is what may be in use by the row; ``pending`` bounds it while a
     write is in flight that gives units up. ``peak`` is the most in use since
     ``window_s``. ``reserve`` is the size of the next chunk beyond the need.
+    ``is_own`` tells that the session opened the journal itself, and so keeps
+    a standing part for it.
     """
 
     settings: AllotmentSettings
@@ -58,6 +63,7 @@
     window_s: float = NEVER_S
     reserve: int = 0
     closing: bool = False
+    is_own: bool = False
     single_s: float = NEVER_S
     gang: _Gang = field(default_factory=_Gang)
     want_sent_s: float = NEVER_S
@@ -68,6 +74,12 @@
             return self.cap
         return min(self.cap, self.pending)
 
+    def standing_units(self, limit: int, sessions: int) -> int:
+        """Return how many units are kept without demand."""
+        if self.closing or not self.is_own:
+            return 0
+        return limit // (self.settings.standing_divisor * max(1, sessions))
+
     def has_room(self, amount: int, limit: int, now: float) -> bool:
         """Tell whether ``amount`` more units may be taken.
 
--- a/src/apricotlead/coordination/limit_plan.py
+++ b/src/apricotlead/coordination/limit_plan.py
@@ -81,13 +81,14 @@
             self.context.idle_s,
             now,
         )
+        idle = min(idle, max(0, units - self._standing(row)))
         return self._with_units(row, units - max(needed_by_others, idle))
 
     def with_growth(self, row: LimitRow) -> LimitRow:
         """Take free units for the demand, or announce a want."""
         asked = self.account.asked(row.limit, self.context.now)
         if not asked:
-            return self._without_want(row)
+            return self._with_standing(self._without_want(row))
         units = row.units_of(self.journal_id)
         need = self.account.in_use + asked - units
         if need <= 0:
@@ -104,6 +105,17 @@
             return self._without_want(row)
         return self._with_want(row, wanted)
 
+    def _standing(self, row: LimitRow) -> int:
+        return self.account.standing_units(row.limit, self.context.sessions)
+
+    def _with_standing(self, row: LimitRow) -> LimitRow:
+        """Take the standing part as far as nobody waits for the units."""
+        units = row.units_of(self.journal_id)
+        if other_wants(row, self.journal_id, self.context.stale):
+            return row
+        missing = max(0, self._standing(row) - units)
+        return self._with_units(row, units + min(missing, max(0, row.free())))
+
     def _wish(self, row: LimitRow, need: int, asked: int) -> int:
         """Return how many units to ask for: the need, and some in reserve."""
         parts = self.context.settings.chunk_divisor * self.context.sessions
@@ -125,12 +137,14 @@
     def _with_units(self, row: LimitRow, units: int) -> LimitRow:
         """Set the allotment; claims it if its epoch is an older one."""
         share = row.allotments.get(self.journal_id, Share(0, self.epoch))
-        if (share.units, share.epoch) == (units, self.epoch):
+        standing = 0 < units <= self._standing(row)
+        before = (share.units, share.epoch, share.standing)
+        if before == (units, self.epoch, standing):
             return row
         allotments = dict(row.allotments)
         allotments.pop(self.journal_id, None)
         if units > 0:
-            share = Share(units, self.epoch, self.context.op_id)
+            share = Share(units, self.epoch, self.context.op_id, standing)
             allotments[self.journal_id] = share
         return replace(row, allotments=allotments)
 
--- a/src/apricotlead/coordination/limit_row.py
+++ b/src/apricotlead/coordination/limit_row.py
@@ -10,11 +10,16 @@
 
 
 class Share(Struct, frozen=True):
-    """A journal's allotment, the epoch of its owner, and the last write."""
+    """A journal's allotment, the epoch of its owner, and the last write.
+
+    ``standing`` tells that it is no more than the part which each session
+    keeps without demand; such a journal claims no fair part.
+    """
 
     units: int
     epoch: int
     op_id: str = ''
+    standing: bool = False
 
 
 class Want(Struct, frozen=True):
@@ -112,8 +117,14 @@
 
 
 def fair_units(row: LimitRow, journal_id: str, stale: Collection[str]) -> int:
-    """Return an equal part of the limit among all that hold or want units."""
-    claimants = {journal_id, *row.allotments}
+    """Return an equal part of the limit among all that hold or want units.
+
+    Standing parts don't count, or each session would claim a part.
+    """
+    claimants = {journal_id}
+    claimants.update(
+        holder for holder, share in row.allotments.items() if not share.standing
+    )
     claimants.update(other for other in row.wants if other not in stale)
     return row.limit // len(claimants)
 
