Let admission ask the directory what a worker can hold

Cause: Admission kept its own set of worker shapes beside that of CellDirectory, and had to be told of each change of the list.

Ruled out: keeping the check against the largest amounts before it; the directory compares with a few distinct capacities only.

Before and after: pytest tests/test_admission.py tests/test_assembly.py tests/test_directory_keeper.py tests/test_cli.py: all pass before and after.

Conclusion: one place decides whether a demand fits a worker.

--- a/src/apricotlead/coordination/admission.py
+++ b/src/apricotlead/coordination/admission.py
@@ -29,7 +29,6 @@
     AskStatus,
     Count,
     FindJob,
-    InstancesListed,
     Shutdown,
     Signal,
     SubmitJob,
@@ -44,8 +43,8 @@
 
     workers_by_id: dict[str, Instance]
 
-    def largest_worker(self) -> Resources:
-        """Return the largest amount of each resource on one worker."""
+    def can_hold(self, demand: Resources) -> bool:
+        """Tell whether some single worker is as large as ``demand``."""
 
     def total_capacity(self) -> Resources:
         """Return the sum over all workers."""
@@ -74,7 +73,6 @@
         '_draining',
         '_pending_tasks',
         '_settings',
-        '_worker_shapes',
     )
 
     def __init__(
@@ -90,7 +88,6 @@
         self._directory = directory
         self._pending_tasks = pending_tasks
         self._draining = False
-        self._worker_shapes: frozenset[Resources] | None = None
 
     @classmethod
     def from_config(
@@ -121,16 +118,6 @@
             return self._refuse(ask.ticket, error)
         return (FindJob(ask.ticket, ask.job_id, team, ask.cancel),)
 
-    @handles(InstancesListed)
-    def on_instances(
-        self,
-        listed: InstancesListed,
-        now: float,
-    ) -> Iterable[Signal]:
-        """Note that the workers may have changed."""
-        self._worker_shapes = None
-        return ()
-
     @handles(Shutdown)
     def on_shutdown(self, shutdown: Shutdown, now: float) -> Iterable[Signal]:
         """Refuse new work from now on."""
@@ -228,21 +215,11 @@
             raise TryLater('No worker is known to this instance yet.')
         demands = {task.demand for task in submission.tasks}
         for demand in demands:
-            if not self._fits_a_worker(demand):
+            if not self._directory.can_hold(demand):
                 raise NeverFits(f'No worker has room for {demand}.')
         if submission.kind == 'gang':
             self._check_gang_fit(submission)
 
-    def _fits_a_worker(self, demand: Resources) -> bool:
-        if not demand.fits_in(self._directory.largest_worker()):
-            return False
-        if self._worker_shapes is None:
-            self._worker_shapes = frozenset(
-                worker.capacity
-                for worker in self._directory.workers_by_id.values()
-            )
-        return any(demand.fits_in(shape) for shape in self._worker_shapes)
-
     def _check_gang_fit(self, submission: Submission) -> None:
         total = sum((task.demand for task in submission.tasks), Resources())
         if not total.fits_in(self._directory.total_capacity()):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -84,9 +84,9 @@
             lambda queue: 5,
         )
 
-    def largest_worker(self):
-        """Return the largest amounts, as the directory does."""
-        return Resources(16_000, 32_000, 8)
+    def can_hold(self, demand):
+        """Tell whether one worker is large enough, as the directory does."""
+        return any(map(demand.fits_in, WORKER_SHAPES.values()))
 
     def total_capacity(self):
         """Return the sums, as the directory does."""
