Judge a wrong change by a head read since it came

Cause: ConfigKeeper checked a change against its own view before it knew whether the base version was current. An operator whose change had just been committed at another instance was told "not a known team".

Ruled out: reading the head before each commit; only a change that fails the check waits for one more read.

Before and after: test_change_on_an_old_base_is_a_conflict_before_it_is_bad gets BadInput before and VersionConflict with version 2 after; pytest tests/test_config_keeper.py passes.

Conclusion: a wrong change on the current base costs one more head read.

--- a/src/apricotlead/coordination/config_keeper.py
+++ b/src/apricotlead/coordination/config_keeper.py
@@ -396,10 +396,20 @@
     def _may_commit(self, waiting: _Waiting) -> bool:
         version = self._config_view.version
         known = self._known_head
-        return (
-            known is not None
-            and known.head.version == version == waiting.request.base_version
-        )
+        if known is None or known.head.version != version:
+            return False
+        if waiting.request.base_version != version:
+            return False
+        # A change that seems wrong may follow one that was committed at
+        # another instance, so it is judged by a head read since it came.
+        return known.sent_s >= waiting.arrived_s or self._is_valid(waiting)
+
+    def _is_valid(self, waiting: _Waiting) -> bool:
+        try:
+            apply_change(self._config_view.config, waiting.request.change)
+        except BadInput:
+            return False
+        return True
 
     def _want_head(self, now: float) -> Iterable[Signal]:
         if self._read is None:
--- a/tests/test_config_keeper.py
+++ b/tests/test_config_keeper.py
@@ -99,6 +99,16 @@
             self.assertIsInstance(outcome, NotRun, change)
             self.assertIsInstance(outcome.error, BadInput, change)
 
+    def test_change_on_an_old_base_is_a_conflict_before_it_is_bad(self):
+        """Guards against "not a known team" for a team known elsewhere."""
+        first, second = self.members
+        self.commit_alone(first, PutTeam(Team('new', 'org')))
+        ticket = self.send(second, PutQueue(Queue('q', 'new')))
+        self.now = run([second], self.now, 0.5)
+        outcome = second.outcomes_by_ticket[ticket]
+        self.assertIsInstance(outcome.error, VersionConflict)
+        self.assertEqual(2, outcome.error.current_version)
+
     def test_winner_whose_answer_was_lost_is_told_so(self):
         """Guards against "conflict" for a change that took effect.
 
