--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -111,7 +111,7 @@
             _errors.LocationValueError,
         ) as error:
             return NeverSent(str(error))
-        except (_errors.HTTPError, OSError, ValueError) as error:
+        except (_errors.HTTPError, OSError, EOFError, ValueError) as error:
             # ValueError is a header that cannot be sent.
             return NoAnswer(str(error))
 
