--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -18,6 +18,7 @@
 _MAX_HOSTS = 4096
 # An executor takes 64 connections from all entry instances together, and an
 # idle one counts.
+_FAILURES = (_errors.HTTPError, OSError, EOFError, ValueError)
 _IDLE_PER_HOST = 4
 
 
@@ -111,7 +112,7 @@
             _errors.LocationValueError,
         ) as error:
             return NeverSent(str(error))
-        except (_errors.HTTPError, OSError, EOFError, ValueError) as error:
+        except _FAILURES as error:
             # ValueError is a header that cannot be sent.
             return NoAnswer(str(error))
 
