--- a/src/apricotlead/coordination/task_leases.py
+++ b/src/apricotlead/coordination/task_leases.py
@@ -21,6 +21,7 @@
     AttemptForgotten,
     AttemptStarting,
     CallWorker,
+    ConfigApplied,
     JournalClosed,
     JournalOpened,
     Signal,
@@ -109,6 +110,7 @@
         '_calls_by_number',
         '_channels_by_key',
         '_directory',
+        '_down_ids',
         '_number',
         '_settings',
         '_table',
@@ -128,6 +130,7 @@
         self._table = table
         self._view = view
         self._directory = directory
+        self._down_ids: frozenset[str] = frozenset()
         self._number = 0
         self._channels_by_key: dict[tuple[str, str], Channel] = {}
         self._calls_by_number: dict[int, Call] = {}
@@ -188,6 +191,8 @@
         attempt = self._living(signal.attempt_id)
         if attempt is None:
             return ()
+        if attempt.assigned.worker_id in self._down_ids:
+            return (_ending(attempt, 'lapsed', ran=None),)
         channel = self._channel_of(attempt, now)
         self._note_grant(channel, attempt, now)
         lost_after_s = now + self._longest(
@@ -201,6 +206,23 @@
         self._wake(channel, now)
         return ()
 
+    @handles(ConfigApplied)
+    def end_on_down_workers(
+        self,
+        signal: ConfigApplied,
+        now: float,
+    ) -> Iterable[Signal]:
+        """End the attempts on workers that an operator declared down."""
+        down_ids = frozenset(signal.config.down_versions_by_worker)
+        fresh_ids = down_ids - self._down_ids
+        self._down_ids = down_ids
+        return [
+            self._end(channel, lease, 'lapsed', ran=None)
+            for channel in tuple(self._channels_by_key.values())
+            if channel.worker_id in fresh_ids
+            for lease in tuple(channel.leases_by_id.values())
+        ]
+
     @handles(StopAttempts)
     def stop(self, signal: StopAttempts, now: float) -> Iterable[Signal]:
         """Ask the workers to stop attempts until they have ended."""
--- a/src/apricotlead/coordination/worker_monitor.py
+++ b/src/apricotlead/coordination/worker_monitor.py
@@ -17,6 +17,7 @@
 from apricotlead.protocol.signals import (
     CallWorker,
     CapacityFreed,
+    ConfigApplied,
     Count,
     Note,
     SessionLost,
@@ -116,6 +117,7 @@
     name: ClassVar[str] = 'worker_monitor'
     __slots__ = (
         '_directory',
+        '_down_ids',
         '_due',
         '_ledger',
         '_next_step_s',
@@ -140,6 +142,7 @@
         self._settings = settings
         self._view = view
         self._directory = directory
+        self._down_ids: frozenset[str] = frozenset()
         self._ledger = ledger
         self._quarantine = quarantine
         self._rng = rng
@@ -148,6 +151,16 @@
         self._watches_by_id: dict[str, _Watch] = {}
         self._due: list[tuple[float, str]] = []
 
+    @handles(ConfigApplied)
+    def note_down_workers(
+        self,
+        signal: ConfigApplied,
+        now: float,
+    ) -> Iterable[Signal]:
+        """Keep the workers that an operator declared down."""
+        self._down_ids = frozenset(signal.config.down_versions_by_worker)
+        return ()
+
     @handles(WorkerClaimed)
     def claimed(self, signal: WorkerClaimed, now: float) -> Iterable[Signal]:
         """Fence the worker at once; later heartbeats keep a random phase."""
@@ -263,7 +276,7 @@
         now: float,
     ) -> Iterable[Signal]:
         instance = self._directory.workers_by_id.get(worker_id)
-        if instance is None:
+        if instance is None or worker_id in self._down_ids:
             self._ledger.block(worker_id, _LEAVING)
             return ()
         reopened: Iterable[Signal] = ()
