--- a/tests/test_task_leases.py
+++ b/tests/test_task_leases.py
@@ -3,13 +3,16 @@
 from types import SimpleNamespace
 
 from testtools import TestCase
+from testtools.matchers import HasLength
 
 from apricotlead.coordination.task_leases import LeaseSettings, TaskLeases
+from apricotlead.protocol.config import CellConfig
 from apricotlead.protocol.signals import (
     AttemptAdopted,
     AttemptEnded,
     AttemptStarting,
     CallWorker,
+    ConfigApplied,
     Tick,
 )
 from apricotlead.protocol.workers import (
@@ -83,6 +86,18 @@
             now += 0.1
         return None, made
 
+    def test_attempts_on_a_worker_declared_down_end_at_once(self):
+        """Nobody else can end the doubt when home and worker are gone."""
+        self.start()
+        down = CellConfig(down_versions_by_worker={'w': 1})
+        ended = self.leases.end_on_down_workers(ConfigApplied(down), 1)
+        self.assertEqual([('lapsed', None)], [(e.state, e.ran) for e in ended])
+        adopted = self.leases.adopt(AttemptAdopted(JOURNAL, ATTEMPT), 2)
+        self.assertThat(tuple(adopted), HasLength(1))
+        self.leases.end_on_down_workers(ConfigApplied(CellConfig()), 3)
+        adopted = self.leases.adopt(AttemptAdopted(JOURNAL, ATTEMPT), 3)
+        self.assertThat(tuple(adopted), HasLength(0))
+
     def test_start_that_provably_never_happened_is_not_run(self):
         """A task must not wait for a lease that never began."""
         for reply in (CallFailed(sent=False), WorkerRefused('expired')):
