Prove that a lost data centre's work runs elsewhere after an operator's word

Cause: nothing tested the loss of a home together with a worker.

Ruled out: waiting for outage_s in a test; it is an hour.

Conclusion: the doubt is ended by a person or by the hour.

--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -247,6 +247,34 @@
             answers[text] = self.stenora.look_up(text)
 
 
+class TestDataCentreLoss(ProcessCase):
+    """Guards against work that waits forever for a lost data centre."""
+
+    def test_home_and_worker_vanish_together(self):
+        """An operator's word ends the doubt; the work runs elsewhere."""
+        stenora = self.stenora
+        lost_entry = stenora.entries[0]
+        lost_worker = stenora.workers[0]
+        job_ids = [
+            stenora.submit(
+                'courts',
+                tasks=6,
+                run_s=3.0,
+                entry=lost_entry,
+            ).body['job_id']
+            for _ in range(2)
+        ]
+        time.sleep(1)
+        lost_runs = collect_runs(self.cell, [lost_worker])
+        self.assertNotEqual([], lost_runs)
+        self.cell.node(lost_worker).kill()
+        stenora.workers.remove(lost_worker)
+        stenora.replace_entry(lost_entry, Node.kill)
+        wait_until(stenora.is_ready)
+        stenora.change('declare_down', worker_ids=[lost_worker])
+        self.check_ends(job_ids)
+
+
 class TestOperators(ProcessCase):
     """Guards against old keys and lost changes (I3, I10)."""
 
