Test that an omitted listing is taken only from its own version

Cause: the capacity fuzz reaches listings of another version or boot only by chance, and a trial fault of the owner did not show within 100 s there.

Ruled out: a further rule in the fuzz, which would take longer than a direct test.

Before and after: python -m pytest tests/test_worker_monitor.py: the new test fails with each of three trial faults in _Watch.complete (no check, empty list, version kept) and passes without.

Conclusion: an omitted listing of an unknown version counts as no answer, and the next heartbeat asks for the full list.

--- a/tests/test_worker_monitor.py
+++ b/tests/test_worker_monitor.py
@@ -1,5 +1,6 @@
 """Workers are fenced, asked in turn, and left alone when they are lost."""
 
+from msgspec import structs
 from testtools import TestCase
 
 from apricotlead.protocol.peers import (
@@ -92,6 +93,27 @@
         self.answer(call, IDLE)
         self.assertEqual(NOTHING, self.free())
 
+    def test_omitted_listing_is_that_of_the_same_boot_and_version(self):
+        """Guards against occupancy that is taken from another listing."""
+        unchanged = HeartbeatReply(2, 'boot', CAPACITY, None, 5)
+        busy = running(('j.0.1-1', CAPACITY, NOTHING))
+        self.answer(self.claim(), structs.replace(busy, version=5))
+        call = self.next_call()
+        self.assertEqual(Heartbeat('owner', 1, 5, 'boot'), call.request)
+        self.answer(call, unchanged)
+        self.assertEqual(NOTHING, self.free())
+        self.answer(self.next_call(), structs.replace(IDLE, version=6))
+        for changed in ({'version': 5}, {'version': 6, 'boot_id': 'later'}):
+            self.answer(self.next_call(), structs.replace(IDLE, version=6))
+            self.assertEqual(CAPACITY, self.free())
+            wrong = structs.replace(unchanged, **changed)
+            self.answer(self.next_call(), wrong)
+            self.assertEqual(NOTHING, self.free())
+            call = self.next_call()
+            self.assertEqual(Heartbeat('owner', 1), call.request)
+            self.answer(call, structs.replace(IDLE, version=6))
+        self.assertEqual(Heartbeat('owner', 2), self.claim(epoch=2).request)
+
     def test_other_owner_has_a_higher_epoch(self):
         """A refusal ends the ownership; a late old one does not."""
         call = self.claim(epoch=2)
