--- a/src/apricotlead/coordination/dispatcher.py
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -55,6 +55,7 @@
     would expire before all starts have reached their workers. A gang that the
     limit has no units for tries again after ``limit_retry_s``: such a try
     costs no message, and the limit keeps a gang's place only while it tries.
+    Batch tasks try each tick, so a longer wait lets them pass a gang of 1 task.
     """
 
     park_s: float = 0.3
@@ -67,7 +68,7 @@
     longest_urgent_backoff_s: float = 0.3
     first_gang_backoff_s: float = 0.3
     longest_gang_backoff_s: float = 5.0
-    limit_retry_s: float = 0.1
+    limit_retry_s: float = 0.04
     max_reserving: int = 1000
     max_gangs: int = 4
     max_owners_asked: int = 2
