--- a/src/apricotlead/coordination/dispatcher.py
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -61,7 +61,8 @@
 
     A gang that lacks units of its team's limit tries again after
     ``first_limit_retry_s``, doubled with each miss. It holds nothing in
-    between, so it needs no back-off from other gangs.
+    between, so it needs no back-off from other gangs. Batch tasks try with
+    each tick; a longest wait much above that lets them pass a gang.
     """
 
     park_s: float = 0.3
@@ -75,7 +76,7 @@
     first_gang_backoff_s: float = 0.3
     longest_gang_backoff_s: float = 5.0
     first_limit_retry_s: float = 0.03
-    longest_limit_retry_s: float = 0.3
+    longest_limit_retry_s: float = 0.06
     avoid_rounds: int = 3
     max_reserving: int = 1000
     max_gangs: int = 4
