Let homes stop attempts that an owner asks to stop

Cause: no component handled RelieveWorker, and a batch attempt that was stopped counted against max_attempts and marked its worker as failing.

Ruled out: stopping non-idempotent attempts; their jobs would end as may_have_run.

Conclusion: a stop queues the task again without a cost to it. Gangs are stopped as a whole and for memory only.

--- a/src/apricotlead/coordination/job_book.py
+++ b/src/apricotlead/coordination/job_book.py
@@ -33,7 +33,12 @@
     JournalRecord,
 )
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
-from apricotlead.protocol.peers import AskJob, Grant, JobAnswer
+from apricotlead.protocol.peers import (
+    AskJob,
+    Grant,
+    JobAnswer,
+    RelieveWorker,
+)
 from apricotlead.protocol.signals import (
     AdmitJob,
     Answer,
@@ -42,6 +47,7 @@
     AttemptEnded,
     AttemptForgotten,
     AttemptStarting,
+    Count,
     FindJob,
     JournalClosed,
     JournalOpened,
@@ -362,6 +368,31 @@
         append = _Append('finish', attempt.journal_id, job_id, (record,))
         return (self._send(append),)
 
+    @handles(RelieveWorker)
+    def relieve(self, signal: RelieveWorker, now: float) -> Iterable[Signal]:
+        """Stop the attempt if its job allows it; the task queues again.
+
+        A request that is repeated, late, or for a foreign journal changes
+        nothing: the leases repeat no stop, and an attempt that has ended has
+        none.
+        """
+        attempt = self._table.attempts_by_id.get(signal.attempt_id)
+        if attempt is None or attempt.finished is not None:
+            return ()
+        named = (signal.journal_id, signal.worker_id)
+        if named != (attempt.journal_id, attempt.assigned.worker_id):
+            return ()
+        job = self._table.jobs_by_id[attempt.assigned.job_id]
+        if not _may_relieve(job, signal.reason):
+            return (Count(f'relief_declined_{signal.reason}'),)
+        stopped_ids = (signal.attempt_id,)
+        if job.is_gang():
+            stopped_ids = _live_ids(job)
+        return (
+            StopAttempts(job.journal_id, stopped_ids),
+            Count(f'relief_{signal.reason}', len(stopped_ids)),
+        )
+
     @handles(RecordsCommitted)
     def go_on(self, signal: RecordsCommitted, now: float) -> Iterable[Signal]:
         """Replay what is durable and let its consequences happen."""
@@ -759,8 +790,24 @@
         yield AttemptForgotten(signal.journal_id, ending.attempt_id)
 
 
+def _may_relieve(job: JobEntry, reason: str) -> bool:
+    """Tell whether attempts of the job may be stopped for this reason.
+
+    A stopped non-idempotent attempt would end its job as ``may_have_run``,
+    so it runs on. Only memory that cannot be had otherwise stops urgent work
+    or a gang, and a gang only as a whole.
+    """
+    if reason == 'preemption':
+        return job.is_preemptible()
+    return job.submission.idempotent
+
+
+def _live_ids(job: JobEntry) -> tuple[str, ...]:
+    return tuple(attempt.assigned.attempt_id for attempt in job.live_attempts())
+
+
 def _stop_all(job: JobEntry) -> Iterator[Signal]:
-    live = tuple(attempt.assigned.attempt_id for attempt in job.live_attempts())
+    live = _live_ids(job)
     if live:
         yield StopAttempts(job.journal_id, live)
 
--- a/src/apricotlead/coordination/overuse.py
+++ b/src/apricotlead/coordination/overuse.py
@@ -116,7 +116,7 @@
         if now < self.relieved_s + settings.relief_s:
             return
         self.relieved_s = now
-        worst = max(running, key=_memory_excess)
+        worst = max(running, key=_relief_rank)
         message = RelieveWorker(
             worker.worker_id,
             worst.journal_id,
@@ -127,6 +127,9 @@
             yield SendToPeer(peer.session_id, peer.address, message)
 
 
-def _memory_excess(report: AttemptReport) -> tuple[int, str]:
+def _relief_rank(report: AttemptReport) -> tuple[bool, int, str]:
+    """Order by excess; gangs and the like only if no batch task exceeds."""
     excess = report.used.memory_mb - report.demand.memory_mb
-    return excess, report.attempt_id
+    traits = report.traits
+    is_batch = traits is None or traits.preemptible
+    return is_batch and excess > 0, excess, report.attempt_id
--- a/src/apricotlead/coordination/task_leases.py
+++ b/src/apricotlead/coordination/task_leases.py
@@ -331,6 +331,7 @@
             self._table.epoch_of(attempt.journal_id),
             self._settings.lease_s,
             job.tasks[assigned.task].spec,
+            job.traits_of(assigned.task),
         )
 
     def _give_up(self, number: int, now: float) -> Iterable[Signal]:
--- a/src/apricotlead/protocol/peers.py
+++ b/src/apricotlead/protocol/peers.py
@@ -1,5 +1,7 @@
 """Messages between entry instances. Links may lose and reorder them."""
 
+from typing import Literal
+
 from msgspec import Struct
 
 from apricotlead.protocol.config import LoggedChange
@@ -80,13 +82,16 @@
 class RelieveWorker(Struct, frozen=True, tag='relieve'):
     """Asks the home to stop an attempt and queue its task again.
 
-    The worker's memory is used beyond its capacity, and of its attempts this
-    one uses most beyond its demand. Sessions without the journal ignore it.
+    ``memory``: the worker's memory is used beyond its capacity, and of its
+    attempts this one uses most beyond its demand. ``preemption``: urgent work
+    or a team below its share waits for the room. Sessions without the journal
+    ignore it.
     """
 
     worker_id: str
     journal_id: str
     attempt_id: str
+    reason: Literal['memory', 'preemption'] = 'memory'
 
 
 class TeamLoad(Struct, frozen=True, omit_defaults=True):
--- a/src/apricotlead/protocol/workers.py
+++ b/src/apricotlead/protocol/workers.py
@@ -13,6 +13,20 @@
 from apricotlead.protocol.resources import Resources
 
 
+class AttemptTraits(Struct, frozen=True, omit_defaults=True):
+    """What an owner must know of an attempt to choose whom to stop.
+
+    ``preemptible`` is set for idempotent batch tasks of normal priority;
+    ``stops`` is how often earlier attempts of the task were stopped. The
+    worker keeps it as it came with the start and reports it unchanged, so
+    that it is also there after a change of ownership.
+    """
+
+    team: str
+    preemptible: bool = False
+    stops: int = 0
+
+
 class AttemptReport(Struct, frozen=True, omit_defaults=True):
     """An attempt that the worker has; ended ones until acknowledged."""
 
@@ -23,6 +37,7 @@
     used: Resources = Resources()
     message: str = ''
     output: str = ''
+    traits: AttemptTraits | None = None
 
 
 class Heartbeat(Struct, frozen=True, tag='heartbeat'):
@@ -56,6 +71,7 @@
     journal_epoch: int
     lease_s: float
     task: TaskSpec
+    traits: AttemptTraits | None = None
 
 
 class RenewLeases(Struct, frozen=True, tag='leases'):
--- a/src/apricotlead/state/job_table.py
+++ b/src/apricotlead/state/job_table.py
@@ -19,6 +19,7 @@
 )
 from apricotlead.protocol.peers import TeamLoad
 from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.workers import AttemptTraits
 
 TaskOutcome = Literal['done', 'refused', 'may_have_run']
 
@@ -52,10 +53,19 @@
 
     ``starts`` counts the attempts that may have run and count against the
     bound on attempts; ``misses`` counts those that are proven not to have run
-    since the last one that did.
+    since the last one that did; ``stops`` counts those that were stopped for
+    the sake of other work, or with their gang.
     """
 
-    __slots__ = ('attempts', 'live', 'misses', 'outcome', 'spec', 'starts')
+    __slots__ = (
+        'attempts',
+        'live',
+        'misses',
+        'outcome',
+        'spec',
+        'starts',
+        'stops',
+    )
 
     def __init__(self, spec: TaskSpec) -> None:
         """Begin as queued."""
@@ -65,18 +75,23 @@
         self.outcome: TaskOutcome | None = None
         self.starts = 0
         self.misses = 0
+        self.stops = 0
 
     def is_idle(self) -> bool:
         """Tell whether the task needs a new attempt."""
         return self.live is None and self.outcome is None
 
     def failed_workers(self) -> tuple[str, ...]:
-        """Return the workers on which an attempt ran without success."""
+        """Return the workers on which an attempt ran without success.
+
+        A stop says nothing about the worker.
+        """
         return tuple(
             attempt.assigned.worker_id
             for attempt in self.attempts
             if attempt.finished is not None
             and attempt.finished.ran is not False
+            and attempt.finished.state != 'stopped'
         )
 
 
@@ -131,6 +146,17 @@
         """Tell whether all tasks run at the same time."""
         return self.submission.kind == 'gang'
 
+    def is_preemptible(self) -> bool:
+        """Tell whether its attempts may be stopped for other work."""
+        submission = self.submission
+        is_normal = submission.priority == 'normal'
+        return is_normal and submission.idempotent and not self.is_gang()
+
+    def traits_of(self, task: int) -> AttemptTraits:
+        """Return what owners of workers must know of a task's attempt."""
+        stops = self.tasks[task].stops
+        return AttemptTraits(self.team, self.is_preemptible(), stops)
+
     def idle_tasks(self) -> tuple[int, ...]:
         """Return the tasks that need an attempt; a gang's only together."""
         if self.is_gang() and self.live_count:
@@ -356,7 +382,7 @@
     ) -> None:
         task.live = None
         job.live_count -= 1
-        _count_attempt(job, task, finished)
+        _count_attempt(task, finished)
         outcome = self._outcome(job, task, finished)
         if outcome is not None:
             task.outcome = outcome
@@ -462,18 +488,16 @@
     job.open_count += 1
 
 
-def _count_attempt(
-    job: JobEntry,
-    task: TaskEntry,
-    finished: AttemptFinished,
-) -> None:
+def _count_attempt(task: TaskEntry, finished: AttemptFinished) -> None:
     if finished.ran is False:
         task.misses += 1
         return
     task.misses = 0
-    # A gang's attempt is stopped because of another one; that is no failure
-    # of its own task.
-    if finished.state != 'stopped' or not job.is_gang():
+    # Homes stop attempts for a cancellation, with their gang, or to make room
+    # for other work; that is no failure of the task.
+    if finished.state == 'stopped':
+        task.stops += 1
+    else:
         task.starts += 1
 
 
--- a/src/apricotlead_standins/attempts.py
+++ b/src/apricotlead_standins/attempts.py
@@ -106,6 +106,7 @@
             self.start.journal_id,
             self.start.task.demand,
             self._use_at(as_of_s),
+            traits=self.start.traits,
         )
 
     def _ending(self) -> str:
--- a/src/apricotlead_standins/worker_messages.py
+++ b/src/apricotlead_standins/worker_messages.py
@@ -1,5 +1,7 @@
 """The wire form of a worker's five routes."""
 
+from typing import Any
+
 from msgspec import Struct
 
 
@@ -49,6 +51,7 @@
     used: Resources = Resources()
     message: str = ''
     output: str = ''
+    traits: dict[str, Any] | None = None
 
 
 class Heartbeat(Struct, frozen=True, tag='heartbeat'):
@@ -78,6 +81,7 @@
     journal_epoch: int
     lease_s: float
     task: TaskSpec
+    traits: dict[str, Any] | None = None
 
 
 class RenewLeases(Struct, frozen=True, tag='leases'):
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -3,8 +3,9 @@
 from testtools import TestCase
 
 from apricotlead.coordination.job_book import JobBook, JobBookSettings
+from apricotlead.protocol.jobs import AttemptFinished
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun
-from apricotlead.protocol.peers import AskJob, JobAnswer
+from apricotlead.protocol.peers import AskJob, JobAnswer, RelieveWorker
 from apricotlead.protocol.signals import (
     AdmitJob,
     Answer,
@@ -162,3 +163,56 @@
             self.assertEqual(kind, sent.error and sent.error.kind)
         foreign = AskJob('a', 'peer-1', 'other.1', 'team')
         self.assertEqual((), self.book.answer_peer(foreign, 0))
+
+    def relieve(self, *, gang=False, reason='memory', ended=(), **changes):
+        """Ask for the stop of the first attempt; return what is stopped."""
+        fields = {'kind': 'gang'} if gang else {}
+        fields |= changes.pop('job', {})
+        records = (
+            accepted(1, 2, **fields),
+            assigned(1, 0),
+            assigned(1, 1),
+            *ended,
+        )
+        self.book.open_journal(JournalOpened(JOURNAL, 2, records), 0)
+        asked = {
+            'worker_id': 'w',
+            'journal_id': JOURNAL,
+            'attempt_id': assigned().attempt_id,
+        } | changes
+        following = self.book.relieve(RelieveWorker(**asked, reason=reason), 0)
+        stops = of_type(following, StopAttempts)
+        return [one for stop in stops for one in stop.attempt_ids]
+
+    def test_relief_stops_the_attempt_and_queues_its_task(self):
+        """Work that an owner asks to stop must go on elsewhere, once."""
+        self.assertEqual(['j.1.0.1-1'], self.relieve())
+        self.assertEqual(['j.1.0.1-1'], self.relieve(reason='preemption'))
+        self.assertEqual(
+            ['j.1.0.1-1', 'j.1.1.1-1'],
+            self.relieve(gang=True),
+            'a gang runs as a whole or not at all',
+        )
+        ended = AttemptFinished('j.1.0.1-1', 'stopped')
+        self.book.open_journal(
+            JournalOpened(JOURNAL, 3, (accepted(), assigned(), ended)),
+            0,
+        )
+        self.assertEqual([], of_type(self.relieve_again(), StopAttempts))
+
+    def relieve_again(self):
+        """Ask for the stop of an attempt that has ended."""
+        late = RelieveWorker('w', JOURNAL, 'j.1.0.1-1')
+        return self.book.relieve(late, 0)
+
+    def test_relief_that_changes_nothing(self):
+        """Foreign, unfitting and forbidden stops must leave all running."""
+        for options in (
+            {'journal_id': 'other'},
+            {'worker_id': 'elsewhere'},
+            {'attempt_id': 'j.1.0.1-9'},
+            {'job': {'idempotent': False}},
+            {'reason': 'preemption', 'gang': True},
+            {'reason': 'preemption', 'job': {'priority': 'urgent'}},
+        ):
+            self.assertEqual([], self.relieve(**options), str(options))
--- a/tests/test_job_table.py
+++ b/tests/test_job_table.py
@@ -69,6 +69,18 @@
         loads = table_of(RECORDS).loads_by_team()
         self.assertEqual({'team': TeamLoad(one + one, one)}, loads)
 
+    def test_stops_do_not_use_up_attempts(self):
+        """A task that others push aside must not be refused for it."""
+        records = [accepted()]
+        for attempt in range(1, 7):
+            records.append(assigned(attempt=attempt))
+            attempt_id = assigned(attempt=attempt).attempt_id
+            records.append(AttemptFinished(attempt_id, 'stopped'))
+        job = table_of(records).jobs_by_id['j.1']
+        self.assertEqual(None, job.tasks[0].outcome)
+        self.assertEqual(6, job.traits_of(0).stops)
+        self.assertEqual((), job.tasks[0].failed_workers())
+
     def test_closed_journal_leaves_nothing(self):
         """Jobs of a lost journal must not be shown or counted."""
         table = table_of(RECORDS)
