Preempt batch tasks for urgent work and for fair shares

Cause: a request that finds no room could only wait for the end of a task, so urgent work and teams below their share waited for as long as tasks run.

An unknown placement policy is noted once.

--- a/src/apricotlead/coordination/granting.py
+++ b/src/apricotlead/coordination/granting.py
@@ -12,11 +12,14 @@
     UnknownPlacement,
     best_fit,
     policy_named,
+    policy_names,
 )
+from apricotlead.coordination.preemption_claims import PreemptionClaims
 from apricotlead.coordination.quarantine import Quarantine
 from apricotlead.protocol.config import Preset
 from apricotlead.protocol.peers import Grant
 from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.signals import Note
 from apricotlead.state.capacity_ledger import CapacityLedger, OwnedWorker
 from apricotlead.state.session_view import SessionView
 
@@ -42,10 +45,12 @@
 
     __slots__ = (
         '_bounds',
+        '_claims',
         '_holds',
         '_ledger',
         '_policies',
         '_quarantine',
+        '_unknown_names',
         '_view',
     )
 
@@ -57,8 +62,11 @@
         quarantine: Quarantine,
         holds: CapacityHolds,
         policies: PolicySource,
+        claims: PreemptionClaims,
     ) -> None:
         """Keep what decides about a grant."""
+        self._claims = claims
+        self._unknown_names: dict[str, bool] = {}
         self._bounds = bounds
         self._view = view
         self._ledger = ledger
@@ -85,12 +93,13 @@
         return grants
 
     def _place_each(self, request: OpenRequest, now: float) -> list[Grant]:
-        preset = self._preset_for(request)
-        policy = _policy_of(preset)
-        avoid = self._avoided_by(request)
+        preset = self.preset_for(request)
+        policy = self._policy_of(preset)
+        avoid = self.avoided_by(request)
         grants = []
         for attempt_id, demand in _largest_first(request):
-            worker = self._choose(policy, demand, preset, avoid, now)
+            avoided = avoid | self._claims.held_from(attempt_id)
+            worker = self._choose(policy, demand, preset, avoided, now)
             if worker is not None:
                 grants.append(self._book(worker, attempt_id, demand, now))
             elif request.whole:
@@ -152,6 +161,23 @@
         )
         return self._not_after_s(worker, now) - latest_clock_s
 
+    def take_notes(self) -> list[Note]:
+        """Return one note for each unknown policy name met so far."""
+        notes = []
+        for name, is_noted in self._unknown_names.items():
+            if not is_noted:
+                self._unknown_names[name] = True
+                notes.append(_unknown_policy(name))
+        return notes
+
+    def _policy_of(self, preset: Preset) -> Policy:
+        """Return the policy; an unknown name must not stop the work."""
+        try:
+            return policy_named(preset.placement)
+        except UnknownPlacement:
+            self._unknown_names.setdefault(preset.placement, False)
+            return best_fit
+
     def _cannot_fit(self, request: OpenRequest) -> bool:
         """Tell cheaply that a request that is served as a whole has no room."""
         if not request.whole:
@@ -159,14 +185,15 @@
         total = sum(request.open_by_attempt_id.values(), Resources())
         return not total.fits_in(self._ledger.total_free())
 
-    def _preset_for(self, request: OpenRequest) -> Preset:
+    def preset_for(self, request: OpenRequest) -> Preset:
         """Return the preset; favoured work may use the kept share too."""
         preset = self._policies.preset()
         if request.favoured and preset.reserved_fraction:
             return structs.replace(preset, reserved_fraction=0)
         return preset
 
-    def _avoided_by(self, request: OpenRequest) -> Collection[str]:
+    def avoided_by(self, request: OpenRequest) -> frozenset[str]:
+        """Return the workers that the request may not or shall not use."""
         message = request.message
         avoid = frozenset(message.avoid_workers)
         if message.gang:
@@ -178,12 +205,11 @@
         return avoid | self._holds.worker_ids
 
 
-def _policy_of(preset: Preset) -> Policy:
-    """Return the preset's policy; an unknown name must not stop the work."""
-    try:
-        return policy_named(preset.placement)
-    except UnknownPlacement:
-        return best_fit
+def _unknown_policy(name: str) -> Note:
+    return Note(
+        'the preset names an unknown placement policy; best_fit is used',
+        {'placement': name, 'known': policy_names()},
+    )
 
 
 def _largest_first(request: OpenRequest) -> list[tuple[str, Resources]]:
--- a/src/apricotlead/coordination/parked_requests.py
+++ b/src/apricotlead/coordination/parked_requests.py
@@ -85,6 +85,11 @@
         queue[request.key] = request
         heappush(self._deadlines, (request.deadline_s, request.key))
 
+    def request_of(self, attempt_id: str) -> OpenRequest | None:
+        """Return the parked request that wants this attempt."""
+        key = self._keys_by_attempt_id.get(attempt_id)
+        return self._requests_by_key.get(key) if key else None
+
     def remove(self, request: OpenRequest) -> None:
         """Take a request out, if it is parked."""
         if self._requests_by_key.pop(request.key, None) is None:
--- a/src/apricotlead/coordination/reservations.py
+++ b/src/apricotlead/coordination/reservations.py
@@ -15,7 +15,6 @@
 from apricotlead.coordination.fair_share import (
     PolicySource,
     RecentGrants,
-    ShareSource,
     team_share,
     team_weight,
 )
@@ -25,6 +24,15 @@
     ParkedRequests,
     RequestKey,
 )
+from apricotlead.coordination.preemption import (
+    PreemptionSettings,
+    Preemptor,
+)
+from apricotlead.coordination.preemption_claims import PreemptionClaims
+from apricotlead.coordination.preemption_shares import (
+    ActiveShares,
+    PreemptionShares,
+)
 from apricotlead.coordination.quarantine import Quarantine
 from apricotlead.protocol.peers import (
     CapacityGranted,
@@ -66,6 +74,7 @@
     gossip_lag_s: float = 0.5
     bounds: GrantBounds = GrantBounds()
     holds: HoldSettings = HoldSettings()
+    preemption: PreemptionSettings = PreemptionSettings()
 
 
 class ReservationDesk(Component):
@@ -78,12 +87,14 @@
 
     name: ClassVar[str] = 'reservation_desk'
     __slots__ = (
+        '_claims',
         '_requests_by_key',
         '_granter',
         '_holds',
         '_ledger',
         '_parked',
         '_policies',
+        '_preemptor',
         '_quarantine',
         '_recent',
         '_settings',
@@ -100,7 +111,7 @@
         ledger: CapacityLedger,
         quarantine: Quarantine,
         policies: PolicySource,
-        usage: ShareSource,
+        usage: ActiveShares,
     ) -> None:
         """Begin with nothing granted or parked."""
         self._settings = settings
@@ -111,6 +122,19 @@
         self._usage = usage
         self._parked = ParkedRequests()
         self._holds = CapacityHolds(settings.holds, ledger)
+        self._claims = PreemptionClaims()
+        self._preemptor = Preemptor(
+            settings.preemption,
+            view,
+            ledger,
+            self._claims,
+            PreemptionShares(
+                settings.preemption.shares,
+                ledger,
+                policies,
+                usage,
+            ),
+        )
         self._granter = Granter(
             settings.bounds,
             view,
@@ -118,6 +142,7 @@
             quarantine,
             self._holds,
             policies,
+            self._claims,
         )
         self._recent = RecentGrants(settings.gossip_lag_s)
         self._requests_by_key: dict[RequestKey, OpenRequest] = {}
@@ -144,9 +169,11 @@
                 message.priority == 'urgent',
                 now,
             )
+        self._preemptor.asked(request)
         return (
             *self._serve(request, now),
             *self._park_or_refuse(request, now),
+            *self._granter.take_notes(),
         )
 
     @handles(ReleaseGrants)
@@ -172,9 +199,10 @@
         produced: list[Signal] = []
         for request in self._parked.expired(now):
             produced.extend(self._refuse(request))
+        workers = self._preemptor.advance(now)
         if self._holds.advance(now):
             workers = tuple(self._ledger.workers_by_id)
-            produced.extend(self._serve_parked_on(workers, now))
+        produced.extend(self._serve_parked_on(workers, now))
         return produced
 
     @handles(PeersChanged, PeerLapsed)
@@ -184,7 +212,9 @@
         Their grants stay until ``not_after_s``, because a home that is only
         paused can still have starts on the way.
         """
-        self._parked.keep_homes(frozenset(self._view.live_ids()))
+        live_ids = frozenset(self._view.live_ids())
+        self._parked.keep_homes(live_ids)
+        self._preemptor.forget_homes(live_ids)
         return ()
 
     @handles(SessionLost)
@@ -193,6 +223,7 @@
         self._parked = ParkedRequests()
         self._requests_by_key.clear()
         self._holds.clear()
+        self._claims.clear()
         return ()
 
     def dump(self, now: float) -> dict[str, Any]:
@@ -201,6 +232,7 @@
             'parked': len(self._parked),
             'answers': len(self._requests_by_key),
             'held_workers': sorted(self._holds.worker_ids),
+            'preemption': self._preemptor.dump(now),
         }
 
     def _is_live(self, session_id: str) -> bool:
@@ -229,6 +261,7 @@
             return ()
         team = request.message.team
         for grant in grants:
+            self._claims.end(grant.attempt_id)
             self._recent.add(team, demands_by_id[grant.attempt_id], now)
         self._shares_by_team.pop(team, None)
         request.grants.extend(grants)
@@ -244,10 +277,17 @@
     ) -> Iterable[Signal]:
         if not request.open_by_attempt_id:
             return ()
+        self._preemptor.in_vain(request, now)
         if request.deadline_s <= now or not self._view.is_valid(now):
             return self._refuse(request)
+        stops = self._preemptor.preempt(
+            request,
+            self._granter.preset_for(request),
+            self._granter.avoided_by(request),
+            now,
+        )
         self._parked.park(request)
-        return ()
+        return stops
 
     def _refuse(self, request: OpenRequest) -> Iterable[Signal]:
         """Refuse all that was not granted."""
@@ -334,9 +374,21 @@
             return ()
         produced: list[Signal] = []
         for worker_id in worker_ids:
+            produced.extend(self._serve_claimant(worker_id, now))
             produced.extend(self._serve_parked(worker_id, now))
         return produced
 
+    def _serve_claimant(self, worker_id: str, now: float) -> Iterable[Signal]:
+        """Serve the request for which the worker's room is kept."""
+        claim = self._claims.on(worker_id)
+        request = self._parked.request_of(claim.attempt_id) if claim else None
+        if request is None:
+            return ()
+        before = tuple(request.open_by_attempt_id)
+        produced = tuple(self._serve(request, now))
+        self._parked.answered(request, before)
+        return produced
+
     def _serve_parked(self, worker_id: str, now: float) -> Iterable[Signal]:
         """Serve parked requests while the worker has room for any."""
         produced: list[Signal] = []
--- a/src/apricotlead/state/capacity_ledger.py
+++ b/src/apricotlead/state/capacity_ledger.py
@@ -9,6 +9,7 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.workers import AttemptReport, HeartbeatReply
 from apricotlead.state.free_index import FreeIndex
+from apricotlead.state.preemptible import Preemptible, list_preemptible
 
 _NOTHING = Resources()
 
@@ -26,7 +27,8 @@
 
     ``clock_s`` is the worker's clock in the latest reply, which came in at
     ``replied_at_s`` on the own clock. ``charges_by_id`` has what each running
-    attempt of that reply occupies. ``blocks`` are the reasons why the worker
+    attempt of that reply occupies, and ``preemptible_by_id`` those of them
+    that may be stopped for other work. ``blocks`` are the reasons why the worker
     gets no new grants. ``boot_id`` is empty before the first reply.
     """
 
@@ -41,6 +43,7 @@
     charges_by_id: dict[str, Resources] = field(default_factory=dict)
     grants_by_id: dict[str, OutstandingGrant] = field(default_factory=dict)
     blocks: frozenset[str] = frozenset()
+    preemptible_by_id: dict[str, Preemptible] = field(default_factory=dict)
 
     def is_open(self) -> bool:
         """Tell whether the worker may get new grants."""
@@ -124,6 +127,11 @@
         worker.replied_at_s = now
         worker.capacity = reply.capacity
         self._replace_attempts(worker, reply.attempts)
+        worker.preemptible_by_id = list_preemptible(
+            worker.preemptible_by_id,
+            reply.attempts,
+            now,
+        )
         self._refresh(worker)
         return worker.is_open() and not worker.free.fits_in(before)
 
@@ -278,12 +286,13 @@
 def _put(index: FreeIndex, worker: OwnedWorker, fraction: float) -> None:
     free = worker.free
     if fraction:
-        free -= _reserved(worker.capacity, fraction)
+        free -= reserved_part(worker.capacity, fraction)
     accelerated = worker.capacity.accelerators > 0
     index.put(worker.worker_id, free, accelerated)
 
 
-def _reserved(capacity: Resources, fraction: float) -> Resources:
+def reserved_part(capacity: Resources, fraction: float) -> Resources:
+    """Return the part of a worker that a preset keeps, rounded down."""
     return Resources(
         int(capacity.cpu_millis * fraction),
         int(capacity.memory_mb * fraction),
--- a/src/apricotlead/state/usage_table.py
+++ b/src/apricotlead/state/usage_table.py
@@ -83,6 +83,16 @@
             return 0.0
         return total.running.dominant_fraction(self._capacity) / weight
 
+    def active_teams(self, now: float) -> tuple[str, ...]:
+        """Return the teams that run or wait anywhere."""
+        self._drop_old(now)
+        idle = TeamLoad()
+        return tuple(
+            team
+            for team, total in self._totals_by_team.items()
+            if total != idle
+        )
+
     def waiting_teams(self, now: float) -> dict[str, Resources]:
         """Return the demand that waits fleet-wide, by team."""
         self._drop_old(now)
--- a/tests/capacity_rig.py
+++ b/tests/capacity_rig.py
@@ -27,6 +27,7 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.signals import (
     CallWorker,
+    Note,
     PeerReceived,
     Tick,
     WorkerClaimed,
@@ -67,6 +68,10 @@
         """Return the share over weight."""
         return self.shares_by_team.get(team, 0) / weight
 
+    def active_teams(self, now):
+        """Return the teams with a share."""
+        return tuple(self.shares_by_team)
+
 
 class FakeDirectory:
     """The list of workers."""
@@ -84,6 +89,8 @@
         self.began_s = 100.0
         self.now = self.began_s
         self.released_ids = set()
+        self.traits_by_id = {}
+        self.notes = []
         self.view = SessionView('owner', 'here')
         self.view.lease_end_s = 1e6
         self.view.peers_by_id[HOME] = PeerSession(HOME, '127.0.0.1:1', 'here')
@@ -119,7 +126,9 @@
 
     def deliver(self, signal):
         """Deliver one signal at the present time."""
-        return self.scheduler.deliver(signal, self.now)
+        effects = self.scheduler.deliver(signal, self.now)
+        self.notes.extend(one for one in effects if isinstance(one, Note))
+        return effects
 
     def tick(self, seconds=0):
         """Let time pass and deliver one tick."""
@@ -143,7 +152,12 @@
             for attempt_id, grant in worker.grants_by_id.items()
         } | worker.charges_by_id
         reports = tuple(
-            AttemptReport(attempt_id, 'running', demand=demand)
+            AttemptReport(
+                attempt_id,
+                'running',
+                demand=demand,
+                traits=self.traits_by_id.get(attempt_id),
+            )
             for attempt_id, demand in demands.items()
             if attempt_id not in self.released_ids
         )
--- a/tests/model_worker.py
+++ b/tests/model_worker.py
@@ -28,6 +28,7 @@
         self.running = {}
         self.ended = {}
         self.seen_ids = set()
+        self.traits_by_id = {}
 
     @property
     def boot_id(self):
@@ -64,7 +65,12 @@
             self.boot_id,
             self.capacity,
             tuple(
-                AttemptReport(attempt_id, state, demand=demand)
+                AttemptReport(
+                    attempt_id,
+                    state,
+                    demand=demand,
+                    traits=self.traits_by_id.get(attempt_id),
+                )
                 for state, demands in listed.items()
                 for attempt_id, demand in demands.items()
             ),
--- a/tests/test_capacity_fuzz.py
+++ b/tests/test_capacity_fuzz.py
@@ -13,6 +13,7 @@
     CapacityGranted,
     CapacityRefused,
     ReleaseGrants,
+    RelieveWorker,
 )
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.signals import (
@@ -22,6 +23,7 @@
     WorkerClaimed,
     WorkerReplied,
 )
+from apricotlead.protocol.workers import AttemptTraits
 from tests.capacity_rig import CapacityRig, messages_of
 from tests.model_worker import LOST, ModelWorker
 
@@ -30,6 +32,7 @@
 _CAPACITY = Resources(4000, 4096, 2)
 _RATES = (1.02,)
 _CPU = st.sampled_from((500, 1500, 3000, 4000))
+_TRAITS = AttemptTraits('team', preemptible=True)
 _PICK = st.integers(0, 1000)
 _OWNER = st.integers(0, 1)
 
@@ -70,6 +73,7 @@
         self.calls = []
         self.replies = []
         self.starts = []
+        self.stops = []
         self.unsent = {}
         self.demands_by_id = {}
         self.workers = {
@@ -99,6 +103,8 @@
                 known = grant.attempt_id in self.unsent
                 assert not known or self.unsent[grant.attempt_id][1] == grant
                 self.unsent[grant.attempt_id] = (owner, grant)
+        elif isinstance(message, RelieveWorker):
+            self.stops.append(message)
         else:
             assert isinstance(message, CapacityRefused)
 
@@ -116,8 +122,9 @@
         tasks=st.integers(1, 4),
         gang=st.booleans(),
         park_s=st.sampled_from((0, 0.3)),
+        urgent=st.booleans(),
     )
-    def ask(self, right, cpu, tasks, gang, park_s):
+    def ask(self, right, cpu, tasks, gang, park_s, urgent):
         """Ask an owner for room, perhaps not the right one."""
         at = self.owners.index(self.owner)
         owner = self.owners[at if right else 1 - at]
@@ -136,6 +143,7 @@
             tasks=tasks,
             gang=gang,
             park_s=park_s,
+            priority='urgent' if urgent else 'normal',
         ):
             self.hear(owner, message)
 
@@ -155,7 +163,7 @@
             self.healthy_time(after_s)
         else:
             self.renew(self.owners.index(self.owner))
-        self.ask(True, cpu, tasks, False, 0)
+        self.ask(True, cpu, tasks, False, 0, False)
         for attempt_id in sorted(self.unsent):
             self.starts.append(self.unsent.pop(attempt_id))
             self.start_arrives(-1, False)
@@ -206,9 +214,21 @@
             self.starts.pop(at)
         worker = self.workers[grant.worker_id]
         demand = self.demands_by_id[grant.attempt_id]
+        worker.traits_by_id[grant.attempt_id] = _TRAITS
         if not worker.start(grant, demand, self.now):
             self.release(owner, grant.attempt_id)
 
+    @precondition(lambda machine: machine.stops)
+    @rule(pick=_PICK, tells=st.booleans())
+    def home_stops(self, pick, tells):
+        """Stop an attempt as an owner asks; tell it at once or never."""
+        stop = self.stops.pop(pick % len(self.stops))
+        worker = self.workers[stop.worker_id]
+        if stop.attempt_id in worker.running:
+            worker.end(stop.attempt_id)
+        if tells:
+            self.release(self.owner, stop.attempt_id)
+
     @rule(pick=_PICK)
     def attempt_ends(self, pick):
         """Let an attempt end; its home is told and releases it."""
