Let the capacity fuzz preempt often and catch room given out early

Cause: the fuzz reached a preemption 7 times in a whole run, and did not notice a desk that gives out the room of an attempt when its stop is sent.

Ruled out: more examples; a full worker followed by urgent work is too rare among random rules, so a rule of its own makes it.

Before and after: 'pytest tests/test_capacity_fuzz.py': stops carried out 7 before, 174 with the new rule. With that fault in a scratch copy it passed before and now fails (4500 of 4000 cpu_millis in use); the real code passes.

Conclusion: I1 is checked with preemption under all faults of the fuzz.

--- a/tests/test_capacity_fuzz.py
+++ b/tests/test_capacity_fuzz.py
@@ -218,6 +218,29 @@
         if not worker.start(grant, demand, self.now):
             self.release(owner, grant.attempt_id)
 
+    @rule(cpu=_CPU, starts=st.booleans())
+    def preempt(self, cpu, starts):
+        """Fill the worker, ask for urgent work, perhaps start it at once."""
+        self.healthy_time(1.0)
+        self.run_at_once(1000, 4, 0)
+        self.healthy_time(1.0)
+        self.ask(True, cpu, 1, False, 0.3, True)
+        if starts:
+            # The home asks again before any attempt can have ended.
+            again = f'r{self.requests}'
+            self.demands_by_id[f'{again}.0.1-2'] = Resources(cpu, cpu // 2)
+            for message in self.owner.rig.ask(
+                again,
+                cpu,
+                cpu // 2,
+                at='2',
+                priority='urgent',
+            ):
+                self.hear(self.owner, message)
+            for attempt_id in sorted(self.unsent):
+                self.starts.append(self.unsent.pop(attempt_id))
+                self.start_arrives(-1, False)
+
     @precondition(lambda machine: machine.stops)
     @rule(pick=_PICK, tells=st.booleans())
     def home_stops(self, pick, tells):
