--- a/src/apricotlead_standins/attempts.py
+++ b/src/apricotlead_standins/attempts.py
@@ -106,6 +106,7 @@
             self.start.journal_id,
             self.start.task.demand,
             self.use_at(as_of_s),
+            traits=self.start.traits,
         )
 
     def listing(self, as_of_s: float) -> AttemptReport:
@@ -121,6 +122,7 @@
             self.start.journal_id,
             demand,
             Resources() if used.fits_in(demand) else used,
+            traits=self.start.traits,
         )
 
     def use_at(self, as_of_s: float) -> Resources:
--- a/tests/model_worker.py
+++ b/tests/model_worker.py
@@ -30,6 +30,7 @@
         self.seen_ids = set()
         self.listing = ()
         self.version = 1
+        self.traits_by_id = {}
 
     @property
     def boot_id(self):
@@ -62,7 +63,12 @@
         self.epoch = request.epoch
         listed = {'running': self.running, 'succeeded': self.ended}
         listing = tuple(
-            AttemptReport(attempt_id, state, demand=demand)
+            AttemptReport(
+                attempt_id,
+                state,
+                demand=demand,
+                traits=self.traits_by_id.get(attempt_id),
+            )
             for state, demands in listed.items()
             for attempt_id, demand in demands.items()
         )
