--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -42,6 +42,7 @@
 
 _ANSWER_WAIT_S = 10.0
 _DRAIN_POLL_S = 0.05
+_LAST_REQUESTS_S = 0.5
 
 
 class EntryInstance:
@@ -185,6 +186,9 @@
             if outcome is not None:
                 return outcome
 
+    def _is_busy(self) -> bool:
+        return bool(self.application.open_count) or not self._parts.is_drained()
+
     def _drain(self, server: HttpServer) -> None:
         """Refuse new requests, hand over what is kept, finish what is open.
 
@@ -198,9 +202,11 @@
         self._engine.deliver(Shutdown())
         pause(self._settings.drain_notice_s)
         server.stop()
-        finished = server.wait(ends_s - monotonic_now())
-        while monotonic_now() < ends_s and not self._parts.is_drained():
+        # Connections that were accepted last still bring their requests.
+        pause(_LAST_REQUESTS_S)
+        while monotonic_now() < ends_s and self._is_busy():
             pause(_DRAIN_POLL_S)
+        finished = not self._is_busy()
         self.peers.close()
         self.log(message_type='apricotlead:stopped', finished=finished)
 
--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -3,17 +3,20 @@
 import signal
 from collections.abc import Callable, Iterable
 from functools import partial
+from select import select
 from typing import Any
 
 import eventlet
 from eventlet import GreenPile, wsgi
 from eventlet.event import Event
 
+_MAX_ACCEPT_POLLS = 1000
+
 
 class HttpServer:
     """Serves a WSGI application in the background until it is stopped."""
 
-    __slots__ = ('_listener', '_thread')
+    __slots__ = ('_listener',)
 
     def __init__(
         self,
@@ -23,7 +26,7 @@
     ) -> None:
         """Listen on ``address`` (``IP:port``, port 0 for any free one)."""
         self._listener = eventlet.listen(split_address(address))
-        self._thread = eventlet.spawn(
+        eventlet.spawn_n(
             wsgi.server,
             self._listener,
             application,
@@ -38,20 +41,23 @@
         return '{}:{}'.format(*self._listener.getsockname())
 
     def stop(self) -> None:
-        """Accept no more connections; open requests go on to their end.
+        """Accept no more connections; those that are open go on.
 
         New connections are refused, which tells their callers that nothing
-        ran. Connections without a request are closed.
+        ran. The server's own way to stop is not used: it would also close
+        connections that were accepted but whose request was not read yet.
         """
-        # The server leaves its accept loop on SystemExit, closes idle
-        # connections and waits for the others.
-        eventlet.kill(self._thread, SystemExit)
-
-    def wait(self, timeout_s: float) -> bool:
-        """Wait for the open requests; tell whether all have ended."""
-        with eventlet.Timeout(timeout_s, exception=False):
-            self._thread.wait()
-        return self._thread.dead
+        # A connection that still waits to be accepted when the listener
+        # closes is reset, and its caller cannot know whether anything ran.
+        for _ in range(_MAX_ACCEPT_POLLS):
+            if not self._has_waiting_connection():
+                break
+            eventlet.sleep(0)
+        self._listener.close()
+
+    def _has_waiting_connection(self) -> bool:
+        readable, _, _ = select([self._listener.fileno()], [], [], 0)
+        return bool(readable)
 
 
 class StopRequest:
