Refuse presets with an unknown placement policy

Cause: an unknown policy name fell back to best_fit, so an operator's typing error changed the placement without a word.

Ruled out: checking it in the state layer, which must not import decisions.

Before and after: 'pytest tests/test_config_keeper.py' fails on the new row of its table without the check, and passes with it.

Conclusion: the settings check also refuses a preemption hold that outlasts the request it is for.

--- a/src/apricotlead/coordination/config_keeper.py
+++ b/src/apricotlead/coordination/config_keeper.py
@@ -18,7 +18,14 @@
     log_key,
     rows_by_key,
 )
-from apricotlead.protocol.config import ChangeRequest, LoggedChange
+from apricotlead.coordination.placement import policy_names
+from apricotlead.protocol.config import (
+    CellConfig,
+    ChangeRequest,
+    ConfigChange,
+    LoggedChange,
+    PutPreset,
+)
 from apricotlead.protocol.errors import (
     ApricotleadError,
     BadInput,
@@ -406,7 +413,7 @@
 
     def _is_valid(self, waiting: _Waiting) -> bool:
         try:
-            apply_change(self._config_view.config, waiting.request.change)
+            _apply(self._config_view.config, waiting.request.change)
         except BadInput:
             return False
         return True
@@ -418,7 +425,7 @@
     def _begin_commit(self, waiting: _Waiting, now: float) -> Signal:
         change = waiting.request.change
         try:
-            changed = apply_change(self._config_view.config, change)
+            changed = _apply(self._config_view.config, change)
         except BadInput as error:
             return Answer(waiting.ticket, NotRun(error))
         token = self._next_token(_COMMIT)
@@ -527,3 +534,19 @@
         return NotRun(VersionConflict(head.version))
     # The log row that would tell who wrote this version is deleted already.
     return MayHaveRun(OutcomeUnknown('The change may have been committed.'))
+
+
+def _apply(config: CellConfig, change: ConfigChange) -> CellConfig:
+    """Return the configuration after a checked change.
+
+    The state layer does not know the placement policies, so their names are
+    checked here.
+    """
+    if isinstance(change, PutPreset):
+        placement = change.preset.placement
+        if placement not in policy_names():
+            known = ', '.join(policy_names())
+            raise BadInput(
+                f'preset.placement {placement!r} is not one of {known}.',
+            )
+    return apply_change(config, change)
--- a/src/apricotlead/settings.py
+++ b/src/apricotlead/settings.py
@@ -131,6 +131,14 @@
                 'reservations.bounds.ttl_s, or an attempt could count as lost '
                 'while its start is still accepted.',
             )
+        if self.reservations.preemption.hold_s >= (
+            self.dispatch.request_timeout_s
+        ):
+            raise SettingsError(
+                'reservations.preemption.hold_s must be less than '
+                'dispatch.request_timeout_s, or room is kept for a request '
+                'that its home has given up.',
+            )
         longest_s = self.lookups.longest_deadline_s
         if longest_s >= self.sessions.session_ttl_s:
             raise SettingsError(
--- a/tests/test_config_keeper.py
+++ b/tests/test_config_keeper.py
@@ -42,6 +42,7 @@
     ChoosePreset('unknown'),
     PutPreset(Preset('unknown')),
     PutPreset(Preset('peak', reserved_fraction=1.0)),
+    PutPreset(Preset('peak', placement='unknown')),
 )
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -19,6 +19,7 @@
             ({'operator_key_digest': 'secret'}, 'operator_key_digest'),
             ({'leases': {'max_drift': 0.5}}, 'max_drift'),
             ({'leases': {'grant_ttl_s': 1}}, 'grant_ttl_s'),
+            ({'dispatch': {'request_timeout_s': 0.5}}, 'hold_s'),
             ({'lookups': {'longest_deadline_s': 9.0}}, 'longest_deadline_s'),
         )
         for change, named in table:
