State what clients and placement need of others once

Cause: the same protocols stood in several modules (found with duplicates).

Ruled out: sharing the message structs with the stand-ins; they must not know the library, so that a fault in a message shows.

Conclusion: one place each.

--- a/src/apricotlead/coordination/dispatcher.py
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict, deque
 from collections.abc import Iterable
 from heapq import heapify, heappop, heappush
-from typing import Any, ClassVar, Protocol
+from typing import Any, ClassVar
 
 from msgspec import Struct
 
@@ -15,8 +15,9 @@
     Lane,
     Pending,
 )
+from apricotlead.coordination.fair_share import PolicySource, ShareSource
 from apricotlead.coordination.owner_choice import OwnerChoice
-from apricotlead.protocol.config import CellConfig, Preset
+from apricotlead.coordination.unit_pool import UnitPool
 from apricotlead.protocol.jobs import AttemptState
 from apricotlead.protocol.peers import (
     CapacityGranted,
@@ -84,47 +85,6 @@
     message_demands: int = 64
 
 
-class TeamLimits(Protocol):
-    """The part of the allotments that is needed."""
-
-    def try_take(
-        self,
-        team: str,
-        journal_id: str,
-        amount: int,
-        now: float,
-    ) -> bool:
-        """Take units if the allotment has them."""
-
-    def give_back(
-        self,
-        team: str,
-        journal_id: str,
-        amount: int,
-        now: float,
-    ) -> None:
-        """Return units."""
-
-    def restore(self, team: str, journal_id: str, in_use: int) -> None:
-        """Set the units in use of an adopted journal."""
-
-
-class ShareView(Protocol):
-    """The part of the usage table that is needed."""
-
-    def share_of(self, team: str, weight: float, now: float) -> float:
-        """Return the team's dominant share divided by its weight."""
-
-
-class PolicyView(Protocol):
-    """The part of the configuration view that is needed."""
-
-    config: CellConfig
-
-    def preset(self) -> Preset:
-        """Return the preset in force."""
-
-
 class _Held(Struct, frozen=True):
     """A granted attempt: its unit, and the owner who granted it.
 
@@ -219,9 +179,9 @@
         settings: DispatchSettings,
         table: JobTable,
         view: SessionView,
-        policy: PolicyView,
-        shares: ShareView,
-        limits: TeamLimits,
+        policy: PolicySource,
+        shares: ShareSource,
+        limits: UnitPool,
         rng: RandomSource,
     ) -> None:
         """Begin without work."""
@@ -257,9 +217,9 @@
         settings: DispatchSettings,
         table: JobTable,
         view: SessionView,
-        policy: PolicyView,
-        shares: ShareView,
-        limits: TeamLimits,
+        policy: PolicySource,
+        shares: ShareSource,
+        limits: UnitPool,
         rng: RandomSource,
     ) -> 'Dispatcher':
         """Return a dispatcher for these settings."""
--- a/src/apricotlead/coordination/lookups.py
+++ b/src/apricotlead/coordination/lookups.py
@@ -13,6 +13,7 @@
     RetryBudgetSettings,
 )
 from apricotlead.coordination.service_routing import ServiceRouter
+from apricotlead.coordination.unit_pool import UnitPool
 from apricotlead.protocol.errors import (
     ApricotleadError,
     LimitReached,
@@ -57,28 +58,6 @@
         """Return the team, empty for an open queue, or raise."""
 
 
-class UnitPool(Protocol):
-    """The part of the allotments that lookups need."""
-
-    def try_take(
-        self,
-        team: str,
-        journal_id: str,
-        amount: int,
-        now: float,
-    ) -> bool:
-        """Take units of the team's limit."""
-
-    def give_back(
-        self,
-        team: str,
-        journal_id: str,
-        amount: int,
-        now: float,
-    ) -> None:
-        """Return units."""
-
-
 @dataclass(frozen=True, slots=True)
 class SendTo:
     """Send the request to this executor and wait at most ``timeout_s``.
--- a/src/apricotlead/transport/executor_client.py
+++ b/src/apricotlead/transport/executor_client.py
@@ -1,6 +1,5 @@
 """Sends service requests to executors over HTTP."""
 
-from typing import Protocol
 from uuid import uuid4
 
 from apricotlead.coordination.lookups import ReadClock, SendTo
@@ -14,7 +13,7 @@
 from apricotlead.transport.http_pool import (
     Answered,
     HttpCall,
-    HttpResult,
+    HttpCaller,
     NeverSent,
 )
 
@@ -33,13 +32,6 @@
 _DEFAULT_RETRY_S = 0.1
 
 
-class Caller(Protocol):
-    """What the client needs of :class:`HttpPool`."""
-
-    def call(self, request: HttpCall) -> HttpResult:
-        """Send a request and wait for its answer."""
-
-
 class ExecutorClient:
     """Sends each request once, under an identifier of its own.
 
@@ -50,7 +42,7 @@
 
     __slots__ = ('_pool',)
 
-    def __init__(self, pool: Caller) -> None:
+    def __init__(self, pool: HttpCaller) -> None:
         """Send through ``pool``."""
         self._pool = pool
 
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -1,5 +1,7 @@
 """HTTP calls that many green threads share."""
 
+from typing import Protocol
+
 import eventlet
 from eventlet.patcher import import_patched
 from msgspec import Struct
@@ -59,6 +61,13 @@
 HttpResult = NeverSent | Answered | NoAnswer
 
 
+class HttpCaller(Protocol):
+    """What the clients need of :class:`HttpPool`."""
+
+    def call(self, request: HttpCall) -> HttpResult:
+        """Send a request and wait for its answer."""
+
+
 class HttpPool:
     """Keeps connections open between calls.
 
--- a/src/apricotlead/transport/platform_client.py
+++ b/src/apricotlead/transport/platform_client.py
@@ -1,6 +1,6 @@
 """The platform's table service, object store and list of instances."""
 
-from typing import Any, Protocol
+from typing import Any
 from urllib.parse import quote
 
 from msgspec import MsgspecError, Struct
@@ -18,6 +18,7 @@
 from apricotlead.transport.http_pool import (
     Answered,
     HttpCall,
+    HttpCaller,
     HttpResult,
     NeverSent,
 )
@@ -44,13 +45,6 @@
     prefix: str
 
 
-class Caller(Protocol):
-    """What the client needs of :class:`HttpPool`."""
-
-    def call(self, request: HttpCall) -> HttpResult:
-        """Send a request and wait for its answer."""
-
-
 class PlatformClient:
     """Calls the platform at one address; each method waits for the answer.
 
@@ -62,7 +56,7 @@
 
     def __init__(
         self,
-        pool: Caller,
+        pool: HttpCaller,
         address: str,
         timeout_s: float = 2.0,
     ) -> None:
--- a/src/apricotlead/transport/worker_client.py
+++ b/src/apricotlead/transport/worker_client.py
@@ -1,7 +1,5 @@
 """Calls to workers."""
 
-from typing import Protocol
-
 from msgspec import MsgspecError
 from msgspec.json import Decoder, encode
 
@@ -20,7 +18,7 @@
 from apricotlead.transport.http_pool import (
     Answered,
     HttpCall,
-    HttpResult,
+    HttpCaller,
     NeverSent,
 )
 
@@ -39,19 +37,12 @@
 }
 
 
-class Caller(Protocol):
-    """What the client needs of :class:`HttpPool`."""
-
-    def call(self, request: HttpCall) -> HttpResult:
-        """Send a request and wait for its answer."""
-
-
 class WorkerClient:
     """Sends requests to workers, each once."""
 
     __slots__ = ('_pool',)
 
-    def __init__(self, pool: Caller) -> None:
+    def __init__(self, pool: HttpCaller) -> None:
         """Send through ``pool``."""
         self._pool = pool
 
