--- a/src/apricotlead/coordination/lookups.py
+++ b/src/apricotlead/coordination/lookups.py
@@ -111,6 +111,7 @@
         '_ran_maybe',
         '_request',
         '_tried_ids',
+        'journal_id',
         'team',
     )
 
@@ -119,9 +120,13 @@
         desk: 'LookupDesk',
         request: LookupRequest,
         team: str,
+        journal_id: str,
         ends_s: float,
     ) -> None:
-        """Begin before the first try."""
+        """Begin before the first try.
+
+        The unit that the lookup uses is one of ``team`` in ``journal_id``.
+        """
         self._desk = desk
         self._request = request
         self._ends_s = ends_s
@@ -129,6 +134,7 @@
         self._ran_maybe = False
         self._chosen: Instance | None = None
         self.team = team
+        self.journal_id = journal_id
 
     @property
     def ends_s(self) -> float:
@@ -247,7 +253,7 @@
         self._gate = gate
         self._units = units
         self._budget = RetryBudget.from_config(settings.retries)
-        self._held: list[tuple[float, str]] = []
+        self._held: list[tuple[float, str, str]] = []
         self._journal_id = ''
         self.router = router
         self.open_count = 0
@@ -276,15 +282,16 @@
         wait_s = min(wait_s, self._settings.longest_deadline_s)
         self._budget.request_sent()
         self.open_count += 1
-        return Lookup(self, request, team, now + wait_s)
+        return Lookup(self, request, team, self._journal_id, now + wait_s)
 
     def close(self, lookup: Lookup, now: float) -> None:
         """Return the unit: now, or when no executor can work on it."""
         self.open_count -= 1
+        unit = (lookup.team, lookup.journal_id)
         if lookup.may_still_run:
-            heappush(self._held, (lookup.ends_s, lookup.team))
+            heappush(self._held, (lookup.ends_s, *unit))
             return
-        self._units.give_back(lookup.team, self._journal_id, 1, now)
+        self._units.give_back(*unit, 1, now)
 
     def may_retry(self, tries: int) -> bool:
         """Spend a retry if the request and the budget have one left."""
@@ -315,8 +322,8 @@
     def on_tick(self, signal: Tick, now: float) -> Iterable[Signal]:
         """Return the units of lookups that can no longer run."""
         while self._held and self._held[0][0] <= now:
-            _, team = heappop(self._held)
-            self._units.give_back(team, self._journal_id, 1, now)
+            _, team, journal_id = heappop(self._held)
+            self._units.give_back(team, journal_id, 1, now)
         self.router.forget_absent()
         return ()
 
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -27,7 +27,7 @@
 )
 from apricotlead.protocol.instances import Instance
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun
-from apricotlead.protocol.signals import Tick
+from apricotlead.protocol.signals import JournalOpened, Tick
 from apricotlead.state.cell_directory import CellDirectory
 from apricotlead.state.session_view import SessionView
 
@@ -65,6 +65,7 @@
     def __init__(self, limit):
         """Begin with ``limit`` units free."""
         self.free = limit
+        self.returned_journals = []
 
     def try_take(self, team, journal_id, amount, now):
         """Take units if there are enough."""
@@ -76,6 +77,7 @@
     def give_back(self, team, journal_id, amount, now):
         """Return units."""
         self.free += amount
+        self.returned_journals.append(journal_id)
 
 
 class LookupCase(TestCase):
@@ -225,6 +227,14 @@
         self.desk.close(lookup, 0)
         self.open()
 
+    def test_unit_goes_back_to_the_journal_it_came_from(self):
+        """A new session's lookups must not lose their count to old ones."""
+        self.desk.on_journal_opened(JournalOpened('old', 1), 0)
+        lookup = self.open()
+        self.desk.on_journal_opened(JournalOpened('new', 1), 0)
+        self.desk.close(lookup, 0)
+        self.assertEqual(['old'], self.units.returned_journals)
+
     def test_unknown_outcome_holds_its_unit_until_the_deadline(self):
         """The executor may still work on it."""
         lookup = self.open(wait_s=1.0)
