--- a/src/apricotlead/coordination/allotments.py
+++ b/src/apricotlead/coordination/allotments.py
@@ -83,6 +83,7 @@
     name = 'allotments'
     __slots__ = (
         '_books_by_team',
+        '_closed_ids',
         '_config_view',
         '_epochs_by_journal',
         '_number',
@@ -112,6 +113,7 @@
         self._rng = rng
         self._number = 0
         self._books_by_team: dict[str, _TeamBook] = {}
+        self._closed_ids: set[str] = set()
         self._epochs_by_journal: dict[str, int] = {}
         self._read: tuple[Token, float] | None = None
         self._read_pacer = CallPacer(settings.burst_s)
@@ -148,6 +150,8 @@
         """
         if not team:
             return True
+        if journal_id in self._closed_ids:
+            return False
         book = self._book(team)
         account = self._account(book, journal_id)
         if self._may_take(book, account, journal_id, amount, now):
@@ -182,6 +186,7 @@
     def on_opened(self, opened: JournalOpened, now: float) -> Iterable[Signal]:
         """Keep accounts for the journal; look for those it brings along."""
         self._epochs_by_journal[opened.journal_id] = opened.epoch
+        self._closed_ids.discard(opened.journal_id)
         for team in self._config_view.config.teams_by_name:
             self._open_book(team)
         return ()
@@ -192,6 +197,10 @@
 
         What cannot be returned now is found by the sweep later.
         """
+        # One team's idle account keeps the journal known until its return is
+        # written. Another team's, whose units are in use and go to the
+        # adopter, must not be opened again: it would look idle.
+        self._closed_ids.add(closed.journal_id)
         valid = self._view.is_valid(now)
         for book in self._books_by_team.values():
             self._close(book, closed.journal_id, valid)
@@ -274,9 +283,15 @@
         book = self._book(team)
         book.sweep = True
         for journal_id in self._epochs_by_journal:
-            if self._is_own(journal_id):
+            if self._is_own(journal_id) and self._is_open_here(journal_id):
                 self._account(book, journal_id)
 
+    def _is_open_here(self, journal_id: str) -> bool:
+        return (
+            journal_id in self._epochs_by_journal
+            and journal_id not in self._closed_ids
+        )
+
     def _is_own(self, journal_id: str) -> bool:
         return self._epochs_by_journal.get(journal_id) == _OWN_EPOCH
 
@@ -459,7 +474,7 @@
         book.row = value
         book.row_version = row.version
         for journal_id in value.allotments:
-            if journal_id in self._epochs_by_journal:
+            if self._is_open_here(journal_id):
                 self._account(book, journal_id)
         self._note_wants(book, now)
         self._recompute(book)
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -197,6 +197,36 @@
         )
         self.assertEqual({}, row.value['wants'])
 
+    def test_units_in_use_stay_with_a_journal_that_is_handed_over(self):
+        """Guards against their return while another team's are returned.
+
+        Both teams have the journal; only the other team's account is idle.
+        """
+        members = self.start(2, 8)
+        member = members[0]
+        other = ChangeRequest(
+            member.config_view.version,
+            PutTeam(Team('team-b', 'org', limit=8)),
+        )
+        member.deliver(ChangeConfig(2, other), self.now)
+        self.now = run(members, self.now, 2)
+        for team, amount in ((TEAM, 3), ('team-b', 1)):
+            take = member.allotments.try_take
+            taken = take(team, member.journal_id, amount, self.now)
+            if not taken:
+                self.now = run(members, self.now, 1)
+                taken = take(team, member.journal_id, amount, self.now)
+            self.assertTrue(taken)
+        give_back = member.allotments.give_back
+        give_back('team-b', member.journal_id, 1, self.now)
+        # A read of both rows is under way when the journal is closed.
+        self.now += 2
+        member.tick(self.now)
+        member.deliver(JournalClosed(member.journal_id), self.now)
+        self.now = run(members, self.now, 10)
+        shares = self.table.row(f'limit/{TEAM}').value['allotments']
+        self.assertGreaterEqual(shares[member.journal_id]['units'], 3)
+
     def test_units_in_a_write_that_returns_them_are_not_taken(self):
         """Guards against a take while the row may no longer have the units."""
         member = self.start(1, 10)[0]
