--- /dev/null
+++ b/src/apricotlead/cell_settings.py
@@ -0,0 +1,100 @@
+"""The settings file of an entry instance of a cell."""
+
+from pathlib import Path
+from typing import Self
+
+import msgspec
+from msgspec import Struct, field
+
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.protocol.errors import ApricotleadError
+
+_MS_PER_S = 1000.0
+
+
+class CellSettingsError(ApricotleadError):
+    """The settings file of an entry instance cannot be used."""
+
+    kind = 'settings'
+    remedy = 'See docs/OPERATIONS.md for all settings and their defaults.'
+
+
+class CellEntrySettings(Struct, frozen=True, kw_only=True):
+    """All settings of an entry instance; addresses are ``IP:port``.
+
+    ``cpu_share`` of a core, ``cores`` times as fast, is this instance's
+    processor. A key that is taken away must stop working within
+    ``revoke_ms``. ``grace_s`` is the time between SIGTERM and SIGKILL.
+    ``longest_lease_ms`` is where workers cut a lease, ``keep_final_s`` how
+    long the state of a finished job is told.
+    """
+
+    instance_id: str
+    data_centre: str
+    callers_address: str
+    ready_address: str
+    peer_address: str
+    store_address: str
+    metrics_address: str = ''
+    advice_address: str = ''
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    grace_s: float = 6.0
+    revoke_ms: float = 5000.0
+    longest_lease_ms: float = 10000.0
+    far_slowdown: float = 1.5
+    keep_final_s: float = 120.0
+    max_connections: int = 2000
+    cell: CellSettings = field(default_factory=CellSettings)
+
+    @property
+    def view_bound_s(self) -> float:
+        """Return how long a configuration is believed unconfirmed.
+
+        A tenth of the revocation bound is kept for the answer's way.
+        """
+        return self.revoke_ms / _MS_PER_S * 0.9
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Read and check a YAML file; raise :class:`CellSettingsError`.
+
+        Unknown settings are ignored: a newer platform may add some.
+        """
+        try:
+            content = Path(path).read_bytes()
+        except OSError as error:
+            raise CellSettingsError(f'{path} cannot be read: {error}.') from error
+        try:
+            settings = msgspec.yaml.decode(content, type=cls)
+        except msgspec.MsgspecError as error:
+            raise CellSettingsError(f'{path} is wrong: {error}.') from error
+        settings.check()
+        return settings
+
+    def check(self) -> None:
+        """Raise :class:`CellSettingsError` naming all wrong settings."""
+        faults = [
+            f'{name} must be IP:port, not {getattr(self, name)!r}'
+            for name in (
+                'callers_address',
+                'ready_address',
+                'peer_address',
+                'store_address',
+            )
+            if not _is_address(getattr(self, name))
+        ]
+        longest_s = self.longest_lease_ms / _MS_PER_S
+        if self.cell.leases.longest_s > longest_s:
+            faults.append(
+                f'cell.leases.longest_s must be at most {longest_s}, '
+                'where workers cut a lease',
+            )
+        if faults:
+            raise CellSettingsError(f'{"; ".join(faults)}.')
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    numbers = host.split('.')
+    return port.isdecimal() and len(numbers) == 4
--- /dev/null
+++ b/src/apricotlead/coordination/cell/acceptance.py
@@ -0,0 +1,34 @@
+"""Checks on submissions before they are stored."""
+
+from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
+from apricotlead.protocol.errors import BadInput
+
+# A progress row holds all tasks of a job and must fit in a row of the store.
+MOST_TASKS = 1500
+
+
+def check_submission(submission: JobSubmission) -> None:
+    """Raise :class:`BadInput` naming the first fault of a submission."""
+    if not submission.steps:
+        raise BadInput('The job has no steps.')
+    if submission.task_count > MOST_TASKS:
+        raise BadInput(
+            f'The job has {submission.task_count} tasks; '
+            f'the most is {MOST_TASKS}.',
+        )
+    if submission.occurrences < 0 or (
+        submission.occurrences and submission.interval_ms < 0
+    ):
+        raise BadInput('Occurrences and their interval must not be negative.')
+    for index, step in enumerate(submission.steps):
+        _check_step(index, step)
+
+
+def _check_step(index: int, step: StepSpec) -> None:
+    if step.task_count < 1:
+        raise BadInput(f'Step {index} has no tasks.')
+    demand = step.demand
+    if min(demand.cpu_millis, demand.memory_mb, demand.accelerators) < 0:
+        raise BadInput(f'Step {index} asks for a negative amount.')
+    if any(not 0 <= earlier < index for earlier in step.after):
+        raise BadInput(f'Step {index} must come after earlier steps only.')
--- /dev/null
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -0,0 +1,139 @@
+"""Advice on which workers may run a step, asked ahead of placement.
+
+The answer for a step never changes, but its tickets expire. The service
+handles the calls of one instance in turn, so calls are spread over the
+instances by the time that each one's backlog takes.
+"""
+
+from msgspec import Struct
+
+from apricotlead.coordination.cell.settings import AdviceTimes
+from apricotlead.protocol.cell_config import AdvicePolicy
+from apricotlead.protocol.cell_workers import AdviceAnswer
+
+_MS_PER_S = 1000.0
+# The service takes at most this many workers in one call.
+_MOST_WORKERS = 100
+
+
+class AdviceCall(Struct, frozen=True):
+    """Ask about a step from the instance at ``asker`` (its peer address)."""
+
+    step: str
+    worker_ids: tuple[str, ...]
+    asker: str
+    cost_s: float
+
+
+class StepAdvice:
+    """What is known of one step; times are local seconds."""
+
+    __slots__ = ('asked_s', 'bad', 'expires_s', 'is_asking', 'tickets_by_worker')
+
+    def __init__(self) -> None:
+        """Begin without an answer."""
+        self.tickets_by_worker: dict[str, str] = {}
+        self.bad: set[str] = set()
+        self.expires_s: dict[str, float] = {}
+        self.is_asking = False
+        self.asked_s = float('-inf')
+
+    def ticket(self, worker_id: str, usable_at_s: float) -> str | None:
+        """Return a ticket that is valid at a time, ``None`` without one."""
+        if self.expires_s.get(worker_id, 0) < usable_at_s:
+            return None
+        return self.tickets_by_worker[worker_id]
+
+    def soonest_expiry_s(self) -> float:
+        """Return when the first of the known tickets expires."""
+        return min(self.expires_s.values(), default=0)
+
+
+class AdviceBook:
+    """The advice of all waiting steps, and the backlog of each asker."""
+
+    __slots__ = ('_backlog_ends_s', '_times', 'steps_by_name')
+
+    def __init__(self, times: AdviceTimes) -> None:
+        """Begin without advice."""
+        self._times = times
+        self._backlog_ends_s: dict[str, float] = {}
+        self.steps_by_name: dict[str, StepAdvice] = {}
+
+    def advice(self, step: str) -> StepAdvice:
+        """Return what is known of a step."""
+        return self.steps_by_name.setdefault(step, StepAdvice())
+
+    def forget(self, step: str) -> None:
+        """Drop a step that needs no more workers."""
+        self.steps_by_name.pop(step, None)
+
+    def ticket(self, step: str, worker_id: str, now: float) -> str | None:
+        """Return a ticket that lasts long enough to be used."""
+        margin_s = self._times.ticket_margin_s
+        return self.advice(step).ticket(worker_id, now + margin_s)
+
+    def drop_ticket(self, step: str, worker_id: str) -> None:
+        """Forget a ticket that a worker refused."""
+        self.advice(step).expires_s.pop(worker_id, None)
+
+    def plan_call(
+        self,
+        step: str,
+        worker_ids: list[str],
+        policy: AdvicePolicy,
+        askers: list[str],
+        now: float,
+    ) -> AdviceCall | None:
+        """Return a call to make now, ``None`` if none is of use yet.
+
+        ``worker_ids`` are the workers that could hold a task of the step.
+        """
+        advice = self.advice(step)
+        if advice.is_asking or now - advice.asked_s < self._times.retry_s:
+            return None
+        unsettled = [
+            worker_id
+            for worker_id in worker_ids
+            if worker_id not in advice.bad
+            and advice.ticket(worker_id, now + self._times.ticket_margin_s)
+            is None
+        ][:_MOST_WORKERS]
+        if not unsettled or not askers:
+            return None
+        cost_s = policy.decision_ms + policy.each_ms * len(unsettled)
+        cost_s /= _MS_PER_S
+        asker = min(
+            askers,
+            key=lambda address: self._backlog_ends_s.get(address, 0),
+        )
+        starts_s = max(now, self._backlog_ends_s.get(asker, 0))
+        if starts_s - now > self._times.backlog_s:
+            return None
+        self._backlog_ends_s[asker] = starts_s + cost_s
+        advice.is_asking = True
+        advice.asked_s = now
+        return AdviceCall(step, tuple(unsettled), asker, cost_s)
+
+    def answered(
+        self,
+        call: AdviceCall,
+        answer: AdviceAnswer | None,
+        now: float,
+    ) -> None:
+        """Note an answer, or that there was none."""
+        advice = self.steps_by_name.get(call.step)
+        if advice is None:
+            return
+        advice.is_asking = False
+        if answer is None:
+            return
+        advice.asked_s = float('-inf')
+        expires_s = now + answer.valid_ms / _MS_PER_S
+        for worker_id in call.worker_ids:
+            ticket = answer.tickets_by_worker.get(worker_id)
+            if ticket is None:
+                advice.bad.add(worker_id)
+                continue
+            advice.tickets_by_worker[worker_id] = ticket
+            advice.expires_s[worker_id] = expires_s
--- /dev/null
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -0,0 +1,103 @@
+"""What the scheduler writes to the store, and what may follow each write.
+
+A run is sent to its worker only after the journal holds it, and an end is
+acknowledged only after the journal holds its effect. Writes follow one
+another, each expecting the owner row of the one before, so a write that is
+carried out late fails.
+"""
+
+import msgspec
+from msgspec import Struct
+
+from apricotlead.coordination.cell.election import OwnerRow, owner_transaction
+from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.protocol.cell_jobs import StoredJob
+from apricotlead.protocol.table import Put, Transaction
+from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
+
+JOBS_PREFIX = 'jobs/cell/'
+PROGRESS_PREFIX = 'progress/cell/'
+# The platform takes 100 entries in a transaction; a final job takes two, and
+# the owner row takes two.
+_MOST_JOBS = 40
+
+
+class JournalBatch(Struct):
+    """One write of the journal.
+
+    ``planned`` are the runs that may be sent after it, ``acks_by_worker`` the
+    ends that may be acknowledged.
+    """
+
+    transaction: Transaction
+    owner: OwnerRow
+    planned: list[tuple[TaskState, int]]
+    acks_by_worker: dict[str, int]
+    final_jobs: list[JobRun]
+
+
+def take_batch(
+    book: RunBook,
+    owner: OwnerRow,
+    owner_version: int,
+    store_ms: float,
+    expired_keys: list[str],
+) -> JournalBatch:
+    """Return the next write: the oldest changes, within the size allowed.
+
+    ``expired_keys`` are the rows of final jobs that may go.
+    """
+    job_ids = list(book.dirty_job_ids)[:_MOST_JOBS]
+    is_whole = len(job_ids) == len(book.dirty_job_ids)
+    puts: list[Put] = []
+    deletes = list(expired_keys)
+    planned: list[tuple[TaskState, int]] = []
+    final_jobs: list[JobRun] = []
+    for job_id in job_ids:
+        book.dirty_job_ids.pop(job_id)
+        job = book.jobs_by_id.get(job_id)
+        if job is None:
+            continue
+        if job.state.is_final:
+            final_jobs.append(job)
+            puts.append(_final_put(job, store_ms))
+            if job.has_progress_row:
+                deletes.append(f'{PROGRESS_PREFIX}{job_id}')
+                job.has_progress_row = False
+            continue
+        job.has_progress_row = True
+        builtins = msgspec.to_builtins(job.progress())
+        puts.append(Put(f'{PROGRESS_PREFIX}{job_id}', builtins))
+        planned.extend(
+            (task, task.run)
+            for task in job.tasks()
+            if task.phase is TaskPhase.PLANNED
+        )
+    return JournalBatch(
+        owner_transaction(owner, owner_version, tuple(puts), tuple(deletes)),
+        owner,
+        planned,
+        _acks(book) if is_whole else {},
+        final_jobs,
+    )
+
+
+def _acks(book: RunBook) -> dict[str, int]:
+    return {
+        worker.worker_id: worker.reported_through
+        for worker in book.workers_by_id.values()
+        if worker.reported_through > worker.acked_through
+    }
+
+
+def _final_put(job: JobRun, store_ms: float) -> Put:
+    stored = job.stored
+    final = StoredJob(
+        stored.queue,
+        stored.service,
+        stored.organisation,
+        stored.accepted_ms,
+        state=job.state,
+        ended_ms=store_ms,
+    )
+    return Put(f'{JOBS_PREFIX}{job.job_id}', msgspec.to_builtins(final))
--- /dev/null
+++ b/src/apricotlead/coordination/cell/order.py
@@ -0,0 +1,78 @@
+"""The order in which waiting steps are given room.
+
+Pattern: more work than room. A queue's priority comes first. Within it, jobs
+of an organisation beyond its weight (in jobs a second) wait behind the jobs
+of others, and jobs that can no longer meet their objective wait behind those
+that can, oldest first.
+"""
+
+from apricotlead.state.cell_jobs import JobRun, StepState
+
+_MS_PER_S = 1000.0
+
+
+class WeightMeter:
+    """Tells which jobs lie within their organisation's weight.
+
+    A token bucket for each organisation: ``weight`` jobs a second, with a
+    burst of ``burst_s`` seconds of them.
+    """
+
+    __slots__ = ('_burst_s', '_buckets_by_organisation')
+
+    def __init__(self, burst_s: float = 2.0) -> None:
+        """Begin with full buckets."""
+        self._burst_s = burst_s
+        self._buckets_by_organisation: dict[str, tuple[float, float]] = {}
+
+    def admit(self, organisation: str, weight: float, now: float) -> bool:
+        """Take a token for a job accepted now; tell whether there was one."""
+        full = max(1, weight * self._burst_s)
+        tokens, since_s = self._buckets_by_organisation.get(
+            organisation,
+            (full, now),
+        )
+        tokens = min(full, tokens + max(0, now - since_s) * weight)
+        is_within = tokens >= 1
+        left = tokens - 1 if is_within else tokens
+        self._buckets_by_organisation[organisation] = (left, now)
+        return is_within
+
+
+def chain_s(job: JobRun, pending_only: bool = False) -> float:
+    """Return the longest chain of estimated work of a job, in seconds.
+
+    With ``pending_only`` steps that are done count nothing.
+    """
+    chains: list[float] = []
+    for index, spec in enumerate(job.steps_spec):
+        state = job.steps_by_key.get((0, index))
+        skipped = pending_only and state is not None and state.is_done
+        own_s = 0 if skipped else spec.estimated_ms / _MS_PER_S
+        earlier = [chains[other] for other in spec.after if other < index]
+        chains.append(own_s + max(earlier, default=0))
+    return max(chains, default=0)
+
+
+def objective_s(job: JobRun) -> float:
+    """Return the time in which a job earns its whole worth, in seconds."""
+    stored = job.stored
+    return stored.stretch * chain_s(job) + stored.aim_ms / _MS_PER_S
+
+
+def order_key(
+    step: StepState,
+    now: float,
+) -> tuple[int, int, int, float]:
+    """Return the sort key of a waiting step; the least goes first."""
+    job = step.job
+    slack_s = (
+        job.accepted_s + objective_s(job) - now - chain_s(job, pending_only=True)
+    )
+    is_late = int(slack_s < 0 and not step.spec.long_running)
+    return (
+        int(not job.is_within_weight),
+        is_late,
+        job.stored.priority,
+        job.accepted_s,
+    )
--- /dev/null
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -0,0 +1,351 @@
+"""The life of runs: placing, ends, stops, and what workers report.
+
+A run takes room on its worker from the moment it is chosen until the worker
+lists its end, shows that it is not there, or has certainly lost its lease.
+"""
+
+from typing import Any
+
+from apricotlead.protocol.cell_jobs import JobState
+from apricotlead.protocol.cell_workers import (
+    EndedTask,
+    EndKind,
+    HoldReport,
+    RunningTask,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
+from apricotlead.state.cell_workers import WorkerState
+
+
+class RunBook:
+    """All jobs, workers and runs; collects what must be journaled."""
+
+    __slots__ = (
+        'dirty_job_ids',
+        'jobs_by_id',
+        'notes',
+        'ready_steps_by_name',
+        'stop_acked_s_by_run',
+        'usage_by_organisation',
+        'workers_by_id',
+    )
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.jobs_by_id: dict[str, JobRun] = {}
+        self.workers_by_id: dict[str, WorkerState] = {}
+        self.ready_steps_by_name: dict[str, StepState] = {}
+        self.usage_by_organisation: dict[str, Resources] = {}
+        self.dirty_job_ids: dict[str, None] = {}
+        self.stop_acked_s_by_run: dict[tuple[str, str, int], float] = {}
+        # Decisions to be logged: kind and fields.
+        self.notes: list[tuple[str, dict[str, Any]]] = []
+
+    def note(self, kind: str, **fields: Any) -> None:
+        """Leave a decision to be logged."""
+        self.notes.append((kind, fields))
+
+    def touch(self, job: JobRun) -> None:
+        """Mark a job as changed since it was journaled."""
+        self.dirty_job_ids[job.job_id] = None
+
+    def usage(self, organisation: str) -> Resources:
+        """Return what an organisation may have running."""
+        return self.usage_by_organisation.get(organisation, Resources())
+
+    def task(self, name: str) -> TaskState | None:
+        """Return a task of a known job by its name."""
+        job = self.jobs_by_id.get(name.partition('.')[0])
+        return None if job is None else job.task(name)
+
+    def open_steps(self, job: JobRun, now: float) -> None:
+        """Make steps ready whose earlier steps are done."""
+        if job.state.is_final:
+            return
+        for step in job.steps_by_key.values():
+            earlier = (
+                job.steps_by_key[step.occurrence, index]
+                for index in step.spec.after
+            )
+            if step.is_done or not all(other.is_done for other in earlier):
+                continue
+            if step.ready_s is None:
+                step.ready_s = now
+            if step.waiting_count:
+                self.ready_steps_by_name[step.name] = step
+
+    def place(
+        self,
+        task: TaskState,
+        worker: WorkerState,
+        now: float,
+        ticket: str = '',
+    ) -> None:
+        """Choose a worker for the next run of a waiting task."""
+        task.run += 1
+        task.worker_id = worker.worker_id
+        task.ticket = ticket
+        task.started_s = now
+        task.progress = 0.0
+        task.progress_s = now
+        task.percent = 100
+        worker.place(task)
+        self._use(task, added=True)
+        self._set_phase(task, TaskPhase.PLANNED)
+
+    def unplace(self, task: TaskState, now: float) -> None:
+        """Let a task wait again; its run is certainly not running."""
+        if not task.is_placed:
+            return
+        worker = self.workers_by_id.get(task.worker_id)
+        if worker is not None:
+            worker.release(task)
+            worker.stops_by_task.pop(task.name, None)
+        self._use(task, added=False)
+        self._set_phase(task, TaskPhase.WAITING)
+        task.worker_id = ''
+        self.open_steps(task.step.job, now)
+        if task.step.spec.gang:
+            self._break_gang(task.step)
+
+    def restore_place(self, task: TaskState, worker: WorkerState) -> None:
+        """Count a run that a former scheduler had placed."""
+        worker.place(task)
+        self._use(task, added=True)
+
+    def stop(self, task: TaskState) -> None:
+        """Order a placed run to be stopped."""
+        if task.phase is TaskPhase.STOPPING or not task.is_placed:
+            return
+        worker = self.workers_by_id.get(task.worker_id)
+        if worker is not None:
+            worker.stops_by_task[task.name] = task.run
+        self._set_phase(task, TaskPhase.STOPPING)
+
+    def sent(self, task: TaskState) -> None:
+        """Note that the journal holds a planned run."""
+        if task.phase is TaskPhase.PLANNED:
+            self._set_phase(task, TaskPhase.SENT, is_change=False)
+
+    def running(self, task: TaskState, now: float) -> None:
+        """Note that a worker has begun a run."""
+        if task.phase is TaskPhase.SENT:
+            task.started_s = now
+            task.progress_s = now
+            self._set_phase(task, TaskPhase.RUNNING, is_change=False)
+
+    def finish(self, job: JobRun, state: JobState) -> None:
+        """Give a job its final state and stop what is left of it."""
+        if job.state.is_final:
+            return
+        job.state = state
+        self.touch(job)
+        self.note('job ended', job=job.job_id, state=str(state))
+        for step in job.steps_by_key.values():
+            self.ready_steps_by_name.pop(step.name, None)
+        for task in job.tasks():
+            self.stop(task)
+
+    def end(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
+        """Apply an end that a worker lists."""
+        worker.drop_stray(ended.task)
+        if worker.stops_by_task.get(ended.task, ended.run + 1) <= ended.run:
+            worker.stops_by_task.pop(ended.task)
+        task = worker.tasks_by_name.get(ended.task)
+        if task is None or task.run != ended.run:
+            self.note(
+                'old end',
+                task=ended.task,
+                run=ended.run,
+                worker=worker.worker_id,
+                how=str(ended.kind),
+            )
+            return
+        if ended.checkpoint:
+            task.checkpoint = ended.checkpoint
+        self.note(
+            'run ended',
+            task=task.name,
+            run=task.run,
+            worker=worker.worker_id,
+            how=str(ended.kind),
+            after_s=round(now - task.started_s, 2),
+        )
+        if task.phase is TaskPhase.DONE:
+            worker.release(task)
+        elif ended.kind is EndKind.DONE:
+            self._done(worker, task, now)
+        else:
+            self._ended_undone(worker, task, ended.kind, now)
+
+    def reconcile(
+        self,
+        worker: WorkerState,
+        report: HoldReport,
+        sent_s: float,
+        now: float,
+    ) -> None:
+        """Compare a worker's list with what is placed there.
+
+        ``sent_s`` is when the call left: the list proves nothing about a run
+        that was begun later.
+        """
+        running_names = set()
+        for listed in report.running:
+            running_names.add(listed.task)
+            self._listed(worker, listed, now)
+        for name in tuple(worker.strays_by_task):
+            if name not in running_names:
+                worker.drop_stray(name)
+        for task in tuple(worker.tasks_by_name.values()):
+            if task.name not in running_names:
+                self._not_listed(worker, task, sent_s, now)
+
+    def stop_acked(self, worker_id: str, name: str, run: int, now: float) -> None:
+        """Note that a worker took a stop: the run will never begin there."""
+        self.stop_acked_s_by_run[worker_id, name, run] = now
+        worker = self.workers_by_id.get(worker_id)
+        if worker is not None and worker.stops_by_task.get(name) == run:
+            worker.stops_by_task.pop(name)
+
+    def forget_worker(self, worker: WorkerState, now: float) -> None:
+        """Free the runs of a worker's life that is certainly over."""
+        self.workers_by_id.pop(worker.worker_id, None)
+        for task in tuple(worker.tasks_by_name.values()):
+            worker.release(task)
+            if task.is_placed:
+                self.note(
+                    'run lost',
+                    task=task.name,
+                    run=task.run,
+                    worker=worker.worker_id,
+                )
+                self.unplace(task, now)
+
+    def _use(self, task: TaskState, *, added: bool) -> None:
+        organisation = task.step.job.stored.organisation
+        usage = self.usage(organisation)
+        demand = task.step.demand()
+        usage = usage + demand if added else usage - demand
+        self.usage_by_organisation[organisation] = usage
+
+    def _set_phase(
+        self,
+        task: TaskState,
+        phase: TaskPhase,
+        *,
+        is_change: bool = True,
+    ) -> None:
+        step = task.step
+        if task.phase is TaskPhase.WAITING:
+            step.waiting_count -= 1
+        if phase is TaskPhase.WAITING:
+            step.waiting_count += 1
+        if phase is TaskPhase.DONE:
+            step.done_count += 1
+        task.phase = phase
+        if not step.waiting_count:
+            self.ready_steps_by_name.pop(step.name, None)
+        if is_change:
+            self.touch(step.job)
+
+    def _done(self, worker: WorkerState, task: TaskState, now: float) -> None:
+        worker.failures_in_row = 0
+        step = task.step
+        # The end of one member stands for its whole gang.
+        members = step.tasks if step.spec.gang else [task]
+        worker.release(task)
+        for member in members:
+            if member.phase is not TaskPhase.DONE and member.run == task.run:
+                self._use(member, added=False)
+                self._set_phase(member, TaskPhase.DONE)
+        if step.spec.long_running:
+            self._restart(task)
+        job = step.job
+        if job.is_complete():
+            self.finish(job, JobState.COMPLETED)
+        elif step.is_done:
+            self.open_steps(job, now)
+
+    def _restart(self, task: TaskState) -> None:
+        """Let a task that lasts wait again after it ended as done."""
+        step = task.step
+        step.done_count -= 1
+        task.phase = TaskPhase.WAITING
+        task.worker_id = ''
+        step.waiting_count += 1
+        self.ready_steps_by_name[step.name] = step
+
+    def _ended_undone(
+        self,
+        worker: WorkerState,
+        task: TaskState,
+        kind: EndKind,
+        now: float,
+    ) -> None:
+        step = task.step
+        if kind is EndKind.FAILED:
+            worker.failures_in_row += 1
+            task.avoided_workers.add(worker.worker_id)
+            task.failures += 1
+            step.gang_failures += 1
+        self.unplace(task, now)
+        attempts = step.gang_failures if step.spec.gang else task.failures
+        is_bounded = not step.spec.long_running
+        if is_bounded and attempts >= step.job.stored.max_attempts:
+            self.finish(step.job, JobState.FAILED)
+
+    def _break_gang(self, step: StepState) -> None:
+        """Stop the members that are left: a gang works only together."""
+        for member in step.tasks:
+            self.stop(member)
+
+    def _listed(
+        self,
+        worker: WorkerState,
+        listed: RunningTask,
+        now: float,
+    ) -> None:
+        task = worker.tasks_by_name.get(listed.task)
+        if task is None or task.run != listed.run:
+            known = self.task(listed.task)
+            demand = Resources() if known is None else known.step.demand()
+            worker.add_stray(listed.task, demand)
+            worker.stops_by_task[listed.task] = listed.run
+            return
+        self.running(task, now)
+        if listed.checkpoint:
+            task.checkpoint = listed.checkpoint
+        if listed.progress != task.progress:
+            task.progress = listed.progress
+            task.progress_s = now
+        task.load = listed.load
+        key = (worker.worker_id, task.name, task.run)
+        if task.phase is TaskPhase.STOPPING and key not in (
+            self.stop_acked_s_by_run
+        ):
+            worker.stops_by_task[task.name] = task.run
+
+    def _not_listed(
+        self,
+        worker: WorkerState,
+        task: TaskState,
+        sent_s: float,
+        now: float,
+    ) -> None:
+        if task.phase is TaskPhase.DONE:
+            worker.release(task)
+            return
+        key = (worker.worker_id, task.name, task.run)
+        acked_s = self.stop_acked_s_by_run.get(key)
+        was_stopped = acked_s is not None and acked_s < sent_s
+        vanished = task.phase is TaskPhase.RUNNING and task.started_s < sent_s
+        if was_stopped or vanished:
+            self.note(
+                'run not listed',
+                task=task.name,
+                run=task.run,
+                worker=worker.worker_id,
+            )
+            self.unplace(task, now)
--- /dev/null
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -0,0 +1,60 @@
+"""Settings of the cell's scheduler; times in seconds."""
+
+from msgspec import Struct, field
+
+from apricotlead.state.worker_lease import LeaseTimes
+
+
+class HoldTimes(Struct, frozen=True):
+    """How workers are watched.
+
+    ``wait_s`` is how long a worker holds a call until a run ends; it has to
+    be well under ``LeaseTimes.silent_s``. ``unacked_pause_s`` spaces calls
+    while ends cannot be acknowledged, since such calls return at once.
+    """
+
+    wait_s: float = 1.0
+    unacked_pause_s: float = 0.25
+    retry_pause_s: float = 0.3
+    answer_slack_s: float = 0.8
+    stop_retry_s: float = 0.4
+    unhealthy_pause_s: float = 1.5
+
+
+class ElectionTimes(Struct, frozen=True):
+    """How a scheduler is elected, in seconds.
+
+    ``watch_s`` is how long the scheduler holds a follower's call.
+    ``renew_s`` spaces renewals without other writes. After ``store_lost_s``
+    without a confirmed renewal the scheduler asks its followers to take over.
+    """
+
+    watch_s: float = 0.4
+    watch_slack_s: float = 0.7
+    renew_s: float = 0.4
+    store_lost_s: float = 1.0
+    stagger_s: float = 0.15
+
+
+class AdviceTimes(Struct, frozen=True):
+    """How advice is asked ahead, in seconds.
+
+    A ticket is used only while it has ``ticket_margin_s`` left. No call is
+    queued behind more than ``backlog_s`` of calls of the same instance.
+    """
+
+    ticket_margin_s: float = 0.12
+    backlog_s: float = 0.9
+    retry_s: float = 0.25
+
+
+class CellSettings(Struct, frozen=True):
+    """All settings of the cell's scheduler."""
+
+    leases: LeaseTimes = field(default_factory=LeaseTimes)
+    holds: HoldTimes = field(default_factory=HoldTimes)
+    election: ElectionTimes = field(default_factory=ElectionTimes)
+    advice: AdviceTimes = field(default_factory=AdviceTimes)
+    early_s: float = 0.0
+    far_slowdown: float = 1.5
+    keep_final_s: float = 130.0
--- /dev/null
+++ b/src/apricotlead/platform/callers.py
@@ -0,0 +1,286 @@
+"""The platform's interface for callers, as a WSGI application."""
+
+import json
+from collections.abc import Callable, Iterable
+from math import ceil
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
+from apricotlead.protocol.errors import (
+    ApricotleadError,
+    BadInput,
+    KeyRefused,
+    NotFound,
+    Overloaded,
+)
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
+from apricotlead.protocol.resources import Resources
+
+_MS_PER_S = 1000
+_DEFAULT_WAIT_MS = 3000
+_ID_CHARACTERS = 16
+_HEX = frozenset('0123456789abcdef')
+_READY_PATH = '/api/ready'
+_STATUS_LINES = {
+    200: '200 OK',
+    400: '400 Bad Request',
+    401: '401 Unauthorized',
+    404: '404 Not Found',
+    405: '405 Method Not Allowed',
+    410: '410 Gone',
+    413: '413 Content Too Large',
+    429: '429 Too Many Requests',
+    503: '503 Service Unavailable',
+    504: '504 Gateway Timeout',
+}
+
+
+class _StepBody(Struct, rename='pascal'):
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    # The rack that holds the data.
+    affinity: str = ''
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int | None = None
+
+
+class _JobBody(Struct, rename='pascal'):
+    # Opaque text for the workers, not a specification of the job.
+    spec: str
+    steps: tuple[_StepBody, ...]
+    # The number of occurrences, not of repetitions after the first.
+    repeats: int = 0
+    first_ms: float = 0
+    interval_ms: float = 0
+
+
+_job_decoder = msgspec.json.Decoder(_JobBody)
+
+
+class Call(Struct, frozen=True):
+    """A caller's request, decoded as far as the platform's form goes."""
+
+    method: str
+    host: str
+    path: str
+    key: str
+    wait_s: float
+    read_body: Callable[[int], bytes]
+
+
+class Response(Struct, frozen=True):
+    """A status, JSON builtins for the body, and when to come back."""
+
+    status: int
+    body: Any = None
+    retry_after_s: float | None = None
+
+
+class CallerApplication:
+    """Maps the platform's requests to the project's desk and back.
+
+    ``desk`` is a :class:`apricotlead.transport.cell_desk.CellDesk`.
+    """
+
+    __slots__ = ('_desk',)
+
+    def __init__(self, desk: Any) -> None:
+        """Serve ``desk``."""
+        self._desk = desk
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Serve one request (WSGI)."""
+        with self._desk.counted():
+            response = self._respond(environ)
+        body = b'' if response.body is None else json.dumps(response.body).encode()
+        headers = [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ]
+        if response.retry_after_s is not None:
+            headers.append(('Retry-After', str(ceil(response.retry_after_s))))
+        if self._desk.is_stopping:
+            headers.append(('Connection', 'close'))
+        line = _STATUS_LINES.get(response.status, f'{response.status} Answer')
+        start_response(line, headers)
+        return (body,)
+
+    def _respond(self, environ: dict[str, Any]) -> Response:
+        call = _call(environ)
+        try:
+            return self._dispatch(call)
+        except ApricotleadError as error:
+            return _error_response(error, None)
+
+    def _dispatch(self, call: Call) -> Response:
+        queue, organisation = self._desk.authorise(
+            call.host,
+            call.path,
+            call.key,
+        )
+        job_id = call.path.removeprefix(queue.path_prefix)
+        if call.method == 'GET' and not job_id:
+            return _pending_response(self._desk.pending(queue))
+        if len(job_id) != _ID_CHARACTERS or not _HEX.issuperset(job_id):
+            # Reading the body keeps the connection usable.
+            call.read_body(self._desk.max_body_bytes)
+            if call.method == 'POST':
+                raise BadInput('The job id must be 16 hexadecimal digits.')
+            return Response(410)
+        if call.method == 'POST':
+            body = call.read_body(self._desk.max_body_bytes)
+            outcome = self._desk.submit(
+                queue,
+                organisation,
+                job_id,
+                decode_submission(body),
+                call.wait_s,
+            )
+            return _outcome_response(outcome)
+        if call.method == 'GET':
+            outcome = self._desk.status(queue, job_id, call.wait_s)
+            return _outcome_response(outcome, lambda state: {'State': state})
+        if call.method == 'DELETE':
+            outcome = self._desk.cancel(queue, job_id, call.wait_s)
+            return _outcome_response(outcome)
+        return Response(405)
+
+
+class ReadyApplication:
+    """Answers the platform's readiness probe."""
+
+    __slots__ = ('_desk',)
+
+    def __init__(self, desk: Any) -> None:
+        """Tell whether ``desk`` is ready."""
+        self._desk = desk
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Answer 200 or 503 (WSGI)."""
+        is_known = environ['PATH_INFO'] == _READY_PATH
+        status = 404
+        if is_known:
+            status = 200 if self._desk.is_ready() else 503
+        start_response(_STATUS_LINES[status], [('Content-Length', '0')])
+        return ()
+
+
+def decode_submission(body: bytes) -> JobSubmission:
+    """Return a submitted job; raise :class:`BadInput` naming the fault."""
+    try:
+        decoded = _job_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise BadInput(f'The body is not a job: {error}.') from error
+    return JobSubmission(
+        decoded.spec,
+        tuple(_step(step) for step in decoded.steps),
+        decoded.repeats,
+        decoded.first_ms,
+        decoded.interval_ms,
+    )
+
+
+def _step(step: _StepBody) -> StepSpec:
+    return StepSpec(
+        step.count,
+        Resources(step.cpu, step.mem_mb, step.gpu),
+        step.estimated_ms,
+        step.after,
+        step.checkpoints,
+        step.gang,
+        step.same_rack,
+        step.required_label,
+        step.affinity,
+        step.max_per_server,
+        step.speculative,
+        step.long_running,
+        step.image,
+        step.target_ms,
+        step.fills,
+        step.may_miss,
+    )
+
+
+def _call(environ: dict[str, Any]) -> Call:
+    stream = environ['wsgi.input']
+
+    def read_body(most: int) -> bytes:
+        try:
+            length = int(environ.get('CONTENT_LENGTH') or 0)
+        except ValueError as error:
+            raise BadInput('The Content-Length is not a number.') from error
+        if length > most:
+            raise BadInput(f'The body is longer than {most} bytes.')
+        return stream.read(length) if length else stream.read()
+
+    try:
+        wait_ms = float(environ.get('HTTP_X_DEADLINE_MS') or _DEFAULT_WAIT_MS)
+    except ValueError:
+        # A wait that cannot be read is replaced by the usual one.
+        wait_ms = _DEFAULT_WAIT_MS
+    return Call(
+        environ['REQUEST_METHOD'],
+        environ.get('HTTP_HOST', ''),
+        environ['PATH_INFO'],
+        environ.get('HTTP_API_KEY', ''),
+        wait_ms / _MS_PER_S,
+        read_body,
+    )
+
+
+def _pending_response(outcome: Outcome) -> Response:
+    return _outcome_response(outcome, lambda count: {'Pending': count})
+
+
+def _outcome_response(
+    outcome: Outcome,
+    render: Callable[[Any], Any] = lambda answer: {},
+) -> Response:
+    match outcome:
+        case Done(answer):
+            return Response(200, render(answer))
+        case NotRun(error, retry_after_s):
+            return _error_response(error, retry_after_s)
+        case MayHaveRun(error):
+            return Response(504, {'Error': str(error)})
+
+
+def _error_response(
+    error: ApricotleadError,
+    retry_after_s: float | None,
+) -> Response:
+    status = 503
+    if isinstance(error, BadInput):
+        status = 400
+    elif isinstance(error, KeyRefused):
+        status = 401
+    elif isinstance(error, NotFound):
+        # The error knows whether a queue or a job is meant.
+        status = 410 if error.kind == 'no_job' else 404
+    elif isinstance(error, Overloaded):
+        status = 429
+    return Response(status, {'Error': str(error)}, retry_after_s)
--- /dev/null
+++ b/src/apricotlead/platform/store.py
@@ -0,0 +1,255 @@
+"""The platform's table service.
+
+A key of the project is ``table/part/name``; the platform spells the three
+apart and encodes values in base64.
+"""
+
+from base64 import b64decode, b64encode
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+from msgspec import Struct
+
+from apricotlead.protocol.table import (
+    Changes,
+    CheckFailed,
+    Committed,
+    Row,
+    Rows,
+    StoreFailed,
+    Transaction,
+)
+from apricotlead.transport.http_pool import (
+    Answered,
+    HttpCall,
+    HttpCaller,
+    HttpResult,
+    NeverSent,
+)
+
+_MS_PER_S = 1000
+_CALL_TIMEOUT_S = 1.0
+_WAIT_SLACK_S = 0.8
+_PAGE_ROWS = 500
+_REFUSED_STATUSES = frozenset((429, 503))
+_RETRY_S = 0.1
+
+
+class _RowName(Struct):
+    table: str = msgspec.field(name='Table')
+    # The platform writes this one name in lower case.
+    part: str
+    key: str = msgspec.field(name='Key')
+
+
+class _Expected(_RowName):
+    version: int = msgspec.field(name='Ver')
+
+
+class _Written(_RowName):
+    value: str = msgspec.field(name='Value')
+
+
+class _Found(_RowName):
+    value: str = msgspec.field(name='Value', default='')
+    version: int = msgspec.field(name='Ver', default=0)
+    is_deleted: bool = msgspec.field(name='Deleted', default=False)
+
+
+class _TransactionBody(Struct):
+    expected: list[_Expected] = msgspec.field(name='Expect')
+    written: list[_Written] = msgspec.field(name='Writes')
+    deleted: list[_RowName] = msgspec.field(name='Deletes')
+
+
+class _Answer(Struct):
+    rows: list[_Found] = []
+    has_more: bool = msgspec.field(name='HasMore', default=False)
+    version: int = msgspec.field(name='Ver', default=0)
+    store_ms: float = msgspec.field(name='NowMs', default=0)
+
+
+_answer_decoder = msgspec.json.Decoder(_Answer)
+_encoder = msgspec.json.Encoder()
+
+
+class PlatformStore:
+    """Calls the table service; each method waits for the answer.
+
+    A failed call is a :class:`StoreFailed`, whose ``applied`` is ``False``
+    only where nothing was done.
+    """
+
+    __slots__ = ('_address', '_pool')
+
+    def __init__(self, pool: HttpCaller, address: str) -> None:
+        """Call the service at ``address`` (``IP:port``)."""
+        self._pool = pool
+        self._address = address
+
+    def transact(
+        self,
+        transaction: Transaction,
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> Committed | CheckFailed | StoreFailed:
+        """Send a transaction once; the caller settles a lost answer."""
+        body = _TransactionBody(
+            [
+                _Expected(*_split(check.key), check.version)
+                for check in transaction.checks
+            ],
+            [
+                _Written(*_split(put.key), _pack(put.value))
+                for put in transaction.puts
+            ],
+            [_RowName(*_split(key)) for key in transaction.deletes],
+        )
+        answer = self._pool.call(
+            HttpCall(
+                'POST',
+                self._address,
+                '/api/rows-tx',
+                _encoder.encode(body),
+                timeout_s=timeout_s,
+            ),
+        )
+        decoded = _decode(answer, (200, 412))
+        if isinstance(decoded, StoreFailed):
+            return decoded
+        if _status(answer) == 200:
+            versions = {put.key: decoded.version for put in transaction.puts}
+            return Committed(versions, decoded.store_ms)
+        return CheckFailed(tuple(_rows(decoded.rows)))
+
+    def read_row(self, key: str) -> Rows | StoreFailed:
+        """Read one row; the answer is empty where there is none."""
+        # The range ends before the next possible key.
+        return self._read_range(key, f'{_split(key)[2]}\x00', 1)
+
+    def scan_rows(self, prefix: str) -> Rows | StoreFailed:
+        """Read all rows of a ``table/part/``, in key order.
+
+        ``version`` is that of the first page: later changes show in the feed.
+        """
+        first = self._read_range(prefix, None, _PAGE_ROWS)
+        if isinstance(first, StoreFailed):
+            return first
+        rows = list(first.rows)
+        page = first
+        while len(page.rows) == _PAGE_ROWS or page.has_more:
+            page = self._read_range(f'{rows[-1].key}\x00', None, _PAGE_ROWS)
+            if isinstance(page, StoreFailed):
+                return page
+            rows.extend(page.rows)
+        return Rows(tuple(rows), first.version, first.store_ms)
+
+    def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> Changes | StoreFailed:
+        """Wait for rows of a table that changed after a version."""
+        query = {
+            'Table': table,
+            'After': after,
+            'WaitMs': int(wait_s * _MS_PER_S),
+        }
+        answer = self._get('/api/rows-feed', query, wait_s + _WAIT_SLACK_S)
+        if _status(answer) == 410:
+            return Changes(history_lost=True)
+        decoded = _decode(answer, (200,))
+        if isinstance(decoded, StoreFailed):
+            return decoded
+        rows = tuple(_rows(decoded.rows))
+        return Changes(rows, decoded.version, decoded.store_ms)
+
+    def _read_range(
+        self,
+        key: str,
+        end: str | None,
+        limit: int,
+    ) -> Any:
+        table, part, start = _split(key)
+        query = {'Table': table, 'part': part, 'Limit': limit}
+        if start:
+            query['From'] = start
+        if end is not None:
+            query['To'] = end
+        answer = self._get('/api/rows-get', query, _CALL_TIMEOUT_S)
+        decoded = _decode(answer, (200,))
+        if isinstance(decoded, StoreFailed):
+            return decoded
+        return Rows(
+            tuple(_rows(decoded.rows)),
+            decoded.version,
+            decoded.store_ms,
+            decoded.has_more,
+        )
+
+    def _get(
+        self,
+        path: str,
+        query: dict[str, Any],
+        timeout_s: float,
+    ) -> HttpResult:
+        return self._pool.call(
+            HttpCall(
+                'GET',
+                self._address,
+                f'{path}?{urlencode(query)}',
+                timeout_s=timeout_s,
+            ),
+        )
+
+
+def _split(key: str) -> tuple[str, str, str]:
+    table, part, name = key.split('/', 2)
+    return table, part, name
+
+
+def _pack(builtins: Any) -> str:
+    return b64encode(_encoder.encode(builtins)).decode()
+
+
+def _rows(found: Iterable[_Found]) -> Iterable[Row]:
+    for row in found:
+        key = f'{row.table}/{row.part}/{row.key}'
+        if row.is_deleted:
+            yield Row(key)
+        else:
+            yield Row(key, row.version, _unpack(row.value))
+
+
+def _unpack(text: str) -> Any:
+    """Return the value; ``None`` for one that is not JSON.
+
+    Another writer may leave bytes that nobody can read; such a row names
+    nothing to use.
+    """
+    try:
+        return msgspec.json.decode(b64decode(text))
+    except (ValueError, msgspec.MsgspecError):
+        return None
+
+
+def _status(answer: HttpResult) -> int:
+    return answer.status if isinstance(answer, Answered) else 0
+
+
+def _decode(answer: HttpResult, good: tuple[int, ...]) -> Any:
+    if isinstance(answer, NeverSent):
+        return StoreFailed(False, _RETRY_S, answer.reason)
+    if not isinstance(answer, Answered):
+        return StoreFailed(None, _RETRY_S, answer.reason)
+    if answer.status in good:
+        try:
+            return _answer_decoder.decode(answer.body)
+        except msgspec.MsgspecError as error:
+            return StoreFailed(None, _RETRY_S, f'malformed: {error}')
+    applied = False if answer.status in _REFUSED_STATUSES else None
+    if 400 <= answer.status < 500:
+        applied = False
+    return StoreFailed(applied, _RETRY_S, f'status {answer.status}')
--- /dev/null
+++ b/src/apricotlead/platform/workers.py
@@ -0,0 +1,279 @@
+"""The platform's workers: orders to them, their registry, and advice."""
+
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from apricotlead.protocol.cell_workers import (
+    AdviceAnswer,
+    EndedTask,
+    HoldOrder,
+    HoldReport,
+    OrderReply,
+    PaceOrder,
+    Refusal,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import Row
+from apricotlead.transport.http_pool import (
+    Answered,
+    HttpCall,
+    HttpCaller,
+    HttpResult,
+    NeverSent,
+)
+
+WORKERS_TABLE = 'servers'
+WORKERS_PREFIX = 'servers//'
+_ORDER_TIMEOUT_S = 0.8
+_MS_PER_S = 1000
+# Any other state names no worker to use.
+_DRAINING_BY_STATE = {'ready': False, 'draining': True}
+_REFUSALS_BY_REASON = {
+    'fence': Refusal.FENCED,
+    'old': Refusal.OLD_RUN,
+    'late': Refusal.LATE,
+    'room': Refusal.NO_ROOM,
+    'ticket': Refusal.BAD_TICKET,
+}
+_REFUSALS_BY_STATUS = {
+    400: Refusal.MALFORMED,
+    421: Refusal.OTHER_LIFE,
+    429: Refusal.UNHEALTHY,
+    503: Refusal.UNHEALTHY,
+}
+
+
+class ResourcesBody(Struct, rename='pascal'):
+    """An amount of resources; ``Gpu`` counts accelerators."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+    def decoded(self) -> Resources:
+        """Return the project's type."""
+        return Resources(self.cpu, self.mem_mb, self.gpu)
+
+
+class _WorkerBody(Struct, rename='pascal'):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: ResourcesBody
+    labels: list[str] = []
+    drain_remaining_ms: float = 0
+    # Unix milliseconds of the start; the only name in lower case.
+    born: float = msgspec.field(name='born', default=0)
+
+
+class _OrderBody(Struct, rename='pascal', omit_defaults=True):
+    task: str
+    run: int
+    # The platform's fencing token is the epoch of the scheduler.
+    fencing_token: int
+    spec: str = ''
+    # A time on the worker's clock, not a duration.
+    deadline_ms: int = 0
+    checkpoint: str = ''
+    ticket: str = ''
+
+
+class _PaceBody(Struct, rename='pascal'):
+    task: str
+    run: int
+    fencing_token: int
+    percent: int
+
+
+class _HoldBody(Struct, rename='pascal', omit_defaults=True):
+    fencing_token: int
+    acked_through: int = msgspec.field(name='AckedThrough')
+    deadline_ms: int | None = None
+    wait_ms: int = 0
+
+
+class _ReportBody(Struct, rename='pascal'):
+    clock_ms: float
+    running: tuple[RunningTask, ...] = ()
+    ended: tuple[EndedTask, ...] = ()
+    born: float = msgspec.field(name='born', default=0)
+
+
+class _ReplyBody(Struct, rename='pascal'):
+    clock_ms: float = 0
+    reason: str = ''
+
+
+class _AdviseBody(Struct, rename='pascal'):
+    step: str
+    workers: tuple[str, ...]
+
+
+class _AdviceBody(Struct, rename='pascal'):
+    # Rows of worker id and ticket.
+    good: list[tuple[str, str]]
+    valid_ms: float = 0
+
+
+_encoder = msgspec.json.Encoder()
+_reply_decoder = msgspec.json.Decoder(_ReplyBody)
+_report_decoder = msgspec.json.Decoder(_ReportBody)
+_advice_decoder = msgspec.json.Decoder(_AdviceBody)
+
+
+def decode_worker(row: Row) -> WorkerEntry | None:
+    """Return a registered worker; ``None`` for an entry that names none."""
+    try:
+        body = msgspec.convert(row.value, _WorkerBody)
+    except msgspec.ValidationError:
+        return None
+    if body.state not in _DRAINING_BY_STATE:
+        return None
+    return WorkerEntry(
+        worker_id=row.key.removeprefix(WORKERS_PREFIX),
+        service=body.service,
+        address=body.address,
+        data_centre=body.zone,
+        capacity=body.capacity.decoded(),
+        labels=tuple(body.labels),
+        draining=_DRAINING_BY_STATE[body.state],
+        drain_left_ms=body.drain_remaining_ms,
+        born_ms=body.born,
+    )
+
+
+class PlatformWorkers:
+    """Sends orders to workers and asks for advice, each call once."""
+
+    __slots__ = ('_advice_address', '_pool')
+
+    def __init__(self, pool: HttpCaller, advice_address: str) -> None:
+        """Send through ``pool``; addresses are ``IP:port``."""
+        self._pool = pool
+        self._advice_address = advice_address
+
+    def start(self, worker: WorkerEntry, order: StartOrder) -> OrderReply:
+        """Order a run to be started."""
+        body = _OrderBody(
+            order.task,
+            order.run,
+            order.epoch,
+            order.payload,
+            int(order.deadline_ms),
+            order.checkpoint,
+            order.ticket,
+        )
+        return _reply(self._send(worker, '/api/run-start', body))
+
+    def stop(self, worker: WorkerEntry, order: StopOrder) -> OrderReply:
+        """Order a run to be stopped, or to be refused if it comes later."""
+        body = _OrderBody(order.task, order.run, order.epoch)
+        return _reply(self._send(worker, '/api/run-stop', body))
+
+    def pace(self, worker: WorkerEntry, order: PaceOrder) -> OrderReply:
+        """Order a running task to work slower or faster."""
+        body = _PaceBody(order.task, order.run, order.epoch, order.percent)
+        return _reply(self._send(worker, '/api/pace', body))
+
+    def hold(
+        self,
+        worker: WorkerEntry,
+        order: HoldOrder,
+        timeout_s: float,
+    ) -> HoldReport | OrderReply:
+        """Extend a lease and read the worker's lists."""
+        deadline_ms = order.deadline_ms
+        body = _HoldBody(
+            order.epoch,
+            order.acked_through,
+            None if deadline_ms is None else int(deadline_ms),
+            order.wait_ms,
+        )
+        answer = self._send(worker, '/api/hold', body, timeout_s)
+        if not isinstance(answer, Answered) or answer.status != 200:
+            return _reply(answer)
+        try:
+            report = _report_decoder.decode(answer.body)
+        except msgspec.MsgspecError as error:
+            return OrderReply(Refusal.UNANSWERED, detail=str(error))
+        return HoldReport(
+            report.clock_ms,
+            report.running,
+            report.ended,
+            report.born,
+        )
+
+    def advise(
+        self,
+        step: str,
+        worker_ids: tuple[str, ...],
+        timeout_s: float,
+    ) -> AdviceAnswer | None:
+        """Ask which workers may run a step; ``None`` without an answer."""
+        answer = self._pool.call(
+            HttpCall(
+                'POST',
+                self._advice_address,
+                '/api/advise',
+                _encoder.encode(_AdviseBody(step, worker_ids)),
+                timeout_s=timeout_s,
+            ),
+        )
+        if not isinstance(answer, Answered) or answer.status != 200:
+            return None
+        try:
+            body = _advice_decoder.decode(answer.body)
+        except msgspec.MsgspecError:
+            return None
+        return AdviceAnswer(dict(body.good), body.valid_ms)
+
+    def _send(
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: Any,
+        timeout_s: float = _ORDER_TIMEOUT_S,
+    ) -> HttpResult:
+        return self._pool.call(
+            HttpCall(
+                'POST',
+                worker.address,
+                path,
+                _encoder.encode(body),
+                headers={
+                    'Content-Type': 'application/json',
+                    # Names the life that is meant, not the machine.
+                    'X-Expect-Instance': worker.worker_id,
+                },
+                timeout_s=timeout_s,
+            ),
+        )
+
+
+def _reply(answer: HttpResult) -> OrderReply:
+    if isinstance(answer, NeverSent):
+        return OrderReply(Refusal.NOT_SENT, detail=answer.reason)
+    if not isinstance(answer, Answered):
+        return OrderReply(Refusal.UNANSWERED, detail=answer.reason)
+    try:
+        body = _reply_decoder.decode(answer.body or b'{}')
+    except msgspec.MsgspecError:
+        body = _ReplyBody()
+    refusal = _refusal(answer.status, body.reason)
+    return OrderReply(refusal, body.clock_ms, f'{answer.status} {body.reason}')
+
+
+def _refusal(status: int, reason: str) -> Refusal | None:
+    if status == 200:
+        return None
+    if status == 409:
+        return _REFUSALS_BY_REASON.get(reason, Refusal.MALFORMED)
+    # An unknown status does not tell whether anything was done.
+    return _REFUSALS_BY_STATUS.get(status, Refusal.UNANSWERED)
--- /dev/null
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -0,0 +1,119 @@
+"""Jobs of the cell: what a caller submits and what the store keeps of it."""
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+from apricotlead.protocol.cell_config import AdvicePolicy
+from apricotlead.protocol.resources import Resources
+
+
+class JobState(StrEnum):
+    """The states that a caller sees."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the job never changes its state again."""
+        return self not in {JobState.QUEUED, JobState.RUNNING}
+
+
+class StepSpec(Struct, frozen=True, omit_defaults=True):
+    """One step of a job: ``task_count`` like tasks.
+
+    ``after`` holds the positions of earlier steps that must be done first.
+    ``estimated_ms`` is a rough guess by the caller. ``data_rack`` and
+    ``same_rack`` are preferences that make tasks faster, ``required_label``
+    and ``max_per_worker`` (0: no bound) are binding. ``fills`` tasks use only
+    processor time that others leave. ``may_miss`` bounds how many tasks of a
+    ``long_running`` step the scheduler may take away at a time.
+    """
+
+    task_count: int
+    demand: Resources = Resources()
+    estimated_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    max_per_worker: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int | None = None
+
+
+class JobSubmission(Struct, frozen=True, omit_defaults=True):
+    """What a caller submits.
+
+    With ``occurrences`` over 0 all steps run that many times, due each
+    ``interval_ms`` from ``first_due_ms`` (Unix milliseconds) on.
+    """
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    occurrences: int = 0
+    first_due_ms: float = 0
+    interval_ms: float = 0
+
+    @property
+    def task_count(self) -> int:
+        """Return the number of tasks of all occurrences."""
+        per_run = sum(step.task_count for step in self.steps)
+        return per_run * max(1, self.occurrences)
+
+
+class StoredJob(Struct, frozen=True, omit_defaults=True):
+    """The row of an accepted job.
+
+    The policy of the queue is kept as it was at acceptance, for the time when
+    the queue is gone. ``accepted_ms`` and ``ended_ms`` are on the store's
+    clock. ``submission`` is dropped when ``state`` becomes final.
+    """
+
+    queue: str
+    service: str
+    organisation: str
+    accepted_ms: float
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    aim_ms: float = 0
+    advice: AdvicePolicy | None = None
+    submission: JobSubmission | None = None
+    state: JobState = JobState.QUEUED
+    ended_ms: float = 0
+
+
+class TaskRecord(Struct, array_like=True):
+    """A task in a progress row; ``worker_id`` is empty while it waits."""
+
+    is_done: bool = False
+    run: int = 0
+    worker_id: str = ''
+    failures: int = 0
+    checkpoint: str = ''
+
+
+class StepRecord(Struct, array_like=True):
+    """The tasks of one step of one occurrence in a progress row."""
+
+    occurrence: int
+    step: int
+    tasks: list[TaskRecord]
+    gang_failures: int = 0
+
+
+class JobProgress(Struct, array_like=True):
+    """The progress row of a job that has started."""
+
+    steps: list[StepRecord]
--- a/src/apricotlead/protocol/table.py
+++ b/src/apricotlead/protocol/table.py
@@ -50,9 +50,13 @@
 
 
 class Committed(Struct, frozen=True, tag='committed'):
-    """The transaction took effect; new versions by key."""
+    """The transaction took effect; new versions by key.
+
+    ``store_ms`` is the store's steady clock, 0 where it tells none.
+    """
 
     versions: dict[str, int]
+    store_ms: float = 0
 
 
 class CheckFailed(Struct, frozen=True, tag='check_failed'):
@@ -69,9 +73,30 @@
 
 
 class Rows(Struct, frozen=True, tag='rows'):
-    """The answer to a read or a scan, in key order for a scan."""
+    """The answer to a read or a scan, in key order for a scan.
+
+    ``version`` is the newest version of the store as of the answer, and
+    ``store_ms`` its steady clock; both are 0 where the store tells none.
+    With ``has_more`` the answer is a page of a longer one.
+    """
 
     rows: tuple[Row, ...]
+    version: int = 0
+    store_ms: float = 0
+    has_more: bool = False
+
+
+class Changes(Struct, frozen=True):
+    """Rows that changed after a version, oldest first.
+
+    A deleted row has version 0. With ``history_lost`` the reader must read
+    the whole table again.
+    """
+
+    rows: tuple[Row, ...] = ()
+    version: int = 0
+    store_ms: float = 0
+    history_lost: bool = False
 
 
 class StoreFailed(Struct, frozen=True, tag='failed'):
--- /dev/null
+++ b/src/apricotlead/state/cell_jobs.py
@@ -0,0 +1,264 @@
+"""The jobs of the cell as the elected scheduler sees them."""
+
+from enum import Enum
+
+from apricotlead.protocol.cell_jobs import (
+    JobProgress,
+    JobState,
+    StepRecord,
+    StepSpec,
+    StoredJob,
+    TaskRecord,
+)
+from apricotlead.protocol.resources import Resources
+
+
+class TaskPhase(Enum):
+    """Where a task stands.
+
+    ``PLANNED``: chosen, not yet in the journal. ``SENT``: journaled, and the
+    worker has not said whether it runs. ``STOPPING``: a stop was ordered and
+    the room is still taken.
+    """
+
+    WAITING = 'waiting'
+    PLANNED = 'planned'
+    SENT = 'sent'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+    DONE = 'done'
+
+
+PLACED_PHASES = frozenset(
+    (
+        TaskPhase.PLANNED,
+        TaskPhase.SENT,
+        TaskPhase.RUNNING,
+        TaskPhase.STOPPING,
+    ),
+)
+
+
+class TaskState:
+    """One task; times are local seconds."""
+
+    __slots__ = (
+        'avoided_workers',
+        'checkpoint',
+        'failures',
+        'index',
+        'load',
+        'name',
+        'not_before_s',
+        'percent',
+        'phase',
+        'progress',
+        'progress_s',
+        'run',
+        'started_s',
+        'step',
+        'ticket',
+        'worker_id',
+    )
+
+    def __init__(self, step: 'StepState', index: int) -> None:
+        """Begin as waiting."""
+        self.step = step
+        self.index = index
+        self.name = f'{step.name}.{index}'
+        self.phase = TaskPhase.WAITING
+        self.run = 0
+        self.worker_id = ''
+        self.failures = 0
+        self.checkpoint = ''
+        self.ticket = ''
+        self.started_s = 0.0
+        self.progress = 0.0
+        self.progress_s = 0.0
+        self.load = 0.0
+        self.percent = 100
+        self.not_before_s = 0.0
+        self.avoided_workers: set[str] = set()
+
+    @property
+    def is_placed(self) -> bool:
+        """Tell whether the task may take room on a worker."""
+        return self.phase in PLACED_PHASES
+
+    def record(self) -> TaskRecord:
+        """Return what the progress row keeps."""
+        waits = self.phase is TaskPhase.WAITING
+        return TaskRecord(
+            self.phase is TaskPhase.DONE,
+            self.run,
+            self.worker_id if self.is_placed else '',
+            self.failures,
+            self.checkpoint if waits else '',
+        )
+
+
+class StepState:
+    """One step of one occurrence of a job."""
+
+    __slots__ = (
+        'done_count',
+        'gang_failures',
+        'index',
+        'job',
+        'name',
+        'occurrence',
+        'ready_s',
+        'spec',
+        'tasks',
+        'waiting_count',
+    )
+
+    def __init__(self, job: 'JobRun', occurrence: int, index: int) -> None:
+        """Begin with all tasks waiting."""
+        self.job = job
+        self.occurrence = occurrence
+        self.index = index
+        self.spec: StepSpec = job.steps_spec[index]
+        self.name = f'{job.job_id}.{occurrence}.{index}'
+        self.tasks = [
+            TaskState(self, number) for number in range(self.spec.task_count)
+        ]
+        self.done_count = 0
+        self.waiting_count = len(self.tasks)
+        self.gang_failures = 0
+        self.ready_s: float | None = None
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether all tasks have ended as done."""
+        return self.done_count == len(self.tasks)
+
+    def demand(self) -> Resources:
+        """Return what one task takes of a worker's room."""
+        asked = self.spec.demand
+        if self.spec.fills:
+            return Resources(0, asked.memory_mb, asked.accelerators)
+        return asked
+
+    def recount(self) -> None:
+        """Count the phases anew after a change of any task."""
+        phases = [task.phase for task in self.tasks]
+        self.done_count = phases.count(TaskPhase.DONE)
+        self.waiting_count = phases.count(TaskPhase.WAITING)
+
+    def record(self) -> StepRecord:
+        """Return what the progress row keeps."""
+        tasks = [task.record() for task in self.tasks]
+        return StepRecord(
+            self.occurrence,
+            self.index,
+            tasks,
+            self.gang_failures,
+        )
+
+    def restore(self, record: StepRecord) -> None:
+        """Take over what a former scheduler recorded."""
+        self.gang_failures = record.gang_failures
+        for task, kept in zip(self.tasks, record.tasks, strict=True):
+            task.run = kept.run
+            task.failures = kept.failures
+            task.checkpoint = kept.checkpoint
+            task.worker_id = kept.worker_id
+            if kept.is_done:
+                task.phase = TaskPhase.DONE
+            elif kept.worker_id:
+                task.phase = TaskPhase.SENT
+        self.recount()
+
+
+class JobRun:
+    """A job that is not final yet."""
+
+    __slots__ = (
+        'accepted_s',
+        'has_progress_row',
+        'has_started',
+        'is_within_weight',
+        'job_id',
+        'next_occurrence',
+        'state',
+        'steps_by_key',
+        'steps_spec',
+        'stored',
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        stored: StoredJob,
+        accepted_s: float,
+    ) -> None:
+        """Begin without occurrences; ``accepted_s`` is in local seconds."""
+        if stored.submission is None:
+            raise ValueError(f'Job {job_id} is final; it cannot run again.')
+        self.job_id = job_id
+        self.stored = stored
+        self.steps_spec = stored.submission.steps
+        self.accepted_s = accepted_s
+        self.steps_by_key: dict[tuple[int, int], StepState] = {}
+        self.state = JobState.QUEUED
+        self.has_started = False
+        self.is_within_weight = True
+        self.has_progress_row = False
+        self.next_occurrence = 0
+
+    @property
+    def occurrence_count(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.stored.submission.occurrences)
+
+    def open_occurrence(self) -> list[StepState]:
+        """Add the steps of the next occurrence and return them."""
+        number = self.next_occurrence
+        self.next_occurrence += 1
+        steps = [
+            StepState(self, number, index)
+            for index in range(len(self.steps_spec))
+        ]
+        for step in steps:
+            self.steps_by_key[number, step.index] = step
+        return steps
+
+    def tasks(self) -> list[TaskState]:
+        """Return the tasks of all opened occurrences."""
+        return [
+            task for step in self.steps_by_key.values() for task in step.tasks
+        ]
+
+    def task(self, name: str) -> TaskState | None:
+        """Return a task by its name, ``None`` where there is none."""
+        parts = name.split('.')
+        try:
+            _, occurrence, index, number = parts
+            step = self.steps_by_key[int(occurrence), int(index)]
+            return step.tasks[int(number)]
+        except (ValueError, KeyError, IndexError):
+            # A worker's list may hold what another program named.
+            return None
+
+    def is_complete(self) -> bool:
+        """Tell whether all tasks of all occurrences are done."""
+        if self.next_occurrence < self.occurrence_count:
+            return False
+        return all(step.is_done for step in self.steps_by_key.values())
+
+    def progress(self) -> JobProgress:
+        """Return the progress row."""
+        steps = self.steps_by_key.values()
+        return JobProgress([step.record() for step in steps])
+
+    def restore(self, progress: JobProgress) -> None:
+        """Take over what a former scheduler recorded."""
+        for record in progress.steps:
+            while self.next_occurrence <= record.occurrence:
+                self.open_occurrence()
+            self.steps_by_key[record.occurrence, record.step].restore(record)
+        self.has_progress_row = True
+        self.has_started = any(task.run for task in self.tasks())
+        if self.has_started:
+            self.state = JobState.RUNNING
--- /dev/null
+++ b/src/apricotlead/state/cell_workers.py
@@ -0,0 +1,82 @@
+"""The workers of the cell as the elected scheduler sees them."""
+
+from apricotlead.protocol.cell_workers import WorkerEntry
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.cell_jobs import TaskState
+from apricotlead.state.worker_lease import WorkerLease
+
+
+class WorkerState:
+    """One life of a worker; times are local seconds."""
+
+    __slots__ = (
+        'acked_through',
+        'drain_ends_s',
+        'entry',
+        'failures_in_row',
+        'is_listed',
+        'lease',
+        'not_before_s',
+        'reported_through',
+        'stops_by_task',
+        'strays_by_task',
+        'tasks_by_name',
+        'used',
+    )
+
+    def __init__(self, entry: WorkerEntry, lease: WorkerLease) -> None:
+        """Begin without tasks, as registered."""
+        self.entry = entry
+        self.lease = lease
+        self.is_listed = True
+        self.tasks_by_name: dict[str, TaskState] = {}
+        self.used = Resources()
+        # Runs that the worker must not have or keep: task to run.
+        self.stops_by_task: dict[str, int] = {}
+        self.strays_by_task: dict[str, Resources] = {}
+        self.acked_through = 0
+        self.reported_through = 0
+        self.not_before_s = 0.0
+        self.failures_in_row = 0
+        self.drain_ends_s: float | None = None
+
+    @property
+    def worker_id(self) -> str:
+        """Return the id of this life."""
+        return self.entry.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that nothing may be using."""
+        return self.entry.capacity - self.used
+
+    def takes_work(self, now: float) -> bool:
+        """Tell whether a task may be started here now."""
+        return (
+            self.is_listed
+            and not self.entry.draining
+            and self.lease.is_usable(now)
+            and self.not_before_s <= now
+        )
+
+    def place(self, task: TaskState) -> None:
+        """Take room for a task."""
+        self.tasks_by_name[task.name] = task
+        self.used = self.used + task.step.demand()
+
+    def release(self, task: TaskState) -> None:
+        """Give back the room of a task; repeating it changes nothing."""
+        if self.tasks_by_name.pop(task.name, None) is not None:
+            self.used = self.used - task.step.demand()
+
+    def add_stray(self, name: str, demand: Resources) -> None:
+        """Count the room of a run that must not be here, once."""
+        if name not in self.strays_by_task:
+            self.strays_by_task[name] = demand
+            self.used = self.used + demand
+
+    def drop_stray(self, name: str) -> None:
+        """Give back the room of a stray run that is gone."""
+        demand = self.strays_by_task.pop(name, None)
+        if demand is not None:
+            self.used = self.used - demand
--- /dev/null
+++ b/src/apricotlead/transport/cell_desk.py
@@ -0,0 +1,370 @@
+"""Serving callers of the cell at any instance, through the store."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import eventlet
+import msgspec
+
+from apricotlead.coordination.cell.acceptance import check_submission
+from apricotlead.coordination.cell.journal import JOBS_PREFIX, PROGRESS_PREFIX
+from apricotlead.coordination.cell.scheduler import cancel_key
+from apricotlead.protocol.cell_config import QueueConfig
+from apricotlead.protocol.cell_jobs import JobState, JobSubmission, StoredJob
+from apricotlead.protocol.errors import (
+    KeyRefused,
+    NotFound,
+    OutcomeUnknown,
+    StaleView,
+    StoreUnreachable,
+)
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
+from apricotlead.protocol.table import (
+    Check,
+    CheckFailed,
+    Committed,
+    Put,
+    Row,
+    StoreFailed,
+    Transaction,
+)
+from apricotlead.state.cell_view import CellView
+from apricotlead.transport.boot_clock import boot_now
+
+_MS_PER_S = 1000.0
+_CALL_TIMEOUT_S = 1.0
+_LEAST_CALL_S = 0.1
+_RETRY_S = 0.05
+# Left of a caller's wait for the answer to travel.
+_ANSWER_MARGIN_S = 0.15
+_COME_BACK_S = 1.0
+_DEFAULT_MAX_BODY_BYTES = 262144
+_NO_ORGANISATION = ''
+
+
+class NoSuchJob(NotFound):
+    """No accepted job has this id."""
+
+    kind = 'no_job'
+    remedy = 'Check the id; finished jobs are forgotten after a while.'
+
+
+class StoreHealth:
+    """Whether the store answers this instance; times are local seconds."""
+
+    __slots__ = ('_failed_since_s', '_store_base', 'lost_after_s')
+
+    def __init__(self, lost_after_s: float = 1.0) -> None:
+        """Begin as healthy; it is lost after failing for that long."""
+        self.lost_after_s = lost_after_s
+        self._failed_since_s: float | None = None
+        self._store_base = (0.0, 0.0)
+
+    def answered(self, store_ms: float = 0) -> None:
+        """Note an answer, with the store's clock if it told one."""
+        self._failed_since_s = None
+        if store_ms:
+            self._store_base = (boot_now(), store_ms)
+
+    def failed(self) -> None:
+        """Note a call without an answer."""
+        if self._failed_since_s is None:
+            self._failed_since_s = boot_now()
+
+    def is_lost(self) -> bool:
+        """Tell whether the store has not answered for a while."""
+        since_s = self._failed_since_s
+        return since_s is not None and boot_now() - since_s > self.lost_after_s
+
+    def store_ms(self) -> float:
+        """Return the store's clock, as estimated."""
+        base_s, base_ms = self._store_base
+        return base_ms + (boot_now() - base_s) * _MS_PER_S
+
+
+class CellDesk:
+    """Takes callers' requests.
+
+    A job is accepted when its row is in the store, so any instance can tell
+    its state, and a repeat of the same id finds the row.
+    """
+
+    __slots__ = (
+        '_log',
+        '_metrics',
+        '_pending',
+        '_store',
+        '_view_bound_s',
+        'health',
+        'is_stopping',
+        'open_count',
+        'view',
+    )
+
+    def __init__(
+        self,
+        store: Any,
+        health: StoreHealth,
+        pending: Callable[[str], int | None],
+        view_bound_s: float,
+        log: Callable[..., Any],
+        metrics: Any,
+    ) -> None:
+        """Serve from ``store``.
+
+        ``pending(queue_name)`` is the number of jobs that have not begun, or
+        ``None`` where no recent count is known. A key is believed for
+        ``view_bound_s`` after the configuration was last confirmed.
+        """
+        self._store = store
+        self._pending = pending
+        self._view_bound_s = view_bound_s
+        self._log = log
+        self._metrics = metrics
+        self.health = health
+        self.view: CellView | None = None
+        self.is_stopping = False
+        self.open_count = 0
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the largest body that is read."""
+        if self.view is None:
+            return _DEFAULT_MAX_BODY_BYTES
+        return self.view.config.max_body_bytes
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request as open and time it."""
+        self.open_count += 1
+        began_s = boot_now()
+        try:
+            yield
+        finally:
+            self.open_count -= 1
+            self._metrics.time('cell_request', boot_now() - began_s)
+
+    def is_ready(self) -> bool:
+        """Tell whether new connections should come here."""
+        return (
+            not self.is_stopping
+            and self._fresh_view() is not None
+            and not self.health.is_lost()
+        )
+
+    def authorise(
+        self,
+        host: str,
+        path: str,
+        key: str,
+    ) -> tuple[QueueConfig, str]:
+        """Return the queue of a path and the organisation of a key.
+
+        Raises :class:`StaleView`, :class:`NotFound` or :class:`KeyRefused`.
+        """
+        view = self._fresh_view()
+        if view is None:
+            raise StaleView('This instance has no recent configuration.')
+        queue = view.queue_at(host.partition(':')[0], path)
+        if queue is None:
+            raise NotFound(f'There is no queue at {path!r}.')
+        organisation = view.organisations_by_key.get(key)
+        if organisation is not None:
+            return queue, organisation.name
+        if queue.is_open:
+            return queue, _NO_ORGANISATION
+        raise KeyRefused('The key is not known.')
+
+    def submit(
+        self,
+        queue: QueueConfig,
+        organisation: str,
+        job_id: str,
+        submission: JobSubmission,
+        wait_s: float,
+    ) -> Outcome:
+        """Store a job; a repeat of an accepted id is accepted again."""
+        check_submission(submission)
+        ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
+        if self.health.is_lost():
+            return self._refuse(job_id, 'the store does not answer')
+        key = f'{JOBS_PREFIX}{job_id}'
+        stored = StoredJob(
+            queue.name,
+            queue.service,
+            organisation,
+            self.health.store_ms(),
+            queue.priority,
+            queue.max_attempts,
+            queue.stretch,
+            queue.aim_ms,
+            queue.advice,
+            submission,
+        )
+        transaction = Transaction(
+            '',
+            key,
+            (Check(key, 0),),
+            (Put(key, msgspec.to_builtins(stored)),),
+        )
+        began_s = boot_now()
+        answer = self._write(transaction, ends_s)
+        return self._submitted(job_id, queue, answer, boot_now() - began_s)
+
+    def status(
+        self,
+        queue: QueueConfig,
+        job_id: str,
+        wait_s: float,
+    ) -> Outcome:
+        """Return the :class:`JobState` of a job."""
+        ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
+        row = self._read(f'{JOBS_PREFIX}{job_id}', ends_s)
+        if isinstance(row, StoreFailed):
+            return _come_back(row)
+        if row is None:
+            return NotRun(NoSuchJob(f'There is no job {job_id}.'))
+        state = msgspec.convert(row.value, StoredJob).state
+        if state.is_final:
+            return Done(str(state))
+        progress = self._read(f'{PROGRESS_PREFIX}{job_id}', ends_s)
+        if isinstance(progress, StoreFailed):
+            return _come_back(progress)
+        if progress is not None:
+            return Done(str(JobState.RUNNING))
+        return self._recheck(job_id, ends_s)
+
+    def cancel(
+        self,
+        queue: QueueConfig,
+        job_id: str,
+        wait_s: float,
+    ) -> Outcome:
+        """Ask for a job to be cancelled; done once the store holds that."""
+        ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
+        row = self._read(f'{JOBS_PREFIX}{job_id}', ends_s)
+        if isinstance(row, StoreFailed):
+            return _come_back(row)
+        if row is None:
+            return NotRun(NoSuchJob(f'There is no job {job_id}.'))
+        if msgspec.convert(row.value, StoredJob).state.is_final:
+            return Done()
+        key = cancel_key(job_id)
+        transaction = Transaction('', key, (Check(key, 0),), (Put(key, 1),))
+        answer = self._write(transaction, ends_s)
+        self._log('cancel', job=job_id, queue=queue.name, outcome=_kind(answer))
+        if isinstance(answer, StoreFailed):
+            return _come_back(answer)
+        return Done()
+
+    def pending(self, queue: QueueConfig) -> Outcome:
+        """Return the number of a queue's jobs that have not begun."""
+        count = self._pending(queue.name)
+        if count is None:
+            error = StoreUnreachable('No recent count is known here.')
+            return NotRun(error, _COME_BACK_S)
+        return Done(count)
+
+    def _fresh_view(self) -> CellView | None:
+        view = self.view
+        if view is None or boot_now() - view.read_s > self._view_bound_s:
+            return None
+        return view
+
+    def _recheck(self, job_id: str, ends_s: float) -> Outcome:
+        """Read a job again whose progress row was not there.
+
+        The job may have ended between the two reads.
+        """
+        row = self._read(f'{JOBS_PREFIX}{job_id}', ends_s)
+        if isinstance(row, StoreFailed):
+            return _come_back(row)
+        if row is None:
+            return NotRun(NoSuchJob(f'There is no job {job_id}.'))
+        return Done(str(msgspec.convert(row.value, StoredJob).state))
+
+    def _submitted(
+        self,
+        job_id: str,
+        queue: QueueConfig,
+        answer: Committed | CheckFailed | StoreFailed,
+        took_s: float,
+    ) -> Outcome:
+        self._metrics.count(f'cell_submit_{_kind(answer)}')
+        self._log(
+            'job submitted',
+            job=job_id,
+            queue=queue.name,
+            outcome=_kind(answer),
+            took_s=round(took_s, 3),
+            config_version=self.view.version if self.view else 0,
+        )
+        if not isinstance(answer, StoreFailed):
+            # A failed check shows that the id is accepted already.
+            return Done()
+        if answer.applied is None:
+            return MayHaveRun(
+                OutcomeUnknown('The store did not answer in time.'),
+            )
+        return self._refuse(job_id, answer.reason)
+
+    def _refuse(self, job_id: str, why: str) -> NotRun:
+        self._log('job refused', job=job_id, why=why)
+        return NotRun(
+            StoreUnreachable(f'The job was not accepted: {why}.'),
+            _COME_BACK_S,
+        )
+
+    def _write(
+        self,
+        transaction: Transaction,
+        ends_s: float,
+    ) -> Committed | CheckFailed | StoreFailed:
+        """Send a transaction until its outcome is known or time is up."""
+        is_unknown = False
+        while True:
+            left_s = max(_LEAST_CALL_S, ends_s - boot_now())
+            timeout_s = min(_CALL_TIMEOUT_S, left_s)
+            answer = self._store.transact(transaction, timeout_s)
+            if not isinstance(answer, StoreFailed):
+                self.health.answered()
+                return answer
+            self.health.failed()
+            is_unknown = is_unknown or answer.applied is None
+            if boot_now() + _RETRY_S + _LEAST_CALL_S > ends_s:
+                break
+            if self.health.is_lost() and not is_unknown:
+                # Nothing was written, and waiting longer is of no use.
+                break
+            eventlet.sleep(_RETRY_S)
+        if is_unknown:
+            return StoreFailed(None, answer.retry_after_s, answer.reason)
+        return answer
+
+    def _read(self, key: str, ends_s: float) -> Row | StoreFailed | None:
+        """Read one row, again while time allows; ``None`` where none is."""
+        while True:
+            answer = self._store.read_row(key)
+            if not isinstance(answer, StoreFailed):
+                self.health.answered(answer.store_ms)
+                return answer.rows[0] if answer.rows else None
+            self.health.failed()
+            if boot_now() + _RETRY_S > ends_s or self.health.is_lost():
+                return answer
+            eventlet.sleep(_RETRY_S)
+
+
+def _come_back(failure: StoreFailed) -> NotRun:
+    return NotRun(
+        StoreUnreachable(f'The store does not answer: {failure.reason}.'),
+        _COME_BACK_S,
+    )
+
+
+def _kind(answer: Committed | CheckFailed | StoreFailed) -> str:
+    if isinstance(answer, Committed):
+        return 'stored'
+    if isinstance(answer, CheckFailed):
+        return 'known'
+    return 'unknown' if answer.applied is None else 'not_stored'
--- /dev/null
+++ b/src/apricotlead/transport/cell_peers.py
@@ -0,0 +1,126 @@
+"""Calls between the entry instances of a cell, over HTTP.
+
+A follower keeps a call open at the scheduler: when the scheduler's process
+dies, the connection ends and the follower knows at once. A socket of pynng
+reconnects by itself and would hide that.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qs, urlencode
+
+import msgspec
+
+from apricotlead.protocol.cell_peers import AdviceQuestion, SchedulerStatus
+from apricotlead.protocol.cell_workers import AdviceAnswer
+from apricotlead.transport.http_pool import Answered, HttpCall, HttpCaller
+
+_STATUS_PATH = '/v1/cell/scheduler'
+_ADVICE_PATH = '/v1/cell/advice'
+_ADVICE_SLACK_S = 0.3
+
+_status_decoder = msgspec.json.Decoder(SchedulerStatus)
+_question_decoder = msgspec.json.Decoder(AdviceQuestion)
+_answer_decoder = msgspec.json.Decoder(AdviceAnswer)
+_encoder = msgspec.json.Encoder()
+
+
+class PeerClient:
+    """Calls other entry instances."""
+
+    __slots__ = ('_pool',)
+
+    def __init__(self, pool: HttpCaller) -> None:
+        """Call through ``pool``."""
+        self._pool = pool
+
+    def watch(
+        self,
+        address: str,
+        own_address: str,
+        timeout_s: float,
+    ) -> SchedulerStatus | None:
+        """Wait for the scheduler's next word; ``None`` without an answer."""
+        query = urlencode({'from': own_address})
+        answer = self._pool.call(
+            HttpCall(
+                'GET',
+                address,
+                f'{_STATUS_PATH}?{query}',
+                timeout_s=timeout_s,
+            ),
+        )
+        return _decode(answer, _status_decoder)
+
+    def advise(
+        self,
+        address: str,
+        question: AdviceQuestion,
+    ) -> AdviceAnswer | None:
+        """Have an instance ask for advice; ``None`` without an answer."""
+        answer = self._pool.call(
+            HttpCall(
+                'POST',
+                address,
+                _ADVICE_PATH,
+                _encoder.encode(question),
+                timeout_s=question.timeout_s + _ADVICE_SLACK_S,
+            ),
+        )
+        return _decode(answer, _answer_decoder)
+
+
+class PeerApplication:
+    """Answers other entry instances (WSGI).
+
+    ``watch(peer_address)`` waits for news of the scheduler that runs here and
+    returns its status; ``advise(question)`` asks for advice.
+    """
+
+    __slots__ = ('_advise', '_watch')
+
+    def __init__(
+        self,
+        watch: Callable[[str], SchedulerStatus],
+        advise: Callable[[AdviceQuestion], AdviceAnswer | None],
+    ) -> None:
+        """Answer by these functions."""
+        self._watch = watch
+        self._advise = advise
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Serve one call."""
+        body = self._answer(environ)
+        status = '404 Not Found' if body is None else '200 OK'
+        body = body or b''
+        start_response(status, [('Content-Length', str(len(body)))])
+        return (body,)
+
+    def _answer(self, environ: dict[str, Any]) -> bytes | None:
+        path = environ['PATH_INFO']
+        if path == _STATUS_PATH:
+            query = parse_qs(environ.get('QUERY_STRING', ''))
+            peer = query.get('from', [''])[0]
+            return _encoder.encode(self._watch(peer))
+        if path == _ADVICE_PATH:
+            length = int(environ.get('CONTENT_LENGTH') or 0)
+            question = _question_decoder.decode(
+                environ['wsgi.input'].read(length),
+            )
+            answer = self._advise(question)
+            return None if answer is None else _encoder.encode(answer)
+        return None
+
+
+def _decode(answer: Any, decoder: Any) -> Any:
+    if not isinstance(answer, Answered) or answer.status != 200:
+        return None
+    try:
+        return decoder.decode(answer.body)
+    except msgspec.MsgspecError:
+        # An instance of another version; it is treated as not answering.
+        return None
--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -81,6 +81,11 @@
     eventlet.sleep(duration_s)
 
 
+def run_in_background(call: Callable[[], Any]) -> None:
+    """Run a call in a green thread of its own."""
+    eventlet.spawn_n(call)
+
+
 def run_together(calls: Iterable[Callable[[], Any]]) -> list[Any]:
     """Run calls in green threads; return their results in order."""
     pile = GreenPile()
--- /dev/null
+++ b/src/apricotlead/transport/table_follower.py
@@ -0,0 +1,110 @@
+"""Following one table of the store through its feed of changes."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import eventlet
+
+from apricotlead.protocol.table import Changes, Row, Rows, StoreFailed
+from apricotlead.transport.boot_clock import boot_now
+
+_FEED_WAIT_S = 1.0
+_RETRY_S = 0.15
+_RETRY_MOST_S = 0.5
+
+
+class TableReader(Protocol):
+    """What a follower needs of the store."""
+
+    def scan_rows(self, prefix: str) -> Rows | StoreFailed:
+        """Read all rows of a part."""
+
+    def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> Changes | StoreFailed:
+        """Wait for changes after a version."""
+
+
+class TableListener(Protocol):
+    """What is told of a table; times are when the read was sent."""
+
+    def on_snapshot(self, rows: tuple[Row, ...], read_s: float) -> None:
+        """Take all rows; others are gone."""
+
+    def on_change(self, row: Row, read_s: float) -> None:
+        """Take a changed row; version 0 is a deleted one."""
+
+    def on_confirmed(self, read_s: float, store_ms: float) -> None:
+        """Note that all is known that the store held at ``read_s``."""
+
+
+class TableFollower:
+    """Reads a part of a table whole, then its changes, for ever."""
+
+    __slots__ = ('_listener', '_log', '_prefix', '_reader', '_version', 'is_lost')
+
+    def __init__(
+        self,
+        reader: TableReader,
+        prefix: str,
+        listener: TableListener,
+        log: Callable[..., Any],
+    ) -> None:
+        """Follow ``prefix`` (``table/part/``)."""
+        self._reader = reader
+        self._prefix = prefix
+        self._listener = listener
+        self._log = log
+        self._version: int | None = None
+        self.is_lost = False
+
+    def run(self) -> None:
+        """Follow until the green thread is killed."""
+        pause_s = _RETRY_S
+        while True:
+            failure = self.step()
+            if failure is None:
+                pause_s = _RETRY_S
+                continue
+            eventlet.sleep(pause_s)
+            pause_s = min(_RETRY_MOST_S, pause_s * 2)
+
+    def step(self) -> StoreFailed | None:
+        """Make one read; return its failure."""
+        read_s = boot_now()
+        if self._version is None:
+            answer = self._reader.scan_rows(self._prefix)
+        else:
+            table = self._prefix.partition('/')[0]
+            answer = self._reader.changes(table, self._version, _FEED_WAIT_S)
+        if isinstance(answer, StoreFailed):
+            self._note_loss(answer)
+            return answer
+        if self.is_lost:
+            self.is_lost = False
+            self._log('feed regained', table=self._prefix)
+        self._apply(answer, read_s)
+        return None
+
+    def _apply(self, answer: Rows | Changes, read_s: float) -> None:
+        if isinstance(answer, Rows):
+            self._version = answer.version
+            self._listener.on_snapshot(answer.rows, read_s)
+        elif answer.history_lost:
+            self._log('feed history lost', table=self._prefix)
+            self._version = None
+            return
+        else:
+            self._version = max(self._version or 0, answer.version)
+            for row in answer.rows:
+                if row.key.startswith(self._prefix):
+                    self._listener.on_change(row, read_s)
+        self._listener.on_confirmed(read_s, answer.store_ms)
+
+    def _note_loss(self, failure: StoreFailed) -> None:
+        if not self.is_lost:
+            self.is_lost = True
+            self._log('feed lost', table=self._prefix, why=failure.reason)
--- /dev/null
+++ b/src/apricotlead/transport/wake_up.py
@@ -0,0 +1,31 @@
+"""Waiting for something to do, across green threads."""
+
+import eventlet
+from eventlet.event import Event
+
+
+class WakeUp:
+    """Wakes one waiting green thread; calls in between are merged."""
+
+    __slots__ = ('_event', '_is_set')
+
+    def __init__(self) -> None:
+        """Begin unset."""
+        self._event = Event()
+        self._is_set = False
+
+    def set(self) -> None:
+        """Wake the waiter, or let the next wait return at once."""
+        self._is_set = True
+        if not self._event.ready():
+            self._event.send()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait until set or for the timeout; tell whether it was set."""
+        if not self._is_set:
+            with eventlet.Timeout(timeout_s, False):
+                self._event.wait()
+        was_set = self._is_set
+        self._is_set = False
+        self._event = Event()
+        return was_set
