Ignore late reads of jobs that are final

Cause: the feed and the first scan of a term may deliver a job's row as it was before its final write; the job was then added anew and all its tasks ran again.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -36,7 +36,11 @@
 from apricotlead.transport.cell_log import CellLog
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_peers import PeerApplication, PeerClient
-from apricotlead.transport.cell_scheduling import CellLinks, SchedulingTerm
+from apricotlead.transport.cell_scheduling import (
+    RELEASED,
+    CellLinks,
+    SchedulingTerm,
+)
 from apricotlead.transport.http_pool import HttpPool
 from apricotlead.transport.serving import (
     HttpServer,
@@ -176,7 +180,7 @@
         notice_ends_s = boot_now() + _DRAIN_NOTICE_S
         self.desk.is_stopping = True
         if self._term is not None:
-            run_in_background(self._term.release)
+            self._term.end(RELEASED)
         while boot_now() < ends_s:
             pause(_DRAIN_POLL_S)
             if boot_now() > notice_ends_s and not self.desk.open_count:
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -147,7 +147,7 @@
             if _CANCEL_MARK not in row.key:
                 self.job_row(row, now)
         for progress_row in progress_rows:
-            self._restore(progress_row)
+            self._restore(progress_row, now)
         # Cancelling stops runs, so all runs must be known first.
         for cancel in cancels:
             self.job_row(cancel, now)
@@ -169,7 +169,7 @@
         stored = msgspec.convert(row.value, StoredJob)
         if stored.state.is_final:
             self._note_final(job_id, stored, now)
-        elif job_id not in self.book.jobs_by_id:
+        elif self._is_new(job_id):
             self._add(job_id, stored, now)
 
     def update_worker(self, entry: WorkerEntry, now: float) -> bool:
@@ -525,6 +525,16 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def _is_new(self, job_id: str) -> bool:
+        """Tell whether a row that is not final names an unknown job.
+
+        A read that began before the job's final row was written may arrive
+        after it.
+        """
+        return not (
+            job_id in self.book.jobs_by_id or job_id in self._final_ends_s
+        )
+
     def _add(self, job_id: str, stored: StoredJob, now: float) -> None:
         age_s = max(0, self.store_ms(now) - stored.accepted_ms) / _MS_PER_S
         job = JobRun(job_id, stored, now - age_s)
@@ -540,11 +550,11 @@
             job.open_occurrence()
         self.book.open_steps(job, now)
 
-    def _restore(self, row: Row) -> None:
+    def _restore(self, row: Row, now: float) -> None:
         job_id = row.key.removeprefix(PROGRESS_PREFIX)
         job = self.book.jobs_by_id.get(job_id)
         if job is not None:
-            job.restore(msgspec.convert(row.value, JobProgress))
+            job.restore(msgspec.convert(row.value, JobProgress), now)
 
     def _new_lease(self, worker_id: str, now: float) -> WorkerLease:
         until_s, from_s = self._inherited
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -156,11 +156,13 @@
             self.gang_failures,
         )
 
-    def restore(self, record: StepRecord) -> None:
+    def restore(self, record: StepRecord, now: float) -> None:
         """Take over what a former scheduler recorded."""
         self.gang_failures = record.gang_failures
         for task, kept in zip(self.tasks, record.tasks, strict=True):
             task.run = kept.run
+            task.started_s = now
+            task.progress_s = now
             task.failures = kept.failures
             task.checkpoint = kept.checkpoint
             task.worker_id = kept.worker_id
@@ -252,12 +254,13 @@
         steps = self.steps_by_key.values()
         return JobProgress([step.record() for step in steps])
 
-    def restore(self, progress: JobProgress) -> None:
+    def restore(self, progress: JobProgress, now: float) -> None:
         """Take over what a former scheduler recorded."""
         for record in progress.steps:
             while self.next_occurrence <= record.occurrence:
                 self.open_occurrence()
-            self.steps_by_key[record.occurrence, record.step].restore(record)
+            step = self.steps_by_key[record.occurrence, record.step]
+            step.restore(record, now)
         self.has_progress_row = True
         self.has_started = any(task.run for task in self.tasks())
         if self.has_started:
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -47,6 +47,9 @@
 _ADVICE_SLACK_S = 0.5
 _PEER_FRESH_S = 2.0
 _LOAD_TRIES = 40
+RELEASED = 'released'
+# Only a takeover in the store makes an epoch, so a worker's word is enough.
+_LATER_EPOCH = 'a worker has seen a later epoch'
 
 
 class CellLinks(Struct, frozen=True):
@@ -73,7 +76,9 @@
     __slots__ = (
         '_changed',
         '_green_threads',
+        '_is_store_lost',
         '_links',
+        '_lost_worker_ids',
         '_orders',
         '_own_address',
         '_peers_seen_s',
@@ -101,6 +106,8 @@
         self._orders = GreenPool(size=2000)
         self._peers_seen_s: dict[str, float] = {}
         self._watched_worker_ids: set[str] = set()
+        self._lost_worker_ids: set[str] = set()
+        self._is_store_lost = False
         self.scheduler = scheduler
         self.ended_why = ''
 
@@ -125,6 +132,9 @@
         finally:
             for green_thread in self._green_threads:
                 green_thread.kill()
+            self._log_notes()
+        if self.ended_why == RELEASED:
+            self._write_release()
 
     def end(self, why: str) -> None:
         """End the term."""
@@ -133,25 +143,6 @@
             self._links.log('term ended', why=why, epoch=self._epoch)
         self._changed.set()
 
-    def release(self) -> None:
-        """Hand over in good order: a last write invites a successor."""
-        if self.ended_why:
-            return
-        self.end('released')
-        owner = self.scheduler.owner
-        released = OwnerRow(
-            owner.epoch,
-            owner.instance_id,
-            owner.peer_address,
-            owner.sequence + 1,
-            self.scheduler.store_ms(boot_now()),
-            owner.silent_workers,
-            is_released=True,
-        )
-        self._links.store.transact(
-            owner_transaction(released, self.scheduler.owner_version),
-        )
-
     def status(self) -> SchedulerStatus:
         """Return what followers are told."""
         age_s = boot_now() - self.scheduler.renewed_s
@@ -199,6 +190,22 @@
     def _epoch(self) -> int:
         return self.scheduler.owner.epoch
 
+    def _write_release(self) -> None:
+        """Invite a successor by a last write of the owner row."""
+        owner = self.scheduler.owner
+        released = OwnerRow(
+            owner.epoch,
+            owner.instance_id,
+            owner.peer_address,
+            owner.sequence + 1,
+            self.scheduler.store_ms(boot_now()),
+            owner.silent_workers,
+            is_released=True,
+        )
+        self._links.store.transact(
+            owner_transaction(released, self.scheduler.owner_version),
+        )
+
     def _load(self) -> bool:
         """Read all jobs, progress and registrations."""
         store = self._links.store
@@ -278,6 +285,7 @@
         """Write once; ``None`` where the write must be sent again."""
         answer = self._links.store.transact(transaction)
         if isinstance(answer, Committed):
+            self._note_store(None)
             return answer
         if isinstance(answer, CheckFailed):
             row = answer.row(OWNER_KEY)
@@ -287,13 +295,19 @@
                 return Committed({OWNER_KEY: row.version})
             self.end('another instance has taken over')
             return None
+        self._note_store(answer)
+        return None
+
+    def _note_store(self, failure: StoreFailed | None) -> None:
+        """Log when the store stops or begins to take the journal."""
+        if self._is_store_lost == (failure is not None):
+            return
+        self._is_store_lost = failure is not None
         self._links.log(
-            'journal write failed',
-            applied=answer.applied,
-            why=answer.reason,
+            'journal blocked' if failure else 'journal resumed',
+            why=failure.reason if failure else '',
             renewed_age_s=round(boot_now() - self.scheduler.renewed_s, 2),
         )
-        return None
 
     def _tick(self) -> None:
         while True:
@@ -325,6 +339,7 @@
             now = boot_now()
             if isinstance(answer, HoldReport):
                 had_unacked = order.wait_ms == 0
+                self._contact_regained(worker_id)
                 self.scheduler.hold_answered(
                     worker_id,
                     order,
@@ -349,34 +364,32 @@
             return self._settings.holds.unacked_pause_s
         return _ROUND_PAUSE_S * 2
 
+    def _contact_regained(self, worker_id: str) -> None:
+        if worker_id in self._lost_worker_ids:
+            self._lost_worker_ids.discard(worker_id)
+            self._links.log('worker contact regained', worker=worker_id)
+
     def _hold_failed(
         self,
         worker_id: str,
         reply: OrderReply,
         now: float,
     ) -> None:
-        self._links.log(
-            'hold failed',
-            worker=worker_id,
-            why=str(reply.refusal),
-            detail=reply.detail,
-        )
+        if worker_id not in self._lost_worker_ids:
+            self._lost_worker_ids.add(worker_id)
+            self._links.log(
+                'worker contact lost',
+                worker=worker_id,
+                why=str(reply.refusal),
+                detail=reply.detail,
+            )
         if reply.refusal is Refusal.FENCED:
-            self._check_owner()
+            self.end(_LATER_EPOCH)
             return
         self.scheduler.hold_refused(worker_id, reply, now)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._changed.set()
 
-    def _check_owner(self) -> None:
-        """A worker has seen a later epoch: read who is the owner."""
-        answer = self._links.store.read_row(OWNER_KEY)
-        if isinstance(answer, StoreFailed) or not answer.rows:
-            return
-        current = read_owner(answer.rows[0])
-        if current is not None and current.epoch != self._epoch:
-            self.end('a worker has seen a later epoch')
-
     def _send_stops(self, now: float) -> None:
         for entry, order in self.scheduler.stops_due(now):
             self._orders.spawn_n(self._stop, entry, order)
@@ -400,7 +413,7 @@
             sent_s = boot_now()
             reply = self._links.workers.start(start.worker.entry, order)
             if reply.refusal is Refusal.FENCED:
-                self._check_owner()
+                self.end(_LATER_EPOCH)
             is_again = self.scheduler.start_answered(
                 start,
                 reply,
@@ -425,6 +438,7 @@
             call.worker_ids,
             call.cost_s + self._settings.advice.backlog_s + _ADVICE_SLACK_S,
         )
+        asked_s = boot_now()
         if call.asker == self._own_address:
             answer = self._links.workers.advise(
                 question.step,
@@ -433,8 +447,15 @@
             )
         else:
             answer = self._links.ask_peer(call.asker, question)
-        if answer is None:
-            self._links.log('advice missing', step=call.step, asker=call.asker)
+        self._links.log(
+            'advice' if answer else 'advice missing',
+            step=call.step,
+            asker=call.asker,
+            workers=len(call.worker_ids),
+            good=len(answer.tickets_by_worker) if answer else 0,
+            took_s=round(boot_now() - asked_s, 3),
+            expected_s=round(call.cost_s, 3),
+        )
         self.scheduler.advice.answered(call, answer, boot_now())
         self._changed.set()
 
--- /dev/null
+++ b/tests/cell_rig.py
@@ -0,0 +1,240 @@
+"""A cell scheduler with model workers and a model store, for tests."""
+
+import msgspec
+
+from apricotlead.coordination.cell.election import (
+    OWNER_KEY,
+    OwnerRow,
+    read_owner,
+    takeover,
+)
+from apricotlead.coordination.cell.journal import JOBS_PREFIX, PROGRESS_PREFIX
+from apricotlead.coordination.cell.scheduler import CellScheduler, PlannedStart
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.protocol.cell_config import (
+    CellConfig,
+    OrganisationConfig,
+    QueueConfig,
+)
+from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec, StoredJob
+from apricotlead.protocol.cell_workers import (
+    EndedTask,
+    EndKind,
+    HoldReport,
+    OrderReply,
+    RunningTask,
+    StartOrder,
+    WorkerEntry,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import Row
+from apricotlead.state.cell_view import CellView
+
+CAPACITY = Resources(16000, 32768, 0)
+SMALL = Resources(1000, 1024, 0)
+
+
+def cell_config(limit: Resources = Resources()) -> CellConfig:
+    """Return a configuration with one queue and one organisation."""
+    return CellConfig(
+        1,
+        (QueueConfig('lookups', 'host', '/lookups/', 'transcripts'),),
+        (OrganisationConfig('clerks', ('key',), 100.0, limit),),
+    )
+
+
+def stored_job(*steps: StepSpec, **changes: object) -> StoredJob:
+    """Return an accepted job of the one queue."""
+    job = StoredJob(
+        'lookups',
+        'transcripts',
+        'clerks',
+        0,
+        max_attempts=3,
+        stretch=2.0,
+        aim_ms=1000,
+        submission=JobSubmission('payload', steps or (StepSpec(1, SMALL),)),
+    )
+    return msgspec.structs.replace(job, **changes)
+
+
+class ModelWorker:
+    """A worker that runs what it is told, with a clock of its own."""
+
+    def __init__(self, worker_id: str, **changes: object) -> None:
+        """Begin without runs."""
+        entry = WorkerEntry(
+            worker_id,
+            'transcripts',
+            f'{worker_id}:80',
+            'north',
+            CAPACITY,
+            ('kind', 'rack'),
+        )
+        self.entry = msgspec.structs.replace(entry, **changes)
+        self.running_by_task: dict[str, int] = {}
+        self.started: list[StartOrder] = []
+        self.ended: list[EndedTask] = []
+        self.is_reachable = True
+
+    def start(self, order: StartOrder) -> None:
+        """Begin a run."""
+        self.started.append(order)
+        self.running_by_task[order.task] = order.run
+
+    def end(self, task: str, kind: EndKind = EndKind.DONE) -> None:
+        """End a run."""
+        run = self.running_by_task.pop(task)
+        number = len(self.ended) + 1
+        self.ended.append(EndedTask(number, task, run, kind))
+
+    def report(self, now: float, acked_through: int = 0) -> HoldReport:
+        """Return both lists."""
+        return HoldReport(
+            now * 1000,
+            tuple(
+                RunningTask(task, run)
+                for task, run in self.running_by_task.items()
+            ),
+            tuple(end for end in self.ended if end.number > acked_through),
+        )
+
+
+class CellRig:
+    """Drives one scheduler after another over the same store."""
+
+    def __init__(self, *workers: ModelWorker, **changes: object) -> None:
+        """Begin with a first term at time 100."""
+        self.now = 100.0
+        self.config = cell_config(**changes)
+        self.workers_by_id = {
+            worker.entry.worker_id: worker for worker in workers
+        }
+        self.rows_by_key: dict[str, Row] = {}
+        self.version = 0
+        self.take_over()
+
+    def take_over(self) -> None:
+        """Begin a term by another instance."""
+        row = self.rows_by_key.get(OWNER_KEY, Row(OWNER_KEY))
+        owner, transaction = takeover(row, 'instance', 'peer', self.store_ms)
+        self._write(transaction)
+        self.scheduler = CellScheduler(
+            CellSettings(),
+            CellView(self.config, self.now),
+            owner,
+            read_owner(row),
+            self.now,
+            self.store_ms,
+        )
+        self.scheduler.owner_version = self.version
+        self.scheduler.load(
+            self.rows(JOBS_PREFIX),
+            self.rows(PROGRESS_PREFIX),
+            self.now,
+        )
+        for worker in self.workers_by_id.values():
+            self.scheduler.update_worker(worker.entry, self.now)
+        self.scheduler.restore_missing(self.now)
+        self.hold_all()
+
+    @property
+    def store_ms(self) -> float:
+        """Return the store's clock."""
+        return self.now * 1000
+
+    @property
+    def owner(self) -> OwnerRow:
+        """Return the owner row as stored."""
+        return read_owner(self.rows_by_key[OWNER_KEY])
+
+    def rows(self, prefix: str) -> tuple[Row, ...]:
+        """Return the stored rows of a part."""
+        return tuple(
+            row
+            for key, row in sorted(self.rows_by_key.items())
+            if key.startswith(prefix)
+        )
+
+    def submit(self, job_id: str, stored: StoredJob) -> Row:
+        """Store a job and let the scheduler see it."""
+        self.version += 1
+        key = f'{JOBS_PREFIX}{job_id}'
+        row = Row(key, self.version, msgspec.to_builtins(stored))
+        self.rows_by_key[key] = row
+        self.scheduler.job_row(row, self.now)
+        return row
+
+    def state(self, job_id: str) -> str:
+        """Return the stored state of a job."""
+        return self.rows_by_key[f'{JOBS_PREFIX}{job_id}'].value['state']
+
+    def pass_time(self, duration_s: float) -> None:
+        """Let time pass with holds twice a second."""
+        ends_s = self.now + duration_s
+        while self.now < ends_s:
+            self.now += 0.5
+            self.hold_all()
+            self.scheduler.tick(self.now)
+            self.round()
+
+    def hold_all(self) -> None:
+        """Hold each worker that can be reached."""
+        for worker_id in self.workers_by_id:
+            self.hold(worker_id)
+
+    def hold(self, worker_id: str) -> None:
+        """Hold one worker."""
+        worker = self.workers_by_id[worker_id]
+        planned = self.scheduler.hold_order(worker_id, self.now)
+        if planned is None or not worker.is_reachable:
+            return
+        order = planned[1]
+        report = worker.report(self.now, order.acked_through)
+        self.scheduler.hold_answered(
+            worker_id,
+            order,
+            report,
+            self.now,
+            self.now,
+        )
+
+    def round(self) -> None:
+        """Plan, journal and send."""
+        self.scheduler.plan(self.now, [])
+        for start in self.journal():
+            self.send(start)
+
+    def journal(self) -> list[PlannedStart]:
+        """Write the journal and return the starts that it allows."""
+        batch, starts = self.scheduler.take_batch(self.now)
+        self._write(batch.transaction)
+        self.scheduler.committed(
+            batch,
+            self.version,
+            self.now,
+            self.store_ms,
+            self.now,
+        )
+        return starts
+
+    def send(self, start: PlannedStart) -> None:
+        """Send a start to its worker."""
+        order = self.scheduler.start_order(start, self.now)
+        if order is None:
+            return
+        worker = self.workers_by_id[start.worker.worker_id]
+        worker.start(order)
+        if worker.is_reachable:
+            reply = OrderReply(None, self.now * 1000)
+            self.scheduler.start_answered(start, reply, self.now, self.now)
+
+    def _write(self, transaction: object) -> None:
+        for check in transaction.checks:
+            row = self.rows_by_key.get(check.key, Row(check.key))
+            assert row.version == check.version
+        self.version += 1
+        for put in transaction.puts:
+            self.rows_by_key[put.key] = Row(put.key, self.version, put.value)
+        for key in transaction.deletes:
+            self.rows_by_key.pop(key, None)
--- /dev/null
+++ b/tests/test_cell_scheduler.py
@@ -0,0 +1,134 @@
+"""The elected scheduler over model workers and a model store."""
+
+from testtools import TestCase
+
+from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.protocol.cell_workers import EndKind
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
+
+JOB = '00000000000000aa'
+TASK = f'{JOB}.0.0.0'
+
+
+class TestLifeOfAJob(TestCase):
+    """A job is started, ends, and stays ended."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = ModelWorker('w1')
+        self.rig = CellRig(self.worker)
+
+    def test_job_completes(self) -> None:
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        self.worker.end(TASK)
+        self.rig.hold_all()
+        self.rig.round()
+        self.assertEqual('completed', self.rig.state(JOB))
+
+    def test_start_follows_its_journal_entry(self) -> None:
+        """A start without a journal entry could run twice after a crash."""
+        self.rig.submit(JOB, stored_job())
+        self.rig.scheduler.plan(self.rig.now, [])
+        self.assertEqual([], self.worker.started)
+        starts = self.rig.journal()
+        self.assertEqual([TASK], [start.task.name for start in starts])
+
+    def test_late_read_of_a_final_job_starts_nothing(self) -> None:
+        """A read that began before the final write must not revive a job."""
+        row = self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        self.worker.end(TASK)
+        self.rig.hold_all()
+        self.rig.round()
+        self.rig.pass_time(1)
+        self.rig.scheduler.job_row(row, self.rig.now)
+        self.rig.round()
+        self.assertEqual(1, len(self.worker.started))
+
+    def test_end_is_acknowledged_after_the_journal(self) -> None:
+        """An end that is forgotten by its worker must be in the store."""
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        self.worker.end(TASK)
+        self.rig.hold_all()
+        order = self.rig.scheduler.hold_order('w1', self.rig.now)[1]
+        self.assertEqual(0, order.acked_through)
+        self.rig.journal()
+        order = self.rig.scheduler.hold_order('w1', self.rig.now)[1]
+        self.assertEqual(1, order.acked_through)
+
+    def test_failed_job_after_all_attempts(self) -> None:
+        self.rig.submit(JOB, stored_job(max_attempts=2))
+        for _ in range(2):
+            self.rig.round()
+            self.worker.end(TASK, EndKind.FAILED)
+            self.rig.hold_all()
+        self.rig.round()
+        self.assertEqual('failed', self.rig.state(JOB))
+        self.assertEqual(2, len(self.worker.started))
+
+
+class TestTakeover(TestCase):
+    """A successor neither repeats nor loses a run."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.near = ModelWorker('w1')
+        self.far = ModelWorker('w2')
+        self.rig = CellRig(self.near, self.far)
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        self.holder = self.near if self.near.started else self.far
+
+    def test_running_task_goes_on(self) -> None:
+        self.rig.take_over()
+        self.rig.pass_time(2)
+        started = self.near.started + self.far.started
+        self.assertEqual(1, len(started))
+
+    def test_task_of_an_unreachable_worker_waits_for_its_lease(self) -> None:
+        """The worker may run on until the lease of the former term ends."""
+        self.holder.is_reachable = False
+        self.rig.take_over()
+        self.rig.pass_time(5)
+        self.assertEqual(1, len(self.near.started + self.far.started))
+        self.rig.pass_time(6)
+        self.assertEqual(2, len(self.near.started + self.far.started))
+
+    def test_unacknowledged_end_is_taken_over(self) -> None:
+        self.holder.end(TASK)
+        self.rig.now += 1
+        self.rig.take_over()
+        self.rig.round()
+        self.assertEqual('completed', self.rig.state(JOB))
+
+    def test_end_before_a_lapse_does_not_count(self) -> None:
+        """An end that was acknowledged after a lapse is void for the worker."""
+        self.holder.end(TASK)
+        self.rig.now += 30
+        self.rig.take_over()
+        self.rig.pass_time(1)
+        runs = [order.run for order in self.near.started + self.far.started]
+        self.assertEqual([1, 2], sorted(runs))
+
+
+class TestGangs(TestCase):
+    """A gang runs whole or not at all."""
+
+    def test_gang_waits_for_room_for_all(self) -> None:
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        rig.submit(JOB, stored_job(StepSpec(17, SMALL, gang=True)))
+        rig.round()
+        self.assertEqual([], worker.started)
+
+    def test_rest_of_a_broken_gang_is_stopped(self) -> None:
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        rig.submit(JOB, stored_job(StepSpec(2, SMALL, gang=True)))
+        rig.round()
+        worker.end(TASK, EndKind.FAILED)
+        rig.hold_all()
+        stops = rig.scheduler.stops_due(rig.now)
+        self.assertEqual([f'{JOB}.0.0.1'], [stop.task for _, stop in stops])
