Order waiting steps by priority before lateness

Ruled out: more room; the cell is 90 to 98% used in each heavy second.

Jobs past three times their objective go last, so that no room goes to work that is of no use while other work waits.

--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -1,14 +1,18 @@
 """The order in which waiting steps are given room.
 
-Pattern: more work than room. A queue's priority comes first. Within it, jobs
-of an organisation beyond its weight (in jobs a second) wait behind the jobs
-of others, and jobs that can no longer meet their objective wait behind those
-that can, oldest first.
+Pattern: more work than room. Jobs that end too late to be of any use wait
+behind all others, and jobs of an organisation beyond its weight (in jobs a
+second) behind those within theirs. Then a queue's priority comes first: its
+jobs have little time, so that the delay falls on the jobs with much of it.
+Jobs that can no longer meet their objective wait behind those of the same
+priority that can; the oldest goes first.
 """
 
 from apricotlead.state.cell_jobs import JobRun, StepState
 
 _MS_PER_S = 1000.0
+# A job is of no use to its caller after this many times its objective.
+_WORTHLESS_AFTER = 3.0
 
 
 class WeightMeter:
@@ -63,16 +67,16 @@
 def order_key(
     step: StepState,
     now: float,
-) -> tuple[int, int, int, float]:
+) -> tuple[bool, bool, int, bool, float]:
     """Return the sort key of a waiting step; the least goes first."""
     job = step.job
-    slack_s = (
-        job.accepted_s + objective_s(job) - now - chain_s(job, pending_only=True)
-    )
-    is_late = int(slack_s < 0 and not step.spec.long_running)
+    aim_s = objective_s(job)
+    ends_s = now + chain_s(job, pending_only=True)
+    lasts = step.spec.long_running
     return (
-        int(not job.is_within_weight),
-        is_late,
+        not lasts and ends_s > job.accepted_s + _WORTHLESS_AFTER * aim_s,
+        not job.is_within_weight,
         job.stored.priority,
+        not lasts and ends_s > job.accepted_s + aim_s,
         job.accepted_s,
     )
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -51,6 +51,7 @@
 # Steps that could not be placed in a round, before the rest is left.
 _MOST_BLOCKED_STEPS = 60
 _MOST_EXPIRED = 8
+_SUM_UP_S = 1.0
 # Sorts after the hexadecimal digits of job ids.
 _CANCEL_MARK = '~'
 # An order that a worker calls malformed is tried again after this pause.
@@ -81,6 +82,7 @@
         '_settings',
         '_stop_sent_s',
         '_store_base',
+        '_summed_up_s',
         'advice',
         'book',
         'owner',
@@ -106,6 +108,7 @@
         self._store_base = (now, store_ms)
         self._inherited = _inherited_times(settings, former, now, store_ms)
         self._meter = WeightMeter()
+        self._summed_up_s = now
         self._limits_by_organisation: dict[str, Resources] = {}
         self._final_ends_s: dict[str, float] = {}
         self._expired_keys: list[str] = []
@@ -306,6 +309,9 @@
 
     def tick(self, now: float) -> None:
         """Act on the passing of time."""
+        if now - self._summed_up_s >= _SUM_UP_S:
+            self._summed_up_s = now
+            self._sum_up(now)
         for worker in tuple(self.book.workers_by_id.values()):
             self._check_worker(worker, now)
         for job in tuple(self.book.jobs_by_id.values()):
@@ -680,6 +686,28 @@
             )
             self.book.unplace(task, now)
 
+    def _sum_up(self, now: float) -> None:
+        """Leave a line on the room and the queues."""
+        workers = [
+            worker
+            for worker in self.book.workers_by_id.values()
+            if worker.takes_work(now)
+        ]
+        waiting: dict[str, int] = {}
+        for step in self.book.ready_steps_by_name.values():
+            queue = step.job.stored.queue
+            waiting[queue] = waiting.get(queue, 0) + step.waiting_count
+        self.book.note(
+            'cell state',
+            usable_workers=len(workers),
+            workers=len(self.book.workers_by_id),
+            cpu_millis=sum(w.entry.capacity.cpu_millis for w in workers),
+            cpu_used_millis=sum(w.used.cpu_millis for w in workers),
+            memory_used_mb=sum(w.used.memory_mb for w in workers),
+            jobs=len(self.book.jobs_by_id),
+            waiting_tasks=waiting,
+        )
+
     def _silent_workers(self, now: float) -> tuple[str, ...]:
         silent_s = _contact_bound_s(self._settings)
         return tuple(
