--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -52,7 +52,7 @@
 
 SETTINGS_VARIABLE = 'APRICOTLEAD_CONFIG'
 
-_IDLE_CONNECTIONS = 8
+_IDLE_CONNECTIONS = 16
 _ELECTION_RETRY_S = 0.15
 _COUNT_FRESH_S = 1.5
 # The balancer probes once a second and takes two misses.
@@ -60,6 +60,8 @@
 _DRAIN_POLL_S = 0.05
 _STOP_MARGIN_S = 0.7
 _SETTINGS_EXIT = 2
+# Rolling restarts take about this long from one instance to the last.
+_OLD_INSTANCE_S = 30.0
 
 
 class CellEntry:
@@ -73,6 +75,7 @@
         '_metrics',
         '_peers',
         '_settings',
+        '_started_s',
         '_store',
         '_term',
         '_workers',
@@ -82,6 +85,7 @@
     def __init__(self, settings: CellEntrySettings) -> None:
         """Join all parts; :meth:`serve` begins."""
         self._settings = settings
+        self._started_s = boot_now()
         self._log = CellLog({'instance': settings.instance_id})
         self._metrics = CellMetrics()
         pool = HttpPool(idle_per_host=_IDLE_CONNECTIONS)
@@ -142,7 +146,7 @@
         self._log.log('started', data_centre=settings.data_centre)
         follower = TableFollower(
             self._store,
-            OPERATOR_PREFIX,
+            (OPERATOR_PREFIX,),
             _Operator(self),
             self._log.log,
         )
@@ -272,10 +276,16 @@
         return age_ms < self._settings.cell.election.store_lost_s * 1000
 
     def _stagger_s(self) -> float:
-        """Return a pause that lets large instances take over first."""
+        """Return a pause that lets better candidates take over first.
+
+        Large instances come first, and those that started lately: a rolling
+        restart stops the others next.
+        """
         settings = self._settings
         small = max(0, 1 - settings.cpu_share * settings.cores)
-        return settings.cell.election.stagger_s * (random.random() + 2 * small)
+        age = min(1, (boot_now() - self._started_s) / _OLD_INSTANCE_S)
+        weights = random.random() + small + 2 * age
+        return settings.cell.election.stagger_s * weights
 
     def _take_over(self, row: Row, store_ms: float) -> None:
         began_s = boot_now()
--- a/src/apricotlead/cell_settings.py
+++ b/src/apricotlead/cell_settings.py
@@ -64,7 +64,9 @@
         try:
             content = Path(path).read_bytes()
         except OSError as error:
-            raise CellSettingsError(f'{path} cannot be read: {error}.') from error
+            raise CellSettingsError(
+                f'{path} cannot be read: {error}.'
+            ) from error
         try:
             settings = msgspec.yaml.decode(content, type=cls)
         except msgspec.MsgspecError as error:
--- a/src/apricotlead/coordination/cell/advice_book.py
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -28,7 +28,13 @@
 class StepAdvice:
     """What is known of one step; times are local seconds."""
 
-    __slots__ = ('asked_s', 'bad', 'expires_s', 'is_asking', 'tickets_by_worker')
+    __slots__ = (
+        'asked_s',
+        'bad',
+        'expires_s',
+        'is_asking',
+        'tickets_by_worker',
+    )
 
     def __init__(self) -> None:
         """Begin without an answer."""
--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -11,15 +11,13 @@
 
 from apricotlead.coordination.cell.election import OwnerRow, owner_transaction
 from apricotlead.coordination.cell.run_book import RunBook
-from apricotlead.protocol.cell_jobs import StoredJob
+from apricotlead.protocol.cell_jobs import JobProgress
 from apricotlead.protocol.table import Put, Transaction
 from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
 
-JOBS_PREFIX = 'jobs/cell/'
 PROGRESS_PREFIX = 'progress/cell/'
-# The platform takes 100 entries in a transaction; a final job takes two, and
-# the owner row takes two.
-_MOST_JOBS = 40
+# The platform takes 100 entries in a transaction; the owner row takes two.
+_MOST_JOBS = 80
 
 
 class JournalBatch(Struct):
@@ -42,6 +40,7 @@
     owner_version: int,
     store_ms: float,
     expired_keys: list[str],
+    extra_puts: tuple[Put, ...] = (),
 ) -> JournalBatch:
     """Return the next write: the oldest changes, within the size allowed.
 
@@ -49,7 +48,7 @@
     """
     job_ids = list(book.dirty_job_ids)[:_MOST_JOBS]
     is_whole = len(job_ids) == len(book.dirty_job_ids)
-    puts: list[Put] = []
+    puts = list(extra_puts)
     deletes = list(expired_keys)
     planned: list[tuple[TaskState, int]] = []
     final_jobs: list[JobRun] = []
@@ -60,19 +59,13 @@
             continue
         if job.state.is_final:
             final_jobs.append(job)
-            puts.append(_final_put(job, store_ms))
-            if job.has_progress_row:
-                deletes.append(f'{PROGRESS_PREFIX}{job_id}')
-                job.has_progress_row = False
-            continue
-        job.has_progress_row = True
-        builtins = msgspec.to_builtins(job.progress())
+            record = JobProgress([], job.state, store_ms)
+        else:
+            record = job.progress()
+        builtins = msgspec.to_builtins(record)
         puts.append(Put(f'{PROGRESS_PREFIX}{job_id}', builtins))
-        planned.extend(
-            (task, task.run)
-            for task in job.tasks()
-            if task.phase is TaskPhase.PLANNED
-        )
+        if not job.state.is_final:
+            planned.extend(_planned(job))
     return JournalBatch(
         owner_transaction(owner, owner_version, tuple(puts), tuple(deletes)),
         owner,
@@ -82,22 +75,17 @@
     )
 
 
+def _planned(job: JobRun) -> list[tuple[TaskState, int]]:
+    return [
+        (task, task.run)
+        for task in job.tasks()
+        if task.phase is TaskPhase.PLANNED
+    ]
+
+
 def _acks(book: RunBook) -> dict[str, int]:
     return {
         worker.worker_id: worker.reported_through
         for worker in book.workers_by_id.values()
         if worker.reported_through > worker.acked_through
     }
-
-
-def _final_put(job: JobRun, store_ms: float) -> Put:
-    stored = job.stored
-    final = StoredJob(
-        stored.queue,
-        stored.service,
-        stored.organisation,
-        stored.accepted_ms,
-        state=job.state,
-        ended_ms=store_ms,
-    )
-    return Put(f'{JOBS_PREFIX}{job.job_id}', msgspec.to_builtins(final))
--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -80,3 +80,11 @@
         not lasts and ends_s > job.accepted_s + aim_s,
         job.accepted_s,
     )
+
+
+def is_hasty(step: StepState, now: float) -> bool:
+    """Tell whether a step has less slack than its own work takes."""
+    job = step.job
+    rest_s = chain_s(job, pending_only=True)
+    slack_s = job.accepted_s + objective_s(job) - now - rest_s
+    return slack_s < rest_s
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -1,12 +1,15 @@
 """Which workers the waiting tasks of a step go to.
 
-Pattern: tasks of very unlike sizes on like workers. Each task goes to the
-worker that it fills best, so that whole workers stay free for gangs. A gang
-gets all its workers at once or none.
+Pattern: tasks of very unlike sizes and haste, on workers of unlike speed.
+Tasks of a step with little slack go to the fastest workers with room, the
+others leave those free. Among equals a task goes to the worker that it fills
+best, so that whole workers stay free for gangs. A gang gets all its workers
+at once or none.
 """
 
 from collections.abc import Iterable
 
+from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
@@ -15,12 +18,14 @@
 class Room:
     """The room left on one worker during one round of placement."""
 
-    __slots__ = ('accelerators', 'cpu', 'memory', 'worker')
+    __slots__ = ('accelerators', 'cpu', 'memory', 'pace', 'worker')
 
     def __init__(self, worker: WorkerState) -> None:
         """Begin with what the worker has free."""
         free = worker.free
         self.worker = worker
+        # Workers whose speeds differ by less count as equal.
+        self.pace = round(worker.speed.slowness * _PACE_STEPS)
         self.cpu = free.cpu_millis
         self.memory = free.memory_mb
         self.accelerators = free.accelerators
@@ -40,6 +45,9 @@
         self.accelerators -= sign * demand.accelerators
 
 
+_PACE_STEPS = 5
+# A worker this much slower than estimated is used last by all.
+_VERY_SLOW = 2.0
 Choice = tuple[TaskState, Room]
 
 
@@ -58,9 +66,8 @@
 def may_run_here(step: StepState, worker: WorkerState) -> bool:
     """Tell whether a worker meets what a step requires of it."""
     label = step.spec.required_label
-    return (
-        worker.entry.service == step.job.stored.service
-        and (not label or label in worker.entry.labels)
+    return worker.entry.service == step.job.stored.service and (
+        not label or label in worker.entry.labels
     )
 
 
@@ -68,30 +75,34 @@
     step: StepState,
     tasks: list[TaskState],
     rooms: Iterable[Room],
+    *,
+    is_hasty: bool = False,
 ) -> list[Choice]:
     """Choose rooms for as many tasks as fit, and take them.
 
-    For a gang that does not fit whole, nothing is taken.
+    For a gang that does not fit whole, nothing is taken. The tasks of a
+    hasty step go to fast workers first, those of others to slower ones.
     """
     candidates = [room for room in rooms if may_run_here(step, room.worker)]
     if step.spec.same_rack:
-        choices = _choose_in_one_rack(step, tasks, candidates)
+        choices = _choose_in_one_rack(step, tasks, candidates, is_hasty)
         if choices:
             return choices
-    return _choose_from(step, tasks, candidates)
+    return _choose_from(step, tasks, candidates, is_hasty)
 
 
 def _choose_in_one_rack(
     step: StepState,
     tasks: list[TaskState],
     candidates: list[Room],
+    is_hasty: bool,
 ) -> list[Choice]:
     rooms_by_rack: dict[str, list[Room]] = {}
     for room in candidates:
         rack = room.worker.entry.rack
         rooms_by_rack.setdefault(rack, []).append(room)
     for rooms in rooms_by_rack.values():
-        choices = _choose_from(step, tasks, rooms)
+        choices = _choose_from(step, tasks, rooms, is_hasty)
         if len(choices) == len(tasks):
             return choices
         _give_back(step, choices)
@@ -102,12 +113,13 @@
     step: StepState,
     tasks: list[TaskState],
     candidates: list[Room],
+    is_hasty: bool,
 ) -> list[Choice]:
     demand = step.demand()
     counts = _counts_by_worker(step)
     choices: list[Choice] = []
     for task in tasks:
-        best = _best_room(step, task, candidates, counts)
+        best = _best_room(task, candidates, counts, is_hasty)
         if best is None:
             if step.spec.gang:
                 _give_back(step, choices)
@@ -121,32 +133,45 @@
 
 
 def _best_room(
-    step: StepState,
     task: TaskState,
     candidates: list[Room],
     counts: dict[str, int],
+    is_hasty: bool,
 ) -> Room | None:
-    demand = step.demand()
-    most = step.spec.max_per_worker
-    rack = step.spec.data_rack
+    spec = task.step.spec
+    demand = task.step.demand()
     best: Room | None = None
-    best_key: tuple[bool, bool, int] | None = None
+    best_key: tuple[bool, bool, bool, int, int] | None = None
     for room in candidates:
-        worker = room.worker
-        if not room.fits(demand):
+        if not room.fits(demand) or _is_full(spec, room, counts):
             continue
-        if most and counts.get(worker.worker_id, 0) >= most:
-            continue
-        key = (
-            worker.worker_id in task.avoided_workers,
-            bool(rack) and worker.entry.rack != rack,
-            room.cpu,
-        )
+        key = _room_key(task, room, is_hasty)
         if best_key is None or key < best_key:
             best, best_key = room, key
     return best
 
 
+def _is_full(spec: StepSpec, room: Room, counts: dict[str, int]) -> bool:
+    most = spec.max_per_worker
+    return bool(most) and counts.get(room.worker.worker_id, 0) >= most
+
+
+def _room_key(
+    task: TaskState,
+    room: Room,
+    is_hasty: bool,
+) -> tuple[bool, bool, bool, int, int]:
+    worker = room.worker
+    rack = task.step.spec.data_rack
+    return (
+        worker.worker_id in task.avoided_workers,
+        room.pace > _VERY_SLOW * _PACE_STEPS,
+        bool(rack) and worker.entry.rack != rack,
+        room.pace if is_hasty else -room.pace,
+        room.cpu,
+    )
+
+
 def _counts_by_worker(step: StepState) -> dict[str, int]:
     counts: dict[str, int] = {}
     if not step.spec.max_per_worker:
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -6,6 +6,7 @@
 
 from typing import Any
 
+from apricotlead.coordination.cell.stragglers import is_straggler
 from apricotlead.protocol.cell_jobs import JobState
 from apricotlead.protocol.cell_workers import (
     EndedTask,
@@ -18,6 +19,9 @@
 from apricotlead.state.cell_workers import WorkerState
 
 
+_MS_PER_S = 1000.0
+
+
 class RunBook:
     """All jobs, workers and runs; collects what must be journaled."""
 
@@ -87,6 +91,7 @@
         task.worker_id = worker.worker_id
         task.ticket = ticket
         task.started_s = now
+        task.first_progress = None
         task.progress = 0.0
         task.progress_s = now
         task.percent = 100
@@ -171,6 +176,7 @@
             worker=worker.worker_id,
             how=str(ended.kind),
             after_s=round(now - task.started_s, 2),
+            estimate_s=round(task.step.spec.estimated_ms / 1000, 2),
         )
         if task.phase is TaskPhase.DONE:
             worker.release(task)
@@ -202,7 +208,9 @@
             if task.name not in running_names:
                 self._not_listed(worker, task, sent_s, now)
 
-    def stop_acked(self, worker_id: str, name: str, run: int, now: float) -> None:
+    def stop_acked(
+        self, worker_id: str, name: str, run: int, now: float
+    ) -> None:
         """Note that a worker took a stop: the run will never begin there."""
         self.stop_acked_s_by_run[worker_id, name, run] = now
         worker = self.workers_by_id.get(worker_id)
@@ -253,6 +261,10 @@
     def _done(self, worker: WorkerState, task: TaskState, now: float) -> None:
         worker.failures_in_row = 0
         step = task.step
+        if not task.checkpoint and not step.spec.gang:
+            taken_s = now - task.started_s
+            step.longest_done_s = max(step.longest_done_s, taken_s)
+            worker.speed.observe(taken_s, step.spec.estimated_ms / _MS_PER_S)
         # The end of one member stands for its whole gang.
         members = step.tasks if step.spec.gang else [task]
         worker.release(task)
@@ -317,16 +329,42 @@
         self.running(task, now)
         if listed.checkpoint:
             task.checkpoint = listed.checkpoint
+        if task.first_progress is None:
+            task.first_progress = listed.progress
         if listed.progress != task.progress:
             task.progress = listed.progress
             task.progress_s = now
         task.load = listed.load
+        if is_straggler(task, now):
+            self._replace_straggler(worker, task, now)
         key = (worker.worker_id, task.name, task.run)
         if task.phase is TaskPhase.STOPPING and key not in (
             self.stop_acked_s_by_run
         ):
             worker.stops_by_task[task.name] = task.run
 
+    def _replace_straggler(
+        self,
+        worker: WorkerState,
+        task: TaskState,
+        now: float,
+    ) -> None:
+        self.note(
+            'straggler stopped',
+            task=task.name,
+            run=task.run,
+            worker=worker.worker_id,
+            progress=task.progress,
+            elapsed_s=round(now - task.started_s, 2),
+            unchanged_s=round(now - task.progress_s, 2),
+            estimate_ms=task.step.spec.estimated_ms,
+        )
+        estimate_s = task.step.spec.estimated_ms / _MS_PER_S
+        elapsed_s = now - task.started_s
+        worker.speed.observe(elapsed_s * 2, estimate_s)
+        task.avoided_workers.add(worker.worker_id)
+        self.stop(task)
+
     def _not_listed(
         self,
         worker: WorkerState,
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -9,13 +9,21 @@
 
 from apricotlead.coordination.cell.advice_book import AdviceBook, AdviceCall
 from apricotlead.coordination.cell.election import OwnerRow
+from apricotlead.coordination.cell.job_rows import (
+    CANCEL_MARK,
+    FinalJob,
+    JobRowKeeper,
+)
 from apricotlead.coordination.cell.journal import (
-    JOBS_PREFIX,
     PROGRESS_PREFIX,
     JournalBatch,
     take_batch,
 )
-from apricotlead.coordination.cell.order import WeightMeter, order_key
+from apricotlead.coordination.cell.order import (
+    WeightMeter,
+    is_hasty,
+    order_key,
+)
 from apricotlead.coordination.cell.placement import (
     Choice,
     Room,
@@ -25,7 +33,11 @@
 )
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.coordination.cell.settings import CellSettings
-from apricotlead.protocol.cell_jobs import JobProgress, JobState, StoredJob
+from apricotlead.protocol.cell_jobs import (
+    JobProgress,
+    JobState,
+    StoredJob,
+)
 from apricotlead.protocol.cell_workers import (
     EndKind,
     HoldOrder,
@@ -37,11 +49,12 @@
     WorkerEntry,
 )
 from apricotlead.protocol.resources import Resources
-from apricotlead.protocol.table import Row
+from apricotlead.protocol.table import Put, Row
 from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
 from apricotlead.state.cell_view import CellView
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.worker_lease import Lapse, WorkerLease
+from apricotlead.state.worker_speed import WorkerSpeed
 
 _MS_PER_S = 1000.0
 _NO_LIMIT = Resources()
@@ -52,8 +65,8 @@
 _MOST_BLOCKED_STEPS = 60
 _MOST_EXPIRED = 8
 _SUM_UP_S = 1.0
-# Sorts after the hexadecimal digits of job ids.
-_CANCEL_MARK = '~'
+_SPEEDS_S = 5.0
+SPEEDS_KEY = 'workers/cell/speeds'
 # An order that a worker calls malformed is tried again after this pause.
 _MALFORMED_PAUSE_S = 2.0
 
@@ -72,15 +85,13 @@
     """Decides for one epoch; built anew at each takeover."""
 
     __slots__ = (
-        '_cancelled_job_ids',
-        '_expired_keys',
-        '_final_ends_s',
         '_former_silent',
         '_inherited',
         '_limits_by_organisation',
         '_meter',
         '_settings',
         '_stop_sent_s',
+        '_speeds_put_s',
         '_store_base',
         '_summed_up_s',
         'advice',
@@ -88,6 +99,7 @@
         'owner',
         'owner_version',
         'renewed_s',
+        'rows',
         'view',
     )
 
@@ -109,16 +121,15 @@
         self._inherited = _inherited_times(settings, former, now, store_ms)
         self._meter = WeightMeter()
         self._summed_up_s = now
+        self._speeds_put_s = now
         self._limits_by_organisation: dict[str, Resources] = {}
-        self._final_ends_s: dict[str, float] = {}
-        self._expired_keys: list[str] = []
         self._stop_sent_s: dict[tuple[str, str, int], float] = {}
-        self._cancelled_job_ids: set[str] = set()
         self._former_silent = (
             frozenset() if former is None else frozenset(former.silent_workers)
         )
         self.book = RunBook()
         self.advice = AdviceBook(settings.advice)
+        self.rows = JobRowKeeper()
         self.owner = owner
         self.owner_version = 0
         self.renewed_s = now
@@ -134,9 +145,7 @@
         """Take over a new configuration."""
         self.view = view
         for organisation in view.config.organisations:
-            self._limits_by_organisation[organisation.name] = (
-                organisation.limit
-            )
+            self._limits_by_organisation[organisation.name] = organisation.limit
 
     def load(
         self,
@@ -145,15 +154,20 @@
         now: float,
     ) -> None:
         """Take over the jobs of the store, once, before any worker."""
-        cancels = [row for row in job_rows if _CANCEL_MARK in row.key]
+        records_by_id = {
+            row.key.removeprefix(PROGRESS_PREFIX): msgspec.convert(
+                row.value,
+                JobProgress,
+            )
+            for row in progress_rows
+        }
         for row in job_rows:
-            if _CANCEL_MARK not in row.key:
-                self.job_row(row, now)
-        for progress_row in progress_rows:
-            self._restore(progress_row, now)
+            if CANCEL_MARK not in row.key:
+                self._load_job(row, records_by_id, now)
         # Cancelling stops runs, so all runs must be known first.
-        for cancel in cancels:
-            self.job_row(cancel, now)
+        for cancel in job_rows:
+            if CANCEL_MARK in cancel.key:
+                self.job_row(cancel, now)
         for job in tuple(self.book.jobs_by_id.values()):
             self.book.open_steps(job, now)
             if job.is_complete():
@@ -161,19 +175,25 @@
 
     def job_row(self, row: Row, now: float) -> None:
         """Take note of a row of the table of jobs."""
-        job_id = row.key.removeprefix(JOBS_PREFIX)
-        job_id, mark, _ = job_id.partition(_CANCEL_MARK)
-        if mark:
-            if row.version:
-                self._cancel(job_id)
-            return
+        job_id, mark, _ = row.key.rpartition('/')[2].partition(CANCEL_MARK)
         if row.version == 0 or row.value is None:
             return
+        if mark:
+            self._cancel(job_id)
+            return
         stored = msgspec.convert(row.value, StoredJob)
         if stored.state.is_final:
-            self._note_final(job_id, stored, now)
+            record = JobProgress([], stored.state, stored.ended_ms)
+            self._note_final(job_id, stored, row.version, record, now)
         elif self._is_new(job_id):
-            self._add(job_id, stored, now)
+            self._add(job_id, stored, row.version, now)
+
+    def load_speeds(self, row: Row) -> None:
+        """Take over what a former scheduler learned of its workers."""
+        for worker_id, (slowness, count) in (row.value or {}).items():
+            worker = self.book.workers_by_id.get(worker_id)
+            if worker is not None:
+                worker.speed = WorkerSpeed(slowness, count)
 
     def update_worker(self, entry: WorkerEntry, now: float) -> bool:
         """Take note of a registration; tell whether the worker is new."""
@@ -259,6 +279,11 @@
         )
         return worker.entry, order
 
+    def is_known(self, worker_id: str) -> bool:
+        """Tell whether a worker's lists were read under this epoch."""
+        worker = self.book.workers_by_id.get(worker_id)
+        return worker is not None and worker.lease.is_known
+
     def hold_answered(
         self,
         worker_id: str,
@@ -315,15 +340,8 @@
         for worker in tuple(self.book.workers_by_id.values()):
             self._check_worker(worker, now)
         for job in tuple(self.book.jobs_by_id.values()):
-            if job.job_id in self._final_ends_s:
+            if job.job_id in self.rows.finals_by_id:
                 self._drop_if_over(job)
-        for job_id, ends_s in tuple(self._final_ends_s.items()):
-            if ends_s <= now:
-                self._final_ends_s.pop(job_id)
-                self._expired_keys.append(f'{JOBS_PREFIX}{job_id}')
-                if job_id in self._cancelled_job_ids:
-                    self._cancelled_job_ids.remove(job_id)
-                    self._expired_keys.append(cancel_key(job_id))
 
     def open_due(self, unix_ms: float, now: float) -> None:
         """Open the occurrences that are due, by the time of day."""
@@ -355,7 +373,12 @@
             if not tasks:
                 continue
             allowed = self._advised(step, rooms, askers, calls, now)
-            choices = choose(step, tasks, allowed)
+            choices = choose(
+                step,
+                tasks,
+                allowed,
+                is_hasty=is_hasty(step, now),
+            )
             for choice in choices:
                 self._place(choice, now)
             blocked += not choices
@@ -376,14 +399,14 @@
             self.store_ms(now),
             self._silent_workers(now),
         )
-        expired = self._expired_keys[:_MOST_EXPIRED]
-        self._expired_keys = self._expired_keys[_MOST_EXPIRED:]
+        expired = self.rows.take_expired(_MOST_EXPIRED)
         batch = take_batch(
             self.book,
             self.owner,
             self.owner_version,
             self.store_ms(now),
             expired,
+            self._speeds_put(now),
         )
         starts: list[PlannedStart] = []
         for task, run in batch.planned:
@@ -429,8 +452,13 @@
             if task.run == run:
                 self.book.sent(task)
         for job in batch.final_jobs:
-            self._final_ends_s[job.job_id] = (
-                now + self._settings.keep_final_s
+            record = JobProgress([], job.state, batch.owner.renewed_ms)
+            self._note_final(
+                job.job_id,
+                job.stored,
+                job.row_version,
+                record,
+                now,
             )
             self._drop_if_over(job)
 
@@ -538,12 +566,47 @@
         after it.
         """
         return not (
-            job_id in self.book.jobs_by_id or job_id in self._final_ends_s
+            job_id in self.book.jobs_by_id or job_id in self.rows.finals_by_id
         )
 
-    def _add(self, job_id: str, stored: StoredJob, now: float) -> None:
+    def _load_job(
+        self,
+        row: Row,
+        records_by_id: dict[str, JobProgress],
+        now: float,
+    ) -> None:
+        job_id = row.key.rpartition('/')[2]
+        record = records_by_id.get(job_id)
+        if record is not None and record.state.is_final:
+            stored = msgspec.convert(row.value, StoredJob)
+            self._note_final(job_id, stored, row.version, record, now)
+            return
+        self.job_row(row, now)
+        job = self.book.jobs_by_id.get(job_id)
+        if job is not None and record is not None:
+            job.restore(record, now)
+
+    def _speeds_put(self, now: float) -> tuple[Put, ...]:
+        """Return the row of speeds when it is time to write it again."""
+        if now - self._speeds_put_s < _SPEEDS_S:
+            return ()
+        self._speeds_put_s = now
+        speeds = {
+            worker.worker_id: (round(worker.speed.slowness, 2), worker.speed.count)
+            for worker in self.book.workers_by_id.values()
+            if worker.speed.count
+        }
+        return (Put(SPEEDS_KEY, speeds),)
+
+    def _add(
+        self,
+        job_id: str,
+        stored: StoredJob,
+        row_version: int,
+        now: float,
+    ) -> None:
         age_s = max(0, self.store_ms(now) - stored.accepted_ms) / _MS_PER_S
-        job = JobRun(job_id, stored, now - age_s)
+        job = JobRun(job_id, stored, now - age_s, row_version)
         organisation = self.view.organisations_by_name.get(stored.organisation)
         if organisation is not None:
             job.is_within_weight = self._meter.admit(
@@ -556,12 +619,6 @@
             job.open_occurrence()
         self.book.open_steps(job, now)
 
-    def _restore(self, row: Row, now: float) -> None:
-        job_id = row.key.removeprefix(PROGRESS_PREFIX)
-        job = self.book.jobs_by_id.get(job_id)
-        if job is not None:
-            job.restore(msgspec.convert(row.value, JobProgress), now)
-
     def _new_lease(self, worker_id: str, now: float) -> WorkerLease:
         until_s, from_s = self._inherited
         if worker_id in self._former_silent:
@@ -569,16 +626,31 @@
         return WorkerLease(self._settings.leases, now, until_s, from_s)
 
     def _cancel(self, job_id: str) -> None:
-        self._cancelled_job_ids.add(job_id)
+        self.rows.note_cancel(job_id)
         job = self.book.jobs_by_id.get(job_id)
         if job is not None:
             self.book.finish(job, JobState.CANCELLED)
 
-    def _note_final(self, job_id: str, stored: StoredJob, now: float) -> None:
-        if job_id not in self._final_ends_s:
-            age_s = (self.store_ms(now) - stored.ended_ms) / _MS_PER_S
-            left_s = self._settings.keep_final_s - age_s
-            self._final_ends_s[job_id] = now + left_s
+    def _note_final(
+        self,
+        job_id: str,
+        stored: StoredJob,
+        row_version: int,
+        record: JobProgress,
+        now: float,
+    ) -> None:
+        age_s = (self.store_ms(now) - record.ended_ms) / _MS_PER_S
+        self.rows.add(
+            FinalJob(
+                job_id,
+                stored,
+                row_version,
+                record.state,
+                record.ended_ms,
+                now + self._settings.keep_final_s - age_s,
+                is_tidied=stored.state.is_final,
+            ),
+        )
 
     def _drop_if_over(self, job: JobRun) -> None:
         if not any(task.is_placed for task in job.tasks()):
@@ -595,7 +667,7 @@
 
     def _restore_places(self, worker: WorkerState) -> None:
         for job in self.book.jobs_by_id.values():
-            if not job.has_progress_row:
+            if not job.has_started:
                 continue
             for task in job.tasks():
                 if task.worker_id == worker.worker_id and task.is_placed:
@@ -632,8 +704,7 @@
             return Lapse.NO
         lapse = worker.lease.lapse(report.clock_ms, now)
         has_done = any(
-            ended.kind is EndKind.DONE
-            and ended.number > worker.acked_through
+            ended.kind is EndKind.DONE and ended.number > worker.acked_through
             for ended in report.ended
         )
         if not has_done:
@@ -851,8 +922,3 @@
 def _contact_bound_s(settings: CellSettings) -> float:
     """Return how old the last answer of a worker in contact may be."""
     return settings.holds.wait_s + settings.holds.answer_slack_s
-
-
-def cancel_key(job_id: str) -> str:
-    """Return the key of the row that asks for a job to be cancelled."""
-    return f'{JOBS_PREFIX}{job_id}{_CANCEL_MARK}cancel'
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -13,8 +13,8 @@
     while ends cannot be acknowledged, since such calls return at once.
     """
 
-    wait_s: float = 1.0
-    unacked_pause_s: float = 0.25
+    wait_s: float = 1.8
+    unacked_pause_s: float = 0.8
     retry_pause_s: float = 0.3
     answer_slack_s: float = 0.8
     stop_retry_s: float = 0.4
@@ -33,7 +33,7 @@
     watch_slack_s: float = 0.7
     renew_s: float = 0.4
     store_lost_s: float = 1.0
-    stagger_s: float = 0.15
+    stagger_s: float = 0.05
 
 
 class AdviceTimes(Struct, frozen=True):
--- a/src/apricotlead/platform/callers.py
+++ b/src/apricotlead/platform/callers.py
@@ -112,7 +112,9 @@
         """Serve one request (WSGI)."""
         with self._desk.counted():
             response = self._respond(environ)
-        body = b'' if response.body is None else json.dumps(response.body).encode()
+        body = (
+            b'' if response.body is None else json.dumps(response.body).encode()
+        )
         headers = [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(body))),
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -73,11 +73,12 @@
 
 
 class StoredJob(Struct, frozen=True, omit_defaults=True):
-    """The row of an accepted job.
+    """The row of an accepted job, written by the instance that accepted it.
 
     The policy of the queue is kept as it was at acceptance, for the time when
     the queue is gone. ``accepted_ms`` and ``ended_ms`` are on the store's
-    clock. ``submission`` is dropped when ``state`` becomes final.
+    clock. Some time after the job's end the scheduler replaces the row by one
+    with the final ``state`` and without ``submission``.
     """
 
     queue: str
@@ -114,6 +115,11 @@
 
 
 class JobProgress(Struct, array_like=True):
-    """The progress row of a job that has started."""
+    """The progress row of a job that has started or is final.
+
+    A final job has no ``steps``; ``ended_ms`` is on the store's clock.
+    """
 
     steps: list[StepRecord]
+    state: JobState = JobState.RUNNING
+    ended_ms: float = 0
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -46,6 +46,7 @@
         'avoided_workers',
         'checkpoint',
         'failures',
+        'first_progress',
         'index',
         'load',
         'name',
@@ -73,6 +74,8 @@
         self.checkpoint = ''
         self.ticket = ''
         self.started_s = 0.0
+        # None until a worker lists the run; a resumed run starts above 0.
+        self.first_progress: float | None = None
         self.progress = 0.0
         self.progress_s = 0.0
         self.load = 0.0
@@ -105,6 +108,7 @@
         'gang_failures',
         'index',
         'job',
+        'longest_done_s',
         'name',
         'occurrence',
         'ready_s',
@@ -126,6 +130,8 @@
         self.done_count = 0
         self.waiting_count = len(self.tasks)
         self.gang_failures = 0
+        # The longest time that a task of the step took, 0 before the first.
+        self.longest_done_s = 0.0
         self.ready_s: float | None = None
 
     @property
@@ -178,11 +184,11 @@
 
     __slots__ = (
         'accepted_s',
-        'has_progress_row',
         'has_started',
         'is_within_weight',
         'job_id',
         'next_occurrence',
+        'row_version',
         'state',
         'steps_by_key',
         'steps_spec',
@@ -194,6 +200,7 @@
         job_id: str,
         stored: StoredJob,
         accepted_s: float,
+        row_version: int,
     ) -> None:
         """Begin without occurrences; ``accepted_s`` is in local seconds."""
         if stored.submission is None:
@@ -202,11 +209,11 @@
         self.stored = stored
         self.steps_spec = stored.submission.steps
         self.accepted_s = accepted_s
+        self.row_version = row_version
         self.steps_by_key: dict[tuple[int, int], StepState] = {}
         self.state = JobState.QUEUED
         self.has_started = False
         self.is_within_weight = True
-        self.has_progress_row = False
         self.next_occurrence = 0
 
     @property
@@ -261,7 +268,6 @@
                 self.open_occurrence()
             step = self.steps_by_key[record.occurrence, record.step]
             step.restore(record, now)
-        self.has_progress_row = True
         self.has_started = any(task.run for task in self.tasks())
         if self.has_started:
             self.state = JobState.RUNNING
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -4,6 +4,7 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import TaskState
 from apricotlead.state.worker_lease import WorkerLease
+from apricotlead.state.worker_speed import WorkerSpeed
 
 
 class WorkerState:
@@ -18,6 +19,7 @@
         'lease',
         'not_before_s',
         'reported_through',
+        'speed',
         'stops_by_task',
         'strays_by_task',
         'tasks_by_name',
@@ -34,6 +36,7 @@
         # Runs that the worker must not have or keep: task to run.
         self.stops_by_task: dict[str, int] = {}
         self.strays_by_task: dict[str, Resources] = {}
+        self.speed = WorkerSpeed()
         self.acked_through = 0
         self.reported_through = 0
         self.not_before_s = 0.0
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -35,7 +35,7 @@
     longest_s: float = 9.0
     slowest_clock: float = 1.03
     margin_s: float = 0.1
-    silent_s: float = 2.5
+    silent_s: float = 3.2
 
 
 class WorkerLease:
--- a/src/apricotlead/transport/cell_desk.py
+++ b/src/apricotlead/transport/cell_desk.py
@@ -8,10 +8,14 @@
 import msgspec
 
 from apricotlead.coordination.cell.acceptance import check_submission
-from apricotlead.coordination.cell.journal import JOBS_PREFIX, PROGRESS_PREFIX
-from apricotlead.coordination.cell.scheduler import cancel_key
+from apricotlead.coordination.cell.job_rows import cancel_key, job_key
+from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.protocol.cell_config import QueueConfig
-from apricotlead.protocol.cell_jobs import JobState, JobSubmission, StoredJob
+from apricotlead.protocol.cell_jobs import (
+    JobProgress,
+    JobSubmission,
+    StoredJob,
+)
 from apricotlead.protocol.errors import (
     KeyRefused,
     NotFound,
@@ -189,7 +193,7 @@
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
         if self.health.is_lost():
             return self._refuse(job_id, 'the store does not answer')
-        key = f'{JOBS_PREFIX}{job_id}'
+        key = job_key(job_id)
         stored = StoredJob(
             queue.name,
             queue.service,
@@ -220,20 +224,18 @@
     ) -> Outcome:
         """Return the :class:`JobState` of a job."""
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        row = self._read(f'{JOBS_PREFIX}{job_id}', ends_s)
-        if isinstance(row, StoreFailed):
-            return _come_back(row)
-        if row is None:
-            return NotRun(NoSuchJob(f'There is no job {job_id}.'))
-        state = msgspec.convert(row.value, StoredJob).state
-        if state.is_final:
-            return Done(str(state))
         progress = self._read(f'{PROGRESS_PREFIX}{job_id}', ends_s)
         if isinstance(progress, StoreFailed):
             return _come_back(progress)
         if progress is not None:
-            return Done(str(JobState.RUNNING))
-        return self._recheck(job_id, ends_s)
+            record = msgspec.convert(progress.value, JobProgress)
+            return Done(str(record.state))
+        row = self._read(job_key(job_id), ends_s)
+        if isinstance(row, StoreFailed):
+            return _come_back(row)
+        if row is None:
+            return NotRun(NoSuchJob(f'There is no job {job_id}.'))
+        return Done(str(msgspec.convert(row.value, StoredJob).state))
 
     def cancel(
         self,
@@ -243,7 +245,7 @@
     ) -> Outcome:
         """Ask for a job to be cancelled; done once the store holds that."""
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        row = self._read(f'{JOBS_PREFIX}{job_id}', ends_s)
+        row = self._read(job_key(job_id), ends_s)
         if isinstance(row, StoreFailed):
             return _come_back(row)
         if row is None:
@@ -272,18 +274,6 @@
             return None
         return view
 
-    def _recheck(self, job_id: str, ends_s: float) -> Outcome:
-        """Read a job again whose progress row was not there.
-
-        The job may have ended between the two reads.
-        """
-        row = self._read(f'{JOBS_PREFIX}{job_id}', ends_s)
-        if isinstance(row, StoreFailed):
-            return _come_back(row)
-        if row is None:
-            return NotRun(NoSuchJob(f'There is no job {job_id}.'))
-        return Done(str(msgspec.convert(row.value, StoredJob).state))
-
     def _submitted(
         self,
         job_id: str,
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -1,6 +1,7 @@
 """The driver of the elected scheduler: calls, feeds and the journal."""
 
 from collections.abc import Callable
+from functools import partial
 from time import time
 from typing import Any
 
@@ -16,8 +17,13 @@
     owner_transaction,
     read_owner,
 )
-from apricotlead.coordination.cell.journal import JOBS_PREFIX, PROGRESS_PREFIX
-from apricotlead.coordination.cell.scheduler import CellScheduler, PlannedStart
+from apricotlead.coordination.cell.job_rows import JOB_PREFIXES
+from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.scheduler import (
+    SPEEDS_KEY,
+    CellScheduler,
+    PlannedStart,
+)
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.protocol.cell_peers import AdviceQuestion, SchedulerStatus
 from apricotlead.protocol.cell_workers import (
@@ -31,13 +37,14 @@
     CheckFailed,
     Committed,
     Row,
+    Rows,
     StoreFailed,
     Transaction,
 )
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.table_follower import TableFollower
-from apricotlead.transport.wake_up import WakeUp
+from apricotlead.transport.wake_up import Broadcast, WakeUp
 
 _TICK_S = 0.2
 _IDLE_PLAN_S = 0.1
@@ -47,6 +54,12 @@
 _ADVICE_SLACK_S = 0.5
 _PEER_FRESH_S = 2.0
 _LOAD_TRIES = 40
+_KEEP_ROWS_S = 2.0
+# Merges the workers' heartbeats into one read.
+_REGISTRY_PAUSE_S = 0.25
+# A slow store answers a write within this; a silent one never does.
+_WRITE_TIMEOUT_S = 1.5
+_FAILING_LOST_S = 0.7
 RELEASED = 'released'
 # Only a takeover in the store makes an epoch, so a worker's word is enough.
 _LATER_EPOCH = 'a worker has seen a later epoch'
@@ -77,13 +90,13 @@
         '_changed',
         '_green_threads',
         '_is_store_lost',
+        '_journaled',
         '_links',
         '_lost_worker_ids',
         '_orders',
         '_own_address',
         '_peers_seen_s',
         '_settings',
-        '_status_changed',
         '_watched_worker_ids',
         'ended_why',
         'scheduler',
@@ -101,7 +114,7 @@
         self._settings = settings
         self._own_address = own_address
         self._changed = WakeUp()
-        self._status_changed = WakeUp()
+        self._journaled = Broadcast()
         self._green_threads: list[GreenThread] = []
         self._orders = GreenPool(size=2000)
         self._peers_seen_s: dict[str, float] = {}
@@ -114,17 +127,18 @@
     def run(self) -> None:
         """Schedule until the term ends; ``ended_why`` tells the reason."""
         links = self._links
-        if not self._load():
-            self.ended_why = self.ended_why or 'the store could not be read'
-            return
-        jobs = TableFollower(links.store, JOBS_PREFIX, _Jobs(self), links.log)
+        jobs = TableFollower(links.store, JOB_PREFIXES, _Jobs(self), links.log)
         registry = TableFollower(
             links.store,
-            links.workers_prefix,
+            (links.workers_prefix,),
             _Registry(self),
             links.log,
+            pause_s=_REGISTRY_PAUSE_S,
         )
-        for run in (jobs.run, registry.run, self._tick):
+        if not self._load(jobs, registry):
+            self.ended_why = self.ended_why or 'the store could not be read'
+            return
+        for run in (jobs.run, registry.run, self._tick, self._keep_rows):
             self._green_threads.append(eventlet.spawn(run))
         try:
             while not self.ended_why:
@@ -149,7 +163,7 @@
         return SchedulerStatus(
             self._epoch,
             not self.ended_why,
-            age_s > self._settings.election.store_lost_s,
+            self._is_store_lost and age_s > _FAILING_LOST_S,
             self.scheduler.pending_by_queue(),
         )
 
@@ -206,13 +220,18 @@
             owner_transaction(released, self.scheduler.owner_version),
         )
 
-    def _load(self) -> bool:
+    def _load(self, jobs: TableFollower, registry: TableFollower) -> bool:
         """Read all jobs, progress and registrations."""
         store = self._links.store
         pages: list[tuple[Row, ...]] = []
-        prefixes = (JOBS_PREFIX, PROGRESS_PREFIX, self._links.workers_prefix)
-        for prefix in prefixes:
-            rows = self._read_all(store, prefix)
+        reads = (
+            jobs.read_all,
+            partial(store.scan_rows, PROGRESS_PREFIX),
+            registry.read_all,
+            partial(store.read_row, SPEEDS_KEY),
+        )
+        for read in reads:
+            rows = self._read_all(read)
             if rows is None:
                 return False
             pages.append(rows)
@@ -220,25 +239,43 @@
         self.scheduler.load(pages[0], pages[1], now)
         for row in pages[2]:
             self.take_registration(row)
+        for speeds in pages[3]:
+            self.scheduler.load_speeds(speeds)
         self.scheduler.restore_missing(now)
         self._links.log(
             'jobs loaded',
             epoch=self._epoch,
             jobs=len(self.scheduler.book.jobs_by_id),
+            final_jobs=len(self.scheduler.rows.finals_by_id),
             workers=len(self.scheduler.book.workers_by_id),
         )
         return True
 
-    def _read_all(self, store: Any, prefix: str) -> tuple[Row, ...] | None:
+    def _read_all(
+        self,
+        read: Callable[[], Rows | StoreFailed],
+    ) -> tuple[Row, ...] | None:
         for _ in range(_LOAD_TRIES):
             if self.ended_why:
                 return None
-            answer = store.scan_rows(prefix)
+            answer = read()
             if not isinstance(answer, StoreFailed):
                 return answer.rows
             eventlet.sleep(_STORE_RETRY_S)
         return None
 
+    def _keep_rows(self) -> None:
+        """Shrink and delete the rows of final jobs in the background."""
+        while True:
+            eventlet.sleep(_KEEP_ROWS_S)
+            for transaction, finals in self.scheduler.rows.due(boot_now()):
+                answer = self._links.store.transact(transaction)
+                if isinstance(answer, Committed):
+                    version = max(answer.versions.values(), default=0)
+                    self.scheduler.rows.written(finals, version, boot_now())
+                elif isinstance(answer, CheckFailed):
+                    self.scheduler.rows.conflicted(finals, answer.rows)
+
     def _round(self) -> None:
         """Plan, write the journal, and send what it then allows."""
         now = boot_now()
@@ -273,6 +310,7 @@
                 committed.store_ms,
                 now,
             )
+            self._journaled.send()
             for start in starts:
                 self._orders.spawn_n(self._start, start)
             return
@@ -283,7 +321,7 @@
         owner: OwnerRow,
     ) -> Committed | None:
         """Write once; ``None`` where the write must be sent again."""
-        answer = self._links.store.transact(transaction)
+        answer = self._links.store.transact(transaction, _WRITE_TIMEOUT_S)
         if isinstance(answer, Committed):
             self._note_store(None)
             return answer
@@ -338,7 +376,6 @@
             answer = self._links.workers.hold(entry, order, timeout_s)
             now = boot_now()
             if isinstance(answer, HoldReport):
-                had_unacked = order.wait_ms == 0
                 self._contact_regained(worker_id)
                 self.scheduler.hold_answered(
                     worker_id,
@@ -348,21 +385,26 @@
                     now,
                 )
                 self._changed.set()
-                eventlet.sleep(self._pause_s(worker_id, had_unacked))
+                self._wait_for_journal(worker_id)
+                if not self.scheduler.is_known(worker_id):
+                    eventlet.sleep(holds.retry_pause_s)
             else:
                 self._hold_failed(worker_id, answer, now)
                 eventlet.sleep(holds.retry_pause_s)
         self._watched_worker_ids.discard(worker_id)
 
-    def _pause_s(self, worker_id: str, had_unacked: bool) -> float:
+    def _wait_for_journal(self, worker_id: str) -> None:
+        """Wait until a worker's ends may be acknowledged, or for a while.
+
+        A hold that cannot acknowledge an end returns at once.
+        """
+        ends_s = boot_now() + self._settings.holds.unacked_pause_s
         worker = self.scheduler.book.workers_by_id.get(worker_id)
-        if worker is None:
-            return 0
-        if worker.reported_through <= worker.acked_through:
-            return 0
-        if had_unacked:
-            return self._settings.holds.unacked_pause_s
-        return _ROUND_PAUSE_S * 2
+        while worker is not None and not self.ended_why:
+            left_s = ends_s - boot_now()
+            if worker.reported_through <= worker.acked_through or left_s <= 0:
+                break
+            self._journaled.wait(left_s)
 
     def _contact_regained(self, worker_id: str) -> None:
         if worker_id in self._lost_worker_ids:
--- a/src/apricotlead/transport/table_follower.py
+++ b/src/apricotlead/transport/table_follower.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 import eventlet
+from eventlet import GreenPile
 
 from apricotlead.protocol.table import Changes, Row, Rows, StoreFailed
 from apricotlead.transport.boot_clock import boot_now
@@ -42,20 +43,35 @@
 
 
 class TableFollower:
-    """Reads a part of a table whole, then its changes, for ever."""
-
-    __slots__ = ('_listener', '_log', '_prefix', '_reader', '_version', 'is_lost')
+    """Reads parts of a table whole, then its changes, for ever."""
+
+    __slots__ = (
+        '_listener',
+        '_log',
+        '_pause_s',
+        '_prefixes',
+        '_reader',
+        '_table',
+        '_version',
+        'is_lost',
+    )
 
     def __init__(
         self,
         reader: TableReader,
-        prefix: str,
+        prefixes: tuple[str, ...],
         listener: TableListener,
         log: Callable[..., Any],
+        pause_s: float = 0,
     ) -> None:
-        """Follow ``prefix`` (``table/part/``)."""
+        """Follow ``prefixes`` (``table/part/``) of one table.
+
+        ``pause_s`` is left between reads, so that changes are merged.
+        """
+        self._pause_s = pause_s
         self._reader = reader
-        self._prefix = prefix
+        self._prefixes = prefixes
+        self._table = prefixes[0].partition('/')[0]
         self._listener = listener
         self._log = log
         self._version: int | None = None
@@ -68,6 +84,7 @@
             failure = self.step()
             if failure is None:
                 pause_s = _RETRY_S
+                eventlet.sleep(self._pause_s)
                 continue
             eventlet.sleep(pause_s)
             pause_s = min(_RETRY_MOST_S, pause_s * 2)
@@ -76,35 +93,53 @@
         """Make one read; return its failure."""
         read_s = boot_now()
         if self._version is None:
-            answer = self._reader.scan_rows(self._prefix)
+            answer = self.read_all()
         else:
-            table = self._prefix.partition('/')[0]
-            answer = self._reader.changes(table, self._version, _FEED_WAIT_S)
+            answer = self._reader.changes(
+                self._table,
+                self._version,
+                _FEED_WAIT_S,
+            )
         if isinstance(answer, StoreFailed):
             self._note_loss(answer)
             return answer
         if self.is_lost:
             self.is_lost = False
-            self._log('feed regained', table=self._prefix)
+            self._log('feed regained', table=self._table)
         self._apply(answer, read_s)
         return None
 
+    def read_all(self) -> Rows | StoreFailed:
+        """Read all parts, and go on from there with the next step."""
+        pile = GreenPile()
+        for prefix in self._prefixes:
+            pile.spawn(self._reader.scan_rows, prefix)
+        pages = list(pile)
+        for page in pages:
+            if isinstance(page, StoreFailed):
+                return page
+        self._version = min(page.version for page in pages)
+        return Rows(
+            tuple(row for page in pages for row in page.rows),
+            self._version,
+            max(page.store_ms for page in pages),
+        )
+
     def _apply(self, answer: Rows | Changes, read_s: float) -> None:
         if isinstance(answer, Rows):
-            self._version = answer.version
             self._listener.on_snapshot(answer.rows, read_s)
         elif answer.history_lost:
-            self._log('feed history lost', table=self._prefix)
+            self._log('feed history lost', table=self._table)
             self._version = None
             return
         else:
             self._version = max(self._version or 0, answer.version)
             for row in answer.rows:
-                if row.key.startswith(self._prefix):
+                if row.key.startswith(self._prefixes):
                     self._listener.on_change(row, read_s)
         self._listener.on_confirmed(read_s, answer.store_ms)
 
     def _note_loss(self, failure: StoreFailed) -> None:
         if not self.is_lost:
             self.is_lost = True
-            self._log('feed lost', table=self._prefix, why=failure.reason)
+            self._log('feed lost', table=self._table, why=failure.reason)
--- a/src/apricotlead/transport/wake_up.py
+++ b/src/apricotlead/transport/wake_up.py
@@ -29,3 +29,25 @@
         self._is_set = False
         self._event = Event()
         return was_set
+
+
+class Broadcast:
+    """Wakes all green threads that wait at that moment."""
+
+    __slots__ = ('_event',)
+
+    def __init__(self) -> None:
+        """Begin without waiters."""
+        self._event = Event()
+
+    def send(self) -> None:
+        """Wake all waiters."""
+        event = self._event
+        self._event = Event()
+        event.send()
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait for the next :meth:`send` or for the timeout."""
+        event = self._event
+        with eventlet.Timeout(timeout_s, False):
+            event.wait()
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -8,15 +8,25 @@
     read_owner,
     takeover,
 )
-from apricotlead.coordination.cell.journal import JOBS_PREFIX, PROGRESS_PREFIX
-from apricotlead.coordination.cell.scheduler import CellScheduler, PlannedStart
+from apricotlead.coordination.cell.job_rows import JOBS_TABLE, job_key
+from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.scheduler import (
+    SPEEDS_KEY,
+    CellScheduler,
+    PlannedStart,
+)
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.protocol.cell_config import (
     CellConfig,
     OrganisationConfig,
     QueueConfig,
 )
-from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec, StoredJob
+from apricotlead.protocol.cell_jobs import (
+    JobProgress,
+    JobSubmission,
+    StepSpec,
+    StoredJob,
+)
 from apricotlead.protocol.cell_workers import (
     EndedTask,
     EndKind,
@@ -129,12 +139,14 @@
         )
         self.scheduler.owner_version = self.version
         self.scheduler.load(
-            self.rows(JOBS_PREFIX),
+            self.rows(f'{JOBS_TABLE}/'),
             self.rows(PROGRESS_PREFIX),
             self.now,
         )
         for worker in self.workers_by_id.values():
             self.scheduler.update_worker(worker.entry, self.now)
+        if SPEEDS_KEY in self.rows_by_key:
+            self.scheduler.load_speeds(self.rows_by_key[SPEEDS_KEY])
         self.scheduler.restore_missing(self.now)
         self.hold_all()
 
@@ -159,7 +171,7 @@
     def submit(self, job_id: str, stored: StoredJob) -> Row:
         """Store a job and let the scheduler see it."""
         self.version += 1
-        key = f'{JOBS_PREFIX}{job_id}'
+        key = job_key(job_id)
         row = Row(key, self.version, msgspec.to_builtins(stored))
         self.rows_by_key[key] = row
         self.scheduler.job_row(row, self.now)
@@ -167,7 +179,8 @@
 
     def state(self, job_id: str) -> str:
         """Return the stored state of a job."""
-        return self.rows_by_key[f'{JOBS_PREFIX}{job_id}'].value['state']
+        row = self.rows_by_key[f'{PROGRESS_PREFIX}{job_id}']
+        return str(msgspec.convert(row.value, JobProgress).state)
 
     def pass_time(self, duration_s: float) -> None:
         """Let time pass with holds twice a second."""
--- /dev/null
+++ b/tests/test_cell_stragglers.py
@@ -0,0 +1,79 @@
+"""Patterns of workers that are slow, stand still or differ in speed."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.cell.stragglers import is_straggler
+from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
+from apricotlead.state.worker_speed import WorkerSpeed
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
+
+JOB = '00000000000000aa'
+
+
+def running_task(**changes: object) -> TaskState:
+    """Return a task of 1 s that began at time 0."""
+    spec = StepSpec(1, SMALL, estimated_ms=1000, **changes)
+    job = JobRun(JOB, stored_job(spec), 0, 1)
+    task = job.open_occurrence()[0].tasks[0]
+    task.phase = TaskPhase.RUNNING
+    task.run = 1
+    task.first_progress = 0
+    return task
+
+
+class TestStragglers(TestCase):
+    """Runs on slow or stuck workers begin again elsewhere."""
+
+    def test_run_at_an_ordinary_pace_goes_on(self) -> None:
+        task = running_task()
+        task.progress, task.progress_s = 60, 1
+        self.assertFalse(is_straggler(task, 1))
+
+    def test_run_at_a_sixth_of_the_pace_is_replaced(self) -> None:
+        task = running_task()
+        task.progress, task.progress_s = 16, 1
+        self.assertTrue(is_straggler(task, 1))
+
+    def test_stuck_run_is_replaced(self) -> None:
+        task = running_task()
+        task.progress, task.progress_s = 40, 0.5
+        self.assertTrue(is_straggler(task, 4))
+
+    def test_estimate_that_is_too_low_replaces_nothing(self) -> None:
+        """Like tasks that took as long show that the estimate is wrong."""
+        task = running_task()
+        task.step.longest_done_s = 6
+        task.progress, task.progress_s = 16, 1
+        self.assertFalse(is_straggler(task, 1))
+
+    def test_task_that_lasts_is_never_replaced(self) -> None:
+        task = running_task(long_running=True)
+        self.assertFalse(is_straggler(task, 100))
+
+
+class TestSpeeds(TestCase):
+    """Hasty work goes to fast workers, also under a new scheduler."""
+
+    def test_one_odd_run_changes_little(self) -> None:
+        speed = WorkerSpeed(1.0, 20)
+        speed.observe(8, 1)
+        self.assertLess(speed.slowness, 1.5)
+
+    def test_speed_converges(self) -> None:
+        speed = WorkerSpeed()
+        for _ in range(30):
+            speed.observe(1.25, 1)
+        self.assertAlmostEqual(1.25, speed.slowness, delta=0.05)
+
+    def test_lookup_goes_to_the_fast_worker(self) -> None:
+        slow, fast = ModelWorker('w1'), ModelWorker('w2')
+        rig = CellRig(slow, fast)
+        rig.scheduler.book.workers_by_id['w2'].speed = WorkerSpeed(0.8, 9)
+        rig.pass_time(6)
+        rig.take_over()
+        spec = StepSpec(1, SMALL, estimated_ms=4000)
+        rig.submit(JOB, stored_job(spec, stretch=1.2))
+        rig.round()
+        self.assertEqual([], slow.started)
+        self.assertEqual(1, len(fast.started))
