Tell successors exactly which leases may hold

Cause: after a zone cut and after a loss of power a third of the workers were in doubt for up to 8 s: the successor knew only bounds of 1.5 and 9 s for their leases, and does not use a worker while it cannot tell on which side of a lapse an end lies.

Ruled out: using such workers at once, since an end before a lapse does not count and an end without a lapse must not be repeated.

The owner row names the workers out of contact with the time after which they hold nothing, and the time until which all others surely hold.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -272,7 +272,7 @@
 
     def _is_replaced(self, owner: OwnerRow) -> bool:
         """Give an owner that has no term yet the time to begin one."""
-        age_ms = self.desk.health.store_ms() - owner.renewed_ms
+        age_ms = self.desk.health.store_ms() - owner.taken_ms
         return age_ms < self._settings.cell.election.store_lost_s * 1000
 
     def _stagger_s(self) -> float:
--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -17,19 +17,24 @@
 
 
 class OwnerRow(Struct, frozen=True, omit_defaults=True):
-    """The owner row.
+    """The owner row; all times are on the store's clock.
 
-    ``sequence`` grows with each write of an epoch. ``renewed_ms`` is the
-    store's clock, as estimated when the write left. ``silent_workers`` had
-    not answered for a while. ``is_released`` invites a successor.
+    ``sequence`` grows with each write of an epoch, and ``taken_ms`` is when
+    the epoch began. The rest tells a successor what leases workers may hold:
+    those in ``over_ms_by_silent_worker`` none after the time given there, the
+    others surely until ``held_ms`` and none granted later than
+    ``renewed_ms``, when this row was written. ``is_released`` invites a
+    successor.
     """
 
     epoch: int
     instance_id: str
     peer_address: str
     sequence: int = 0
+    taken_ms: float = 0
     renewed_ms: float = 0
-    silent_workers: tuple[str, ...] = ()
+    held_ms: float = 0
+    over_ms_by_silent_worker: dict[str, float] = {}
     is_released: bool = False
 
 
@@ -48,11 +53,18 @@
 ) -> tuple[OwnerRow, Transaction]:
     """Return the new owner row and the transaction that writes it."""
     former = read_owner(row)
-    owner = OwnerRow(
-        1 if former is None else former.epoch + 1,
-        instance_id,
-        peer_address,
-        renewed_ms=store_ms,
+    if former is None:
+        former = OwnerRow(0, '', '', renewed_ms=store_ms)
+    # Nothing is granted before the first write of the term, so what the
+    # former scheduler wrote of the leases still holds.
+    owner = msgspec.structs.replace(
+        former,
+        epoch=former.epoch + 1,
+        instance_id=instance_id,
+        peer_address=peer_address,
+        sequence=0,
+        taken_ms=store_ms,
+        is_released=False,
     )
     return owner, owner_transaction(owner, row.version)
 
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -85,10 +85,10 @@
     """Decides for one epoch; built anew at each takeover."""
 
     __slots__ = (
-        '_former_silent',
         '_inherited',
         '_limits_by_organisation',
         '_meter',
+        '_over_s_by_silent_worker',
         '_settings',
         '_stop_sent_s',
         '_speeds_put_s',
@@ -124,9 +124,12 @@
         self._speeds_put_s = now
         self._limits_by_organisation: dict[str, Resources] = {}
         self._stop_sent_s: dict[tuple[str, str, int], float] = {}
-        self._former_silent = (
-            frozenset() if former is None else frozenset(former.silent_workers)
-        )
+        self._over_s_by_silent_worker: dict[str, float] = {}
+        if former is not None:
+            for worker_id, ms in former.over_ms_by_silent_worker.items():
+                over_s = now + (ms - store_ms) / _MS_PER_S
+                margin_s = settings.leases.margin_s
+                self._over_s_by_silent_worker[worker_id] = over_s + margin_s
         self.book = RunBook()
         self.advice = AdviceBook(settings.advice)
         self.rows = JobRowKeeper()
@@ -268,9 +271,12 @@
         is_silent = now - lease.contact_s > self._settings.leases.lease_s / 2
         if not lease.is_known or is_silent:
             return worker.entry, HoldOrder(epoch, worker.acked_through, 0)
-        deadline_ms = lease.deadline(now, self.renewed_s)
+        deadline_ms = None
+        if worker.is_granted:
+            deadline_ms = lease.deadline(now, self.renewed_s)
         has_unacked = worker.reported_through > worker.acked_through
-        wait_s = 0 if has_unacked else self._settings.holds.wait_s
+        waits = worker.is_granted and not has_unacked
+        wait_s = self._settings.holds.wait_s if waits else 0
         order = HoldOrder(
             epoch,
             worker.acked_through,
@@ -391,14 +397,7 @@
         now: float,
     ) -> tuple[JournalBatch, list[PlannedStart]]:
         """Return the next write of the journal and the starts behind it."""
-        self.owner = OwnerRow(
-            self.owner.epoch,
-            self.owner.instance_id,
-            self.owner.peer_address,
-            self.owner.sequence + 1,
-            self.store_ms(now),
-            self._silent_workers(now),
-        )
+        self.owner = self._next_owner(now)
         expired = self.rows.take_expired(_MOST_EXPIRED)
         batch = take_batch(
             self.book,
@@ -429,9 +428,17 @@
             return True
         return any(
             worker.reported_through > worker.acked_through
+            or (worker.lease.is_known and not worker.is_granted)
             for worker in self.book.workers_by_id.values()
         )
 
+    def releasing_owner(self, now: float) -> OwnerRow:
+        """Return the owner row that invites a successor."""
+        return msgspec.structs.replace(
+            self._next_owner(now),
+            is_released=True,
+        )
+
     def committed(
         self,
         batch: JournalBatch,
@@ -448,6 +455,9 @@
             worker = self.book.workers_by_id.get(worker_id)
             if worker is not None:
                 worker.acked_through = max(worker.acked_through, through)
+        silent = batch.owner.over_ms_by_silent_worker
+        for worker in self.book.workers_by_id.values():
+            worker.is_granted = worker.worker_id not in silent
         for task, run in batch.planned:
             if task.run == run:
                 self.book.sent(task)
@@ -621,8 +631,9 @@
 
     def _new_lease(self, worker_id: str, now: float) -> WorkerLease:
         until_s, from_s = self._inherited
-        if worker_id in self._former_silent:
-            from_s = 0
+        over_s = self._over_s_by_silent_worker.get(worker_id)
+        if over_s is not None:
+            until_s, from_s = over_s, 0.0
         return WorkerLease(self._settings.leases, now, until_s, from_s)
 
     def _cancel(self, job_id: str) -> None:
@@ -779,15 +790,29 @@
             waiting_tasks=waiting,
         )
 
-    def _silent_workers(self, now: float) -> tuple[str, ...]:
-        silent_s = _contact_bound_s(self._settings)
-        return tuple(
-            worker.worker_id
-            for worker in self.book.workers_by_id.values()
-            if not worker.lease.is_known
-            or now - worker.lease.contact_s > silent_s
+    def _next_owner(self, now: float) -> OwnerRow:
+        """Return the owner row of the next write."""
+        silent: dict[str, float] = {}
+        held_s: list[float] = []
+        for worker in self.book.workers_by_id.values():
+            lease = worker.lease
+            age_s = now - lease.contact_s
+            if lease.is_known and age_s <= _contact_bound_s(self._settings):
+                held_s.append(lease.surely_held_until_s)
+            else:
+                over_s = max(lease.surely_over_s, now)
+                silent[worker.worker_id] = self._store_time(over_s, now)
+        return msgspec.structs.replace(
+            self.owner,
+            sequence=self.owner.sequence + 1,
+            renewed_ms=self.store_ms(now),
+            held_ms=self._store_time(min(held_s, default=now), now),
+            over_ms_by_silent_worker=silent,
         )
 
+    def _store_time(self, local_s: float, now: float) -> float:
+        return round(self.store_ms(now) + (local_s - now) * _MS_PER_S)
+
     def _within_limit(
         self,
         step: StepState,
@@ -913,10 +938,8 @@
     age_s = max(0, store_ms - former.renewed_ms) / _MS_PER_S
     renewed_s = now - age_s
     until_s = renewed_s + times.longest_s * times.slowest_clock
-    # The last hold that a worker answered left up to this long before.
-    oldest_s = _contact_bound_s(settings) + settings.holds.wait_s
-    from_s = renewed_s + times.lease_s - oldest_s - times.margin_s
-    return max(until_s + times.margin_s, now), from_s
+    held_s = now + (former.held_ms - store_ms) / _MS_PER_S
+    return max(until_s + times.margin_s, now), held_s - times.margin_s
 
 
 def _contact_bound_s(settings: CellSettings) -> float:
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -15,6 +15,7 @@
         'drain_ends_s',
         'entry',
         'failures_in_row',
+        'is_granted',
         'is_listed',
         'lease',
         'not_before_s',
@@ -31,6 +32,8 @@
         self.entry = entry
         self.lease = lease
         self.is_listed = True
+        # Grants need a journal write that no longer calls the worker silent.
+        self.is_granted = False
         self.tasks_by_name: dict[str, TaskState] = {}
         self.used = Resources()
         # Runs that the worker must not have or keep: task to run.
@@ -57,6 +60,7 @@
         """Tell whether a task may be started here now."""
         return (
             self.is_listed
+            and self.is_granted
             and not self.entry.draining
             and self.lease.is_usable(now)
             and self.not_before_s <= now
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -32,7 +32,7 @@
     """
 
     lease_s: float = 6.0
-    longest_s: float = 9.0
+    longest_s: float = 7.5
     slowest_clock: float = 1.03
     margin_s: float = 0.1
     silent_s: float = 3.2
@@ -50,6 +50,7 @@
         '_clock_s',
         '_granted_ms',
         '_inherited_until_s',
+        '_most_lead_ms',
         '_sent_ms',
         '_times',
         'contact_s',
@@ -71,6 +72,7 @@
         self._clock_s = now
         self._granted_ms = 0.0
         self._sent_ms = 0.0
+        self._most_lead_ms = float('inf')
         self._inherited_until_s = inherited_until_s
         self.is_known = False
         self.contact_s = now
@@ -117,11 +119,14 @@
         if self._clock_ms is None or clock_ms > self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_s = now
+        # The worker's clock read at most ``clock_ms`` when the call left.
+        lead_ms = clock_ms - sent_s * _MS_PER_S
+        self._most_lead_ms = min(self._most_lead_ms, lead_ms)
         if deadline_ms is None:
             return
         self._granted_ms = max(self._granted_ms, deadline_ms)
-        # The worker's clock read at most ``clock_ms`` when the call left.
-        held_s = sent_s + (deadline_ms - clock_ms) / _MS_PER_S
+        # No clock is fast, so the smallest lead seen bounds all later ones.
+        held_s = (deadline_ms - self._most_lead_ms) / _MS_PER_S
         until_s = held_s - self._times.margin_s
         self.surely_held_until_s = max(self.surely_held_until_s, until_s)
 
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -206,16 +206,7 @@
 
     def _write_release(self) -> None:
         """Invite a successor by a last write of the owner row."""
-        owner = self.scheduler.owner
-        released = OwnerRow(
-            owner.epoch,
-            owner.instance_id,
-            owner.peer_address,
-            owner.sequence + 1,
-            self.scheduler.store_ms(boot_now()),
-            owner.silent_workers,
-            is_released=True,
-        )
+        released = self.scheduler.releasing_owner(boot_now())
         self._links.store.transact(
             owner_transaction(released, self.scheduler.owner_version),
         )
@@ -388,6 +379,9 @@
                 self._wait_for_journal(worker_id)
                 if not self.scheduler.is_known(worker_id):
                     eventlet.sleep(holds.retry_pause_s)
+                elif order.deadline_ms is None:
+                    # The next write of the journal allows grants.
+                    self._journaled.wait(holds.retry_pause_s)
             else:
                 self._hold_failed(worker_id, answer, now)
                 eventlet.sleep(holds.retry_pause_s)
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -149,6 +149,9 @@
             self.scheduler.load_speeds(self.rows_by_key[SPEEDS_KEY])
         self.scheduler.restore_missing(self.now)
         self.hold_all()
+        # Grants follow the first write that calls the workers known.
+        self.journal()
+        self.hold_all()
 
     @property
     def store_ms(self) -> float:
