Never free a run whose start may have been carried out

Cause: a start that was not answered was repeated; when the repeat could not be sent, or the worker had fallen silent by then, the task was begun elsewhere although the first order may have been carried out.

Conclusion: such a run is stopped, and begins again only when its worker has acknowledged the stop and no longer lists it.

--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -72,13 +72,18 @@
 
 
 class PlannedStart(Struct):
-    """A run whose journal entry is being written."""
+    """A run whose journal entry is being written.
+
+    ``is_unknown`` tells that a send was not answered: the worker may run it,
+    or begin it seconds later, whatever it says of a repeat.
+    """
 
     task: TaskState
     run: int
     worker: WorkerState
     deadline_ms: float
     deadline_s: float
+    is_unknown: bool = False
 
 
 class CellScheduler:
@@ -87,6 +92,7 @@
     __slots__ = (
         '_inherited',
         '_limits_by_organisation',
+        '_lossy_until_s',
         '_meter',
         '_over_s_by_silent_worker',
         '_settings',
@@ -121,6 +127,7 @@
         self._inherited = _inherited_times(settings, former, now, store_ms)
         self._meter = WeightMeter()
         self._summed_up_s = now
+        self._lossy_until_s = now
         self._speeds_put_s = now
         self._limits_by_organisation: dict[str, Resources] = {}
         self._stop_sent_s: dict[tuple[str, str, int], float] = {}
@@ -276,7 +283,11 @@
             deadline_ms = lease.deadline(now, self.renewed_s)
         has_unacked = worker.reported_through > worker.acked_through
         waits = worker.is_granted and not has_unacked
-        wait_s = self._settings.holds.wait_s if waits else 0
+        holds = self._settings.holds
+        usual_s = holds.lossy_wait_s if now < self._lossy_until_s else (
+            holds.wait_s
+        )
+        wait_s = usual_s if waits else 0
         order = HoldOrder(
             epoch,
             worker.acked_through,
@@ -302,6 +313,7 @@
         worker = self.book.workers_by_id.get(worker_id)
         if worker is None:
             return
+        self._note_answer(worker, now)
         if report.born_ms > worker.entry.born_ms:
             self._reborn(worker, report, now)
             return
@@ -337,6 +349,15 @@
         if reply.refusal is Refusal.OTHER_LIFE:
             self.book.note('worker life over', worker=worker_id)
             self.book.forget_worker(worker, now)
+        elif reply.refusal is Refusal.UNANSWERED:
+            worker.unanswered_s = now
+
+    def _note_answer(self, worker: WorkerState, now: float) -> None:
+        """Tell lost answers from lost workers by an answer that follows."""
+        lost_s = now - worker.unanswered_s
+        if lost_s < self._settings.leases.silent_s:
+            worker.unanswered_s = float('-inf')
+            self._lossy_until_s = now + self._settings.holds.lossy_s
 
     def tick(self, now: float) -> None:
         """Act on the passing of time."""
@@ -500,8 +521,9 @@
                 has_time=has_time,
                 has_ticket=has_ticket,
                 takes_work=is_in_place,
+                is_unknown=start.is_unknown,
             )
-            self.book.unplace(task, now)
+            self._give_up_start(start, now)
             return None
         return StartOrder(
             task.name,
@@ -602,7 +624,10 @@
             return ()
         self._speeds_put_s = now
         speeds = {
-            worker.worker_id: (round(worker.speed.slowness, 2), worker.speed.count)
+            worker.worker_id: (
+                round(worker.speed.slowness, 2),
+                worker.speed.count,
+            )
             for worker in self.book.workers_by_id.values()
             if worker.speed.count
         }
@@ -898,21 +923,31 @@
         task = start.task
         worker = start.worker
         if refusal is Refusal.UNANSWERED:
-            return now < start.deadline_s - self._settings.leases.lease_s / 2
-        if refusal is Refusal.OLD_RUN:
-            # The run ended already, or a stop overtook it: the lists tell.
-            self.book.stop(task)
-            return False
+            start.is_unknown = True
+        is_lost = refusal in {Refusal.UNANSWERED, Refusal.NOT_SENT}
+        if start.is_unknown and is_lost:
+            # start_order ends the repeats when their time is over.
+            return True
         if refusal is Refusal.MALFORMED:
             task.not_before_s = now + _MALFORMED_PAUSE_S
         elif refusal is Refusal.BAD_TICKET:
             self.advice.drop_ticket(task.step.name, worker.worker_id)
-        elif refusal is not Refusal.LATE:
+        elif refusal not in {Refusal.LATE, Refusal.OLD_RUN}:
             pause_s = self._settings.holds.unhealthy_pause_s
             worker.not_before_s = now + pause_s
-        self.book.unplace(task, now)
+        # A run that is called old has ended, or a stop overtook its start.
+        if refusal is Refusal.OLD_RUN:
+            start.is_unknown = True
+        self._give_up_start(start, now)
         return False
 
+    def _give_up_start(self, start: PlannedStart, now: float) -> None:
+        """Let the task wait again, once its run certainly does not begin."""
+        if start.is_unknown:
+            self.book.stop(start.task)
+        else:
+            self.book.unplace(start.task, now)
+
 
 def _started(state: JobState) -> JobState:
     return JobState.RUNNING if state is JobState.QUEUED else state
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -6,19 +6,26 @@
 
 
 class HoldTimes(Struct, frozen=True):
-    """How workers are watched.
+    """How workers are watched and ordered about, in seconds.
 
     ``wait_s`` is how long a worker holds a call until a run ends; it has to
-    be well under ``LeaseTimes.silent_s``. ``unacked_pause_s`` spaces calls
-    while ends cannot be acknowledged, since such calls return at once.
+    be well under ``LeaseTimes.silent_s``. While workers leave some calls
+    unanswered, which shows when an answer follows, ``lossy_wait_s`` is used
+    for ``lossy_s``: the end in a lost answer is then seen sooner.
+    ``unacked_pause_s`` spaces calls while ends cannot be acknowledged, since
+    such calls return at once. A start is repeated, which is harmless, after
+    each of ``start_timeouts_s``, the last one again and again.
     """
 
     wait_s: float = 1.8
+    lossy_wait_s: float = 0.35
+    lossy_s: float = 8.0
     unacked_pause_s: float = 0.8
     retry_pause_s: float = 0.3
-    answer_slack_s: float = 0.8
+    answer_slack_s: float = 0.4
     stop_retry_s: float = 0.4
     unhealthy_pause_s: float = 1.5
+    start_timeouts_s: tuple[float, ...] = (0.2, 0.4, 0.8)
 
 
 class ElectionTimes(Struct, frozen=True):
--- a/src/apricotlead/platform/workers.py
+++ b/src/apricotlead/platform/workers.py
@@ -159,8 +159,13 @@
         self._pool = pool
         self._advice_address = advice_address
 
-    def start(self, worker: WorkerEntry, order: StartOrder) -> OrderReply:
-        """Order a run to be started."""
+    def start(
+        self,
+        worker: WorkerEntry,
+        order: StartOrder,
+        timeout_s: float = _ORDER_TIMEOUT_S,
+    ) -> OrderReply:
+        """Order a run to be started; repeating an order changes nothing."""
         body = _OrderBody(
             order.task,
             order.run,
@@ -170,7 +175,8 @@
             order.checkpoint,
             order.ticket,
         )
-        return _reply(self._send(worker, '/api/run-start', body))
+        answer = self._send(worker, '/api/run-start', body, timeout_s)
+        return _reply(answer)
 
     def stop(self, worker: WorkerEntry, order: StopOrder) -> OrderReply:
         """Order a run to be stopped, or to be refused if it comes later."""
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -24,6 +24,7 @@
         'stops_by_task',
         'strays_by_task',
         'tasks_by_name',
+        'unanswered_s',
         'used',
     )
 
@@ -43,6 +44,8 @@
         self.acked_through = 0
         self.reported_through = 0
         self.not_before_s = 0.0
+        # When a call was last left without an answer, until one is answered.
+        self.unanswered_s = float('-inf')
         self.failures_in_row = 0
         self.drain_ends_s: float | None = None
 
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from itertools import chain, repeat
 from time import time
 from typing import Any
 
@@ -51,6 +52,8 @@
 # Merges the ends of a few milliseconds into one round.
 _ROUND_PAUSE_S = 0.01
 _STORE_RETRY_S = 0.05
+# Spaces the repeats to a worker that refuses connections.
+_START_REPEAT_S = 0.05
 _ADVICE_SLACK_S = 0.5
 _PEER_FRESH_S = 2.0
 _LOAD_TRIES = 40
@@ -442,12 +445,17 @@
 
     def _start(self, start: PlannedStart) -> None:
         """Send a start until its outcome is known or its time is over."""
-        while not self.ended_why:
+        timeouts_s = self._settings.holds.start_timeouts_s
+        for timeout_s in chain(timeouts_s, repeat(timeouts_s[-1])):
             order = self.scheduler.start_order(start, boot_now())
-            if order is None:
+            if order is None or self.ended_why:
                 break
             sent_s = boot_now()
-            reply = self._links.workers.start(start.worker.entry, order)
+            reply = self._links.workers.start(
+                start.worker.entry,
+                order,
+                timeout_s,
+            )
             if reply.refusal is Refusal.FENCED:
                 self.end(_LATER_EPOCH)
             is_again = self.scheduler.start_answered(
@@ -458,6 +466,7 @@
             )
             if not is_again:
                 break
+            eventlet.sleep(_START_REPEAT_S)
         self._changed.set()
 
     def _askers(self, now: float) -> list[str]:
--- a/tests/test_cell_scheduler.py
+++ b/tests/test_cell_scheduler.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from apricotlead.protocol.cell_jobs import StepSpec
-from apricotlead.protocol.cell_workers import EndKind
+from apricotlead.protocol.cell_workers import EndKind, OrderReply, Refusal
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
@@ -132,3 +132,61 @@
         rig.hold_all()
         stops = rig.scheduler.stops_due(rig.now)
         self.assertEqual([f'{JOB}.0.0.1'], [stop.task for _, stop in stops])
+
+
+class TestLostAnswers(TestCase):
+    """A start whose answer was lost may run; nothing else may begin it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w1'), ModelWorker('w2'))
+        self.rig.submit(JOB, stored_job())
+        self.rig.scheduler.plan(self.rig.now, [])
+        self.start = self.rig.journal()[0]
+        self.worker = self.rig.workers_by_id[self.start.worker.worker_id]
+        order = self.rig.scheduler.start_order(self.start, self.rig.now)
+        self.worker.start(order)
+        self.answer(Refusal.UNANSWERED)
+
+    def answer(self, refusal: Refusal) -> bool:
+        reply = OrderReply(refusal)
+        now = self.rig.now
+        return self.rig.scheduler.start_answered(self.start, reply, now, now)
+
+    def test_repeat_that_cannot_be_sent_frees_nothing(self) -> None:
+        """The worker was cut off after it began the run."""
+        self.worker.is_reachable = False
+        self.answer(Refusal.NOT_SENT)
+        self.rig.pass_time(3)
+        started = [
+            order
+            for worker in self.rig.workers_by_id.values()
+            for order in worker.started
+        ]
+        self.assertEqual(1, len(started))
+
+    def test_worker_that_fell_silent_frees_nothing(self) -> None:
+        """The check before a repeat must not give the task away."""
+        self.worker.is_reachable = False
+        self.rig.now += 4
+        order = self.rig.scheduler.start_order(self.start, self.rig.now)
+        self.assertIsNone(order)
+        self.assertTrue(self.start.task.is_placed)
+
+    def test_refused_repeat_is_stopped_before_it_begins_again(self) -> None:
+        """The first order may still be carried out, seconds later."""
+        self.worker.running_by_task.clear()
+        self.answer(Refusal.UNHEALTHY)
+        stops = self.rig.scheduler.stops_due(self.rig.now)
+        self.assertEqual([TASK], [order.task for _, order in stops])
+        self.rig.now += 0.1
+        name = self.worker.entry.worker_id
+        self.rig.scheduler.book.stop_acked(name, TASK, 1, self.rig.now)
+        self.rig.now += 0.1
+        self.rig.pass_time(2)
+        runs = [
+            order.run
+            for worker in self.rig.workers_by_id.values()
+            for order in worker.started
+        ]
+        self.assertEqual([1, 2], sorted(runs))
