--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -54,7 +54,7 @@
 
 _IDLE_CONNECTIONS = 16
 _ELECTION_RETRY_S = 0.15
-_COUNT_FRESH_S = 1.5
+_STATUS_FRESH_S = 1.5
 # The balancer probes once a second and takes two misses.
 _DRAIN_NOTICE_S = 2.3
 _DRAIN_POLL_S = 0.05
@@ -68,14 +68,14 @@
     """One entry instance: serves callers, and schedules when elected."""
 
     __slots__ = (
-        '_count_read_s',
-        '_counts_by_queue',
         '_links',
         '_log',
         '_metrics',
         '_peers',
         '_settings',
         '_started_s',
+        '_status',
+        '_status_read_s',
         '_store',
         '_term',
         '_workers',
@@ -93,12 +93,12 @@
         self._workers = PlatformWorkers(pool, settings.advice_address)
         self._peers = PeerClient(pool)
         self._term: SchedulingTerm | None = None
-        self._counts_by_queue: dict[str, int] = {}
-        self._count_read_s = float('-inf')
+        self._status = SchedulerStatus()
+        self._status_read_s = float('-inf')
         self.desk = CellDesk(
             self._store,
             StoreHealth(),
-            self._pending,
+            self._recent_status,
             settings.view_bound_s,
             self._log.log,
             self._metrics,
@@ -194,12 +194,13 @@
         self._log.log('stopped', open_requests=self.desk.open_count)
         self._log.flush()
 
-    def _pending(self, queue: str) -> int | None:
+    def _recent_status(self) -> SchedulerStatus | None:
+        """Return the scheduler's last word unless it is too old."""
         if self._term is not None and not self._term.ended_why:
-            return self._term.scheduler.pending_by_queue().get(queue, 0)
-        if boot_now() - self._count_read_s > _COUNT_FRESH_S:
+            return self._term.status()
+        if boot_now() - self._status_read_s > _STATUS_FRESH_S:
             return None
-        return self._counts_by_queue.get(queue, 0)
+        return self._status
 
     def _watched(self, peer_address: str) -> SchedulerStatus:
         term = self._term
@@ -266,8 +267,8 @@
                 pause(_ELECTION_RETRY_S / 3)
                 return was_active or self._is_replaced(owner)
             was_active = True
-            self._counts_by_queue = status.pending_by_queue
-            self._count_read_s = boot_now()
+            self._status = status
+            self._status_read_s = boot_now()
         return True
 
     def _is_replaced(self, owner: OwnerRow) -> bool:
@@ -309,7 +310,7 @@
             max(store_ms, answer.store_ms),
         )
         scheduler.owner_version = answer.versions[OWNER_KEY]
-        scheduler.renewed_s = began_s
+        scheduler.workers.renewed_s = began_s
         self._log.log(
             'term begun',
             epoch=owner.epoch,
--- /dev/null
+++ b/src/apricotlead/coordination/cell/admission.py
@@ -0,0 +1,93 @@
+"""Refusing jobs that could only end too late to be of any use.
+
+Pattern: more work than room for longer than callers can wait. The scheduler
+tells how long the work that goes first will take; an instance refuses a job
+at once when that alone exceeds the time after which it is worthless, and
+tells the caller when the queue will be short enough.
+"""
+
+from msgspec import Struct
+
+from apricotlead.coordination.cell.order import (
+    WORTHLESS_AFTER,
+    WeightMeter,
+    objective_of,
+    submitted_chain_s,
+)
+from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.protocol.cell_config import QueueConfig
+from apricotlead.protocol.cell_jobs import JobSubmission
+from apricotlead.protocol.cell_peers import Backlog
+
+_MS_PER_S = 1000.0
+# Coming back sooner than this meets the same queue.
+_LEAST_RETRY_S = 0.5
+
+
+class Refused(Struct, frozen=True):
+    """Why a job is refused and when to come back, in seconds."""
+
+    wait_s: float
+    useful_s: float
+    retry_after_s: float
+
+
+def measure_backlog(
+    book: RunBook,
+    meter: WeightMeter,
+    now: float,
+) -> Backlog:
+    """Return how long the waiting work takes with the workers in use."""
+    cores = sum(
+        worker.entry.capacity.cpu_millis
+        for worker in book.workers_by_id.values()
+        if worker.takes_work(now)
+    )
+    work_by_priority: dict[int, float] = {}
+    surplus = 0.0
+    for step in book.ready_steps_by_name.values():
+        spec = step.spec
+        work = step.waiting_count * spec.demand.cpu_millis * spec.estimated_ms
+        if step.job.is_within_weight:
+            priority = step.job.stored.priority
+            known = work_by_priority.get(priority, 0.0)
+            work_by_priority[priority] = known + work
+        else:
+            surplus += work
+    if not cores:
+        return Backlog()
+    per_s = cores * _MS_PER_S
+    return Backlog(
+        {
+            priority: round(work / per_s, 2)
+            for priority, work in work_by_priority.items()
+        },
+        round(surplus / per_s, 2),
+        tuple(meter.over_weight(now)),
+    )
+
+
+def judge(
+    submission: JobSubmission,
+    queue: QueueConfig,
+    organisation: str,
+    backlog: Backlog,
+) -> Refused | None:
+    """Tell whether a job is hopeless; ``None`` where it is to be accepted."""
+    lasts = any(step.long_running for step in submission.steps)
+    if submission.occurrences or lasts:
+        return None
+    wait_s = sum(
+        work_s
+        for priority, work_s in backlog.wait_s_by_priority.items()
+        if priority <= queue.priority
+    )
+    if organisation in backlog.over_weight:
+        wait_s = sum(backlog.wait_s_by_priority.values()) + backlog.surplus_s
+    chain_s = submitted_chain_s(submission.steps)
+    aim_s = objective_of(queue.stretch, chain_s, queue.aim_ms)
+    useful_s = WORTHLESS_AFTER * aim_s - chain_s
+    if wait_s <= useful_s:
+        return None
+    retry_after_s = max(_LEAST_RETRY_S, wait_s - useful_s)
+    return Refused(round(wait_s, 2), round(useful_s, 2), retry_after_s)
--- a/src/apricotlead/coordination/cell/advice_book.py
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -3,6 +3,10 @@
 The answer for a step never changes, but its tickets expire. The service
 handles the calls of one instance in turn, so calls are spread over the
 instances by the time that each one's backlog takes.
+
+Pattern: queues whose calls differ a hundredfold in cost, many steps waiting.
+A third of the instances is kept for cheap calls, so that lookups never wait
+behind a call for a large gang.
 """
 
 from msgspec import Struct
@@ -14,6 +18,8 @@
 _MS_PER_S = 1000.0
 # The service takes at most this many workers in one call.
 _MOST_WORKERS = 100
+# One instance in so many is kept for cheap calls.
+_KEPT_FOR_CHEAP = 3
 
 
 class AdviceCall(Struct, frozen=True):
@@ -109,18 +115,31 @@
             return None
         cost_s = policy.decision_ms + policy.each_ms * len(unsettled)
         cost_s /= _MS_PER_S
-        asker = min(
-            askers,
-            key=lambda address: self._backlog_ends_s.get(address, 0),
-        )
+        asker = self._least_busy(askers, cost_s)
         starts_s = max(now, self._backlog_ends_s.get(asker, 0))
-        if starts_s - now > self._times.backlog_s:
+        if starts_s - now > self._longest_backlog_s(cost_s):
             return None
         self._backlog_ends_s[asker] = starts_s + cost_s
         advice.is_asking = True
         advice.asked_s = now
         return AdviceCall(step, tuple(unsettled), asker, cost_s)
 
+    def _least_busy(self, askers: list[str], cost_s: float) -> str:
+        """Return the asker to use; costly calls leave some askers alone."""
+        allowed = sorted(askers)
+        if cost_s > self._times.cheap_s:
+            kept = len(allowed) // _KEPT_FOR_CHEAP
+            allowed = allowed[kept:]
+        return min(
+            allowed,
+            key=lambda address: self._backlog_ends_s.get(address, 0),
+        )
+
+    def _longest_backlog_s(self, cost_s: float) -> float:
+        if cost_s > self._times.cheap_s:
+            return self._times.costly_backlog_s
+        return self._times.backlog_s
+
     def answered(
         self,
         call: AdviceCall,
--- /dev/null
+++ b/src/apricotlead/coordination/cell/job_intake.py
@@ -0,0 +1,231 @@
+"""Which jobs the scheduler knows: from the store's rows to final states."""
+
+import msgspec
+
+from apricotlead.coordination.cell.admission import measure_backlog
+from apricotlead.coordination.cell.advice_book import AdviceBook
+from apricotlead.coordination.cell.job_rows import (
+    CANCEL_MARK,
+    FinalJob,
+    JobRowKeeper,
+)
+from apricotlead.coordination.cell.journal import PROGRESS_PREFIX, JournalBatch
+from apricotlead.coordination.cell.order import WeightMeter
+from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.store_clock import StoreClock
+from apricotlead.protocol.cell_jobs import JobProgress, JobState, StoredJob
+from apricotlead.protocol.cell_peers import Backlog
+from apricotlead.protocol.table import Row
+from apricotlead.state.cell_jobs import JobRun
+from apricotlead.state.cell_view import CellView
+
+_MS_PER_S = 1000.0
+
+
+class JobIntake:
+    """Takes jobs from the store and lets go of them when they are final."""
+
+    __slots__ = (
+        '_advice',
+        '_book',
+        '_clock',
+        '_meter',
+        '_settings',
+        'rows',
+        'view',
+    )
+
+    def __init__(
+        self,
+        settings: CellSettings,
+        book: RunBook,
+        advice: AdviceBook,
+        clock: StoreClock,
+        view: CellView,
+    ) -> None:
+        """Begin without jobs."""
+        self._settings = settings
+        self._book = book
+        self._advice = advice
+        self._clock = clock
+        self._meter = WeightMeter()
+        self.rows = JobRowKeeper()
+        self.view = view
+
+    def load(
+        self,
+        job_rows: tuple[Row, ...],
+        progress_rows: tuple[Row, ...],
+        now: float,
+    ) -> None:
+        """Take over the jobs of the store, once, before any worker."""
+        records_by_id = {
+            row.key.removeprefix(PROGRESS_PREFIX): msgspec.convert(
+                row.value,
+                JobProgress,
+            )
+            for row in progress_rows
+        }
+        for row in job_rows:
+            if CANCEL_MARK not in row.key:
+                self._load_job(row, records_by_id, now)
+        # Cancelling stops runs, so all runs must be known first.
+        for cancel in job_rows:
+            if CANCEL_MARK in cancel.key:
+                self.job_row(cancel, now)
+        for job in tuple(self._book.jobs_by_id.values()):
+            self._book.open_steps(job, now)
+            if job.is_complete():
+                self._book.finish(job, JobState.COMPLETED)
+
+    def job_row(self, row: Row, now: float) -> None:
+        """Take note of a row of the table of jobs."""
+        job_id, mark, _ = row.key.rpartition('/')[2].partition(CANCEL_MARK)
+        if row.version == 0 or row.value is None:
+            return
+        if mark:
+            self._cancel(job_id)
+            return
+        stored = msgspec.convert(row.value, StoredJob)
+        if stored.state.is_final:
+            record = JobProgress([], stored.state, stored.ended_ms)
+            self._note_final(job_id, stored, row.version, record, now)
+        elif self._is_new(job_id):
+            self._add(job_id, stored, row.version, now)
+
+    def open_due(self, unix_ms: float, now: float) -> None:
+        """Open the occurrences that are due, by the time of day."""
+        for job in self._book.jobs_by_id.values():
+            if job.next_occurrence >= job.occurrence_count:
+                continue
+            submission = job.stored.submission
+            due_ms = submission.first_due_ms
+            due_ms += job.next_occurrence * submission.interval_ms
+            if due_ms <= unix_ms and not job.state.is_final:
+                job.open_occurrence()
+                self._book.open_steps(job, now)
+
+    def pending_by_queue(self) -> dict[str, int]:
+        """Return the number of jobs of each queue that have not begun."""
+        counts: dict[str, int] = {}
+        for job in self._book.jobs_by_id.values():
+            if not job.has_started and not job.state.is_final:
+                queue = job.stored.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def backlog(self, now: float) -> Backlog:
+        """Return how long the waiting work takes."""
+        return measure_backlog(self._book, self._meter, now)
+
+    def take_final(self, batch: JournalBatch, now: float) -> None:
+        """Take note that the final states of a write are durable."""
+        for job in batch.final_jobs:
+            record = JobProgress([], job.state, batch.owner.renewed_ms)
+            self._note_final(
+                job.job_id,
+                job.stored,
+                job.row_version,
+                record,
+                now,
+            )
+            self._drop_if_over(job)
+
+    def drop_over(self) -> None:
+        """Let go of final jobs of which nothing runs any more."""
+        for job in tuple(self._book.jobs_by_id.values()):
+            if job.job_id in self.rows.finals_by_id:
+                self._drop_if_over(job)
+
+    def _is_new(self, job_id: str) -> bool:
+        """Tell whether a row that is not final names an unknown job.
+
+        A read that began before the job's final row was written may arrive
+        after it.
+        """
+        return not (
+            job_id in self._book.jobs_by_id or job_id in self.rows.finals_by_id
+        )
+
+    def _load_job(
+        self,
+        row: Row,
+        records_by_id: dict[str, JobProgress],
+        now: float,
+    ) -> None:
+        job_id = row.key.rpartition('/')[2]
+        record = records_by_id.get(job_id)
+        if record is not None and record.state.is_final:
+            stored = msgspec.convert(row.value, StoredJob)
+            self._note_final(job_id, stored, row.version, record, now)
+            return
+        self.job_row(row, now)
+        job = self._book.jobs_by_id.get(job_id)
+        if job is not None and record is not None:
+            job.restore(record, now)
+            self._book.note_restored(job)
+
+    def _add(
+        self,
+        job_id: str,
+        stored: StoredJob,
+        row_version: int,
+        now: float,
+    ) -> None:
+        age_s = (
+            max(0, self._clock.read_ms(now) - stored.accepted_ms) / _MS_PER_S
+        )
+        job = JobRun(job_id, stored, now - age_s, row_version)
+        organisation = self.view.organisations_by_name.get(stored.organisation)
+        if organisation is not None:
+            job.is_within_weight = self._meter.admit(
+                organisation.name,
+                organisation.weight,
+                job.accepted_s,
+            )
+        self._book.jobs_by_id[job_id] = job
+        self._book.note(
+            'job taken',
+            job=job_id,
+            queue=stored.queue,
+            organisation=stored.organisation,
+            age_s=round(age_s, 3),
+            is_within_weight=job.is_within_weight,
+        )
+        if not stored.submission.occurrences:
+            job.open_occurrence()
+        self._book.open_steps(job, now)
+
+    def _cancel(self, job_id: str) -> None:
+        self.rows.note_cancel(job_id)
+        job = self._book.jobs_by_id.get(job_id)
+        if job is not None:
+            self._book.finish(job, JobState.CANCELLED)
+
+    def _note_final(
+        self,
+        job_id: str,
+        stored: StoredJob,
+        row_version: int,
+        record: JobProgress,
+        now: float,
+    ) -> None:
+        age_s = (self._clock.read_ms(now) - record.ended_ms) / _MS_PER_S
+        self.rows.add(
+            FinalJob(
+                job_id,
+                stored,
+                row_version,
+                record.state,
+                record.ended_ms,
+                now + self._settings.keep_final_s - age_s,
+                is_tidied=stored.state.is_final,
+            ),
+        )
+
+    def _drop_if_over(self, job: JobRun) -> None:
+        if not any(task.is_placed for task in job.tasks()):
+            self._book.jobs_by_id.pop(job.job_id, None)
+        for step in job.steps_by_key.values():
+            self._advice.forget(step.name)
--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -8,11 +8,14 @@
 priority that can; the oldest goes first.
 """
 
+from collections.abc import Iterator, Sequence
+
+from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.state.cell_jobs import JobRun, StepState
 
 _MS_PER_S = 1000.0
 # A job is of no use to its caller after this many times its objective.
-_WORTHLESS_AFTER = 3.0
+WORTHLESS_AFTER = 3.0
 
 
 class WeightMeter:
@@ -22,15 +25,21 @@
     burst of ``burst_s`` seconds of them.
     """
 
-    __slots__ = ('_burst_s', '_buckets_by_organisation')
+    __slots__ = (
+        '_buckets_by_organisation',
+        '_burst_s',
+        '_weights_by_organisation',
+    )
 
     def __init__(self, burst_s: float = 2.0) -> None:
         """Begin with full buckets."""
         self._burst_s = burst_s
         self._buckets_by_organisation: dict[str, tuple[float, float]] = {}
+        self._weights_by_organisation: dict[str, float] = {}
 
     def admit(self, organisation: str, weight: float, now: float) -> bool:
         """Take a token for a job accepted now; tell whether there was one."""
+        self._weights_by_organisation[organisation] = weight
         full = max(1, weight * self._burst_s)
         tokens, since_s = self._buckets_by_organisation.get(
             organisation,
@@ -42,6 +51,13 @@
         self._buckets_by_organisation[organisation] = (left, now)
         return is_within
 
+    def over_weight(self, now: float) -> Iterator[str]:
+        """Return the organisations that have no token left."""
+        for name, (tokens, since_s) in self._buckets_by_organisation.items():
+            weight = self._weights_by_organisation[name]
+            if tokens + max(0, now - since_s) * weight < 1:
+                yield name
+
 
 def chain_s(job: JobRun, pending_only: bool = False) -> float:
     """Return the longest chain of estimated work of a job, in seconds.
@@ -58,10 +74,28 @@
     return max(chains, default=0)
 
 
+def submitted_chain_s(steps: Sequence[StepSpec]) -> float:
+    """Return the longest chain of estimated work, in seconds."""
+    chains: list[float] = []
+    for spec in steps:
+        earlier = [chains[other] for other in spec.after]
+        own_s = spec.estimated_ms / _MS_PER_S
+        chains.append(own_s + max(earlier, default=0))
+    return max(chains, default=0)
+
+
+def objective_of(stretch: float, work_s: float, aim_ms: float) -> float:
+    """Return the time in which a job earns its whole worth, in seconds.
+
+    ``work_s`` is its longest chain of work.
+    """
+    return stretch * work_s + aim_ms / _MS_PER_S
+
+
 def objective_s(job: JobRun) -> float:
-    """Return the time in which a job earns its whole worth, in seconds."""
+    """Return the objective of an accepted job, in seconds."""
     stored = job.stored
-    return stored.stretch * chain_s(job) + stored.aim_ms / _MS_PER_S
+    return objective_of(stored.stretch, chain_s(job), stored.aim_ms)
 
 
 def order_key(
@@ -74,7 +108,7 @@
     ends_s = now + chain_s(job, pending_only=True)
     lasts = step.spec.long_running
     return (
-        not lasts and ends_s > job.accepted_s + _WORTHLESS_AFTER * aim_s,
+        not lasts and ends_s > job.accepted_s + WORTHLESS_AFTER * aim_s,
         not job.is_within_weight,
         job.stored.priority,
         not lasts and ends_s > job.accepted_s + aim_s,
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -18,7 +18,6 @@
 from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
 
-
 _MS_PER_S = 1000.0
 
 
@@ -30,6 +29,7 @@
         'jobs_by_id',
         'notes',
         'ready_steps_by_name',
+        'restored_by_worker',
         'stop_acked_s_by_run',
         'usage_by_organisation',
         'workers_by_id',
@@ -39,6 +39,8 @@
         """Begin empty."""
         self.jobs_by_id: dict[str, JobRun] = {}
         self.workers_by_id: dict[str, WorkerState] = {}
+        # Runs of a former term whose workers are not known yet.
+        self.restored_by_worker: dict[str, list[TaskState]] = {}
         self.ready_steps_by_name: dict[str, StepState] = {}
         self.usage_by_organisation: dict[str, Resources] = {}
         self.dirty_job_ids: dict[str, None] = {}
@@ -114,10 +116,18 @@
         if task.step.spec.gang:
             self._break_gang(task.step)
 
-    def restore_place(self, task: TaskState, worker: WorkerState) -> None:
-        """Count a run that a former scheduler had placed."""
-        worker.place(task)
-        self._use(task, added=True)
+    def note_restored(self, job: JobRun) -> None:
+        """Remember the runs that a former scheduler had placed."""
+        for task in job.tasks():
+            if task.is_placed:
+                tasks = self.restored_by_worker.setdefault(task.worker_id, [])
+                tasks.append(task)
+
+    def restore_places(self, worker: WorkerState) -> None:
+        """Count the runs that a former scheduler had placed on a worker."""
+        for task in self.restored_by_worker.pop(worker.worker_id, ()):
+            worker.place(task)
+            self._use(task, added=True)
 
     def stop(self, task: TaskState) -> None:
         """Order a placed run to be stopped."""
@@ -138,6 +148,7 @@
         if task.phase is TaskPhase.SENT:
             task.started_s = now
             task.progress_s = now
+            task.step.job.has_started = True
             self._set_phase(task, TaskPhase.RUNNING, is_change=False)
 
     def finish(self, job: JobRun, state: JobState) -> None:
@@ -167,6 +178,7 @@
                 how=str(ended.kind),
             )
             return
+        task.step.job.has_started = True
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         self.note(
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -47,11 +47,15 @@
     """How advice is asked ahead, in seconds.
 
     A ticket is used only while it has ``ticket_margin_s`` left. No call is
-    queued behind more than ``backlog_s`` of calls of the same instance.
+    queued behind more than ``backlog_s`` of calls of the same instance, and
+    one that costs more than ``cheap_s`` behind no more than
+    ``costly_backlog_s``, on the instances that are not kept for cheap calls.
     """
 
     ticket_margin_s: float = 0.12
     backlog_s: float = 0.9
+    cheap_s: float = 0.05
+    costly_backlog_s: float = 0.3
     retry_s: float = 0.25
 
 
--- /dev/null
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -0,0 +1,395 @@
+"""Contact with workers: registrations, holds, leases and lapses."""
+
+import msgspec
+
+from apricotlead.coordination.cell.election import OwnerRow
+from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.store_clock import StoreClock
+from apricotlead.protocol.cell_workers import (
+    EndKind,
+    HoldOrder,
+    HoldReport,
+    OrderReply,
+    Refusal,
+    WorkerEntry,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import Put, Row
+from apricotlead.state.cell_workers import WorkerState
+from apricotlead.state.worker_lease import Lapse, WorkerLease
+from apricotlead.state.worker_speed import WorkerSpeed
+
+_MS_PER_S = 1000.0
+# A worker that failed this many runs in a row is left alone for a while.
+_FAILURES_TO_PAUSE = 3
+_FAILING_PAUSE_S = 4.0
+_SPEEDS_S = 5.0
+SPEEDS_KEY = 'workers/cell/speeds'
+
+
+class WorkerWatch:
+    """Knows which workers live, and until when their runs may go on."""
+
+    __slots__ = (
+        '_book',
+        '_clock',
+        '_inherited',
+        '_lossy_until_s',
+        '_over_s_by_silent_worker',
+        '_settings',
+        '_speeds_put_s',
+        'epoch',
+        'renewed_s',
+    )
+
+    def __init__(
+        self,
+        settings: CellSettings,
+        book: RunBook,
+        clock: StoreClock,
+        epoch: int,
+        former: OwnerRow | None,
+        now: float,
+    ) -> None:
+        """Begin a term of ``epoch`` after the one that wrote ``former``."""
+        self._settings = settings
+        self._book = book
+        self._clock = clock
+        self._inherited = self._inherited_times(former, now)
+        self._lossy_until_s = now
+        self._speeds_put_s = now
+        self._over_s_by_silent_worker: dict[str, float] = {}
+        if former is not None:
+            margin_s = settings.leases.margin_s
+            for worker_id, ms in former.over_ms_by_silent_worker.items():
+                over_s = clock.to_local_s(ms, now) + margin_s
+                self._over_s_by_silent_worker[worker_id] = over_s
+        self.epoch = epoch
+        # When the last confirmed write of the journal left.
+        self.renewed_s = now
+
+    def load_speeds(self, row: Row) -> None:
+        """Take over what a former scheduler learned of its workers."""
+        for worker_id, (slowness, count) in (row.value or {}).items():
+            worker = self._book.workers_by_id.get(worker_id)
+            if worker is not None:
+                worker.speed = WorkerSpeed(slowness, count)
+
+    def update_worker(self, entry: WorkerEntry, now: float) -> bool:
+        """Take note of a registration; tell whether the worker is new."""
+        worker = self._book.workers_by_id.get(entry.worker_id)
+        if worker is not None and not worker.entry.address:
+            # Only its restored runs were known so far.
+            worker.entry = entry
+            worker.is_listed = True
+            return True
+        if worker is not None and entry.born_ms > worker.entry.born_ms:
+            # A later life under the same id knows nothing of the former one.
+            self._book.note('worker reborn', worker=entry.worker_id)
+            self._book.forget_worker(worker, now)
+            worker = None
+        if worker is None:
+            self._free_former_lives(entry, now)
+            worker = WorkerState(entry, self._new_lease(entry.worker_id, now))
+            self._book.workers_by_id[entry.worker_id] = worker
+            self._book.restore_places(worker)
+            self._book.note('worker added', worker=entry.worker_id)
+            return True
+        if entry.draining != worker.entry.draining:
+            self._book.note(
+                'worker draining',
+                worker=entry.worker_id,
+                left_ms=entry.drain_left_ms,
+            )
+        worker.entry = entry
+        worker.is_listed = True
+        if entry.draining:
+            worker.drain_ends_s = now + entry.drain_left_ms / _MS_PER_S
+        return False
+
+    def restore_missing(self, now: float) -> None:
+        """Keep restored runs whose workers are not registered.
+
+        Such a worker may still run them until its lease has ended.
+        """
+        for worker_id in tuple(self._book.restored_by_worker):
+            entry = WorkerEntry(worker_id, '', '', '', Resources())
+            worker = WorkerState(entry, self._new_lease(worker_id, now))
+            worker.is_listed = False
+            self._book.workers_by_id[worker_id] = worker
+            self._book.restore_places(worker)
+
+    def drop_worker(self, worker_id: str) -> None:
+        """Take note that a worker is no longer registered."""
+        worker = self._book.workers_by_id.get(worker_id)
+        if worker is not None and worker.is_listed:
+            worker.is_listed = False
+            self._book.note('worker unlisted', worker=worker_id)
+
+    def hold_order(
+        self,
+        worker_id: str,
+        now: float,
+    ) -> tuple[WorkerEntry, HoldOrder] | None:
+        """Return the next hold of a worker, ``None`` if it is gone.
+
+        Before the worker's lists are known under this epoch, and after a
+        silence, the hold extends nothing and waits for nothing.
+        """
+        worker = self._book.workers_by_id.get(worker_id)
+        if worker is None or not worker.entry.address:
+            return None
+        lease = worker.lease
+        epoch = self.epoch
+        is_silent = now - lease.contact_s > self._settings.leases.lease_s / 2
+        if not lease.is_known or is_silent:
+            return worker.entry, HoldOrder(epoch, worker.acked_through, 0)
+        deadline_ms = None
+        if worker.is_granted:
+            deadline_ms = lease.deadline(now, self.renewed_s)
+        has_unacked = worker.reported_through > worker.acked_through
+        waits = worker.is_granted and not has_unacked
+        holds = self._settings.holds
+        usual_s = (
+            holds.lossy_wait_s if now < self._lossy_until_s else (holds.wait_s)
+        )
+        wait_s = usual_s if waits else 0
+        order = HoldOrder(
+            epoch,
+            worker.acked_through,
+            int(wait_s * _MS_PER_S),
+            deadline_ms,
+        )
+        return worker.entry, order
+
+    def is_known(self, worker_id: str) -> bool:
+        """Tell whether a worker's lists were read under this epoch."""
+        worker = self._book.workers_by_id.get(worker_id)
+        return worker is not None and worker.lease.is_known
+
+    def hold_answered(
+        self,
+        worker_id: str,
+        order: HoldOrder,
+        report: HoldReport,
+        sent_s: float,
+        now: float,
+    ) -> None:
+        """Apply a worker's lists."""
+        worker = self._book.workers_by_id.get(worker_id)
+        if worker is None:
+            return
+        self._note_answer(worker, now)
+        if report.born_ms > worker.entry.born_ms:
+            self._reborn(worker, report, now)
+            return
+        lapse = Lapse.NO
+        if order.deadline_ms is None:
+            lapse = self._judge_lapse(worker, report, now)
+            if lapse is Lapse.UNKNOWN:
+                worker.lease.contact_s = now
+                return
+        worker.lease.answered(
+            report.clock_ms,
+            sent_s,
+            now,
+            order.deadline_ms,
+        )
+        self._apply_ends(worker, report, lapse, now)
+        self._book.reconcile(worker, report, sent_s, now)
+        if not worker.lease.is_known:
+            worker.lease.is_known = True
+            self._settle_restored(worker, report, now)
+        self._pause_failing(worker, now)
+
+    def hold_refused(
+        self,
+        worker_id: str,
+        reply: OrderReply,
+        now: float,
+    ) -> None:
+        """Take note of a hold that brought no lists."""
+        worker = self._book.workers_by_id.get(worker_id)
+        if worker is None:
+            return
+        if reply.refusal is Refusal.OTHER_LIFE:
+            self._book.note('worker life over', worker=worker_id)
+            self._book.forget_worker(worker, now)
+        elif reply.refusal is Refusal.UNANSWERED:
+            worker.unanswered_s = now
+
+    def tick(self, now: float) -> None:
+        """Let go of runs whose workers have certainly lost their lease."""
+        for worker in tuple(self._book.workers_by_id.values()):
+            self._check_worker(worker, now)
+
+    def next_owner(self, owner: OwnerRow, now: float) -> OwnerRow:
+        """Return the owner row of the next write."""
+        silent: dict[str, float] = {}
+        held_s: list[float] = []
+        for worker in self._book.workers_by_id.values():
+            lease = worker.lease
+            age_s = now - lease.contact_s
+            if lease.is_known and age_s <= _contact_bound_s(self._settings):
+                held_s.append(lease.surely_held_until_s)
+            else:
+                over_s = max(lease.surely_over_s, now)
+                silent[worker.worker_id] = self._clock.to_store_ms(over_s, now)
+        return msgspec.structs.replace(
+            owner,
+            sequence=owner.sequence + 1,
+            renewed_ms=self._clock.read_ms(now),
+            held_ms=self._clock.to_store_ms(min(held_s, default=now), now),
+            over_ms_by_silent_worker=silent,
+        )
+
+    def granted(self, owner: OwnerRow) -> None:
+        """Allow grants to the workers that a durable write calls known."""
+        silent = owner.over_ms_by_silent_worker
+        for worker in self._book.workers_by_id.values():
+            worker.is_granted = worker.worker_id not in silent
+
+    def speeds_put(self, now: float) -> tuple[Put, ...]:
+        """Return the row of speeds when it is time to write it again."""
+        if now - self._speeds_put_s < _SPEEDS_S:
+            return ()
+        self._speeds_put_s = now
+        speeds = {
+            worker.worker_id: (
+                round(worker.speed.slowness, 2),
+                worker.speed.count,
+            )
+            for worker in self._book.workers_by_id.values()
+            if worker.speed.count
+        }
+        return (Put(SPEEDS_KEY, speeds),)
+
+    def _note_answer(self, worker: WorkerState, now: float) -> None:
+        """Tell lost answers from lost workers by an answer that follows."""
+        lost_s = now - worker.unanswered_s
+        if lost_s < self._settings.leases.silent_s:
+            worker.unanswered_s = float('-inf')
+            self._lossy_until_s = now + self._settings.holds.lossy_s
+
+    def _new_lease(self, worker_id: str, now: float) -> WorkerLease:
+        until_s, from_s = self._inherited
+        over_s = self._over_s_by_silent_worker.get(worker_id)
+        if over_s is not None:
+            until_s, from_s = over_s, 0.0
+        return WorkerLease(self._settings.leases, now, until_s, from_s)
+
+    def _free_former_lives(self, entry: WorkerEntry, now: float) -> None:
+        """Forget workers whose address a new one has: they are over."""
+        for worker in tuple(self._book.workers_by_id.values()):
+            if worker.entry.address == entry.address:
+                self._book.note('worker replaced', worker=worker.worker_id)
+                self._book.forget_worker(worker, now)
+
+    def _settle_restored(
+        self,
+        worker: WorkerState,
+        report: HoldReport,
+        now: float,
+    ) -> None:
+        """Free restored runs that the worker's first lists do not show.
+
+        The worker has seen this epoch, so it refuses the former scheduler's
+        starts that arrive later.
+        """
+        listed = {running.task for running in report.running}
+        for task in tuple(worker.tasks_by_name.values()):
+            if task.name not in listed:
+                self._book.unplace(task, now)
+
+    def _reborn(
+        self,
+        worker: WorkerState,
+        report: HoldReport,
+        now: float,
+    ) -> None:
+        entry = msgspec.structs.replace(worker.entry, born_ms=report.born_ms)
+        self.update_worker(entry, now)
+
+    def _judge_lapse(
+        self,
+        worker: WorkerState,
+        report: HoldReport,
+        now: float,
+    ) -> Lapse:
+        if report.running:
+            # A lapse kills everything that runs.
+            return Lapse.NO
+        lapse = worker.lease.lapse(report.clock_ms, now)
+        has_done = any(
+            ended.kind is EndKind.DONE and ended.number > worker.acked_through
+            for ended in report.ended
+        )
+        if not has_done:
+            return Lapse.NO
+        if lapse is not Lapse.NO:
+            self._book.note(
+                'lease in doubt',
+                worker=worker.worker_id,
+                lapse=lapse.value,
+            )
+        return lapse
+
+    def _apply_ends(
+        self,
+        worker: WorkerState,
+        report: HoldReport,
+        lapse: Lapse,
+        now: float,
+    ) -> None:
+        for ended in report.ended:
+            if ended.number <= worker.reported_through:
+                continue
+            worker.reported_through = ended.number
+            if lapse is Lapse.YES and ended.kind is EndKind.DONE:
+                # An end before a lapse does not count once it lapsed.
+                ended = msgspec.structs.replace(ended, kind=EndKind.LAPSED)
+            self._book.end(worker, ended, now)
+
+    def _pause_failing(self, worker: WorkerState, now: float) -> None:
+        if worker.failures_in_row >= _FAILURES_TO_PAUSE:
+            worker.failures_in_row = _FAILURES_TO_PAUSE - 1
+            worker.not_before_s = now + _FAILING_PAUSE_S
+            self._book.note('worker paused', worker=worker.worker_id)
+
+    def _check_worker(self, worker: WorkerState, now: float) -> None:
+        lease = worker.lease
+        if now <= lease.surely_over_s or lease.is_usable(now):
+            return
+        if not worker.is_listed:
+            self._book.note('worker gone', worker=worker.worker_id)
+            self._book.forget_worker(worker, now)
+            return
+        lease.is_known = False
+        for task in tuple(worker.tasks_by_name.values()):
+            self._book.note(
+                'run lapsed',
+                task=task.name,
+                run=task.run,
+                worker=worker.worker_id,
+            )
+            self._book.unplace(task, now)
+
+    def _inherited_times(
+        self,
+        former: OwnerRow | None,
+        now: float,
+    ) -> tuple[float, float]:
+        """Return until when a former term's leases may and surely hold."""
+        if former is None:
+            return now, now
+        times = self._settings.leases
+        renewed_s = self._clock.to_local_s(former.renewed_ms, now)
+        until_s = renewed_s + times.longest_s * times.slowest_clock
+        held_s = self._clock.to_local_s(former.held_ms, now)
+        return max(until_s + times.margin_s, now), held_s - times.margin_s
+
+
+def _contact_bound_s(settings: CellSettings) -> float:
+    """Return how old the last answer of a worker in contact may be."""
+    return settings.holds.wait_s + settings.holds.answer_slack_s
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -118,8 +118,10 @@
     """The progress row of a job that has started or is final.
 
     A final job has no ``steps``; ``ended_ms`` is on the store's clock.
+    ``has_started`` tells that a worker has begun one of its tasks.
     """
 
     steps: list[StepRecord]
     state: JobState = JobState.RUNNING
     ended_ms: float = 0
+    has_started: bool = False
--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -3,6 +3,19 @@
 from msgspec import Struct
 
 
+class Backlog(Struct, frozen=True, omit_defaults=True):
+    """How long the waiting work takes with the workers in use, in seconds.
+
+    ``surplus_s`` is the work of jobs beyond their organisation's weight, which
+    goes last; ``over_weight`` are the organisations whose next job would be
+    such a one.
+    """
+
+    wait_s_by_priority: dict[int, float] = {}
+    surplus_s: float = 0
+    over_weight: tuple[str, ...] = ()
+
+
 class SchedulerStatus(Struct, frozen=True, omit_defaults=True):
     """What the scheduler tells its followers.
 
@@ -14,6 +27,7 @@
     is_active: bool = False
     store_lost: bool = False
     pending_by_queue: dict[str, int] = {}
+    backlog: Backlog = Backlog()
 
 
 class AdviceQuestion(Struct, frozen=True):
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -259,7 +259,10 @@
     def progress(self) -> JobProgress:
         """Return the progress row."""
         steps = self.steps_by_key.values()
-        return JobProgress([step.record() for step in steps])
+        return JobProgress(
+            [step.record() for step in steps],
+            has_started=self.has_started,
+        )
 
     def restore(self, progress: JobProgress, now: float) -> None:
         """Take over what a former scheduler recorded."""
@@ -268,6 +271,4 @@
                 self.open_occurrence()
             step = self.steps_by_key[record.occurrence, record.step]
             step.restore(record, now)
-        self.has_started = any(task.run for task in self.tasks())
-        if self.has_started:
-            self.state = JobState.RUNNING
+        self.has_started = progress.has_started
--- a/src/apricotlead/transport/cell_desk.py
+++ b/src/apricotlead/transport/cell_desk.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from apricotlead.coordination.cell.acceptance import check_submission
+from apricotlead.coordination.cell.admission import judge
 from apricotlead.coordination.cell.job_rows import cancel_key, job_key
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.protocol.cell_config import QueueConfig
@@ -16,10 +17,12 @@
     JobSubmission,
     StoredJob,
 )
+from apricotlead.protocol.cell_peers import SchedulerStatus
 from apricotlead.protocol.errors import (
     KeyRefused,
     NotFound,
     OutcomeUnknown,
+    Overloaded,
     StaleView,
     StoreUnreachable,
 )
@@ -97,7 +100,7 @@
     __slots__ = (
         '_log',
         '_metrics',
-        '_pending',
+        '_status',
         '_store',
         '_view_bound_s',
         'health',
@@ -110,19 +113,19 @@
         self,
         store: Any,
         health: StoreHealth,
-        pending: Callable[[str], int | None],
+        status: Callable[[], SchedulerStatus | None],
         view_bound_s: float,
         log: Callable[..., Any],
         metrics: Any,
     ) -> None:
         """Serve from ``store``.
 
-        ``pending(queue_name)`` is the number of jobs that have not begun, or
-        ``None`` where no recent count is known. A key is believed for
+        ``status()`` is the scheduler's last word, or ``None`` where none is
+        recent. A key is believed for
         ``view_bound_s`` after the configuration was last confirmed.
         """
         self._store = store
-        self._pending = pending
+        self._status = status
         self._view_bound_s = view_bound_s
         self._log = log
         self._metrics = metrics
@@ -193,6 +196,9 @@
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
         if self.health.is_lost():
             return self._refuse(job_id, 'the store does not answer')
+        hopeless = self._judge(queue, organisation, job_id, submission)
+        if hopeless is not None:
+            return hopeless
         key = job_key(job_id)
         stored = StoredJob(
             queue.name,
@@ -262,11 +268,11 @@
 
     def pending(self, queue: QueueConfig) -> Outcome:
         """Return the number of a queue's jobs that have not begun."""
-        count = self._pending(queue.name)
-        if count is None:
+        status = self._status()
+        if status is None:
             error = StoreUnreachable('No recent count is known here.')
             return NotRun(error, _COME_BACK_S)
-        return Done(count)
+        return Done(status.pending_by_queue.get(queue.name, 0))
 
     def _fresh_view(self) -> CellView | None:
         view = self.view
@@ -274,6 +280,43 @@
             return None
         return view
 
+    def _judge(
+        self,
+        queue: QueueConfig,
+        organisation: str,
+        job_id: str,
+        submission: JobSubmission,
+    ) -> NotRun | None:
+        """Refuse a job that could only end too late to be of any use.
+
+        Its row is read first: an earlier try of the same id may have been
+        accepted, and a refusal must be true.
+        """
+        status = self._status()
+        if status is None:
+            return None
+        refused = judge(submission, queue, organisation, status.backlog)
+        if refused is None:
+            return None
+        answer = self._store.read_row(job_key(job_id))
+        if isinstance(answer, StoreFailed) or answer.rows:
+            return None
+        self._metrics.count('cell_submit_hopeless')
+        self._log(
+            'job refused',
+            job=job_id,
+            queue=queue.name,
+            organisation=organisation,
+            why='too much work waits',
+            wait_s=refused.wait_s,
+            useful_s=refused.useful_s,
+            scheduler_epoch=status.epoch,
+        )
+        return NotRun(
+            Overloaded(f'The work that waits takes {refused.wait_s} s.'),
+            refused.retry_after_s,
+        )
+
     def _submitted(
         self,
         job_id: str,
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -20,12 +20,10 @@
 )
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
-from apricotlead.coordination.cell.scheduler import (
-    SPEEDS_KEY,
-    CellScheduler,
-    PlannedStart,
-)
+from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.coordination.cell.worker_watch import SPEEDS_KEY
 from apricotlead.protocol.cell_peers import AdviceQuestion, SchedulerStatus
 from apricotlead.protocol.cell_workers import (
     AdviceAnswer,
@@ -162,12 +160,13 @@
 
     def status(self) -> SchedulerStatus:
         """Return what followers are told."""
-        age_s = boot_now() - self.scheduler.renewed_s
+        age_s = boot_now() - self.scheduler.workers.renewed_s
         return SchedulerStatus(
             self._epoch,
             not self.ended_why,
             self._is_store_lost and age_s > _FAILING_LOST_S,
-            self.scheduler.pending_by_queue(),
+            self.scheduler.jobs.pending_by_queue(),
+            self.scheduler.jobs.backlog(boot_now()),
         )
 
     def watch(self, peer_address: str) -> SchedulerStatus:
@@ -188,7 +187,7 @@
 
     def take_job_row(self, row: Row) -> None:
         """Take a row of the table of jobs."""
-        self.scheduler.job_row(row, boot_now())
+        self.scheduler.jobs.job_row(row, boot_now())
         self._changed.set()
 
     def take_registration(self, row: Row) -> None:
@@ -198,9 +197,9 @@
         if entry is None:
             if row.version:
                 self._links.log('registration unreadable', worker=worker_id)
-            self.scheduler.drop_worker(worker_id)
+            self.scheduler.workers.drop_worker(worker_id)
             return
-        if self.scheduler.update_worker(entry, boot_now()):
+        if self.scheduler.workers.update_worker(entry, boot_now()):
             self._watch_worker(worker_id)
 
     @property
@@ -230,17 +229,17 @@
                 return False
             pages.append(rows)
         now = boot_now()
-        self.scheduler.load(pages[0], pages[1], now)
+        self.scheduler.jobs.load(pages[0], pages[1], now)
         for row in pages[2]:
             self.take_registration(row)
         for speeds in pages[3]:
-            self.scheduler.load_speeds(speeds)
-        self.scheduler.restore_missing(now)
+            self.scheduler.workers.load_speeds(speeds)
+        self.scheduler.workers.restore_missing(now)
         self._links.log(
             'jobs loaded',
             epoch=self._epoch,
             jobs=len(self.scheduler.book.jobs_by_id),
-            final_jobs=len(self.scheduler.rows.finals_by_id),
+            final_jobs=len(self.scheduler.jobs.rows.finals_by_id),
             workers=len(self.scheduler.book.workers_by_id),
         )
         return True
@@ -262,13 +261,15 @@
         """Shrink and delete the rows of final jobs in the background."""
         while True:
             eventlet.sleep(_KEEP_ROWS_S)
-            for transaction, finals in self.scheduler.rows.due(boot_now()):
+            for transaction, finals in self.scheduler.jobs.rows.due(boot_now()):
                 answer = self._links.store.transact(transaction)
                 if isinstance(answer, Committed):
                     version = max(answer.versions.values(), default=0)
-                    self.scheduler.rows.written(finals, version, boot_now())
+                    self.scheduler.jobs.rows.written(
+                        finals, version, boot_now()
+                    )
                 elif isinstance(answer, CheckFailed):
-                    self.scheduler.rows.conflicted(finals, answer.rows)
+                    self.scheduler.jobs.rows.conflicted(finals, answer.rows)
 
     def _round(self) -> None:
         """Plan, write the journal, and send what it then allows."""
@@ -279,7 +280,7 @@
         self._send_stops(now)
         renew_s = self._settings.election.renew_s
         if self.scheduler.has_changes() or (
-            now - self.scheduler.renewed_s > renew_s
+            now - self.scheduler.workers.renewed_s > renew_s
         ):
             self._write_journal()
         self._log_notes()
@@ -338,7 +339,9 @@
         self._links.log(
             'journal blocked' if failure else 'journal resumed',
             why=failure.reason if failure else '',
-            renewed_age_s=round(boot_now() - self.scheduler.renewed_s, 2),
+            renewed_age_s=round(
+                boot_now() - self.scheduler.workers.renewed_s, 2
+            ),
         )
 
     def _tick(self) -> None:
@@ -346,7 +349,7 @@
             eventlet.sleep(_TICK_S)
             now = boot_now()
             self.scheduler.tick(now)
-            self.scheduler.open_due(time() * 1000, now)
+            self.scheduler.jobs.open_due(time() * 1000, now)
             self._changed.set()
 
     def _watch_worker(self, worker_id: str) -> None:
@@ -360,7 +363,7 @@
         """Hold one worker until it is gone."""
         holds = self._settings.holds
         while not self.ended_why:
-            planned = self.scheduler.hold_order(worker_id, boot_now())
+            planned = self.scheduler.workers.hold_order(worker_id, boot_now())
             if planned is None:
                 break
             entry, order = planned
@@ -371,7 +374,7 @@
             now = boot_now()
             if isinstance(answer, HoldReport):
                 self._contact_regained(worker_id)
-                self.scheduler.hold_answered(
+                self.scheduler.workers.hold_answered(
                     worker_id,
                     order,
                     answer,
@@ -380,7 +383,7 @@
                 )
                 self._changed.set()
                 self._wait_for_journal(worker_id)
-                if not self.scheduler.is_known(worker_id):
+                if not self.scheduler.workers.is_known(worker_id):
                     eventlet.sleep(holds.retry_pause_s)
                 elif order.deadline_ms is None:
                     # The next write of the journal allows grants.
@@ -425,12 +428,12 @@
         if reply.refusal is Refusal.FENCED:
             self.end(_LATER_EPOCH)
             return
-        self.scheduler.hold_refused(worker_id, reply, now)
+        self.scheduler.workers.hold_refused(worker_id, reply, now)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._changed.set()
 
     def _send_stops(self, now: float) -> None:
-        for entry, order in self.scheduler.stops_due(now):
+        for entry, order in self.scheduler.starts.stops_due(now):
             self._orders.spawn_n(self._stop, entry, order)
 
     def _stop(self, entry: WorkerEntry, order: Any) -> None:
@@ -447,7 +450,7 @@
         """Send a start until its outcome is known or its time is over."""
         timeouts_s = self._settings.holds.start_timeouts_s
         for timeout_s in chain(timeouts_s, repeat(timeouts_s[-1])):
-            order = self.scheduler.start_order(start, boot_now())
+            order = self.scheduler.starts.start_order(start, boot_now())
             if order is None or self.ended_why:
                 break
             sent_s = boot_now()
@@ -458,7 +461,7 @@
             )
             if reply.refusal is Refusal.FENCED:
                 self.end(_LATER_EPOCH)
-            is_again = self.scheduler.start_answered(
+            is_again = self.scheduler.starts.start_answered(
                 start,
                 reply,
                 sent_s,
@@ -530,7 +533,7 @@
         self._term.take_job_row(row)
 
     def on_confirmed(self, read_s: float, store_ms: float) -> None:
-        self._term.scheduler.note_store_time(store_ms, boot_now())
+        self._term.scheduler.clock.note(store_ms, boot_now())
 
 
 class _Registry:
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -10,12 +10,10 @@
 )
 from apricotlead.coordination.cell.job_rows import JOBS_TABLE, job_key
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
-from apricotlead.coordination.cell.scheduler import (
-    SPEEDS_KEY,
-    CellScheduler,
-    PlannedStart,
-)
+from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.coordination.cell.worker_watch import SPEEDS_KEY
 from apricotlead.protocol.cell_config import (
     CellConfig,
     OrganisationConfig,
@@ -138,16 +136,16 @@
             self.store_ms,
         )
         self.scheduler.owner_version = self.version
-        self.scheduler.load(
+        self.scheduler.jobs.load(
             self.rows(f'{JOBS_TABLE}/'),
             self.rows(PROGRESS_PREFIX),
             self.now,
         )
         for worker in self.workers_by_id.values():
-            self.scheduler.update_worker(worker.entry, self.now)
+            self.scheduler.workers.update_worker(worker.entry, self.now)
         if SPEEDS_KEY in self.rows_by_key:
-            self.scheduler.load_speeds(self.rows_by_key[SPEEDS_KEY])
-        self.scheduler.restore_missing(self.now)
+            self.scheduler.workers.load_speeds(self.rows_by_key[SPEEDS_KEY])
+        self.scheduler.workers.restore_missing(self.now)
         self.hold_all()
         # Grants follow the first write that calls the workers known.
         self.journal()
@@ -177,7 +175,7 @@
         key = job_key(job_id)
         row = Row(key, self.version, msgspec.to_builtins(stored))
         self.rows_by_key[key] = row
-        self.scheduler.job_row(row, self.now)
+        self.scheduler.jobs.job_row(row, self.now)
         return row
 
     def state(self, job_id: str) -> str:
@@ -202,12 +200,12 @@
     def hold(self, worker_id: str) -> None:
         """Hold one worker."""
         worker = self.workers_by_id[worker_id]
-        planned = self.scheduler.hold_order(worker_id, self.now)
+        planned = self.scheduler.workers.hold_order(worker_id, self.now)
         if planned is None or not worker.is_reachable:
             return
         order = planned[1]
         report = worker.report(self.now, order.acked_through)
-        self.scheduler.hold_answered(
+        self.scheduler.workers.hold_answered(
             worker_id,
             order,
             report,
@@ -236,14 +234,16 @@
 
     def send(self, start: PlannedStart) -> None:
         """Send a start to its worker."""
-        order = self.scheduler.start_order(start, self.now)
+        order = self.scheduler.starts.start_order(start, self.now)
         if order is None:
             return
         worker = self.workers_by_id[start.worker.worker_id]
         worker.start(order)
         if worker.is_reachable:
             reply = OrderReply(None, self.now * 1000)
-            self.scheduler.start_answered(start, reply, self.now, self.now)
+            self.scheduler.starts.start_answered(
+                start, reply, self.now, self.now
+            )
 
     def _write(self, transaction: object) -> None:
         for check in transaction.checks:
--- /dev/null
+++ b/tests/test_cell_admission.py
@@ -0,0 +1,93 @@
+"""Load patterns: more work than room, and an organisation beyond its weight."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.cell.admission import judge
+from apricotlead.coordination.cell.order import WeightMeter, order_key
+from apricotlead.protocol.cell_config import QueueConfig
+from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
+from apricotlead.protocol.cell_peers import Backlog
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
+
+LOOKUP = JobSubmission('', (StepSpec(2, SMALL, estimated_ms=800),))
+QUEUE = QueueConfig(
+    'lookups', 'h', '/', 's', priority=0, stretch=1.5, aim_ms=300
+)
+
+
+class TestHopelessJobs(TestCase):
+    """A job is refused at once only if it could be of no use."""
+
+    def judged(self, backlog: Backlog, organisation: str = 'clerks') -> object:
+        return judge(LOOKUP, QUEUE, organisation, backlog)
+
+    def test_short_queue_accepts(self) -> None:
+        self.assertIsNone(self.judged(Backlog({0: 3.0})))
+
+    def test_long_queue_refuses_and_tells_when_to_return(self) -> None:
+        refused = self.judged(Backlog({0: 6.0}))
+        self.assertAlmostEqual(6.0 - (4.5 - 0.8), refused.retry_after_s)
+
+    def test_work_of_later_priority_does_not_count(self) -> None:
+        self.assertIsNone(self.judged(Backlog({2: 60.0})))
+
+    def test_surplus_counts_only_for_surplus(self) -> None:
+        backlog = Backlog({}, 60.0, ('crews',))
+        self.assertIsNone(self.judged(backlog))
+        self.assertIsNotNone(self.judged(backlog, 'crews'))
+
+    def test_job_that_lasts_is_accepted(self) -> None:
+        lasting = JobSubmission('', (StepSpec(1, SMALL, long_running=True),))
+        self.assertIsNone(judge(lasting, QUEUE, 'clerks', Backlog({0: 99.0})))
+
+    def test_backlog_is_measured_in_seconds_of_the_cell(self) -> None:
+        rig = CellRig(ModelWorker('w1'))
+        spec = StepSpec(48, SMALL, estimated_ms=1000)
+        rig.submit('00000000000000aa', stored_job(spec))
+        backlog = rig.scheduler.jobs.backlog(rig.now)
+        self.assertEqual({0: 3.0}, backlog.wait_s_by_priority)
+
+
+class TestOrderOfAFullCell(TestCase):
+    """The delay falls on the jobs that can bear it."""
+
+    def keys(self, *jobs: object) -> list[str]:
+        rig = CellRig()
+        for job_id, job in jobs:
+            rig.submit(job_id, job)
+        steps = rig.scheduler.book.ready_steps_by_name.values()
+        ordered = sorted(steps, key=lambda step: order_key(step, rig.now))
+        return [step.job.job_id for step in ordered]
+
+    def job(self, age_s: float, **changes: object) -> object:
+        spec = StepSpec(1, SMALL, estimated_ms=1000)
+        accepted_ms = (100 - age_s) * 1000
+        return stored_job(spec, accepted_ms=accepted_ms, **changes)
+
+    def test_late_lookup_goes_before_batch_work(self) -> None:
+        late = ('a', self.job(4, priority=0))
+        batch = ('b', self.job(4, priority=2, stretch=9))
+        self.assertEqual(['a', 'b'], self.keys(batch, late))
+
+    def test_worthless_job_goes_last(self) -> None:
+        worthless = ('a', self.job(60, priority=0))
+        batch = ('b', self.job(0, priority=2))
+        self.assertEqual(['b', 'a'], self.keys(worthless, batch))
+
+    def test_oldest_goes_first_among_equals(self) -> None:
+        self.assertEqual(
+            ['b', 'a'],
+            self.keys(('a', self.job(0)), ('b', self.job(1))),
+        )
+
+
+class TestHotOrganisation(TestCase):
+    """An organisation at many times its usual delays only itself."""
+
+    def test_jobs_beyond_the_weight_are_surplus(self) -> None:
+        meter = WeightMeter(burst_s=1)
+        admitted = [meter.admit('crews', 2, 0) for _ in range(4)]
+        self.assertEqual([True, True, False, False], admitted)
+        self.assertEqual(['crews'], list(meter.over_weight(0)))
+        self.assertEqual([], list(meter.over_weight(1)))
+        self.assertTrue(meter.admit('crews', 2, 1))
--- /dev/null
+++ b/tests/test_cell_advice.py
@@ -0,0 +1,53 @@
+"""Load pattern: advice calls of very unlike cost, asked by few instances."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.cell.advice_book import AdviceBook, AdviceCall
+from apricotlead.coordination.cell.settings import AdviceTimes
+from apricotlead.protocol.cell_config import AdvicePolicy
+from apricotlead.protocol.cell_workers import AdviceAnswer
+
+CHEAP = AdvicePolicy(10, 0.1, 2000)
+COSTLY = AdvicePolicy(800, 7, 2000)
+ASKERS = ['peer1', 'peer2', 'peer3']
+
+
+class TestAdvice(TestCase):
+    """Lookups do not wait behind calls for large gangs."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.book = AdviceBook(AdviceTimes())
+
+    def ask(
+        self,
+        step: str,
+        policy: AdvicePolicy,
+        now: float = 0,
+    ) -> AdviceCall | None:
+        return self.book.plan_call(step, ['w1', 'w2'], policy, ASKERS, now)
+
+    def test_costly_calls_leave_an_asker_free(self) -> None:
+        costly = [self.ask(f'gang{number}', COSTLY) for number in range(4)]
+        busy = {call.asker for call in costly if call is not None}
+        self.assertEqual({'peer2', 'peer3'}, busy)
+        self.assertEqual('peer1', self.ask('lookup', CHEAP).asker)
+
+    def test_costly_calls_do_not_pile_up(self) -> None:
+        for number in range(2):
+            self.assertIsNotNone(self.ask(f'gang{number}', COSTLY))
+        self.assertIsNone(self.ask('gang3', COSTLY))
+
+    def test_refusal_of_a_worker_is_remembered(self) -> None:
+        call = self.ask('step', CHEAP)
+        self.book.answered(call, AdviceAnswer({'w1': 'ticket'}, 2000), 0.1)
+        self.assertEqual('ticket', self.book.ticket('step', 'w1', 1))
+        self.assertIsNone(self.book.ticket('step', 'w1', 2.05))
+        again = self.ask('step', CHEAP, 3)
+        self.assertEqual(('w1',), again.worker_ids)
+
+    def test_missing_answer_is_asked_again_after_a_pause(self) -> None:
+        call = self.ask('step', CHEAP)
+        self.book.answered(call, None, 0.1)
+        self.assertIsNone(self.ask('step', CHEAP, 0.2))
+        self.assertIsNotNone(self.ask('step', CHEAP, 0.5))
--- a/tests/test_cell_scheduler.py
+++ b/tests/test_cell_scheduler.py
@@ -2,8 +2,11 @@
 
 from testtools import TestCase
 
+from apricotlead.coordination.cell.job_rows import cancel_key
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.cell_workers import EndKind, OrderReply, Refusal
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import Row
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
@@ -42,7 +45,7 @@
         self.rig.hold_all()
         self.rig.round()
         self.rig.pass_time(1)
-        self.rig.scheduler.job_row(row, self.rig.now)
+        self.rig.scheduler.jobs.job_row(row, self.rig.now)
         self.rig.round()
         self.assertEqual(1, len(self.worker.started))
 
@@ -52,10 +55,10 @@
         self.rig.round()
         self.worker.end(TASK)
         self.rig.hold_all()
-        order = self.rig.scheduler.hold_order('w1', self.rig.now)[1]
+        order = self.rig.scheduler.workers.hold_order('w1', self.rig.now)[1]
         self.assertEqual(0, order.acked_through)
         self.rig.journal()
-        order = self.rig.scheduler.hold_order('w1', self.rig.now)[1]
+        order = self.rig.scheduler.workers.hold_order('w1', self.rig.now)[1]
         self.assertEqual(1, order.acked_through)
 
     def test_failed_job_after_all_attempts(self) -> None:
@@ -130,7 +133,7 @@
         rig.round()
         worker.end(TASK, EndKind.FAILED)
         rig.hold_all()
-        stops = rig.scheduler.stops_due(rig.now)
+        stops = rig.scheduler.starts.stops_due(rig.now)
         self.assertEqual([f'{JOB}.0.0.1'], [stop.task for _, stop in stops])
 
 
@@ -144,14 +147,16 @@
         self.rig.scheduler.plan(self.rig.now, [])
         self.start = self.rig.journal()[0]
         self.worker = self.rig.workers_by_id[self.start.worker.worker_id]
-        order = self.rig.scheduler.start_order(self.start, self.rig.now)
+        order = self.rig.scheduler.starts.start_order(self.start, self.rig.now)
         self.worker.start(order)
         self.answer(Refusal.UNANSWERED)
 
     def answer(self, refusal: Refusal) -> bool:
         reply = OrderReply(refusal)
         now = self.rig.now
-        return self.rig.scheduler.start_answered(self.start, reply, now, now)
+        return self.rig.scheduler.starts.start_answered(
+            self.start, reply, now, now
+        )
 
     def test_repeat_that_cannot_be_sent_frees_nothing(self) -> None:
         """The worker was cut off after it began the run."""
@@ -169,7 +174,7 @@
         """The check before a repeat must not give the task away."""
         self.worker.is_reachable = False
         self.rig.now += 4
-        order = self.rig.scheduler.start_order(self.start, self.rig.now)
+        order = self.rig.scheduler.starts.start_order(self.start, self.rig.now)
         self.assertIsNone(order)
         self.assertTrue(self.start.task.is_placed)
 
@@ -177,7 +182,7 @@
         """The first order may still be carried out, seconds later."""
         self.worker.running_by_task.clear()
         self.answer(Refusal.UNHEALTHY)
-        stops = self.rig.scheduler.stops_due(self.rig.now)
+        stops = self.rig.scheduler.starts.stops_due(self.rig.now)
         self.assertEqual([TASK], [order.task for _, order in stops])
         self.rig.now += 0.1
         name = self.worker.entry.worker_id
@@ -190,3 +195,39 @@
             for order in worker.started
         ]
         self.assertEqual([1, 2], sorted(runs))
+
+
+class TestPending(TestCase):
+    """Jobs that have not begun are counted, whoever schedules."""
+
+    def test_dropped_start_still_counts_after_a_takeover(self) -> None:
+        """A journaled start that was never sent is no beginning."""
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        rig.submit(JOB, stored_job())
+        rig.scheduler.plan(rig.now, [])
+        rig.journal()
+        rig.take_over()
+        pending = rig.scheduler.jobs.pending_by_queue()
+        self.assertEqual({'lookups': 1}, pending)
+
+    def test_cancelled_job_of_a_former_term_frees_its_room(self) -> None:
+        """A run that was journaled but not sent must not hold room."""
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        rig.submit(JOB, stored_job())
+        rig.scheduler.plan(rig.now, [])
+        rig.journal()
+        rig.rows_by_key[cancel_key(JOB)] = Row(cancel_key(JOB), 1, 1)
+        rig.take_over()
+        state = rig.scheduler.book.workers_by_id['w1']
+        self.assertEqual(Resources(), state.used)
+
+    def test_begun_job_does_not_count(self) -> None:
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        rig.submit(JOB, stored_job())
+        rig.round()
+        self.assertEqual({}, rig.scheduler.jobs.pending_by_queue())
+        rig.take_over()
+        self.assertEqual({}, rig.scheduler.jobs.pending_by_queue())
