Check a cell's settings and follow a job through the logs

Cause: on-call engineers have only logs and metrics; a job's lines are spread over all instances.

Before and after: there was no command; apricotlead explain prints a job's lines in order with the elections between them, and check-cell names all faults of a settings file.

Ruled out: one log of the whole cell in the store, whose writes are priced and bounded.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -86,7 +86,9 @@
         """Join all parts; :meth:`serve` begins."""
         self._settings = settings
         self._started_s = boot_now()
-        self._log = CellLog({'instance': settings.instance_id})
+        output = sys.stdout.fileno()
+        os.set_blocking(output, False)
+        self._log = CellLog({'instance': settings.instance_id}, output)
         self._metrics = CellMetrics()
         pool = HttpPool(idle_per_host=_IDLE_CONNECTIONS)
         self._store = PlatformStore(pool, settings.store_address)
--- a/src/apricotlead/cli.py
+++ b/src/apricotlead/cli.py
@@ -1,11 +1,14 @@
 """The command line: the daemon, and calls for callers and operators."""
 
 import sys
+from pathlib import Path
 from typing import Any
 
 import fire
 import msgspec
 
+from apricotlead.cell_settings import CellEntrySettings
+from apricotlead.log_search import explain_job
 from apricotlead.protocol.errors import ApricotleadError
 from apricotlead.settings import Settings
 from apricotlead.state.config_view import digest_of
@@ -42,6 +45,23 @@
         checked = Settings.from_file(settings)
         return msgspec.yaml.encode(checked).decode()
 
+    def check_cell(self, settings: str) -> str:
+        """Check the settings of a cell's instance; print all defaults."""
+        checked = CellEntrySettings.from_file(settings)
+        return msgspec.yaml.encode(checked).decode()
+
+    def explain(self, job_id: str, *files: str) -> str:
+        """Print what the logs of all instances tell of a job."""
+        lines: list[str] = []
+        for name in files:
+            try:
+                text = Path(name).read_text(errors='replace')
+            except OSError as error:
+                raise CallError(f'{name} cannot be read: {error}.') from error
+            lines.extend(text.splitlines())
+        told = explain_job(str(job_id), lines)
+        return '\n'.join(told) or f'No line names job {job_id}.'
+
     def digest(self, key: str) -> str:
         """Print the digest of a key, as the configuration keeps it."""
         return digest_of(str(key))
--- a/src/apricotlead/settings.py
+++ b/src/apricotlead/settings.py
@@ -31,7 +31,7 @@
     """The settings file cannot be used."""
 
     kind = 'settings'
-    remedy = 'See docs/operations.md for all settings and their defaults.'
+    remedy = 'See docs/OPERATIONS.md for all settings and their defaults.'
 
 
 class Settings(Struct, frozen=True, kw_only=True):
--- a/src/apricotlead/transport/cell_log.py
+++ b/src/apricotlead/transport/cell_log.py
@@ -6,7 +6,6 @@
 """
 
 import os
-import sys
 from collections import Counter, deque
 from typing import Any
 
@@ -30,19 +29,25 @@
 
     __slots__ = ('_counts', '_dropped', '_fd', '_fields', '_lines', '_rest')
 
-    def __init__(self, fields: dict[str, Any]) -> None:
-        """Add ``fields`` (the instance) to each line."""
+    def __init__(self, fields: dict[str, Any], descriptor: int) -> None:
+        """Add ``fields`` (the instance) to each line.
+
+        ``descriptor`` is where lines go; writes to it must not block.
+        """
         self._fields = fields
         self._lines: deque[bytes] = deque()
         self._counts: Counter[str] = Counter()
         self._dropped: Counter[str] = Counter()
-        self._fd = sys.stdout.fileno()
+        self._fd = descriptor
         self._rest = b''
         eliot.add_destinations(self._take)
 
+    def close(self) -> None:
+        """Take no more lines."""
+        eliot.remove_destination(self._take)
+
     def start(self) -> None:
         """Write in the background from now on."""
-        os.set_blocking(self._fd, False)
         eventlet.spawn_n(self._run)
 
     def log(self, kind: str, **fields: Any) -> None:
--- /dev/null
+++ b/tests/test_cell_operations.py
@@ -0,0 +1,135 @@
+"""What operators use: checked settings, metrics, logs, a job's story."""
+
+import os
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from prometheus_client.parser import text_string_to_metric_families
+from testtools import TestCase
+
+from apricotlead.cell_settings import CellEntrySettings, CellSettingsError
+from apricotlead.cli import Commands
+from apricotlead.transport.cell_log import CellLog
+from apricotlead.transport.cell_metrics import CellMetrics
+
+SETTINGS = """
+instance_id: i1
+data_centre: north
+callers_address: 127.0.0.1:80
+ready_address: 127.0.0.1:81
+peer_address: 127.0.0.1:82
+store_address: 127.0.0.1:83
+a_setting_of_tomorrow: 1
+"""
+JOB = '00000000000000aa'
+
+
+class TestSettings(TestCase):
+    """A faulty file ends the start with the names of its faults."""
+
+    def read(self, text: str) -> CellEntrySettings:
+        with TemporaryDirectory() as folder:
+            path = Path(folder, 'settings.yaml')
+            path.write_text(text)
+            return CellEntrySettings.from_file(str(path))
+
+    def test_unknown_settings_are_ignored(self) -> None:
+        self.assertEqual('i1', self.read(SETTINGS).instance_id)
+
+    def test_all_faults_are_named(self) -> None:
+        text = SETTINGS.replace('127.0.0.1:80', 'here').replace(
+            '127.0.0.1:83',
+            'there',
+        )
+        error = self.assertRaises(CellSettingsError, self.read, text)
+        self.assertIn('callers_address', str(error))
+        self.assertIn('store_address', str(error))
+
+    def test_missing_and_malformed(self) -> None:
+        wrong_type = f'{SETTINGS}grace_s: soon\n'
+        for text in ('', 'instance_id: [', wrong_type):
+            self.assertRaises(CellSettingsError, self.read, text)
+
+    def test_lease_beyond_the_platform_is_refused(self) -> None:
+        text = f'{SETTINGS}longest_lease_ms: 5000\n'
+        self.assertRaises(CellSettingsError, self.read, text)
+
+
+class TestMetrics(TestCase):
+    """The usual text format, which the usual parser reads."""
+
+    def test_counter_and_histogram(self) -> None:
+        metrics = CellMetrics()
+        metrics.count('cell_run_placed')
+        metrics.time('cell_request', 0.03)
+        body = b''.join(metrics({}, lambda *answer: None)).decode()
+        families = {
+            family.name: family
+            for family in text_string_to_metric_families(body)
+        }
+        self.assertIn('apricotlead_cell_run_placed', families)
+        samples = families['apricotlead_cell_request_seconds'].samples
+        counts = {
+            sample.labels['le']: sample.value
+            for sample in samples
+            if sample.name.endswith('_bucket')
+        }
+        self.assertEqual(0, counts['0.02'])
+        self.assertEqual(1, counts['0.05'])
+
+
+class TestLogs(TestCase):
+    """Lines are bounded, and a slow reader never blocks the process."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        reader, writer = os.pipe()
+        self.reader = reader
+        os.set_blocking(writer, False)
+        self.log = CellLog({'instance': 'i1'}, writer)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.addCleanup(self.log.close)
+
+    def test_lines_of_one_kind_are_bounded(self) -> None:
+        for number in range(1000):
+            self.log.log('run placed', task=number)
+        self.log.log('term begun', epoch=1)
+        self.log.flush()
+        lines = os.read(self.reader, 1 << 20).splitlines()
+        self.assertEqual(301, len(lines))
+        self.assertIn(b'term begun', lines[-1])
+
+    def test_full_pipe_does_not_block(self) -> None:
+        for kind in range(100):
+            for _ in range(200):
+                self.log.log(f'kind {kind}', filler='x' * 100)
+        self.log.flush()
+        self.assertGreater(len(os.read(self.reader, 1 << 20)), 0)
+
+
+class TestExplain(TestCase):
+    """A job's story is told from the logs of all instances, in order."""
+
+    def test_lines_of_a_job_in_order(self) -> None:
+        lines = (
+            '5 b {"message_type":"run placed","timestamp":3,"task":"%s.0.0.0"}',
+            '{"message_type":"job submitted","timestamp":1,"job":"%s"}',
+            '{"message_type":"term begun","timestamp":2,"epoch":4}',
+            '{"message_type":"term begun","timestamp":9,"epoch":5}',
+            '{"message_type":"run placed","timestamp":2,"task":"other.0.0.0"}',
+            'not JSON',
+        )
+        with TemporaryDirectory() as folder:
+            path = Path(folder, 'log')
+            text = '\n'.join(lines).replace('%s', JOB)
+            path.write_text(text)
+            told = Commands().explain(JOB, str(path)).splitlines()
+        kinds = [line.split()[1:3] for line in told]
+        self.assertEqual(3, len(told))
+        self.assertIn('submitted:', kinds[0])
+        self.assertIn('begun:', kinds[1])
+        self.assertIn('placed:', kinds[2])
+
+    def test_unknown_job(self) -> None:
+        self.assertIn('No line', Commands().explain(JOB))
