Let large instances schedule, and ask advice about likely workers only

Advice on 176 workers takes two calls for each lookup.

Candidates wait in proportion to the processor that they lack, and a scheduler hands over to an instance 1.5 times as large.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -12,6 +12,7 @@
     OwnerRow,
     read_owner,
     takeover,
+    takeover_delay_s,
 )
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.platform.callers import CallerApplication, ReadyApplication
@@ -60,8 +61,6 @@
 _DRAIN_POLL_S = 0.05
 _STOP_MARGIN_S = 0.7
 _SETTINGS_EXIT = 2
-# Rolling restarts take about this long from one instance to the last.
-_OLD_INSTANCE_S = 30.0
 
 
 class CellEntry:
@@ -204,9 +203,11 @@
             return None
         return self._status
 
-    def _watched(self, peer_address: str) -> SchedulerStatus:
+    def _watched(self, peer_address: str, cores: float) -> SchedulerStatus:
         term = self._term
-        return SchedulerStatus() if term is None else term.watch(peer_address)
+        if term is None:
+            return SchedulerStatus()
+        return term.watch(peer_address, cores)
 
     def _advise(self, question: AdviceQuestion) -> AdviceAnswer | None:
         return self._workers.advise(
@@ -238,7 +239,14 @@
         if owner is not None and not owner.is_released and not is_own:
             if self._follow(owner):
                 return
-        pause(self._stagger_s())
+        delay_s = takeover_delay_s(
+            self._settings.cell.election,
+            owner,
+            self._settings.processor,
+            boot_now() - self._started_s,
+            random.random(),
+        )
+        pause(delay_s)
         if not self.desk.is_stopping:
             self._take_over(row, read.store_ms)
 
@@ -254,6 +262,7 @@
             status = self._peers.watch(
                 owner.peer_address,
                 self._settings.peer_address,
+                self._settings.processor,
                 timeout_s,
             )
             if status is None or status.store_lost:
@@ -278,18 +287,6 @@
         age_ms = self.desk.health.store_ms() - owner.taken_ms
         return age_ms < self._settings.cell.election.store_lost_s * 1000
 
-    def _stagger_s(self) -> float:
-        """Return a pause that lets better candidates take over first.
-
-        Large instances come first, and those that started lately: a rolling
-        restart stops the others next.
-        """
-        settings = self._settings
-        small = max(0, 1 - settings.cpu_share * settings.cores)
-        age = min(1, (boot_now() - self._started_s) / _OLD_INSTANCE_S)
-        weights = random.random() + small + 2 * age
-        return settings.cell.election.stagger_s * weights
-
     def _take_over(self, row: Row, store_ms: float) -> None:
         began_s = boot_now()
         former = read_owner(row)
@@ -326,6 +323,7 @@
             self._settings.cell,
             scheduler,
             self._settings.peer_address,
+            self._settings.processor,
         )
         try:
             self._term.run()
--- a/src/apricotlead/cell_settings.py
+++ b/src/apricotlead/cell_settings.py
@@ -44,6 +44,11 @@
     max_connections: int = 2000
     cell: CellSettings = field(default_factory=CellSettings)
 
+    @property
+    def processor(self) -> float:
+        """Return the processor of this instance, in ordinary cores."""
+        return self.cpu_share * self.cores
+
     @property
     def view_bound_s(self) -> float:
         """Return how long a configuration is believed unconfirmed.
--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Struct
 
+from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.protocol.table import Check, Put, Row, Transaction
 
 OWNER_KEY = 'owner/cell/scheduler'
@@ -24,7 +25,8 @@
     those in ``over_ms_by_silent_worker`` none after the time given there, the
     others surely until ``held_ms`` and none granted later than
     ``renewed_ms``, when this row was written. ``is_released`` invites a
-    successor.
+    successor. ``largest_cores`` is the processor of the largest instance that
+    could succeed, 0 while it is not known.
     """
 
     epoch: int
@@ -36,6 +38,35 @@
     held_ms: float = 0
     over_ms_by_silent_worker: dict[str, float] = {}
     is_released: bool = False
+    largest_cores: float = 0
+
+
+def takeover_delay_s(
+    times: ElectionTimes,
+    owner: OwnerRow | None,
+    cores: float,
+    age_s: float,
+    chance: float,
+) -> float:
+    """Return how long an instance lets better candidates take over first.
+
+    Large instances come first, since the scheduler's work grows with the
+    cell; then those that started lately, since a rolling restart stops the
+    others next. ``cores`` and ``age_s`` are those of the instance, ``chance``
+    is a random number from 0 to 1.
+    """
+    known = 0.0 if owner is None else owner.largest_cores
+    largest = known or max(cores, times.unknown_cores)
+    shortfall = max(0, 1 - cores / largest)
+    age = min(1, age_s / times.old_instance_s)
+    return times.small_delay_s * shortfall + times.stagger_s * (
+        chance + 2 * age
+    )
+
+
+def should_yield(times: ElectionTimes, cores: float, largest: float) -> bool:
+    """Tell whether a scheduler should hand over to a larger instance."""
+    return largest > cores * times.yield_ratio
 
 
 def read_owner(row: Row) -> OwnerRow | None:
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -20,6 +20,9 @@
 _MOST_BLOCKED_STEPS = 60
 # The part of all room that becomes free while a ticket is valid.
 _SOON_FREE = 0.6
+# A third of these may run the most restricted steps that callers describe.
+_ASKED_WORKERS = 30
+_ASKED_FOR_EACH_TASK = 2
 
 
 class Planner:
@@ -102,14 +105,8 @@
         if policy is None:
             return planning.rooms
         now = planning.now
-        demand = step.demand()
-        if planning.may_ask(demand.cpu_millis * task_count):
-            fitting = [
-                room.worker.worker_id
-                for room in planning.rooms
-                if demand.fits_in(room.worker.entry.capacity)
-                and may_run_here(step, room.worker)
-            ]
+        if planning.may_ask(step.demand().cpu_millis * task_count):
+            fitting = _likely_workers(step, task_count, planning.rooms)
             call = self._advice.plan_call(
                 step.name,
                 fitting,
@@ -144,6 +141,30 @@
         )
 
 
+def _likely_workers(
+    step: StepState,
+    task_count: int,
+    rooms: list[Room],
+) -> list[str]:
+    """Return the workers to ask about, likely ones first.
+
+    Pattern: large cells, where asking about every worker takes longer than
+    the task. Those with room come first, fast ones before slow ones.
+    """
+    demand = step.demand()
+    fitting = [
+        room
+        for room in rooms
+        if demand.fits_in(room.worker.entry.capacity)
+        and may_run_here(step, room.worker)
+    ]
+    fitting.sort(
+        key=lambda room: (not room.fits(demand), room.pace, -room.cpu),
+    )
+    most = _ASKED_WORKERS + _ASKED_FOR_EACH_TASK * task_count
+    return [room.worker.worker_id for room in fitting[:most]]
+
+
 class _Round:
     """What one round of placement shares between its steps."""
 
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -98,6 +98,10 @@
         self.workers.tick(now)
         self.jobs.drop_over()
 
+    def note_largest(self, cores: float) -> None:
+        """Note the processor of the largest instance for a successor."""
+        self.owner = msgspec.structs.replace(self.owner, largest_cores=cores)
+
     def plan(self, now: float, askers: list[str]) -> list[AdviceCall]:
         """Choose workers for waiting tasks; return the advice to ask for."""
         return self.planner.plan(now, askers)
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -34,6 +34,12 @@
     ``watch_s`` is how long the scheduler holds a follower's call.
     ``renew_s`` spaces renewals without other writes. After ``store_lost_s``
     without a confirmed renewal the scheduler asks its followers to take over.
+    An instance waits ``small_delay_s`` times the part of the largest
+    instance's processor that it lacks, and up to ``stagger_s`` times three by
+    chance and age; after ``old_instance_s`` it counts as old.
+    ``unknown_cores`` is assumed of the largest instance until it is known. A
+    scheduler hands over to an instance ``yield_ratio`` times as large, not
+    before ``settled_s`` of its term.
     """
 
     watch_s: float = 0.4
@@ -41,6 +47,11 @@
     renew_s: float = 0.4
     store_lost_s: float = 1.0
     stagger_s: float = 0.05
+    small_delay_s: float = 0.5
+    old_instance_s: float = 30.0
+    unknown_cores: float = 4.0
+    yield_ratio: float = 1.5
+    settled_s: float = 2.0
 
 
 class AdviceTimes(Struct, frozen=True):
--- a/src/apricotlead/transport/cell_peers.py
+++ b/src/apricotlead/transport/cell_peers.py
@@ -38,10 +38,14 @@
         self,
         address: str,
         own_address: str,
+        cores: float,
         timeout_s: float,
     ) -> SchedulerStatus | None:
-        """Wait for the scheduler's next word; ``None`` without an answer."""
-        query = urlencode({'from': own_address})
+        """Wait for the scheduler's next word; ``None`` without an answer.
+
+        ``cores`` is the processor of this instance.
+        """
+        query = urlencode({'from': own_address, 'cores': cores})
         answer = self._pool.call(
             HttpCall(
                 'GET',
@@ -73,15 +77,15 @@
 class PeerApplication:
     """Answers other entry instances (WSGI).
 
-    ``watch(peer_address)`` waits for news of the scheduler that runs here and
-    returns its status; ``advise(question)`` asks for advice.
+    ``watch(peer_address, cores)`` waits for news of the scheduler that runs
+    here and returns its status; ``advise(question)`` asks for advice.
     """
 
     __slots__ = ('_advise', '_watch')
 
     def __init__(
         self,
-        watch: Callable[[str], SchedulerStatus],
+        watch: Callable[[str, float], SchedulerStatus],
         advise: Callable[[AdviceQuestion], AdviceAnswer | None],
     ) -> None:
         """Answer by these functions."""
@@ -105,7 +109,8 @@
         if path == _STATUS_PATH:
             query = parse_qs(environ.get('QUERY_STRING', ''))
             peer = query.get('from', [''])[0]
-            return _encoder.encode(self._watch(peer))
+            cores = float(query.get('cores', ['0'])[0])
+            return _encoder.encode(self._watch(peer, cores))
         if path == _ADVICE_PATH:
             length = int(environ.get('CONTENT_LENGTH') or 0)
             question = _question_decoder.decode(
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -17,6 +17,7 @@
     OwnerRow,
     owner_transaction,
     read_owner,
+    should_yield,
 )
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
@@ -88,7 +89,9 @@
     """One term of office of the scheduler in this process."""
 
     __slots__ = (
+        '_began_s',
         '_changed',
+        '_cores',
         '_green_threads',
         '_is_store_lost',
         '_journaled',
@@ -96,7 +99,7 @@
         '_lost_worker_ids',
         '_orders',
         '_own_address',
-        '_peers_seen_s',
+        '_peers',
         '_settings',
         '_watched_worker_ids',
         'ended_why',
@@ -109,16 +112,20 @@
         settings: CellSettings,
         scheduler: CellScheduler,
         own_address: str,
+        cores: float,
     ) -> None:
         """Prepare a term for a scheduler that has just taken over."""
         self._links = links
         self._settings = settings
         self._own_address = own_address
+        self._cores = cores
+        self._began_s = boot_now()
         self._changed = WakeUp()
         self._journaled = Broadcast()
         self._green_threads: list[GreenThread] = []
         self._orders = GreenPool(size=2000)
-        self._peers_seen_s: dict[str, float] = {}
+        # When each peer was last in contact, and its processor.
+        self._peers: dict[str, tuple[float, float]] = {}
         self._watched_worker_ids: set[str] = set()
         self._lost_worker_ids: set[str] = set()
         self._is_store_lost = False
@@ -169,15 +176,15 @@
             self.scheduler.jobs.backlog(boot_now()),
         )
 
-    def watch(self, peer_address: str) -> SchedulerStatus:
+    def watch(self, peer_address: str, cores: float) -> SchedulerStatus:
         """Hold a follower's call until there is news or for a while."""
-        self._peers_seen_s[peer_address] = boot_now()
+        self._peers[peer_address] = (boot_now(), cores)
         ends_s = boot_now() + self._settings.election.watch_s
         while boot_now() < ends_s and not self.ended_why:
             if self.status().store_lost:
                 break
             eventlet.sleep(_IDLE_PLAN_S)
-        self._peers_seen_s[peer_address] = boot_now()
+        self._peers[peer_address] = (boot_now(), cores)
         return self.status()
 
     def set_view(self, view: CellView) -> None:
@@ -274,7 +281,9 @@
     def _round(self) -> None:
         """Plan, write the journal, and send what it then allows."""
         now = boot_now()
-        calls = self.scheduler.plan(now, self._askers(now))
+        peers = self._fresh_peers(now)
+        self._check_size(now, peers)
+        calls = self.scheduler.plan(now, [self._own_address, *peers])
         for call in calls:
             self._orders.spawn_n(self._ask, call)
         self._send_stops(now)
@@ -472,13 +481,22 @@
             eventlet.sleep(_START_REPEAT_S)
         self._changed.set()
 
-    def _askers(self, now: float) -> list[str]:
-        peers = [
-            address
-            for address, seen_s in self._peers_seen_s.items()
+    def _fresh_peers(self, now: float) -> dict[str, float]:
+        """Return the processors of the peers in contact, by address."""
+        return {
+            address: cores
+            for address, (seen_s, cores) in self._peers.items()
             if address and now - seen_s < _PEER_FRESH_S
-        ]
-        return [self._own_address, *peers]
+        }
+
+    def _check_size(self, now: float, peers: dict[str, float]) -> None:
+        """Note the largest instance, and hand over if it is much larger."""
+        times = self._settings.election
+        largest = max((self._cores, *peers.values()))
+        self.scheduler.note_largest(largest)
+        is_settled = now - self._began_s > times.settled_s
+        if is_settled and should_yield(times, self._cores, largest):
+            self.end(RELEASED)
 
     def _ask(self, call: AdviceCall) -> None:
         question = AdviceQuestion(
--- a/tests/test_cell_advice.py
+++ b/tests/test_cell_advice.py
@@ -6,6 +6,7 @@
 from apricotlead.coordination.cell.settings import AdviceTimes
 from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_workers import AdviceAnswer
+from tests.cell_rig import CellRig, ModelWorker, stored_job
 
 CHEAP = AdvicePolicy(10, 0.1, 2000)
 COSTLY = AdvicePolicy(800, 7, 2000)
@@ -51,3 +52,15 @@
         self.book.answered(call, None, 0.1)
         self.assertIsNone(self.ask('step', CHEAP, 0.2))
         self.assertIsNotNone(self.ask('step', CHEAP, 0.5))
+
+
+class TestLargeCells(TestCase):
+    """A step of a few tasks is not asked about on every worker."""
+
+    def test_likely_workers_are_asked_about(self) -> None:
+        workers = [ModelWorker(f'w{number}') for number in range(100)]
+        rig = CellRig(*workers)
+        policy = AdvicePolicy(10, 1, 2000)
+        rig.submit('00000000000000aa', stored_job(advice=policy))
+        calls = rig.scheduler.plan(rig.now, ASKERS)
+        self.assertEqual(32, len(calls[0].worker_ids))
--- /dev/null
+++ b/tests/test_cell_election.py
@@ -0,0 +1,63 @@
+"""Who takes over: load patterns of unlike instances and rolling restarts."""
+
+import msgspec
+from testtools import TestCase
+
+from apricotlead.coordination.cell.election import (
+    OWNER_KEY,
+    OwnerRow,
+    should_yield,
+    takeover,
+    takeover_delay_s,
+)
+from apricotlead.coordination.cell.settings import ElectionTimes
+from apricotlead.protocol.table import Row
+
+TIMES = ElectionTimes()
+OWNER = OwnerRow(3, 'i1', 'peer1', largest_cores=2.0, renewed_ms=500)
+
+
+class TestCandidates(TestCase):
+    """A small instance schedules a large cell only if it must."""
+
+    def delay(self, cores: float, age_s: float = 0) -> float:
+        return takeover_delay_s(TIMES, OWNER, cores, age_s, 0.5)
+
+    def test_large_instances_come_first(self) -> None:
+        self.assertLess(self.delay(2, 99) + 0.1, self.delay(0.5))
+
+    def test_young_instances_come_first_among_equals(self) -> None:
+        """A rolling restart stops the old ones next."""
+        self.assertLess(self.delay(2, 1), self.delay(2, 99))
+
+    def test_equal_instances_do_not_wait_for_larger_ones(self) -> None:
+        self.assertLess(self.delay(2, 99), 0.2)
+
+    def test_scheduler_yields_to_a_much_larger_instance(self) -> None:
+        self.assertTrue(should_yield(TIMES, 0.5, 2))
+        self.assertFalse(should_yield(TIMES, 1, 1.2))
+
+
+class TestTakeover(TestCase):
+    """What a former term wrote of the leases survives the takeover."""
+
+    def test_lease_bounds_are_kept(self) -> None:
+        former = OwnerRow(
+            3,
+            'i1',
+            'peer1',
+            renewed_ms=500,
+            held_ms=900,
+            over_ms_by_silent_worker={'w1': 700},
+        )
+        row = Row(OWNER_KEY, 9, msgspec.to_builtins(former))
+        owner, transaction = takeover(row, 'i2', 'peer2', 1000)
+        self.assertEqual(4, owner.epoch)
+        self.assertEqual(500, owner.renewed_ms)
+        self.assertEqual({'w1': 700}, owner.over_ms_by_silent_worker)
+        self.assertEqual(9, transaction.checks[0].version)
+
+    def test_first_takeover_expects_no_row(self) -> None:
+        owner, transaction = takeover(Row(OWNER_KEY), 'i2', 'peer2', 1000)
+        self.assertEqual(1, owner.epoch)
+        self.assertEqual(0, transaction.checks[0].version)
