End the moves of runs whose estimate is too low

Ruled out: slow workers; the stops were spread over eight workers and more.

Conclusion: a slow pace counts against a worker only while the estimate is not refuted by a second worker, or when a like task has ended; speeds learn only from the latter.

--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -371,9 +371,12 @@
             unchanged_s=round(now - task.progress_s, 2),
             estimate_ms=task.step.spec.estimated_ms,
         )
-        estimate_s = task.step.spec.estimated_ms / _MS_PER_S
-        elapsed_s = now - task.started_s
-        worker.speed.observe(elapsed_s * 2, estimate_s)
+        # Half done at best: what is left takes as long again, or longer.
+        worker.speed.observe(
+            (now - task.started_s) * 2,
+            task.step.longest_done_s,
+        )
+        task.step.slow_worker_ids.add(worker.worker_id)
         task.avoided_workers.add(worker.worker_id)
         self.stop(task)
 
--- a/src/apricotlead/coordination/cell/stragglers.py
+++ b/src/apricotlead/coordination/cell/stragglers.py
@@ -14,6 +14,7 @@
 # A fresh run must be this much faster than the rest of the present one.
 _GAIN = 2.5
 _RESTART_S = 0.5
+_SLOW_WORKERS = 2
 # Without any progress for this long, and half the estimate, a run is stuck.
 _STUCK_S = 2.5
 _WHOLE_PERCENT = 100.0
@@ -36,9 +37,23 @@
     unchanged_s = now - task.progress_s
     if unchanged_s > _STUCK_S + estimate_s / 2:
         return True
+    if not _is_estimate_trusted(task):
+        return False
     return _rest_s(task, elapsed_s) > _GAIN * _fresh_s(task) + _RESTART_S
 
 
+def _is_estimate_trusted(task: TaskState) -> bool:
+    """Tell whether a slow pace is the worker's fault.
+
+    A like task that is done shows how long they take. Without one, the same
+    slow pace on a second worker shows that the caller's estimate is too low.
+    """
+    step = task.step
+    return (
+        bool(step.longest_done_s) or len(step.slow_worker_ids) < _SLOW_WORKERS
+    )
+
+
 def _rest_s(task: TaskState, elapsed_s: float) -> float:
     """Return how long the rest takes at the pace so far."""
     base = 0.0 if task.run == 1 else task.first_progress
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -115,6 +115,7 @@
         'name',
         'occurrence',
         'ready_s',
+        'slow_worker_ids',
         'spec',
         'tasks',
         'waiting_count',
@@ -135,6 +136,8 @@
         self.gang_failures = 0
         # The longest time that a task of the step took, 0 before the first.
         self.longest_done_s = 0.0
+        # Workers on which a run was replaced for its pace.
+        self.slow_worker_ids: set[str] = set()
         self.ready_s: float | None = None
 
     @property
--- a/tests/test_cell_stragglers.py
+++ b/tests/test_cell_stragglers.py
@@ -4,6 +4,11 @@
 
 from apricotlead.coordination.cell.stragglers import is_straggler
 from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.protocol.cell_workers import (
+    EndKind,
+    HoldReport,
+    RunningTask,
+)
 from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
 from apricotlead.state.worker_speed import WorkerSpeed
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
@@ -79,3 +84,34 @@
         rig.round()
         self.assertEqual([], slow.started)
         self.assertEqual(1, len(fast.started))
+
+
+class TestWrongEstimates(TestCase):
+    """A job whose estimate is far too low must not move on for ever."""
+
+    def test_like_pace_on_two_workers_ends_the_moves(self) -> None:
+        """One task was stopped on 13 workers in turn (inc-b8f0)."""
+        rig = CellRig(*(ModelWorker(f'w{number}') for number in range(4)))
+        spec = StepSpec(1, SMALL, estimated_ms=100)
+        rig.submit(JOB, stored_job(spec))
+        stops = 0
+        for _ in range(4):
+            rig.round()
+            rig.hold_all()
+            rig.now += 1
+            stops += self.listed_at_half(rig)
+        self.assertLessEqual(stops, 2)
+
+    def listed_at_half(self, rig: CellRig) -> int:
+        """List the run as half done after 1 s; tell whether it is stopped."""
+        task = rig.scheduler.book.task(f'{JOB}.0.0.0')
+        worker = rig.workers_by_id[task.worker_id]
+        state = rig.scheduler.book.workers_by_id[task.worker_id]
+        listed = RunningTask(task.name, task.run, '', 50)
+        report = HoldReport(rig.now * 1000, (listed,), ())
+        rig.scheduler.book.reconcile(state, report, rig.now, rig.now)
+        if not rig.scheduler.starts.stops_due(rig.now):
+            return 0
+        worker.end(task.name, EndKind.STOPPED)
+        rig.hold_all()
+        return 1
