Count runs of forgotten jobs against their worker's room

Cause: a final job is forgotten while its runs are being stopped.

Ruled out: restored runs, which are counted when their worker registers.

Conclusion: such a worker counts as full until the run is gone.

--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -334,7 +334,9 @@
         task = worker.tasks_by_name.get(listed.task)
         if task is None or task.run != listed.run:
             known = self.task(listed.task)
-            demand = Resources() if known is None else known.step.demand()
+            # The job may be final and forgotten while its run is stopped.
+            whole = worker.entry.capacity
+            demand = whole if known is None else known.step.demand()
             worker.add_stray(listed.task, demand)
             worker.stops_by_task[listed.task] = listed.run
             return
--- a/tests/test_cell_scheduler.py
+++ b/tests/test_cell_scheduler.py
@@ -231,3 +231,20 @@
         self.assertEqual({}, rig.scheduler.jobs.pending_by_queue())
         rig.take_over()
         self.assertEqual({}, rig.scheduler.jobs.pending_by_queue())
+
+
+class TestStrayRuns(TestCase):
+    """Runs of jobs that are final still take their room."""
+
+    def test_run_of_a_forgotten_job_blocks_its_worker(self) -> None:
+        """A successor does not know how much such a run takes."""
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        worker.running_by_task['00000000000000bb.0.0.0'] = 1
+        rig.take_over()
+        rig.submit(JOB, stored_job())
+        rig.round()
+        self.assertEqual([], worker.started)
+        worker.end('00000000000000bb.0.0.0', EndKind.STOPPED)
+        rig.pass_time(1)
+        self.assertEqual(1, len(worker.started))
