Survive SIGHUP

Cause: docs/OPERATIONS.md said that SIGHUP is ignored, and no handler was installed: the signal ended the process, with all its open requests. Found on reading the change.

Conclusion: each SIGHUP leaves a line; settings are still read at start only.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -3,6 +3,7 @@
 import os
 import random
 import sys
+from functools import partial
 from time import time
 from typing import Any
 
@@ -46,6 +47,7 @@
 from apricotlead.transport.serving import (
     HttpServer,
     StopRequest,
+    on_hangup,
     pause,
     run_in_background,
 )
@@ -123,6 +125,7 @@
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         settings = self._settings
         stop = StopRequest()
+        on_hangup(partial(self._log.log, 'reload ignored'))
         most = settings.max_connections
         servers = [
             HttpServer(
--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -76,6 +76,11 @@
         self._event.wait()
 
 
+def on_hangup(call: Callable[[], Any]) -> None:
+    """Run a call on the loop at each SIGHUP, which else ends the process."""
+    signal.signal(signal.SIGHUP, partial(_schedule, call))
+
+
 def pause(duration_s: float) -> None:
     """Let other green threads run for that long."""
     eventlet.sleep(duration_s)
@@ -104,3 +109,8 @@
     # A signal handler must not switch; the hub wakes the waiting thread.
     if not stop.ready():
         eventlet.hubs.get_hub().schedule_call_global(0, stop.send)
+
+
+def _schedule(call: Callable[[], Any], number: int, frame: Any) -> None:
+    # A signal handler must not switch; the hub runs the call.
+    eventlet.hubs.get_hub().schedule_call_global(0, call)
--- a/tests/test_cell_operations.py
+++ b/tests/test_cell_operations.py
@@ -1,6 +1,7 @@
 """What operators use: checked settings, metrics, logs, a job's story."""
 
 import os
+import signal
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -11,6 +12,7 @@
 from apricotlead.cli import Commands
 from apricotlead.transport.cell_log import CellLog
 from apricotlead.transport.cell_metrics import CellMetrics
+from apricotlead.transport.serving import on_hangup, pause
 
 SETTINGS = """
 instance_id: i1
@@ -133,3 +135,17 @@
 
     def test_unknown_job(self) -> None:
         self.assertIn('No line', Commands().explain(JOB))
+
+
+class TestReload(TestCase):
+    """SIGHUP ends a Python process unless it is handled."""
+
+    def test_hangup_calls_and_does_not_end_the_process(self) -> None:
+        former = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(signal.signal, signal.SIGHUP, former)
+        calls: list[str] = []
+        on_hangup(lambda: calls.append('called'))
+        os.kill(os.getpid(), signal.SIGHUP)
+        for _ in range(100):
+            pause(0)
+        self.assertEqual(['called'], calls)
