Write log lines whole

Cause: the log was written in pieces of up to 64 KiB to a non-blocking pipe. A pipe that was nearly full took part of a piece, and the rest came later, after lines of other processes.

Ruled out: eliot and the encoder; lines are whole in the queue.

Before and after: test_full_pipe_does_not_block now asks for a whole last line; it failed before (a pipe holding 64 KiB ended in the middle of a line) and passes.

Conclusion: pieces are whole lines of at most PIPE_BUF bytes, which a pipe takes whole or not at all. A single longer line can still be cut by a full pipe.

--- a/src/apricotlead/transport/cell_log.py
+++ b/src/apricotlead/transport/cell_log.py
@@ -17,7 +17,8 @@
 _LINES_PER_S = 300
 _QUEUE_LINES = 4000
 _FLUSH_S = 0.1
-_CHUNK_BYTES = 65536
+# A write of at most this much to a pipe is never split (PIPE_BUF).
+_CHUNK_BYTES = 4096
 _ROUNDS_PER_S = 10
 _ROUNDS_PER_REPORT = 50
 
@@ -59,15 +60,10 @@
         eliot.log_message(message_type=kind, **fields)
 
     def flush(self) -> None:
-        """Write what fits without waiting."""
+        """Write what fits without waiting, in whole lines."""
         while self._rest or self._lines:
             if not self._rest:
-                chunk = []
-                size = 0
-                while self._lines and size < _CHUNK_BYTES:
-                    chunk.append(self._lines.popleft())
-                    size += len(chunk[-1])
-                self._rest = b''.join(chunk)
+                self._rest = self._next_chunk()
             try:
                 written = os.write(self._fd, self._rest)
             except BlockingIOError:
@@ -75,6 +71,15 @@
                 return
             self._rest = self._rest[written:]
 
+    def _next_chunk(self) -> bytes:
+        """Take lines for one write; a longer line goes alone."""
+        chunk = [self._lines.popleft()]
+        size = len(chunk[0])
+        while self._lines and size + len(self._lines[0]) <= _CHUNK_BYTES:
+            chunk.append(self._lines.popleft())
+            size += len(chunk[-1])
+        return b''.join(chunk)
+
     def _take(self, message: dict[str, Any]) -> None:
         message.pop('task_uuid', None)
         message.pop('task_level', None)
--- a/tests/test_cell_operations.py
+++ b/tests/test_cell_operations.py
@@ -107,7 +107,9 @@
             for _ in range(200):
                 self.log.log(f'kind {kind}', filler='x' * 100)
         self.log.flush()
-        self.assertGreater(len(os.read(self.reader, 1 << 20)), 0)
+        written = os.read(self.reader, 1 << 20)
+        # Lines cut in two were lost to readers of several instances' logs.
+        self.assertEqual(b'\n', written[-1:])
 
 
 class TestExplain(TestCase):
