Keep serving when an accept fails

Cause: eventlet's WSGI server ends and closes its listener when one accept fails, be it for a connection that was reset before it was accepted or for want of descriptors. The process lives on and refuses every caller (ECONNREFUSED). This is what test_pause_beyond_the_lease showed once: an instance that was paused for 8 s, with callers that had given up in its backlog, refused a connection.

Ruled out: a slow or frozen instance, which leaves connections waiting and does not refuse them.

Before and after: tests/test_serving.py makes accepts fail with ECONNABORTED, ECONNRESET, ENOTCONN and EMFILE; before, the server ended in both tests, now it answers the next request and logs the failure.

Conclusion: both daemons go on after failed accepts. The process tests now attach each process's exit code and last lines to a failure, so the next one can be traced.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -19,6 +19,7 @@
 _LOOPBACK = '127.0.0.1:0'
 # A stop may wait for the store as long as the settings' drain_s.
 _STOP_WAIT_S = 40
+_REPORTED_LINES = 30
 _HTTP = urllib3.PoolManager(
     maxsize=64,
     retries=False,
@@ -184,6 +185,17 @@
         """Return the log of an entry instance."""
         return self._path(f'{name}.log').read_text()
 
+    def report_of(self, name: str) -> str:
+        """Return a process's exit code, if it ended, and its last lines."""
+        exit_code = self.node(name).process.poll()
+        parts = [f'exit code: {exit_code}']
+        for ending in ('err', 'log'):
+            path = self._path(f'{name}.{ending}')
+            if path.exists():
+                lines = path.read_text().splitlines()
+                parts.extend(lines[-_REPORTED_LINES:])
+        return '\n'.join(parts)
+
     def change_config(self, entry: Node, **change: Any) -> Answer:
         """Make one change on the current version."""
         version = call(
--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -132,20 +132,28 @@
                 settings.callers_address,
                 CallerApplication(self.desk),
                 most,
+                self._log.log,
             ),
             HttpServer(
                 settings.ready_address,
                 ReadyApplication(self.desk),
                 most,
+                self._log.log,
             ),
             HttpServer(
                 settings.peer_address,
                 PeerApplication(self._watched, self._advise),
                 most,
+                self._log.log,
             ),
         ]
         if settings.metrics_address:
-            HttpServer(settings.metrics_address, self._metrics, most)
+            HttpServer(
+                settings.metrics_address,
+                self._metrics,
+                most,
+                self._log.log,
+            )
         self._log.start()
         self._log.log('started', data_centre=settings.data_centre)
         follower = TableFollower(
--- a/src/apricotlead/entry.py
+++ b/src/apricotlead/entry.py
@@ -158,6 +158,7 @@
             self._settings.http_address,
             self.application,
             self._settings.max_connections,
+            self._log_event,
         )
         self._engine.start()
         ready = json.dumps({'address': server.address})
@@ -166,6 +167,9 @@
         stop.wait()
         self._drain(server)
 
+    def _log_event(self, kind: str, **fields: Any) -> None:
+        self.log(message_type=f'apricotlead:{kind}', **fields)
+
     def _session_id(self) -> str:
         return self._parts.session_view.session_id
 
--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -10,7 +10,41 @@
 from eventlet import GreenPile, wsgi
 from eventlet.event import Event
 
+ACCEPT_FAILED = 'accept failed'
 _MAX_ACCEPT_POLLS = 1000
+# Descriptors that ran out are free again when some connection ends.
+_ACCEPT_RETRY_S = 0.05
+
+
+class _SteadyListener:
+    """A listening socket whose failed accepts do not end its server.
+
+    eventlet's server ends, and closes the socket, when an accept fails: for
+    a connection that is reset before it is accepted, or for want of
+    descriptors. The process would live on and refuse all callers.
+    """
+
+    __slots__ = ('_log', '_socket')
+
+    def __init__(self, listener: Any, log: Callable[..., Any]) -> None:
+        """Accept from ``listener``."""
+        self._socket = listener
+        self._log = log
+
+    def __getattr__(self, name: str) -> Any:
+        """Pass on all but the accept."""
+        return getattr(self._socket, name)
+
+    def accept(self) -> Any:
+        """Return the next connection; raise only when the socket is closed."""
+        while True:
+            try:
+                return self._socket.accept()
+            except OSError as error:
+                if self._socket.fileno() < 0:
+                    raise
+                self._log(ACCEPT_FAILED, why=str(error))
+            eventlet.sleep(_ACCEPT_RETRY_S)
 
 
 class HttpServer:
@@ -23,9 +57,14 @@
         address: str,
         application: Any,
         max_connections: int,
+        log: Callable[..., Any],
     ) -> None:
-        """Listen on ``address`` (``IP:port``, port 0 for any free one)."""
-        self._listener = eventlet.listen(split_address(address))
+        """Listen on ``address`` (``IP:port``, port 0 for any free one).
+
+        ``log(kind, **fields)`` is told of connections that failed.
+        """
+        listener = eventlet.listen(split_address(address))
+        self._listener = _SteadyListener(listener, log)
         eventlet.spawn_n(
             wsgi.server,
             self._listener,
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -14,6 +14,7 @@
 from demo.processes import Cell, Node, call
 from demo.stenora import TEAMS, Stenora, key_of, wait_until
 from testtools import TestCase
+from testtools.content import text_content
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 from apricotlead.state.config_view import digest_of
@@ -33,9 +34,16 @@
         super().setUp()
         self.cell = Cell()
         self.addCleanup(self.cell.close)
+        self.addOnException(self.attach_processes)
         self.stenora = Stenora(self.cell).start(cpu_millis=4000)
         self.stenora.configure(self.limit)
 
+    def attach_processes(self, _exception):
+        """Keep what each process last wrote, and whether it has ended."""
+        for name in self.cell.nodes_by_name:
+            report = self.cell.report_of(name)
+            self.addDetail(name, text_content(report))
+
     def submit_mixed(self, count=12):
         """Submit batch, gang and non-idempotent jobs to all instances."""
         stenora = self.stenora
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,74 @@
+"""A server goes on whatever befalls single connections."""
+
+import errno
+
+import eventlet
+from eventlet.patcher import import_patched
+from testtools import TestCase
+
+from apricotlead.transport import serving
+from apricotlead.transport.serving import ACCEPT_FAILED, HttpServer
+
+green_urllib3 = import_patched('urllib3')
+LISTEN = eventlet.listen
+
+
+class FailingListener:
+    """A listening socket whose first accepts fail."""
+
+    def __init__(self, listener, errors):
+        """Fail with each of ``errors`` in turn, then accept."""
+        self._listener = listener
+        self._errors = list(errors)
+
+    def __getattr__(self, name):
+        """Pass on all but the accept."""
+        return getattr(self._listener, name)
+
+    def accept(self):
+        """Fail, or accept."""
+        if self._errors:
+            number = self._errors.pop()
+            raise OSError(number, errno.errorcode[number])
+        return self._listener.accept()
+
+
+class TestFailedAccepts(TestCase):
+    """Guards against a live process that refuses all connections."""
+
+    def serve(self, *errors):
+        """Return the status of a request after the errors, and the log."""
+        self.patch(
+            serving.eventlet,
+            'listen',
+            lambda address: FailingListener(LISTEN(address), errors),
+        )
+        logged = []
+        server = HttpServer(
+            '127.0.0.1:0',
+            _answer,
+            10,
+            lambda kind, **fields: logged.append(kind),
+        )
+        self.addCleanup(server.stop)
+        address = server.address
+        eventlet.sleep(0.3)
+        response = green_urllib3.PoolManager(retries=False).request(
+            'GET',
+            f'http://{address}/',
+        )
+        return response.status, logged
+
+    def test_reset_before_it_is_accepted(self):
+        """A caller that gave up while the process was paused."""
+        for number in (errno.ECONNABORTED, errno.ECONNRESET, errno.ENOTCONN):
+            self.assertEqual((200, [ACCEPT_FAILED]), self.serve(number))
+
+    def test_descriptors_run_out(self):
+        status, logged = self.serve(errno.EMFILE, errno.EMFILE)
+        self.assertEqual((200, 2), (status, len(logged)))
+
+
+def _answer(environ, start_response):
+    start_response('200 OK', [('Content-Length', '0')])
+    return ()
