Replace a silent scheduler at once, and tell lost answers of the store early

Callers at the cut data centre waited 2.8 s for an answer that could not come.

Ruled out: the workers of the cut data centre; their runs cannot begin elsewhere before their leases end.

Conclusion: a silent scheduler is replaced when its owner row is 0.8 s old and no longer changes; one that still writes stays, so that a cut between two instances does not make them take turns. Write time-outs follow the answers' times. An instance that has lost the store answers 504 or 503 after 1.3 s, so callers go elsewhere. The election moves to transport/cell_candidate.py, its judgement to election.is_vacant.

--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -6,15 +6,18 @@
 question of availability alone.
 """
 
+from enum import Enum
 from typing import Any
 
 import msgspec
 from msgspec import Struct
 
 from apricotlead.coordination.cell.settings import ElectionTimes
+from apricotlead.protocol.cell_peers import SchedulerStatus
 from apricotlead.protocol.table import Check, Put, Row, Transaction
 
 OWNER_KEY = 'owner/cell/scheduler'
+_MS_PER_S = 1000.0
 
 
 class OwnerRow(Struct, frozen=True, omit_defaults=True):
@@ -41,6 +44,54 @@
     largest_cores: float = 0
 
 
+class Loss(Enum):
+    """How a follower has lost its scheduler.
+
+    ``BROKEN``: the connection was refused or reset, as by a process that is
+    gone. ``SILENT``: no answer in time. ``CUT_OFF``: it says that it cannot
+    write. ``IDLE``: its instance answers, and holds no such term.
+    """
+
+    NONE = 'none'
+    BROKEN = 'broken'
+    SILENT = 'silent'
+    CUT_OFF = 'cut_off'
+    IDLE = 'idle'
+
+    @classmethod
+    def of(cls, status: SchedulerStatus | None, *, is_silent: bool) -> 'Loss':
+        """Return the loss that a last word, or none, stands for."""
+        if status is not None:
+            return cls.CUT_OFF
+        return cls.SILENT if is_silent else cls.BROKEN
+
+
+def is_vacant(
+    times: ElectionTimes,
+    loss: Loss,
+    lost: OwnerRow,
+    row: Row,
+    store_ms: float,
+) -> bool:
+    """Tell whether a follower that lost ``lost`` should succeed it.
+
+    ``row`` is the owner row, read after the loss, at ``store_ms``. Silence
+    alone may be a cut between the two: a scheduler that has written lately
+    stays, or the two would take over from each other in turn.
+    """
+    owner = read_owner(row)
+    if owner is None or owner.is_released:
+        return True
+    if owner.epoch != lost.epoch:
+        return False
+    if loss is Loss.SILENT:
+        age_ms = store_ms - max(owner.renewed_ms, owner.taken_ms)
+        return age_ms > times.silent_owner_s * _MS_PER_S
+    if loss is Loss.IDLE:
+        return store_ms - owner.taken_ms > times.store_lost_s * _MS_PER_S
+    return True
+
+
 def takeover_delay_s(
     times: ElectionTimes,
     owner: OwnerRow | None,
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -34,6 +34,8 @@
     ``watch_s`` is how long the scheduler holds a follower's call.
     ``renew_s`` spaces renewals without other writes. After ``store_lost_s``
     without a confirmed renewal the scheduler asks its followers to take over.
+    One that does not answer is replaced once its last write is more than
+    ``silent_owner_s`` old: two renewals, which a healthy store takes at once.
     An instance waits ``small_delay_s`` times the part of the largest
     instance's processor that it lacks, and up to ``stagger_s`` times three by
     chance and age; after ``old_instance_s`` it counts as old.
@@ -43,8 +45,9 @@
     """
 
     watch_s: float = 0.4
-    watch_slack_s: float = 0.7
+    watch_slack_s: float = 0.4
     renew_s: float = 0.4
+    silent_owner_s: float = 0.8
     store_lost_s: float = 1.0
     stagger_s: float = 0.05
     small_delay_s: float = 0.5
--- /dev/null
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -0,0 +1,259 @@
+"""An instance as a candidate: it follows the scheduler and succeeds it."""
+
+import random
+
+from msgspec import Struct
+
+from apricotlead.coordination.cell.election import (
+    OWNER_KEY,
+    Loss,
+    OwnerRow,
+    is_vacant,
+    read_owner,
+    takeover,
+    takeover_delay_s,
+)
+from apricotlead.coordination.cell.scheduler import CellScheduler
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.protocol.cell_peers import SchedulerStatus
+from apricotlead.protocol.table import Committed, Row, StoreFailed
+from apricotlead.state.cell_view import CellView
+from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.cell_peers import PeerClient
+from apricotlead.transport.cell_scheduling import (
+    RELEASED,
+    CellLinks,
+    SchedulingTerm,
+)
+from apricotlead.transport.serving import pause
+
+_RETRY_S = 0.15
+_STATUS_FRESH_S = 1.5
+
+
+class OwnIdentity(Struct, frozen=True):
+    """Who this instance is to the others; ``cores`` is its processor."""
+
+    instance_id: str
+    peer_address: str
+    cores: float
+
+
+class CellCandidate:
+    """Watches the elected scheduler, and holds the term if it is this one."""
+
+    __slots__ = (
+        '_is_stopping',
+        '_links',
+        '_own',
+        '_peers',
+        '_settings',
+        '_started_s',
+        '_status',
+        '_status_read_s',
+        '_term',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        links: CellLinks,
+        peers: PeerClient,
+        own: OwnIdentity,
+        settings: CellSettings,
+    ) -> None:
+        """Begin without a configuration, so without a claim."""
+        self._own = own
+        self._links = links
+        self._peers = peers
+        self._settings = settings
+        self._started_s = boot_now()
+        self._term: SchedulingTerm | None = None
+        self._status = SchedulerStatus()
+        self._status_read_s = float('-inf')
+        self._view: CellView | None = None
+        self._is_stopping = False
+
+    def set_view(self, view: CellView) -> None:
+        """Take over a new configuration."""
+        self._view = view
+        if self._term is not None:
+            self._term.set_view(view)
+
+    def stop(self) -> None:
+        """Release the term if it is held here, and claim no other."""
+        self._is_stopping = True
+        if self._term is not None:
+            self._term.end(RELEASED)
+
+    def status(self) -> SchedulerStatus | None:
+        """Return the scheduler's last word unless it is too old."""
+        if self._term is not None and not self._term.ended_why:
+            return self._term.status()
+        if boot_now() - self._status_read_s > _STATUS_FRESH_S:
+            return None
+        return self._status
+
+    def watched(self, peer_address: str, cores: float) -> SchedulerStatus:
+        """Answer a follower; an instance without a term is not active."""
+        term = self._term
+        if term is None:
+            return SchedulerStatus()
+        return term.watch(peer_address, cores)
+
+    def run(self) -> None:
+        """Follow the scheduler, and take over when it is gone."""
+        while not self._is_stopping:
+            try:
+                self._run_once()
+            except Exception as error:
+                # A fault in one term must not end the instance.
+                self._links.log('term failed', why=repr(error))
+                pause(_RETRY_S)
+
+    def _run_once(self) -> None:
+        read = self._read_owner()
+        if read is None or self._view is None:
+            pause(_RETRY_S)
+            return
+        row, store_ms = read
+        owner = read_owner(row)
+        is_own = owner is not None and (
+            owner.peer_address == self._own.peer_address
+        )
+        if owner is None or owner.is_released or is_own:
+            self._claim(row, store_ms)
+            return
+        loss = self._follow(owner)
+        if loss is Loss.NONE:
+            return
+        vacant = self._await_vacancy(loss, owner)
+        if vacant is not None:
+            self._claim(*vacant)
+
+    def _await_vacancy(
+        self,
+        loss: Loss,
+        owner: OwnerRow,
+    ) -> tuple[Row, float] | None:
+        """Return the row to replace, ``None`` where the scheduler writes on.
+
+        The row that was read before is many writes old.
+        """
+        first = self._read_owner()
+        read = first
+        while first is not None and read is not None:
+            if is_vacant(self._settings.election, loss, owner, *read):
+                return read
+            is_written = read[0].version != first[0].version
+            if loss is not Loss.SILENT or is_written or self._is_stopping:
+                break
+            pause(_RETRY_S)
+            read = self._read_owner()
+        return None
+
+    def _read_owner(self) -> tuple[Row, float] | None:
+        """Return the owner row and the store's clock, if they can be read."""
+        read = self._links.store.read_row(OWNER_KEY)
+        if isinstance(read, StoreFailed):
+            return None
+        row = read.rows[0] if read.rows else Row(OWNER_KEY)
+        return row, read.store_ms
+
+    def _follow(self, owner: OwnerRow) -> Loss:
+        """Watch the scheduler until it is lost or the owner is to be read."""
+        was_active = False
+        status, loss = self._watch(owner)
+        while loss is Loss.NONE and status.epoch == owner.epoch:
+            if not status.is_active or self._is_stopping:
+                break
+            was_active = True
+            self._status = status
+            self._status_read_s = boot_now()
+            status, loss = self._watch(owner)
+        if loss is Loss.NONE:
+            # It is starting its term, or has ended it.
+            pause(_RETRY_S / 3)
+            loss = Loss.IDLE
+        if was_active and loss in {Loss.BROKEN, Loss.IDLE}:
+            # The connection, or the term, may be all that was lost.
+            return Loss.NONE
+        return loss
+
+    def _watch(self, owner: OwnerRow) -> tuple[SchedulerStatus, Loss]:
+        """Wait for the scheduler's next word, and judge a missing one."""
+        times = self._settings.election
+        asked_s = boot_now()
+        status = self._peers.watch(
+            owner.peer_address,
+            self._own.peer_address,
+            self._own.cores,
+            times.watch_s + times.watch_slack_s,
+        )
+        if status is not None and not status.store_lost:
+            return status, Loss.NONE
+        is_silent = boot_now() - asked_s > times.watch_s
+        loss = Loss.of(status, is_silent=is_silent)
+        self._links.log(
+            'scheduler lost',
+            epoch=owner.epoch,
+            scheduler=owner.instance_id,
+            loss=loss.value,
+        )
+        return status or SchedulerStatus(), loss
+
+    def _claim(self, row: Row, store_ms: float) -> None:
+        """Take over after a delay that lets better candidates go first."""
+        delay_s = takeover_delay_s(
+            self._settings.election,
+            read_owner(row),
+            self._own.cores,
+            boot_now() - self._started_s,
+            random.random(),
+        )
+        pause(delay_s)
+        if self._is_stopping or self._view is None:
+            return
+        began_s = boot_now()
+        former = read_owner(row)
+        owner, transaction = takeover(
+            row,
+            self._own.instance_id,
+            self._own.peer_address,
+            store_ms,
+        )
+        answer = self._links.store.transact(transaction)
+        if not isinstance(answer, Committed):
+            return
+        scheduler = CellScheduler(
+            self._settings,
+            self._view,
+            owner,
+            former,
+            boot_now(),
+            max(store_ms, answer.store_ms),
+        )
+        scheduler.owner_version = answer.versions[OWNER_KEY]
+        scheduler.workers.renewed_s = began_s
+        self._links.log(
+            'term begun',
+            epoch=owner.epoch,
+            former='' if former is None else former.instance_id,
+            former_age_ms=round(
+                store_ms - (former.renewed_ms if former else store_ms),
+            ),
+        )
+        self._hold_term(scheduler)
+
+    def _hold_term(self, scheduler: CellScheduler) -> None:
+        self._term = SchedulingTerm(
+            self._links,
+            self._settings,
+            scheduler,
+            self._own.peer_address,
+            self._own.cores,
+        )
+        try:
+            self._term.run()
+        finally:
+            self._term = None
--- a/src/apricotlead/transport/cell_desk.py
+++ b/src/apricotlead/transport/cell_desk.py
@@ -38,10 +38,8 @@
 )
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.store_health import StoreHealth
 
-_MS_PER_S = 1000.0
-# A slow store answers a write within this; a lost answer costs as much.
-_CALL_TIMEOUT_S = 1.0
 _LEAST_CALL_S = 0.1
 _RETRY_S = 0.05
 # Left of a caller's wait for the answer to travel.
@@ -58,39 +56,6 @@
     remedy = 'Check the id; finished jobs are forgotten after a while.'
 
 
-class StoreHealth:
-    """Whether the store answers this instance; times are local seconds."""
-
-    __slots__ = ('_failed_since_s', '_store_base', 'lost_after_s')
-
-    def __init__(self, lost_after_s: float = 1.0) -> None:
-        """Begin as healthy; it is lost after failing for that long."""
-        self.lost_after_s = lost_after_s
-        self._failed_since_s: float | None = None
-        self._store_base = (0.0, 0.0)
-
-    def answered(self, store_ms: float = 0) -> None:
-        """Note an answer, with the store's clock if it told one."""
-        self._failed_since_s = None
-        if store_ms:
-            self._store_base = (boot_now(), store_ms)
-
-    def failed(self) -> None:
-        """Note a call without an answer."""
-        if self._failed_since_s is None:
-            self._failed_since_s = boot_now()
-
-    def is_lost(self) -> bool:
-        """Tell whether the store has not answered for a while."""
-        since_s = self._failed_since_s
-        return since_s is not None and boot_now() - since_s > self.lost_after_s
-
-    def store_ms(self) -> float:
-        """Return the store's clock, as estimated."""
-        base_s, base_ms = self._store_base
-        return base_ms + (boot_now() - base_s) * _MS_PER_S
-
-
 class CellDesk:
     """Takes callers' requests.
 
@@ -362,7 +327,7 @@
             if not isinstance(answer, StoreFailed):
                 return answer
             is_unknown = is_unknown or answer.applied is None
-            if self._is_given_up(ends_s, is_unknown):
+            if self._is_given_up(ends_s):
                 break
             eventlet.sleep(_RETRY_S)
         if is_unknown:
@@ -374,30 +339,38 @@
         transaction: Transaction,
         ends_s: float,
     ) -> Committed | CheckFailed | StoreFailed:
-        left_s = max(_LEAST_CALL_S, ends_s - boot_now())
-        timeout_s = min(_CALL_TIMEOUT_S, left_s)
+        sent_s = boot_now()
+        left_s = min(ends_s - sent_s, self.health.lost_in_s())
+        wanted_s = self.health.writes.timeout_s
+        timeout_s = min(wanted_s, max(_LEAST_CALL_S, left_s))
         answer = self._store.transact(transaction, timeout_s)
-        if isinstance(answer, StoreFailed):
-            self.health.failed()
-        else:
+        if not isinstance(answer, StoreFailed):
             self.health.answered()
+            self.health.writes.answered(boot_now() - sent_s)
+            return answer
+        self.health.failed(sent_s)
+        if boot_now() - sent_s >= wanted_s:
+            self.health.writes.missed()
         return answer
 
-    def _is_given_up(self, ends_s: float, is_unknown: bool) -> bool:
-        """Tell whether another try is of no use to the caller."""
-        if boot_now() + _RETRY_S + _LEAST_CALL_S > ends_s:
-            return True
-        # Nothing was written yet, so a refusal now is true.
-        return self.health.is_lost() and not is_unknown
+    def _is_given_up(self, ends_s: float) -> bool:
+        """Tell whether another try is of no use to the caller.
+
+        Where the store is lost to this instance, the caller's next try at
+        another one may succeed at once.
+        """
+        is_late = boot_now() + _RETRY_S + _LEAST_CALL_S > ends_s
+        return is_late or self.health.is_lost()
 
     def _read(self, key: str, ends_s: float) -> Row | StoreFailed | None:
         """Read one row, again while time allows; ``None`` where none is."""
         while True:
+            sent_s = boot_now()
             answer = self._store.read_row(key)
             if not isinstance(answer, StoreFailed):
                 self.health.answered(answer.store_ms)
                 return answer.rows[0] if answer.rows else None
-            self.health.failed()
+            self.health.failed(sent_s)
             if boot_now() + _RETRY_S > ends_s or self.health.is_lost():
                 return answer
             eventlet.sleep(_RETRY_S)
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -41,6 +41,7 @@
     StoreFailed,
     Transaction,
 )
+from apricotlead.state.answer_time import AnswerTime
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.table_follower import TableFollower
@@ -59,9 +60,9 @@
 _KEEP_ROWS_S = 2.0
 # Merges the workers' heartbeats into one read.
 _REGISTRY_PAUSE_S = 0.25
-# A slow store answers a write within this; a silent one never does.
-_WRITE_TIMEOUT_S = 1.5
-_FAILING_LOST_S = 0.7
+# A healthy store takes 20 ms, one 60 times slower than usual 300 ms.
+_LEAST_WRITE_S = 0.25
+_MOST_WRITE_S = 1.5
 RELEASED = 'released'
 # Only a takeover in the store makes an epoch, so a worker's word is enough.
 _LATER_EPOCH = 'a worker has seen a later epoch'
@@ -102,6 +103,7 @@
         '_peers',
         '_settings',
         '_watched_worker_ids',
+        '_writes',
         'ended_why',
         'scheduler',
     )
@@ -129,6 +131,7 @@
         self._watched_worker_ids: set[str] = set()
         self._lost_worker_ids: set[str] = set()
         self._is_store_lost = False
+        self._writes = AnswerTime(_LEAST_WRITE_S, _MOST_WRITE_S)
         self.scheduler = scheduler
         self.ended_why = ''
 
@@ -168,10 +171,11 @@
     def status(self) -> SchedulerStatus:
         """Return what followers are told."""
         age_s = boot_now() - self.scheduler.workers.renewed_s
+        lost_after_s = self._settings.election.store_lost_s
         return SchedulerStatus(
             self._epoch,
             not self.ended_why,
-            self._is_store_lost and age_s > _FAILING_LOST_S,
+            self._is_store_lost and age_s > lost_after_s,
             self.scheduler.jobs.pending_by_queue(),
             self.scheduler.jobs.backlog(boot_now()),
         )
@@ -325,7 +329,14 @@
         owner: OwnerRow,
     ) -> Committed | None:
         """Write once; ``None`` where the write must be sent again."""
-        answer = self._links.store.transact(transaction, _WRITE_TIMEOUT_S)
+        sent_s = boot_now()
+        timeout_s = self._writes.timeout_s
+        answer = self._links.store.transact(transaction, timeout_s)
+        took_s = boot_now() - sent_s
+        if not isinstance(answer, StoreFailed):
+            self._writes.answered(took_s)
+        elif took_s >= timeout_s:
+            self._writes.missed()
         if isinstance(answer, Committed):
             self._note_store(None)
             return answer
--- /dev/null
+++ b/src/apricotlead/transport/store_health.py
@@ -0,0 +1,59 @@
+"""Whether the store answers this instance, and how fast."""
+
+from apricotlead.state.answer_time import AnswerTime
+from apricotlead.transport.boot_clock import boot_now
+
+_MS_PER_S = 1000.0
+# A healthy store answers a write in 20 ms, one that is 60 times slower than
+# usual in 300 ms.
+_LEAST_WRITE_S = 0.25
+_MOST_WRITE_S = 1.0
+_LOST_AFTER_S = 1.3
+
+
+class StoreHealth:
+    """What this instance's calls to the store tell; times are local seconds."""
+
+    __slots__ = (
+        '_answered_s',
+        '_failed_since_s',
+        '_lost_after_s',
+        '_store_base',
+        'writes',
+    )
+
+    def __init__(self, lost_after_s: float = _LOST_AFTER_S) -> None:
+        """Begin as healthy; it is lost after failing for that long."""
+        self._lost_after_s = lost_after_s
+        self._failed_since_s: float | None = None
+        self._answered_s = float('-inf')
+        self._store_base = (0.0, 0.0)
+        self.writes = AnswerTime(_LEAST_WRITE_S, _MOST_WRITE_S)
+
+    def answered(self, store_ms: float = 0) -> None:
+        """Note an answer, with the store's clock if it told one."""
+        now = boot_now()
+        self._failed_since_s = None
+        self._answered_s = now
+        if store_ms:
+            self._store_base = (now, store_ms)
+
+    def failed(self, sent_s: float) -> None:
+        """Note that a call sent at ``sent_s`` brought no answer."""
+        if self._failed_since_s is None:
+            self._failed_since_s = max(sent_s, self._answered_s)
+
+    def lost_in_s(self) -> float:
+        """Return when the store counts as lost if no answer comes."""
+        if self._failed_since_s is None:
+            return self._lost_after_s
+        return max(0, self._failed_since_s + self._lost_after_s - boot_now())
+
+    def is_lost(self) -> bool:
+        """Tell whether the store has not answered for a while."""
+        return self._failed_since_s is not None and not self.lost_in_s()
+
+    def store_ms(self) -> float:
+        """Return the store's clock, as estimated."""
+        base_s, base_ms = self._store_base
+        return base_ms + (boot_now() - base_s) * _MS_PER_S
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -5,7 +5,9 @@
 
 from apricotlead.coordination.cell.election import (
     OWNER_KEY,
+    Loss,
     OwnerRow,
+    is_vacant,
     should_yield,
     takeover,
     takeover_delay_s,
@@ -38,6 +40,37 @@
         self.assertFalse(should_yield(TIMES, 1, 1.2))
 
 
+class TestVacancy(TestCase):
+    """A silent scheduler is replaced, one that only a follower lost stays."""
+
+    def vacant(self, loss: Loss, age_ms: float, **changes: object) -> bool:
+        written = msgspec.structs.replace(OWNER, renewed_ms=9000, **changes)
+        row = Row(OWNER_KEY, 7, msgspec.to_builtins(written))
+        return is_vacant(TIMES, loss, OWNER, row, 9000 + age_ms)
+
+    def test_silent_scheduler_without_renewals_is_replaced(self) -> None:
+        self.assertTrue(self.vacant(Loss.SILENT, 1000))
+
+    def test_silent_scheduler_that_writes_stays(self) -> None:
+        """A cut between instances must not make them take turns."""
+        self.assertFalse(self.vacant(Loss.SILENT, 300))
+
+    def test_process_that_is_gone_is_replaced_at_once(self) -> None:
+        self.assertTrue(self.vacant(Loss.BROKEN, 10))
+
+    def test_scheduler_that_cannot_write_is_replaced(self) -> None:
+        self.assertTrue(self.vacant(Loss.CUT_OFF, 10))
+
+    def test_term_that_just_began_is_given_time(self) -> None:
+        self.assertFalse(self.vacant(Loss.IDLE, 200, taken_ms=9000))
+        self.assertTrue(self.vacant(Loss.IDLE, 200, taken_ms=5000))
+        self.assertFalse(self.vacant(Loss.SILENT, 1000, taken_ms=9500))
+
+    def test_another_epoch_is_followed(self) -> None:
+        self.assertFalse(self.vacant(Loss.BROKEN, 1000, epoch=4))
+        self.assertTrue(self.vacant(Loss.SILENT, 10, is_released=True))
+
+
 class TestTakeover(TestCase):
     """What a former term wrote of the leases survives the takeover."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -31,10 +31,12 @@
     StoreFailed,
     Transaction,
 )
+from apricotlead.state.answer_time import AnswerTime
 from apricotlead.state.cell_view import CellView
-from apricotlead.transport.cell_desk import CellDesk, StoreHealth
+from apricotlead.transport.cell_desk import CellDesk
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.http_pool import Answered, NeverSent, NoAnswer
+from apricotlead.transport.store_health import StoreHealth
 
 CONFIG = {
     'Version': 7,
@@ -322,10 +324,15 @@
 class TestDesk(TestCase):
     """A job is accepted only when the store holds it."""
 
-    def submit(self, wait_s: float, *answers: Any) -> Any:
+    def submit(
+        self,
+        wait_s: float,
+        *answers: Any,
+        lost_after_s: float = 1,
+    ) -> Any:
         desk = CellDesk(
             ScriptedStore(*answers),
-            StoreHealth(),
+            StoreHealth(lost_after_s),
             lambda: None,
             4.5,
             lambda kind, **fields: None,
@@ -356,3 +363,37 @@
     def test_lost_answer_is_settled_by_the_next_try(self) -> None:
         outcome = self.submit(3, StoreFailed(applied=None), CheckFailed(()))
         self.assertIsInstance(outcome, Done)
+
+    def test_unknown_outcome_is_told_once_the_store_is_lost(self) -> None:
+        """A caller in a data centre that is cut off must go elsewhere."""
+        lost = StoreFailed(applied=None)
+        outcome = self.submit(60, lost, lost_after_s=0)
+        self.assertIsInstance(outcome, MayHaveRun)
+
+
+class TestAnswerTime(TestCase):
+    """Pattern: a store that loses answers, or answers 60 times slower."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.time = AnswerTime(0.25, 1.5)
+
+    def test_lost_answer_of_a_fast_store_shows_early(self) -> None:
+        for _ in range(20):
+            self.time.answered(0.01)
+        self.assertEqual(0.25, self.time.timeout_s)
+
+    def test_slow_store_is_waited_for(self) -> None:
+        self.time.missed()
+        self.time.missed()
+        self.assertEqual(1.0, self.time.timeout_s)
+        self.time.answered(0.32)
+        self.assertGreater(self.time.timeout_s, 1.0)
+
+    def test_bounds(self) -> None:
+        for _ in range(9):
+            self.time.missed()
+        self.assertEqual(1.5, self.time.timeout_s)
+        for _ in range(9):
+            self.time.answered(0.01)
+        self.assertLess(self.time.timeout_s, 0.5)
