Bound grants by the owner row, and keep what is known of leases over two takeovers

A scheduler that had just begun in a slow store was reported as cut off, because the age of the last renewal was judged and not how long its writes had failed; its successor found all workers called silent, without the time until which their leases surely held, and had to wait for the latest possible end of each. Reading the code for that showed two ways in which a lease could outlast what the row tells a successor: a write that became durable only after repeats counted as made when it was last sent, and a worker that a row under way calls silent could still be granted a hold.

Ruled out: workers that really lapsed; their lists showed ends with nothing running.

Conclusion: the row holds a record of each worker's lease; grants count from when the row was made; the takeover's own write allows grants; a term's rows are read at once.

--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -20,16 +20,25 @@
 _MS_PER_S = 1000.0
 
 
+class LeaseRecord(Struct, frozen=True, array_like=True):
+    """What a successor is told of one worker's lease, on the store's clock.
+
+    The lease surely holds until ``held_ms``. It is surely over after
+    ``over_ms``; 0 stands for a worker that grants may still reach.
+    """
+
+    held_ms: float
+    over_ms: float = 0
+
+
 class OwnerRow(Struct, frozen=True, omit_defaults=True):
     """The owner row; all times are on the store's clock.
 
     ``sequence`` grows with each write of an epoch, and ``taken_ms`` is when
-    the epoch began. The rest tells a successor what leases workers may hold:
-    those in ``over_ms_by_silent_worker`` none after the time given there, the
-    others surely until ``held_ms`` and none granted later than
-    ``renewed_ms``, when this row was written. ``is_released`` invites a
-    successor. ``largest_cores`` is the processor of the largest instance that
-    could succeed, 0 while it is not known.
+    the epoch began. Grants follow from ``renewed_ms``, when this row was
+    written; ``leases_by_worker`` holds what is known of each worker's.
+    ``is_released`` invites a successor. ``largest_cores`` is the processor of
+    the largest instance that could succeed, 0 while it is not known.
     """
 
     epoch: int
@@ -38,8 +47,7 @@
     sequence: int = 0
     taken_ms: float = 0
     renewed_ms: float = 0
-    held_ms: float = 0
-    over_ms_by_silent_worker: dict[str, float] = {}
+    leases_by_worker: dict[str, LeaseRecord] = {}
     is_released: bool = False
     largest_cores: float = 0
 
@@ -137,8 +145,8 @@
     former = read_owner(row)
     if former is None:
         former = OwnerRow(0, '', '', renewed_ms=store_ms)
-    # Nothing is granted before the first write of the term, so what the
-    # former scheduler wrote of the leases still holds.
+    # Grants may follow this write at once. What the former scheduler wrote of
+    # single leases still holds, and its latest grants end before the new ones.
     owner = msgspec.structs.replace(
         former,
         epoch=former.epoch + 1,
@@ -146,6 +154,7 @@
         peer_address=peer_address,
         sequence=0,
         taken_ms=store_ms,
+        renewed_ms=store_ms,
         is_released=False,
     )
     return owner, owner_transaction(owner, row.version)
--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -21,7 +21,7 @@
 
 
 class JournalBatch(Struct):
-    """One write of the journal.
+    """One write of the journal, made at ``made_s`` in local seconds.
 
     ``planned`` are the runs that may be sent after it, ``acks_by_worker`` the
     ends that may be acknowledged.
@@ -32,13 +32,14 @@
     planned: list[tuple[TaskState, int]]
     acks_by_worker: dict[str, int]
     final_jobs: list[JobRun]
+    made_s: float
 
 
 def take_batch(
     book: RunBook,
     owner: OwnerRow,
     owner_version: int,
-    store_ms: float,
+    now: float,
     expired_keys: tuple[str, ...],
     extra_puts: tuple[Put, ...] = (),
 ) -> JournalBatch:
@@ -60,13 +61,14 @@
             final_jobs.append(job)
         else:
             planned.extend(_planned(job))
-        puts.append(_progress_put(job, store_ms))
+        puts.append(_progress_put(job, owner.renewed_ms))
     return JournalBatch(
         owner_transaction(owner, owner_version, tuple(puts), expired_keys),
         owner,
         planned,
         _acks(book) if is_whole else {},
         final_jobs,
+        now,
     )
 
 
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -116,7 +116,7 @@
             self.book,
             self.owner,
             self.owner_version,
-            self.clock.read_ms(now),
+            now,
             self.jobs.rows.take_expired(_MOST_EXPIRED),
             self.workers.speeds_put(now),
         )
@@ -142,13 +142,16 @@
         self,
         batch: JournalBatch,
         version: int,
-        sent_s: float,
         store_ms: float,
         now: float,
     ) -> None:
-        """Take note that a write of the journal is durable."""
+        """Take note that a write of the journal is durable.
+
+        Grants count from when the row was made, as a successor counts them,
+        however often the write had to be sent.
+        """
         self.owner_version = version
-        self.workers.renewed_s = sent_s
+        self.workers.renewed_s = batch.made_s
         self.clock.note(store_ms, now)
         for worker_id, through in batch.acks_by_worker.items():
             worker = self.book.workers_by_id.get(worker_id)
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -69,7 +69,9 @@
             worker = self._book.workers_by_id.get(task.worker_id)
             if worker is None:
                 continue
-            deadline_ms = worker.lease.deadline(now, renewed_s)
+            deadline_ms = None
+            if worker.is_granted:
+                deadline_ms = worker.lease.deadline(now, renewed_s)
             if deadline_ms is None:
                 self._book.unplace(task, now)
                 continue
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from apricotlead.coordination.cell.election import OwnerRow
+from apricotlead.coordination.cell.election import LeaseRecord, OwnerRow
 from apricotlead.coordination.cell.evacuation import leaving_runs
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.coordination.cell.settings import CellSettings
@@ -35,9 +35,9 @@
     __slots__ = (
         '_book',
         '_clock',
-        '_inherited',
+        '_former_leases',
+        '_granted_until_s',
         '_lossy_until_s',
-        '_over_s_by_silent_worker',
         '_settings',
         '_speeds_put_s',
         'epoch',
@@ -57,17 +57,14 @@
         self._settings = settings
         self._book = book
         self._clock = clock
-        self._inherited = self._inherited_times(former, now)
+        self._granted_until_s = self._latest_grant_s(former, now)
+        self._former_leases: dict[str, LeaseRecord] = {}
+        if former is not None:
+            self._former_leases.update(former.leases_by_worker)
         self._lossy_until_s = now
         self._speeds_put_s = now
-        self._over_s_by_silent_worker: dict[str, float] = {}
-        if former is not None:
-            margin_s = settings.leases.margin_s
-            for worker_id, ms in former.over_ms_by_silent_worker.items():
-                over_s = clock.to_local_s(ms, now) + margin_s
-                self._over_s_by_silent_worker[worker_id] = over_s
         self.epoch = epoch
-        # When the last confirmed write of the journal left.
+        # When the last confirmed write of the owner row was made.
         self.renewed_s = now
 
     def load_speeds(self, row: Row) -> None:
@@ -87,6 +84,7 @@
         if worker is not None and entry.born_ms > worker.entry.born_ms:
             # A later life under the same id knows nothing of the former one.
             self._book.note('worker reborn', worker=entry.worker_id)
+            self._former_leases.pop(entry.worker_id, None)
             self._book.forget_worker(worker, now)
             worker = None
         if worker is None:
@@ -232,29 +230,25 @@
 
     def next_owner(self, owner: OwnerRow, now: float) -> OwnerRow:
         """Return the owner row of the next write."""
-        silent: dict[str, float] = {}
-        held_s: list[float] = []
+        leases: dict[str, LeaseRecord] = {}
         for worker in self._book.workers_by_id.values():
-            lease = worker.lease
-            age_s = now - lease.contact_s
-            if lease.is_known and age_s <= _contact_bound_s(self._settings):
-                held_s.append(lease.surely_held_until_s)
-            else:
-                over_s = max(lease.surely_over_s, now)
-                silent[worker.worker_id] = self._clock.to_store_ms(over_s, now)
+            record = self._lease_record(worker, now)
+            leases[worker.worker_id] = record
+            if record.over_ms:
+                # From here on a grant would outlast what the row says.
+                worker.is_granted = False
         return msgspec.structs.replace(
             owner,
             sequence=owner.sequence + 1,
             renewed_ms=self._clock.read_ms(now),
-            held_ms=self._clock.to_store_ms(min(held_s, default=now), now),
-            over_ms_by_silent_worker=silent,
+            leases_by_worker=leases,
         )
 
     def granted(self, owner: OwnerRow) -> None:
         """Allow grants to the workers that a durable write calls known."""
-        silent = owner.over_ms_by_silent_worker
         for worker in self._book.workers_by_id.values():
-            worker.is_granted = worker.worker_id not in silent
+            record = owner.leases_by_worker.get(worker.worker_id)
+            worker.is_granted = record is not None and not record.over_ms
 
     def speeds_put(self, now: float) -> tuple[Put, ...]:
         """Return the row of speeds when it is time to write it again."""
@@ -278,17 +272,33 @@
             worker.unanswered_s = float('-inf')
             self._lossy_until_s = now + self._settings.holds.lossy_s
 
+    def _lease_record(self, worker: WorkerState, now: float) -> LeaseRecord:
+        lease = worker.lease
+        held_ms = self._clock.to_store_ms(lease.surely_held_until_s, now)
+        age_s = now - lease.contact_s
+        if lease.is_known and age_s <= _contact_bound_s(self._settings):
+            return LeaseRecord(held_ms)
+        over_s = max(lease.surely_over_s, now)
+        return LeaseRecord(held_ms, self._clock.to_store_ms(over_s, now))
+
     def _new_lease(self, worker_id: str, now: float) -> WorkerLease:
-        until_s, from_s = self._inherited
-        over_s = self._over_s_by_silent_worker.get(worker_id)
-        if over_s is not None:
-            until_s, from_s = over_s, 0.0
-        return WorkerLease(self._settings.leases, now, until_s, from_s)
+        times = self._settings.leases
+        record = self._former_leases.get(worker_id)
+        if record is None:
+            return WorkerLease(times, now, self._granted_until_s)
+        until_s = self._granted_until_s
+        if record.over_ms:
+            over_s = self._clock.to_local_s(record.over_ms, now)
+            until_s = over_s + times.margin_s
+        held_s = self._clock.to_local_s(record.held_ms, now) - times.margin_s
+        return WorkerLease(times, now, until_s, held_s)
 
     def _add(self, entry: WorkerEntry, now: float) -> None:
         self._free_former_lives(entry, now)
         worker = WorkerState(entry, self._new_lease(entry.worker_id, now))
         worker.take_entry(entry, now)
+        record = self._former_leases.get(entry.worker_id)
+        worker.is_granted = record is not None and not record.over_ms
         self._book.workers_by_id[entry.worker_id] = worker
         self._book.restore_places(worker)
         self._book.note('worker added', worker=entry.worker_id)
@@ -389,19 +399,14 @@
             )
             self._book.unplace(task, now)
 
-    def _inherited_times(
-        self,
-        former: OwnerRow | None,
-        now: float,
-    ) -> tuple[float, float]:
-        """Return until when a former term's leases may and surely hold."""
+    def _latest_grant_s(self, former: OwnerRow | None, now: float) -> float:
+        """Return until when any lease of the former term may hold."""
         if former is None:
-            return now, now
+            return now
         times = self._settings.leases
         renewed_s = self._clock.to_local_s(former.renewed_ms, now)
         until_s = renewed_s + times.longest_s * times.slowest_clock
-        held_s = self._clock.to_local_s(former.held_ms, now)
-        return max(until_s + times.margin_s, now), held_s - times.margin_s
+        return max(until_s + times.margin_s, now)
 
 
 def _contact_bound_s(settings: CellSettings) -> float:
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -39,6 +39,14 @@
     cores: float
 
 
+class _OwnerRead(Struct, frozen=True):
+    """The owner row as read by a call that left at ``sent_s``."""
+
+    row: Row
+    store_ms: float
+    sent_s: float
+
+
 class CellCandidate:
     """Watches the elected scheduler, and holds the term if it is this one."""
 
@@ -116,26 +124,25 @@
         if read is None or self._view is None:
             pause(_RETRY_S)
             return
-        row, store_ms = read
-        owner = read_owner(row)
+        owner = read_owner(read.row)
         is_own = owner is not None and (
             owner.peer_address == self._own.peer_address
         )
         if owner is None or owner.is_released or is_own:
-            self._claim(row, store_ms)
+            self._claim(read)
             return
         loss = self._follow(owner)
         if loss is Loss.NONE:
             return
         vacant = self._await_vacancy(loss, owner)
         if vacant is not None:
-            self._claim(*vacant)
+            self._claim(vacant)
 
     def _await_vacancy(
         self,
         loss: Loss,
         owner: OwnerRow,
-    ) -> tuple[Row, float] | None:
+    ) -> '_OwnerRead | None':
         """Return the row to replace, ``None`` where the scheduler writes on.
 
         The row that was read before is many writes old.
@@ -143,22 +150,29 @@
         first = self._read_owner()
         read = first
         while first is not None and read is not None:
-            if is_vacant(self._settings.election, loss, owner, *read):
+            if is_vacant(
+                self._settings.election,
+                loss,
+                owner,
+                read.row,
+                read.store_ms,
+            ):
                 return read
-            is_written = read[0].version != first[0].version
+            is_written = read.row.version != first.row.version
             if loss is not Loss.SILENT or is_written or self._is_stopping:
                 break
             pause(_RETRY_S)
             read = self._read_owner()
         return None
 
-    def _read_owner(self) -> tuple[Row, float] | None:
-        """Return the owner row and the store's clock, if they can be read."""
+    def _read_owner(self) -> '_OwnerRead | None':
+        """Return the owner row, if it can be read."""
+        sent_s = boot_now()
         read = self._links.store.read_row(OWNER_KEY)
         if isinstance(read, StoreFailed):
             return None
         row = read.rows[0] if read.rows else Row(OWNER_KEY)
-        return row, read.store_ms
+        return _OwnerRead(row, read.store_ms, sent_s)
 
     def _follow(self, owner: OwnerRow) -> Loss:
         """Watch the scheduler until it is lost or the owner is to be read."""
@@ -202,11 +216,11 @@
         )
         return status or SchedulerStatus(), loss
 
-    def _claim(self, row: Row, store_ms: float) -> None:
+    def _claim(self, read: '_OwnerRead') -> None:
         """Take over after a delay that lets better candidates go first."""
         delay_s = takeover_delay_s(
             self._settings.election,
-            read_owner(row),
+            read_owner(read.row),
             self._own.cores,
             boot_now() - self._started_s,
             random.random(),
@@ -215,9 +229,10 @@
         if self._is_stopping or self._view is None:
             return
         began_s = boot_now()
-        former = read_owner(row)
+        former = read_owner(read.row)
+        store_ms = read.store_ms
         owner, transaction = takeover(
-            row,
+            read.row,
             self._own.instance_id,
             self._own.peer_address,
             store_ms,
@@ -234,7 +249,7 @@
             max(store_ms, answer.store_ms),
         )
         scheduler.owner_version = answer.versions[OWNER_KEY]
-        scheduler.workers.renewed_s = began_s
+        scheduler.workers.renewed_s = read.sent_s
         self._links.log(
             'term begun',
             epoch=owner.epoch,
@@ -243,15 +258,16 @@
                 store_ms - (former.renewed_ms if former else store_ms),
             ),
         )
-        self._hold_term(scheduler)
+        self._hold_term(scheduler, boot_now() - began_s)
 
-    def _hold_term(self, scheduler: CellScheduler) -> None:
+    def _hold_term(self, scheduler: CellScheduler, took_s: float) -> None:
         self._term = SchedulingTerm(
             self._links,
             self._settings,
             scheduler,
             self._own.peer_address,
             self._own.cores,
+            took_s,
         )
         try:
             self._term.run()
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -44,6 +44,7 @@
 from apricotlead.state.answer_time import AnswerTime
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.serving import run_together
 from apricotlead.transport.table_follower import TableFollower
 from apricotlead.transport.wake_up import Broadcast, WakeUp
 
@@ -91,10 +92,10 @@
 
     __slots__ = (
         '_began_s',
+        '_blocked_s',
         '_changed',
         '_cores',
         '_green_threads',
-        '_is_store_lost',
         '_journaled',
         '_links',
         '_lost_worker_ids',
@@ -115,8 +116,12 @@
         scheduler: CellScheduler,
         own_address: str,
         cores: float,
+        takeover_s: float,
     ) -> None:
-        """Prepare a term for a scheduler that has just taken over."""
+        """Prepare a term for a scheduler that has just taken over.
+
+        ``takeover_s`` is how long the store took for that write.
+        """
         self._links = links
         self._settings = settings
         self._own_address = own_address
@@ -130,8 +135,10 @@
         self._peers: dict[str, tuple[float, float]] = {}
         self._watched_worker_ids: set[str] = set()
         self._lost_worker_ids: set[str] = set()
-        self._is_store_lost = False
+        # When the first of the writes left that brought no answer.
+        self._blocked_s: float | None = None
         self._writes = AnswerTime(_LEAST_WRITE_S, _MOST_WRITE_S)
+        self._writes.answered(takeover_s)
         self.scheduler = scheduler
         self.ended_why = ''
 
@@ -170,16 +177,20 @@
 
     def status(self) -> SchedulerStatus:
         """Return what followers are told."""
-        age_s = boot_now() - self.scheduler.workers.renewed_s
-        lost_after_s = self._settings.election.store_lost_s
         return SchedulerStatus(
             self._epoch,
             not self.ended_why,
-            self._is_store_lost and age_s > lost_after_s,
+            self._is_cut_off(),
             self.scheduler.jobs.pending_by_queue(),
             self.scheduler.jobs.backlog(boot_now()),
         )
 
+    def _is_cut_off(self) -> bool:
+        """Tell whether the store has taken no write for a while."""
+        blocked_s = self._blocked_s
+        lost_after_s = self._settings.election.store_lost_s
+        return blocked_s is not None and boot_now() - blocked_s > lost_after_s
+
     def watch(self, peer_address: str, cores: float) -> SchedulerStatus:
         """Hold a follower's call until there is news or for a while."""
         self._peers[peer_address] = (boot_now(), cores)
@@ -227,18 +238,18 @@
     def _load(self, jobs: TableFollower, registry: TableFollower) -> bool:
         """Read all jobs, progress and registrations."""
         store = self._links.store
-        pages: list[tuple[Row, ...]] = []
-        reads = (
-            jobs.read_all,
-            partial(store.scan_rows, PROGRESS_PREFIX),
-            registry.read_all,
-            partial(store.read_row, SPEEDS_KEY),
+        # One after another they take a second in a slow store.
+        pages = run_together(
+            partial(self._read_all, read)
+            for read in (
+                jobs.read_all,
+                partial(store.scan_rows, PROGRESS_PREFIX),
+                registry.read_all,
+                partial(store.read_row, SPEEDS_KEY),
+            )
         )
-        for read in reads:
-            rows = self._read_all(read)
-            if rows is None:
-                return False
-            pages.append(rows)
+        if None in pages:
+            return False
         now = boot_now()
         self.scheduler.jobs.load(pages[0], pages[1], now)
         for row in pages[2]:
@@ -304,7 +315,6 @@
     def _write_journal(self) -> None:
         batch, starts = self.scheduler.take_batch(boot_now())
         while not self.ended_why:
-            sent_s = boot_now()
             committed = self._commit(batch.transaction, batch.owner)
             if committed is None:
                 eventlet.sleep(_STORE_RETRY_S)
@@ -314,7 +324,6 @@
             self.scheduler.committed(
                 batch,
                 version,
-                sent_s,
                 committed.store_ms,
                 now,
             )
@@ -338,24 +347,30 @@
         elif took_s >= timeout_s:
             self._writes.missed()
         if isinstance(answer, Committed):
-            self._note_store(None)
+            self._note_store(None, sent_s)
             return answer
         if isinstance(answer, CheckFailed):
             row = answer.row(OWNER_KEY)
             current = read_owner(row)
             if current is not None and _is_same_write(current, owner):
                 # An earlier send took effect and its answer was lost.
+                self._note_store(None, sent_s)
                 return Committed({OWNER_KEY: row.version})
             self.end('another instance has taken over')
             return None
-        self._note_store(answer)
+        self._note_store(answer, sent_s)
         return None
 
-    def _note_store(self, failure: StoreFailed | None) -> None:
+    def _note_store(
+        self,
+        failure: StoreFailed | None,
+        sent_s: float,
+    ) -> None:
         """Log when the store stops or begins to take the journal."""
-        if self._is_store_lost == (failure is not None):
+        was_blocked = self._blocked_s is not None
+        if was_blocked == (failure is not None):
             return
-        self._is_store_lost = failure is not None
+        self._blocked_s = None if failure is None else sent_s
         self._links.log(
             'journal blocked' if failure else 'journal resumed',
             why=failure.reason if failure else '',
--- a/tests/test_cell_scheduler.py
+++ b/tests/test_cell_scheduler.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.job_rows import cancel_key
+from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.cell_workers import EndKind, OrderReply, Refusal
 from apricotlead.protocol.resources import Resources
@@ -106,6 +107,18 @@
         self.rig.round()
         self.assertEqual('completed', self.rig.state(JOB))
 
+    def test_end_survives_a_successor_that_heard_nothing(self) -> None:
+        """Leases are known over two takeovers in a row, as in a slow store."""
+        self.holder.end(TASK)
+        self.holder.is_reachable = False
+        self.rig.now += 1
+        self.rig.take_over()
+        self.holder.is_reachable = True
+        self.rig.now += 1
+        self.rig.take_over()
+        self.rig.round()
+        self.assertEqual('completed', self.rig.state(JOB))
+
     def test_end_before_a_lapse_does_not_count(self) -> None:
         """An end that was acknowledged after a lapse is void for the worker."""
         self.holder.end(TASK)
@@ -116,6 +129,50 @@
         self.assertEqual([1, 2], sorted(runs))
 
 
+class TestGrants(TestCase):
+    """No lease outlasts what the owner row tells a successor."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w1'))
+
+    def deadline_ms(self) -> float | None:
+        """Return what the next hold grants."""
+        hold = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+        return hold[1].deadline_ms
+
+    def test_grants_count_from_when_the_row_was_made(self) -> None:
+        """A write that is sent again for 3 s becomes durable late."""
+        made_s = self.rig.now
+        batch, _ = self.rig.scheduler.take_batch(made_s)
+        for _ in range(6):
+            self.rig.now += 0.5
+            self.rig.hold_all()
+        self.rig.scheduler.committed(
+            batch,
+            self.rig.version + 1,
+            self.rig.store_ms,
+            self.rig.now,
+        )
+        longest_s = CellSettings().leases.longest_s
+        self.assertLessEqual(self.deadline_ms(), (made_s + longest_s) * 1000)
+
+    def test_worker_that_the_row_calls_silent_is_granted_nothing(self) -> None:
+        """Also while the write that says so is under way."""
+        self.rig.now += 2.6
+        self.rig.scheduler.take_batch(self.rig.now)
+        self.assertIsNone(self.deadline_ms())
+
+    def test_grants_follow_a_takeover_at_once(self) -> None:
+        """In a slow store the first write of a term takes a third of a second.
+
+        Until then no worker is of use.
+        """
+        self.rig.begin_term()
+        self.rig.hold_all()
+        self.assertIsNotNone(self.deadline_ms())
+
+
 class TestGangs(TestCase):
     """A gang runs whole or not at all."""
 
