End a former life of a worker only on the word of the worker

Cause: a registration at the address of a known worker was taken for the later life, and the known one forgotten with its runs. The registration of a former life can arrive after that of the present one (a worker that crashed behind a cut and started again): its runs were begun a second time.

Ruled out: lost starts and lapses; the runs were lost and placed again within 0.1 s of 'worker replaced'.

The new test of TestFormerLives fails before.

Conclusion: a life is over when another one answers a hold that names it.

--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -294,7 +294,6 @@
         return WorkerLease(times, now, until_s, held_s)
 
     def _add(self, entry: WorkerEntry, now: float) -> None:
-        self._free_former_lives(entry, now)
         worker = WorkerState(entry, self._new_lease(entry.worker_id, now))
         worker.take_entry(entry, now)
         record = self._former_leases.get(entry.worker_id)
@@ -303,13 +302,6 @@
         self._book.restore_places(worker)
         self._book.note('worker added', worker=entry.worker_id)
 
-    def _free_former_lives(self, entry: WorkerEntry, now: float) -> None:
-        """Forget workers whose address a new one has: they are over."""
-        for worker in tuple(self._book.workers_by_id.values()):
-            if worker.entry.address == entry.address:
-                self._book.note('worker replaced', worker=worker.worker_id)
-                self._book.forget_worker(worker, now)
-
     def _settle_restored(
         self,
         worker: WorkerState,
--- a/tests/test_cell_scheduler.py
+++ b/tests/test_cell_scheduler.py
@@ -1,5 +1,6 @@
 """The elected scheduler over model workers and a model store."""
 
+import msgspec
 from testtools import TestCase
 
 from apricotlead.coordination.cell.job_rows import cancel_key
@@ -173,6 +174,36 @@
         self.assertIsNotNone(self.deadline_ms())
 
 
+class TestFormerLives(TestCase):
+    """A worker that crashed starts again, at times under another id."""
+
+    def test_late_registration_of_a_former_life_frees_nothing(self) -> None:
+        """Only the worker itself can tell that a life is over."""
+        rig = CellRig(ModelWorker('w1'), ModelWorker('w2'))
+        rig.submit(JOB, stored_job())
+        rig.round()
+        holder = rig.scheduler.book.task(TASK).worker_id
+        entry = rig.workers_by_id[holder].entry
+        former = msgspec.structs.replace(entry, worker_id='former')
+        rig.scheduler.workers.update_worker(former, rig.now)
+        rig.round()
+        self.assertEqual(holder, rig.scheduler.book.task(TASK).worker_id)
+
+    def test_life_is_over_when_another_answers_for_it(self) -> None:
+        worker = ModelWorker('w1')
+        rig = CellRig(worker, ModelWorker('w2'))
+        rig.submit(JOB, stored_job())
+        rig.round()
+        holder = rig.scheduler.book.task(TASK).worker_id
+        rig.scheduler.workers.hold_refused(
+            holder,
+            OrderReply(Refusal.OTHER_LIFE),
+            rig.now,
+        )
+        rig.round()
+        self.assertNotEqual(holder, rig.scheduler.book.task(TASK).worker_id)
+
+
 class TestGangs(TestCase):
     """A gang runs whole or not at all."""
 
