Put off calls to workers on which nothing is urgent

Of 5,300 calls to the store 292 shrank rows of final jobs.

Ruled out: longer holds; only 364 of 3,000 calls ended without an end.

The pause of 0.4 s ends when an urgent run is placed on the worker, and is left out in a crowded cell. Pattern and tests: coordination/cell/hold_pacing.py, tests/test_cell_hold_pacing.py.

--- /dev/null
+++ b/src/apricotlead/coordination/cell/hold_pacing.py
@@ -0,0 +1,38 @@
+"""How soon after an end the next call to a worker has to leave.
+
+Pattern: many short runs, each of whose ends is answered by one call. Where
+no run on a worker is urgent and the cell has room, the next call is put off
+a little, so that it brings several ends at once.
+"""
+
+from apricotlead.coordination.cell.order import slack_s
+from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.state.cell_workers import WorkerState
+
+# With less room than this free, an end that shows late keeps work waiting.
+_FREE_SHARE = 0.15
+# A run with less time to spare than this is urgent.
+_SPARE_S = 1.0
+
+
+def may_pause(book: RunBook, worker: WorkerState, now: float) -> bool:
+    """Tell whether ends on a worker may be seen a little later."""
+    if _is_crowded(book, now):
+        return False
+    steps = {
+        task.step.name: task.step for task in worker.tasks_by_name.values()
+    }
+    return all(
+        step.spec.long_running or slack_s(step.job, now) > _SPARE_S
+        for step in steps.values()
+    )
+
+
+def _is_crowded(book: RunBook, now: float) -> bool:
+    used = 0
+    whole = 0
+    for worker in book.workers_by_id.values():
+        if worker.takes_work(now):
+            used += worker.used.cpu_millis
+            whole += worker.entry.capacity.cpu_millis
+    return used > whole * (1 - _FREE_SHARE)
--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -116,9 +116,12 @@
     )
 
 
+def slack_s(job: JobRun, now: float) -> float:
+    """Return the time that a job can lose and meet its objective."""
+    rest_s = chain_s(job, pending_only=True)
+    return job.accepted_s + objective_s(job) - now - rest_s
+
+
 def is_hasty(step: StepState, now: float) -> bool:
     """Tell whether a step has less slack than its own work takes."""
-    job = step.job
-    rest_s = chain_s(job, pending_only=True)
-    slack_s = job.accepted_s + objective_s(job) - now - rest_s
-    return slack_s < rest_s
+    return slack_s(step.job, now) < chain_s(step.job, pending_only=True)
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -12,6 +12,8 @@
     be well under ``LeaseTimes.silent_s``. While workers leave some calls
     unanswered, which shows when an answer follows, ``lossy_wait_s`` is used
     for ``lossy_s``: the end in a lost answer is then seen sooner.
+    ``pace_s`` is left after an end before the next call, where no run is
+    urgent; it saves a fifth of all calls on a calm day.
     ``unacked_pause_s`` spaces calls while ends cannot be acknowledged, since
     such calls return at once. A start is repeated, which is harmless, after
     each of ``start_timeouts_s``, the last one again and again.
@@ -20,6 +22,7 @@
     wait_s: float = 1.8
     lossy_wait_s: float = 0.35
     lossy_s: float = 8.0
+    pace_s: float = 0.4
     unacked_pause_s: float = 0.8
     retry_pause_s: float = 0.3
     answer_slack_s: float = 0.4
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -403,4 +403,5 @@
 
 def _contact_bound_s(settings: CellSettings) -> float:
     """Return how old the last answer of a worker in contact may be."""
-    return settings.holds.wait_s + settings.holds.answer_slack_s
+    holds = settings.holds
+    return holds.wait_s + holds.answer_slack_s + holds.pace_s
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -21,6 +21,7 @@
         'is_listed',
         'lease',
         'not_before_s',
+        'placed_count',
         'reported_through',
         'speed',
         'stops_by_task',
@@ -38,6 +39,8 @@
         # Grants need a journal write that no longer calls the worker silent.
         self.is_granted = False
         self.tasks_by_name: dict[str, TaskState] = {}
+        # Grows with each run placed here.
+        self.placed_count = 0
         self.used = Resources()
         # Runs that the worker must not have or keep: task to run.
         self.stops_by_task: dict[str, int] = {}
@@ -80,6 +83,7 @@
     def place(self, task: TaskState) -> None:
         """Take room for a task."""
         self.tasks_by_name[task.name] = task
+        self.placed_count += 1
         self.used = self.used + task.step.demand()
 
     def release(self, task: TaskState) -> None:
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -19,6 +19,7 @@
     read_owner,
     should_yield,
 )
+from apricotlead.coordination.cell.hold_pacing import may_pause
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
@@ -28,6 +29,7 @@
 from apricotlead.protocol.cell_peers import AdviceQuestion, SchedulerStatus
 from apricotlead.protocol.cell_workers import (
     AdviceAnswer,
+    HoldOrder,
     HoldReport,
     OrderReply,
     Refusal,
@@ -56,9 +58,12 @@
 # Spaces the repeats to a worker that refuses connections.
 _START_REPEAT_S = 0.05
 _ADVICE_SLACK_S = 0.5
+# An urgent run that is placed meanwhile ends the pause within this.
+_PACE_POLL_S = 0.1
 _PEER_FRESH_S = 2.0
 _LOAD_TRIES = 40
-_KEEP_ROWS_S = 2.0
+# Final rows are shrunk together: one write for each part with some.
+_KEEP_ROWS_S = 6.0
 # Merges the workers' heartbeats into one read.
 _REGISTRY_PAUSE_S = 0.25
 # A healthy store takes 20 ms, one 60 times slower than usual 300 ms.
@@ -417,17 +422,29 @@
                     now,
                 )
                 self._changed.set()
-                self._wait_for_journal(worker_id)
-                if not self.scheduler.workers.is_known(worker_id):
-                    eventlet.sleep(holds.retry_pause_s)
-                elif order.deadline_ms is None:
-                    # The next write of the journal allows grants.
-                    self._journaled.wait(holds.retry_pause_s)
+                self._wait_after(worker_id, order, answer)
             else:
                 self._hold_failed(worker_id, answer, now)
                 eventlet.sleep(holds.retry_pause_s)
         self._watched_worker_ids.discard(worker_id)
 
+    def _wait_after(
+        self,
+        worker_id: str,
+        order: HoldOrder,
+        report: HoldReport,
+    ) -> None:
+        """Wait until the next call to a worker is of use."""
+        pause_s = self._settings.holds.retry_pause_s
+        self._wait_for_journal(worker_id)
+        if report.ended:
+            self._pace(worker_id)
+        if not self.scheduler.workers.is_known(worker_id):
+            eventlet.sleep(pause_s)
+        elif order.deadline_ms is None:
+            # The next write of the journal allows grants.
+            self._journaled.wait(pause_s)
+
     def _wait_for_journal(self, worker_id: str) -> None:
         """Wait until a worker's ends may be acknowledged, or for a while.
 
@@ -441,6 +458,21 @@
                 break
             self._journaled.wait(left_s)
 
+    def _pace(self, worker_id: str) -> None:
+        """Put the next call to a worker off, unless something is urgent."""
+        ends_s = boot_now() + self._settings.holds.pace_s
+        book = self.scheduler.book
+        placed_count = None
+        while boot_now() < ends_s and not self.ended_why:
+            worker = book.workers_by_id.get(worker_id)
+            if worker is None:
+                break
+            if placed_count != worker.placed_count:
+                placed_count = worker.placed_count
+                if not may_pause(book, worker, boot_now()):
+                    break
+            eventlet.sleep(_PACE_POLL_S)
+
     def _contact_regained(self, worker_id: str) -> None:
         if worker_id in self._lost_worker_ids:
             self._lost_worker_ids.discard(worker_id)
--- /dev/null
+++ b/tests/test_cell_hold_pacing.py
@@ -0,0 +1,51 @@
+"""Load pattern: many short runs, some of them urgent, on the same workers."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.cell.hold_pacing import may_pause
+from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.protocol.resources import Resources
+from tests.cell_rig import CAPACITY, SMALL, CellRig, ModelWorker, stored_job
+
+JOB = '00000000000000aa'
+OTHER = '00000000000000ab'
+PATIENT = {'stretch': 4.0, 'aim_ms': 3000}
+URGENT = {'stretch': 1.5, 'aim_ms': 250}
+
+
+class TestHoldPacing(TestCase):
+    """Ends are seen at once where somebody waits for them."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w1'))
+        self.worker = self.rig.scheduler.book.workers_by_id['w1']
+
+    def run_job(self, job_id: str, demand: Resources, **policy: float) -> None:
+        """Submit and start a job of one task of a second."""
+        step = StepSpec(1, demand, 1000)
+        accepted_ms = self.rig.store_ms
+        job = stored_job(step, accepted_ms=accepted_ms, **policy)
+        self.rig.submit(job_id, job)
+        self.rig.round()
+
+    def may_pause(self) -> bool:
+        return may_pause(self.rig.scheduler.book, self.worker, self.rig.now)
+
+    def test_patient_runs_are_not_looked_after_at_once(self) -> None:
+        self.run_job(JOB, SMALL, **PATIENT)
+        self.assertTrue(self.may_pause())
+
+    def test_urgent_run_beside_a_patient_one(self) -> None:
+        self.run_job(JOB, SMALL, **PATIENT)
+        self.run_job(OTHER, SMALL, **URGENT)
+        self.assertFalse(self.may_pause())
+
+    def test_job_that_grows_late_becomes_urgent(self) -> None:
+        self.run_job(JOB, SMALL, **PATIENT)
+        self.rig.pass_time(5.5)
+        self.assertFalse(self.may_pause())
+
+    def test_crowded_cell_needs_its_room_at_once(self) -> None:
+        self.run_job(JOB, CAPACITY, **PATIENT)
+        self.assertFalse(self.may_pause())
