Hand the term over soon when the store turns the scheduler away

Ruled out: the successor's start, which took 0.1 s.

Conclusion: refusals and broken connections count after 0.4 s, silence after 1 s as before.

--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -100,6 +100,22 @@
     return True
 
 
+def is_cut_off(
+    times: ElectionTimes,
+    blocked_s: float,
+    *,
+    is_turned_away: bool,
+) -> bool:
+    """Tell whether a scheduler should ask its followers to take over.
+
+    Its writes have brought nothing for ``blocked_s`` seconds;
+    ``is_turned_away`` tells that the last one was refused or its connection
+    broke. A slow store gives no answer for long and refuses nothing.
+    """
+    bound_s = times.turned_away_s if is_turned_away else times.store_lost_s
+    return blocked_s > bound_s
+
+
 def takeover_delay_s(
     times: ElectionTimes,
     owner: OwnerRow | None,
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -36,7 +36,9 @@
 
     ``watch_s`` is how long the scheduler holds a follower's call.
     ``renew_s`` spaces renewals without other writes. After ``store_lost_s``
-    without a confirmed renewal the scheduler asks its followers to take over.
+    without an answer of the store, or ``turned_away_s`` of refusals and broken
+    connections, which are no sign of a slow store, the scheduler asks its
+    followers to take over; one that can read the store does.
     One that does not answer is replaced once its last write is more than
     ``silent_owner_s`` old: two renewals, which a healthy store takes at once.
     An instance waits ``small_delay_s`` times the part of the largest
@@ -52,6 +54,7 @@
     renew_s: float = 0.4
     silent_owner_s: float = 0.8
     store_lost_s: float = 1.0
+    turned_away_s: float = 0.4
     stagger_s: float = 0.05
     small_delay_s: float = 0.5
     old_instance_s: float = 30.0
--- a/src/apricotlead/state/answer_time.py
+++ b/src/apricotlead/state/answer_time.py
@@ -4,7 +4,7 @@
 _LOST_AFTER = 4.0
 # How much of the longest recent time is kept with each shorter answer.
 _KEPT = 0.7
-_GROWTH = 2.0
+_GROWTH = 1.6
 
 
 class AnswerTime:
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -15,6 +15,7 @@
 from apricotlead.coordination.cell.election import (
     OWNER_KEY,
     OwnerRow,
+    is_cut_off,
     owner_transaction,
     read_owner,
     should_yield,
@@ -102,6 +103,7 @@
         '_cores',
         '_green_threads',
         '_journaled',
+        '_is_turned_away',
         '_links',
         '_lost_worker_ids',
         '_orders',
@@ -142,6 +144,8 @@
         self._lost_worker_ids: set[str] = set()
         # When the first of the writes left that brought no answer.
         self._blocked_s: float | None = None
+        # Whether the last write was refused, or its connection broke.
+        self._is_turned_away = False
         self._writes = AnswerTime(_LEAST_WRITE_S, _MOST_WRITE_S)
         self._writes.answered(takeover_s)
         self.scheduler = scheduler
@@ -192,9 +196,13 @@
 
     def _is_cut_off(self) -> bool:
         """Tell whether the store has taken no write for a while."""
-        blocked_s = self._blocked_s
-        lost_after_s = self._settings.election.store_lost_s
-        return blocked_s is not None and boot_now() - blocked_s > lost_after_s
+        if self._blocked_s is None:
+            return False
+        return is_cut_off(
+            self._settings.election,
+            boot_now() - self._blocked_s,
+            is_turned_away=self._is_turned_away,
+        )
 
     def watch(self, peer_address: str, cores: float) -> SchedulerStatus:
         """Hold a follower's call until there is news or for a while."""
@@ -351,6 +359,7 @@
             self._writes.answered(took_s)
         elif took_s >= timeout_s:
             self._writes.missed()
+        self._is_turned_away = took_s < timeout_s
         if isinstance(answer, Committed):
             self._note_store(None, sent_s)
             return answer
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -8,6 +8,7 @@
     LeaseRecord,
     Loss,
     OwnerRow,
+    is_cut_off,
     is_vacant,
     should_yield,
     takeover,
@@ -41,6 +42,24 @@
         self.assertFalse(should_yield(TIMES, 1, 1.2))
 
 
+class TestCutOff(TestCase):
+    """Pattern: a store that turns one instance away, or is slow for all."""
+
+    def cut_off(self, blocked_s: float, *, is_turned_away: bool) -> bool:
+        return is_cut_off(TIMES, blocked_s, is_turned_away=is_turned_away)
+
+    def test_refusals_are_passed_on_soon(self) -> None:
+        self.assertTrue(self.cut_off(0.5, is_turned_away=True))
+
+    def test_one_refusal_is_not_enough(self) -> None:
+        self.assertFalse(self.cut_off(0.1, is_turned_away=True))
+
+    def test_slow_store_is_no_reason(self) -> None:
+        """An answer 78 times slower than usual takes 0.3 s, and queues."""
+        self.assertFalse(self.cut_off(0.9, is_turned_away=False))
+        self.assertTrue(self.cut_off(1.1, is_turned_away=False))
+
+
 class TestVacancy(TestCase):
     """A silent scheduler is replaced, one that only a follower lost stays."""
 
