Show accepted jobs to the scheduler at once

Cause: the scheduler learned of jobs from the feed of their table alone.

Conclusion: kept; instances show a stored row to the scheduler in the background, and the feed, read at most five times a second, brings what was not shown.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -98,7 +98,7 @@
         self.desk = CellDesk(
             self._store,
             StoreHealth(),
-            self._candidate.status,
+            self._candidate,
             settings.view_bound_s,
             self._log.log,
             self._metrics,
@@ -122,7 +122,11 @@
                 (settings.ready_address, ReadyApplication(self.desk)),
                 (
                     settings.peer_address,
-                    PeerApplication(self._candidate.watched, self._advise),
+                    PeerApplication(
+                        self._candidate.watched,
+                        self._candidate.take_announced,
+                        self._advise,
+                    ),
                 ),
             )
         ]
--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -1,5 +1,7 @@
 """What the entry instances of a cell say to one another."""
 
+from typing import Any
+
 from msgspec import Struct
 
 
@@ -30,6 +32,14 @@
     backlog: Backlog = Backlog()
 
 
+class JobNotice(Struct, frozen=True):
+    """A row of the table of jobs that was just stored, with its version."""
+
+    key: str
+    version: int
+    value: Any
+
+
 class AdviceQuestion(Struct, frozen=True):
     """Ask an instance to ask for advice on a step."""
 
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -1,6 +1,7 @@
 """An instance as a candidate: it follows the scheduler and succeeds it."""
 
 import random
+from functools import partial
 
 from msgspec import Struct
 
@@ -25,7 +26,7 @@
     CellLinks,
     SchedulingTerm,
 )
-from apricotlead.transport.serving import pause
+from apricotlead.transport.serving import pause, run_in_background
 
 _RETRY_S = 0.15
 _STATUS_FRESH_S = 1.5
@@ -55,6 +56,7 @@
         '_links',
         '_own',
         '_peers',
+        '_scheduler_address',
         '_settings',
         '_started_s',
         '_status',
@@ -77,6 +79,8 @@
         self._settings = settings
         self._started_s = boot_now()
         self._term: SchedulingTerm | None = None
+        # Where the scheduler last answered, empty when it is lost.
+        self._scheduler_address = ''
         self._status = SchedulerStatus()
         self._status_read_s = float('-inf')
         self._view: CellView | None = None
@@ -109,6 +113,21 @@
             return SchedulerStatus()
         return term.watch(peer_address, cores)
 
+    def announce(self, row: Row) -> None:
+        """Show the scheduler a stored row of a job before its feed does.
+
+        The feed may be late by a quarter of a second in a slow store, and by
+        a second and more when the store drops its history.
+        """
+        if self._term is not None:
+            self._term.take_announced(row)
+        elif self._scheduler_address:
+            run_in_background(partial(self._send_notice, row))
+
+    def take_announced(self, row: Row) -> bool:
+        """Take a row that another instance has stored, if the term is here."""
+        return self._term is not None and self._term.take_announced(row)
+
     def run(self) -> None:
         """Follow the scheduler, and take over when it is gone."""
         while not self._is_stopping:
@@ -119,6 +138,10 @@
                 self._links.log('term failed', why=repr(error))
                 pause(_RETRY_S)
 
+    def _send_notice(self, row: Row) -> None:
+        if not self._peers.announce(self._scheduler_address, row):
+            self._links.metrics.count('cell_notice_lost')
+
     def _run_once(self) -> None:
         read = self._read_owner()
         if read is None or self._view is None:
@@ -184,7 +207,9 @@
             was_active = True
             self._status = status
             self._status_read_s = boot_now()
+            self._scheduler_address = owner.peer_address
             status, loss = self._watch(owner)
+        self._scheduler_address = ''
         if loss is Loss.NONE:
             # It is starting its term, or has ended it.
             pause(_RETRY_S / 3)
--- a/src/apricotlead/transport/cell_desk.py
+++ b/src/apricotlead/transport/cell_desk.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any
+from typing import Any, Protocol
 
 import eventlet
 import msgspec
@@ -56,6 +56,16 @@
     remedy = 'Check the id; finished jobs are forgotten after a while.'
 
 
+class SchedulerContact(Protocol):
+    """What the desk needs of the way to the scheduler."""
+
+    def status(self) -> SchedulerStatus | None:
+        """Return the scheduler's last word, ``None`` where none is recent."""
+
+    def announce(self, row: Row) -> None:
+        """Show the scheduler a row that was just stored."""
+
+
 class CellDesk:
     """Takes callers' requests.
 
@@ -66,7 +76,7 @@
     __slots__ = (
         '_log',
         '_metrics',
-        '_status',
+        '_scheduler',
         '_store',
         '_view_bound_s',
         'health',
@@ -79,19 +89,18 @@
         self,
         store: Any,
         health: StoreHealth,
-        status: Callable[[], SchedulerStatus | None],
+        scheduler: SchedulerContact,
         view_bound_s: float,
         log: Callable[..., Any],
         metrics: Any,
     ) -> None:
         """Serve from ``store``.
 
-        ``status()`` is the scheduler's last word, or ``None`` where none is
-        recent. A key is believed for
-        ``view_bound_s`` after the configuration was last confirmed.
+        A key is believed for ``view_bound_s`` after the configuration was
+        last confirmed.
         """
         self._store = store
-        self._status = status
+        self._scheduler = scheduler
         self._view_bound_s = view_bound_s
         self._log = log
         self._metrics = metrics
@@ -186,6 +195,7 @@
         )
         began_s = boot_now()
         answer = self._write(transaction, ends_s)
+        self._announce(transaction, answer)
         return self._submitted(job_id, queue, answer, boot_now() - began_s)
 
     def status(
@@ -227,6 +237,7 @@
         key = cancel_key(job_id)
         transaction = Transaction('', key, (Check(key, 0),), (Put(key, 1),))
         answer = self._write(transaction, ends_s)
+        self._announce(transaction, answer)
         self._log('cancel', job=job_id, queue=queue.name, outcome=_kind(answer))
         if isinstance(answer, StoreFailed):
             return _come_back(answer)
@@ -234,7 +245,7 @@
 
     def pending(self, queue: QueueConfig) -> Outcome:
         """Return the number of a queue's jobs that have not begun."""
-        status = self._status()
+        status = self._scheduler.status()
         if status is None:
             error = StoreUnreachable('No recent count is known here.')
             return NotRun(error, _COME_BACK_S)
@@ -258,7 +269,7 @@
         Its row is read first: an earlier try of the same id may have been
         accepted, and a refusal must be true.
         """
-        status = self._status()
+        status = self._scheduler.status()
         if status is None:
             return None
         refused = judge(submission, queue, organisation, status.backlog)
@@ -283,6 +294,17 @@
             refused.retry_after_s,
         )
 
+    def _announce(
+        self,
+        transaction: Transaction,
+        answer: Committed | CheckFailed | StoreFailed,
+    ) -> None:
+        """Show the scheduler what was stored."""
+        if isinstance(answer, Committed):
+            for put in transaction.puts:
+                version = answer.versions[put.key]
+                self._scheduler.announce(Row(put.key, version, put.value))
+
     def _submitted(
         self,
         job_id: str,
--- a/src/apricotlead/transport/cell_peers.py
+++ b/src/apricotlead/transport/cell_peers.py
@@ -11,16 +11,25 @@
 
 import msgspec
 
-from apricotlead.protocol.cell_peers import AdviceQuestion, SchedulerStatus
+from apricotlead.protocol.cell_peers import (
+    AdviceQuestion,
+    JobNotice,
+    SchedulerStatus,
+)
 from apricotlead.protocol.cell_workers import AdviceAnswer
+from apricotlead.protocol.table import Row
 from apricotlead.transport.http_pool import Answered, HttpCall, HttpCaller
 
 _STATUS_PATH = '/v1/cell/scheduler'
 _ADVICE_PATH = '/v1/cell/advice'
+_JOB_PATH = '/v1/cell/job'
 _ADVICE_SLACK_S = 0.3
+# The feed of the table brings the row by then.
+_NOTICE_TIMEOUT_S = 0.5
 
 _status_decoder = msgspec.json.Decoder(SchedulerStatus)
 _question_decoder = msgspec.json.Decoder(AdviceQuestion)
+_notice_decoder = msgspec.json.Decoder(JobNotice)
 _answer_decoder = msgspec.json.Decoder(AdviceAnswer)
 _encoder = msgspec.json.Encoder()
 
@@ -56,6 +65,20 @@
         )
         return _decode(answer, _status_decoder)
 
+    def announce(self, address: str, row: Row) -> bool:
+        """Show the scheduler a row; tell whether it was taken."""
+        notice = JobNotice(row.key, row.version, row.value)
+        answer = self._pool.call(
+            HttpCall(
+                'POST',
+                address,
+                _JOB_PATH,
+                _encoder.encode(notice),
+                timeout_s=_NOTICE_TIMEOUT_S,
+            ),
+        )
+        return isinstance(answer, Answered) and answer.status == 200
+
     def advise(
         self,
         address: str,
@@ -78,18 +101,21 @@
     """Answers other entry instances (WSGI).
 
     ``watch(peer_address, cores)`` waits for news of the scheduler that runs
-    here and returns its status; ``advise(question)`` asks for advice.
+    here and returns its status; ``take_row(row)`` tells whether that
+    scheduler took a row; ``advise(question)`` asks for advice.
     """
 
-    __slots__ = ('_advise', '_watch')
+    __slots__ = ('_advise', '_take_row', '_watch')
 
     def __init__(
         self,
         watch: Callable[[str, float], SchedulerStatus],
+        take_row: Callable[[Row], bool],
         advise: Callable[[AdviceQuestion], AdviceAnswer | None],
     ) -> None:
         """Answer by these functions."""
         self._watch = watch
+        self._take_row = take_row
         self._advise = advise
 
     def __call__(
@@ -111,16 +137,21 @@
             peer = query.get('from', [''])[0]
             cores = float(query.get('cores', ['0'])[0])
             return _encoder.encode(self._watch(peer, cores))
+        if path == _JOB_PATH:
+            notice = _notice_decoder.decode(_body(environ))
+            row = Row(notice.key, notice.version, notice.value)
+            return b'' if self._take_row(row) else None
         if path == _ADVICE_PATH:
-            length = int(environ.get('CONTENT_LENGTH') or 0)
-            question = _question_decoder.decode(
-                environ['wsgi.input'].read(length),
-            )
+            question = _question_decoder.decode(_body(environ))
             answer = self._advise(question)
             return None if answer is None else _encoder.encode(answer)
         return None
 
 
+def _body(environ: dict[str, Any]) -> bytes:
+    return environ['wsgi.input'].read(int(environ.get('CONTENT_LENGTH') or 0))
+
+
 def _decode(answer: Any, decoder: Any) -> Any:
     if not isinstance(answer, Answered) or answer.status != 200:
         return None
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -65,6 +65,8 @@
 _LOAD_TRIES = 40
 # Final rows are shrunk together: one write for each part with some.
 _KEEP_ROWS_S = 6.0
+# Most jobs are announced; this merges the reads that bring the others.
+_JOBS_PAUSE_S = 0.2
 # Merges the workers' heartbeats into one read.
 _REGISTRY_PAUSE_S = 0.25
 # A healthy store takes 20 ms, one 60 times slower than usual 300 ms.
@@ -103,6 +105,7 @@
         '_cores',
         '_green_threads',
         '_journaled',
+        '_is_loaded',
         '_is_turned_away',
         '_links',
         '_lost_worker_ids',
@@ -146,6 +149,7 @@
         self._blocked_s: float | None = None
         # Whether the last write was refused, or its connection broke.
         self._is_turned_away = False
+        self._is_loaded = False
         self._writes = AnswerTime(_LEAST_WRITE_S, _MOST_WRITE_S)
         self._writes.answered(takeover_s)
         self.scheduler = scheduler
@@ -154,7 +158,13 @@
     def run(self) -> None:
         """Schedule until the term ends; ``ended_why`` tells the reason."""
         links = self._links
-        jobs = TableFollower(links.store, JOB_PREFIXES, _Jobs(self), links.log)
+        jobs = TableFollower(
+            links.store,
+            JOB_PREFIXES,
+            _Jobs(self),
+            links.log,
+            pause_s=_JOBS_PAUSE_S,
+        )
         registry = TableFollower(
             links.store,
             (links.workers_prefix,),
@@ -220,6 +230,16 @@
         self.scheduler.set_view(view)
         self._changed.set()
 
+    def take_announced(self, row: Row) -> bool:
+        """Take a row that an instance has just stored.
+
+        ``False`` while the term still reads all rows, which hold it.
+        """
+        if self._is_loaded and not self.ended_why:
+            self.take_job_row(row)
+            return True
+        return False
+
     def take_job_row(self, row: Row) -> None:
         """Take a row of the table of jobs."""
         self.scheduler.jobs.job_row(row, boot_now())
@@ -270,6 +290,7 @@
         for speeds in pages[3]:
             self.scheduler.workers.load_speeds(speeds)
         self.scheduler.workers.restore_missing(now)
+        self._is_loaded = True
         self._links.log(
             'jobs loaded',
             epoch=self._epoch,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 
 from testtools import TestCase
 
+from apricotlead.coordination.cell.job_rows import job_key
 from apricotlead.platform.callers import CallerApplication, decode_submission
 from apricotlead.platform.configuration import ConfigError, decode_config
 from apricotlead.platform.store import PlatformStore
@@ -321,9 +322,26 @@
         return self.answers.pop(0)
 
 
+class SilentScheduler:
+    """A scheduler that says nothing and keeps what it is shown."""
+
+    def __init__(self) -> None:
+        self.announced: list[Row] = []
+
+    def status(self) -> None:
+        """Return nothing recent."""
+
+    def announce(self, row: Row) -> None:
+        self.announced.append(row)
+
+
 class TestDesk(TestCase):
     """A job is accepted only when the store holds it."""
 
+    def setUp(self) -> None:
+        super().setUp()
+        self.scheduler = SilentScheduler()
+
     def submit(
         self,
         wait_s: float,
@@ -333,7 +351,7 @@
         desk = CellDesk(
             ScriptedStore(*answers),
             StoreHealth(lost_after_s),
-            lambda: None,
+            self.scheduler,
             4.5,
             lambda kind, **fields: None,
             CellMetrics(),
@@ -343,8 +361,21 @@
         submission = decode_submission(body)
         return desk.submit(queue, 'clerks', JOB, submission, wait_s)
 
+    def test_stored_job_is_shown_to_the_scheduler(self) -> None:
+        """Its feed is late when the store is slow or drops its history."""
+        self.submit(3, Committed({job_key(JOB): 9}))
+        self.assertEqual(
+            [(job_key(JOB), 9)],
+            [(row.key, row.version) for row in self.scheduler.announced],
+        )
+
+    def test_unknown_outcome_is_not_shown(self) -> None:
+        self.submit(0.3, *(StoreFailed(applied=None) for _ in range(9)))
+        self.assertEqual([], self.scheduler.announced)
+
     def test_stored_and_known_jobs_are_accepted(self) -> None:
-        self.assertIsInstance(self.submit(3, Committed({})), Done)
+        stored = Committed({job_key(JOB): 9})
+        self.assertIsInstance(self.submit(3, stored), Done)
         self.assertIsInstance(self.submit(3, CheckFailed(())), Done)
 
     def test_refused_write_is_not_run(self) -> None:
