Divide the scheduler's term into parts, and end it when a part fails

Dividing it showed that the listener of the registry called a method that the scheduler no longer has: after a gap in the store's history in which a worker left, the registry was not followed for the rest of the term, so draining workers would have been given work. The fault ended one green thread and nothing else.

A fault in one of them ends the term with a line, and another takes over.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -28,10 +28,10 @@
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_candidate import CellCandidate, OwnIdentity
 from apricotlead.transport.cell_desk import CellDesk
+from apricotlead.transport.cell_links import CellLinks
 from apricotlead.transport.cell_log import CellLog
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_peers import PeerApplication, PeerClient
-from apricotlead.transport.cell_scheduling import CellLinks
 from apricotlead.transport.http_pool import HttpPool
 from apricotlead.transport.serving import (
     HttpServer,
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -20,12 +20,9 @@
 from apricotlead.protocol.table import Committed, Row, StoreFailed
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.cell_links import CellLinks
 from apricotlead.transport.cell_peers import PeerClient
-from apricotlead.transport.cell_scheduling import (
-    RELEASED,
-    CellLinks,
-    SchedulingTerm,
-)
+from apricotlead.transport.cell_scheduling import RELEASED, SchedulingTerm
 from apricotlead.transport.serving import pause, run_in_background
 
 _RETRY_S = 0.15
--- /dev/null
+++ b/src/apricotlead/transport/cell_links.py
@@ -0,0 +1,67 @@
+"""What one term of the scheduler shares: its callees and its end."""
+
+from collections.abc import Callable
+from typing import Any
+
+from msgspec import Struct
+
+from apricotlead.coordination.cell.scheduler import CellScheduler
+from apricotlead.protocol.cell_peers import AdviceQuestion
+from apricotlead.protocol.cell_workers import AdviceAnswer, WorkerEntry
+from apricotlead.protocol.table import Row
+from apricotlead.transport.wake_up import Broadcast, WakeUp
+
+# Only a takeover in the store makes an epoch, so a worker's word is enough.
+LATER_EPOCH = 'a worker has seen a later epoch'
+
+
+class CellLinks(Struct, frozen=True):
+    """What the driver calls: the adapter's clients and the process's parts.
+
+    ``store`` has ``transact``, ``scan_rows``, ``read_row`` and ``changes``;
+    ``workers`` has ``start``, ``stop``, ``hold`` and ``advise``.
+    ``decode_worker`` reads a registration. ``ask_peer`` passes a question to
+    another instance.
+    """
+
+    store: Any
+    workers: Any
+    workers_prefix: str
+    decode_worker: Callable[[Row], WorkerEntry | None]
+    ask_peer: Callable[[str, AdviceQuestion], AdviceAnswer | None]
+    log: Callable[..., Any]
+    metrics: Any
+
+
+class TermState:
+    """The scheduler of a term, and whether the term goes on.
+
+    ``changed`` wakes the round of placement, ``journaled`` all who wait for
+    a write of the journal.
+    """
+
+    __slots__ = ('_log', 'changed', 'ended_why', 'journaled', 'scheduler')
+
+    def __init__(
+        self,
+        scheduler: CellScheduler,
+        log: Callable[..., Any],
+    ) -> None:
+        """Begin a term that goes on."""
+        self._log = log
+        self.scheduler = scheduler
+        self.changed = WakeUp()
+        self.journaled = Broadcast()
+        self.ended_why = ''
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the term."""
+        return self.scheduler.owner.epoch
+
+    def end(self, why: str) -> None:
+        """End the term."""
+        if not self.ended_why:
+            self.ended_why = why
+            self._log('term ended', why=why, epoch=self.epoch)
+        self.changed.set()
--- /dev/null
+++ b/src/apricotlead/transport/cell_orders.py
@@ -0,0 +1,118 @@
+"""Sending starts, stops and questions for advice, many at a time."""
+
+from itertools import chain, repeat
+from typing import Any
+
+import eventlet
+from eventlet import GreenPool
+
+from apricotlead.coordination.cell.advice_book import AdviceCall
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.protocol.cell_peers import AdviceQuestion
+from apricotlead.protocol.cell_workers import Refusal, WorkerEntry
+from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.cell_links import LATER_EPOCH, CellLinks, TermState
+
+# Spaces the repeats to a worker that refuses connections.
+_START_REPEAT_S = 0.05
+_ADVICE_SLACK_S = 0.5
+_MOST_CALLS = 2000
+
+
+class OrderSender:
+    """Sends what a term has decided, and applies the answers."""
+
+    __slots__ = ('_links', '_own_address', '_pool', '_settings', '_state')
+
+    def __init__(
+        self,
+        links: CellLinks,
+        state: TermState,
+        settings: CellSettings,
+        own_address: str,
+    ) -> None:
+        """Ask for advice from ``own_address`` or by way of a peer."""
+        self._links = links
+        self._state = state
+        self._settings = settings
+        self._own_address = own_address
+        self._pool = GreenPool(size=_MOST_CALLS)
+
+    def send_starts(self, starts: list[PlannedStart]) -> None:
+        """Send starts that the journal holds."""
+        for start in starts:
+            self._pool.spawn_n(self._start, start)
+
+    def ask(self, calls: list[AdviceCall]) -> None:
+        """Ask for advice."""
+        for call in calls:
+            self._pool.spawn_n(self._ask, call)
+
+    def send_stops(self, now: float) -> None:
+        """Send the stops that are due."""
+        for entry, order in self._state.scheduler.starts.stops_due(now):
+            self._pool.spawn_n(self._stop, entry, order)
+
+    def _stop(self, entry: WorkerEntry, order: Any) -> None:
+        reply = self._links.workers.stop(entry, order)
+        if reply.refusal is None:
+            self._state.scheduler.book.stop_acked(
+                entry.worker_id,
+                order.task,
+                order.run,
+                boot_now(),
+            )
+
+    def _start(self, start: PlannedStart) -> None:
+        """Send a start until its outcome is known or its time is over."""
+        timeouts_s = self._settings.holds.start_timeouts_s
+        for timeout_s in chain(timeouts_s, repeat(timeouts_s[-1])):
+            order = self._state.scheduler.starts.start_order(start, boot_now())
+            if order is None or self._state.ended_why:
+                break
+            sent_s = boot_now()
+            reply = self._links.workers.start(
+                start.worker.entry,
+                order,
+                timeout_s,
+            )
+            if reply.refusal is Refusal.FENCED:
+                self._state.end(LATER_EPOCH)
+            is_again = self._state.scheduler.starts.start_answered(
+                start,
+                reply,
+                sent_s,
+                boot_now(),
+            )
+            if not is_again:
+                break
+            eventlet.sleep(_START_REPEAT_S)
+        self._state.changed.set()
+
+    def _ask(self, call: AdviceCall) -> None:
+        question = AdviceQuestion(
+            call.step,
+            call.worker_ids,
+            call.cost_s + self._settings.advice.backlog_s + _ADVICE_SLACK_S,
+        )
+        asked_s = boot_now()
+        if call.asker == self._own_address:
+            answer = self._links.workers.advise(
+                question.step,
+                question.worker_ids,
+                question.timeout_s,
+            )
+        else:
+            answer = self._links.ask_peer(call.asker, question)
+        self._links.log(
+            'advice' if answer else 'advice missing',
+            step=call.step,
+            asker=call.asker,
+            workers=len(call.worker_ids),
+            good=len(answer.tickets_by_worker) if answer else 0,
+            took_s=round(boot_now() - asked_s, 3),
+            expected_s=round(call.cost_s, 3),
+        )
+        self._state.scheduler.advice.answered(call, answer, boot_now())
+        self._state.changed.set()
--- /dev/null
+++ b/tests/test_cell_term.py
@@ -0,0 +1,81 @@
+"""A term of the scheduler: its feeds, and faults in its parts."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.protocol.table import Row, Rows, StoreFailed
+from apricotlead.transport.cell_feeds import JobsListener, RegistryListener
+from apricotlead.transport.cell_links import CellLinks
+from apricotlead.transport.cell_metrics import CellMetrics
+from apricotlead.transport.cell_scheduling import SchedulingTerm
+from tests.cell_rig import CellRig, ModelWorker, stored_job
+
+PREFIX = 'registry//'
+JOB = '00000000000000aa'
+
+
+class EmptyStore:
+    """A store without rows, whose feed of changes is broken."""
+
+    def scan_rows(self, prefix: str) -> Rows:
+        return Rows((), 1, 1)
+
+    def read_row(self, key: str) -> Rows:
+        return Rows((), 1, 1)
+
+    def transact(self, transaction: object, timeout_s: float) -> StoreFailed:
+        return StoreFailed(applied=False)
+
+    def changes(self, table: str, after: int, wait_s: float) -> None:
+        raise TypeError('an answer that nobody expected')
+
+
+class TestFeeds(TestCase):
+    """What the scheduler hears after the store has dropped its history."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w1'), ModelWorker('w2'))
+        self.taken: list[Row] = []
+
+    def test_worker_that_left_in_a_gap_of_the_feed_is_unlisted(self) -> None:
+        """The registry was no longer followed after such a gap."""
+        feed = RegistryListener(self.rig.scheduler, self.taken.append, PREFIX)
+        feed.on_snapshot((Row(f'{PREFIX}w1', 3, {}),), 0)
+        workers = self.rig.scheduler.book.workers_by_id
+        self.assertTrue(workers['w1'].is_listed)
+        self.assertFalse(workers['w2'].is_listed)
+
+    def test_jobs_of_a_snapshot_are_taken(self) -> None:
+        feed = JobsListener(self.rig.scheduler, self.taken.append)
+        row = self.rig.submit(JOB, stored_job())
+        feed.on_snapshot((row,), 0)
+        self.assertEqual([row], self.taken)
+
+
+class TestFaultyPart(TestCase):
+    """A part that fails ends the term, and does not just fall silent."""
+
+    def test_term_ends(self) -> None:
+        rig = CellRig()
+        logged: list[str] = []
+        links = CellLinks(
+            EmptyStore(),
+            None,
+            PREFIX,
+            lambda row: None,
+            lambda address, question: None,
+            lambda kind, **fields: logged.append(kind),
+            CellMetrics(),
+        )
+        term = SchedulingTerm(
+            links,
+            CellSettings(),
+            rig.scheduler,
+            'peer',
+            1,
+            0.01,
+        )
+        term.run()
+        self.assertIn('an answer that nobody expected', term.ended_why)
+        self.assertIn('term ended', logged)
