Serve callers by way of a peer where the store is out of reach

Ruled out: the scheduler's term, which went on elsewhere or was taken over within 0.6 s.

Acceptances, cancels and reads of state go through the scheduler's instance, or any follower where the scheduler is the one cut off. A refusal is sent only if both ways say that nothing was written. Keys are still believed for 4.5 s after the configuration was last confirmed, so a longer cut refuses.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -41,6 +41,7 @@
     run_in_background,
 )
 from apricotlead.transport.store_health import StoreHealth
+from apricotlead.transport.store_relay import StoreRelay
 from apricotlead.transport.table_follower import TableFollower
 
 SETTINGS_VARIABLE = 'APRICOTLEAD_CONFIG'
@@ -60,6 +61,7 @@
         '_candidate',
         '_log',
         '_metrics',
+        '_relay',
         '_settings',
         '_store',
         '_workers',
@@ -95,9 +97,16 @@
             ),
             settings.cell,
         )
-        self.desk = CellDesk(
+        health = StoreHealth()
+        self._relay = StoreRelay(
             self._store,
-            StoreHealth(),
+            health,
+            self._candidate,
+            self._metrics,
+        )
+        self.desk = CellDesk(
+            self._relay,
+            health,
             self._candidate,
             settings.view_bound_s,
             self._log.log,
@@ -125,6 +134,7 @@
                     PeerApplication(
                         self._candidate.watched,
                         self._candidate.take_announced,
+                        self._relay.serve,
                         self._advise,
                     ),
                 ),
--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from apricotlead.protocol.table import Transaction
+
 
 class Backlog(Struct, frozen=True, omit_defaults=True):
     """How long the waiting work takes with the workers in use, in seconds.
@@ -40,6 +42,16 @@
     value: Any
 
 
+class RelayedCall(Struct, frozen=True, omit_defaults=True):
+    """A call to the store by way of another instance.
+
+    Either a transaction, or the key of a row to read.
+    """
+
+    transaction: Transaction | None = None
+    key: str = ''
+
+
 class AdviceQuestion(Struct, frozen=True):
     """Ask an instance to ask for advice on a step."""
 
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -16,8 +16,13 @@
 )
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
-from apricotlead.protocol.cell_peers import SchedulerStatus
-from apricotlead.protocol.table import Committed, Row, StoreFailed
+from apricotlead.protocol.cell_peers import RelayedCall, SchedulerStatus
+from apricotlead.protocol.table import (
+    Committed,
+    Row,
+    StoreFailed,
+    StoreReply,
+)
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_links import CellLinks
@@ -110,6 +115,21 @@
             return SchedulerStatus()
         return term.watch(peer_address, cores)
 
+    def addresses(self) -> list[str]:
+        """Return other instances in contact, the scheduler first."""
+        if self._term is not None:
+            return self._term.peer_addresses()
+        return [self._scheduler_address] if self._scheduler_address else []
+
+    def relay(
+        self,
+        address: str,
+        call: RelayedCall,
+        timeout_s: float,
+    ) -> StoreReply | None:
+        """Have another instance call the store."""
+        return self._peers.relay(address, call, timeout_s)
+
     def announce(self, row: Row) -> None:
         """Show the scheduler a stored row of a job before its feed does.
 
--- a/src/apricotlead/transport/cell_desk.py
+++ b/src/apricotlead/transport/cell_desk.py
@@ -39,6 +39,7 @@
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.store_health import StoreHealth
+from apricotlead.transport.store_relay import StoreRelay
 
 _LEAST_CALL_S = 0.1
 _RETRY_S = 0.05
@@ -87,7 +88,7 @@
 
     def __init__(
         self,
-        store: Any,
+        store: StoreRelay,
         health: StoreHealth,
         scheduler: SchedulerContact,
         view_bound_s: float,
@@ -169,7 +170,7 @@
         """Store a job; a repeat of an accepted id is accepted again."""
         check_submission(submission)
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        if self.health.is_lost():
+        if self._store.is_lost():
             return self._refuse(job_id, 'the store does not answer')
         hopeless = self._judge(queue, organisation, job_id, submission)
         if hopeless is not None:
@@ -345,7 +346,8 @@
         """Send a transaction until its outcome is known or time is up."""
         is_unknown = False
         while True:
-            answer = self._write_once(transaction, ends_s)
+            left_s = ends_s - boot_now()
+            answer = self._store.transact(transaction, left_s)
             if not isinstance(answer, StoreFailed):
                 return answer
             is_unknown = is_unknown or answer.applied is None
@@ -356,25 +358,6 @@
             return StoreFailed(None, answer.retry_after_s, answer.reason)
         return answer
 
-    def _write_once(
-        self,
-        transaction: Transaction,
-        ends_s: float,
-    ) -> Committed | CheckFailed | StoreFailed:
-        sent_s = boot_now()
-        left_s = min(ends_s - sent_s, self.health.lost_in_s())
-        wanted_s = self.health.writes.timeout_s
-        timeout_s = min(wanted_s, max(_LEAST_CALL_S, left_s))
-        answer = self._store.transact(transaction, timeout_s)
-        if not isinstance(answer, StoreFailed):
-            self.health.answered()
-            self.health.writes.answered(boot_now() - sent_s)
-            return answer
-        self.health.failed(sent_s)
-        if boot_now() - sent_s >= wanted_s:
-            self.health.writes.missed()
-        return answer
-
     def _is_given_up(self, ends_s: float) -> bool:
         """Tell whether another try is of no use to the caller.
 
@@ -387,12 +370,9 @@
     def _read(self, key: str, ends_s: float) -> Row | StoreFailed | None:
         """Read one row, again while time allows; ``None`` where none is."""
         while True:
-            sent_s = boot_now()
             answer = self._store.read_row(key)
             if not isinstance(answer, StoreFailed):
-                self.health.answered(answer.store_ms)
                 return answer.rows[0] if answer.rows else None
-            self.health.failed(sent_s)
             if boot_now() + _RETRY_S > ends_s or self.health.is_lost():
                 return answer
             eventlet.sleep(_RETRY_S)
--- a/src/apricotlead/transport/cell_peers.py
+++ b/src/apricotlead/transport/cell_peers.py
@@ -14,21 +14,25 @@
 from apricotlead.protocol.cell_peers import (
     AdviceQuestion,
     JobNotice,
+    RelayedCall,
     SchedulerStatus,
 )
 from apricotlead.protocol.cell_workers import AdviceAnswer
-from apricotlead.protocol.table import Row
+from apricotlead.protocol.table import Row, StoreReply
 from apricotlead.transport.http_pool import Answered, HttpCall, HttpCaller
 
 _STATUS_PATH = '/v1/cell/scheduler'
 _ADVICE_PATH = '/v1/cell/advice'
 _JOB_PATH = '/v1/cell/job'
+_STORE_PATH = '/v1/cell/store'
 _ADVICE_SLACK_S = 0.3
 # The feed of the table brings the row by then.
 _NOTICE_TIMEOUT_S = 0.5
 
 _status_decoder = msgspec.json.Decoder(SchedulerStatus)
 _question_decoder = msgspec.json.Decoder(AdviceQuestion)
+_relayed_decoder = msgspec.json.Decoder(RelayedCall)
+_store_decoder = msgspec.json.Decoder(StoreReply)
 _notice_decoder = msgspec.json.Decoder(JobNotice)
 _answer_decoder = msgspec.json.Decoder(AdviceAnswer)
 _encoder = msgspec.json.Encoder()
@@ -79,6 +83,24 @@
         )
         return isinstance(answer, Answered) and answer.status == 200
 
+    def relay(
+        self,
+        address: str,
+        call: RelayedCall,
+        timeout_s: float,
+    ) -> StoreReply | None:
+        """Have an instance call the store; ``None`` without an answer."""
+        answer = self._pool.call(
+            HttpCall(
+                'POST',
+                address,
+                _STORE_PATH,
+                _encoder.encode(call),
+                timeout_s=timeout_s,
+            ),
+        )
+        return _decode(answer, _store_decoder)
+
     def advise(
         self,
         address: str,
@@ -102,20 +124,23 @@
 
     ``watch(peer_address, cores)`` waits for news of the scheduler that runs
     here and returns its status; ``take_row(row)`` tells whether that
-    scheduler took a row; ``advise(question)`` asks for advice.
+    scheduler took a row; ``call_store(call)`` makes a call for a peer;
+    ``advise(question)`` asks for advice.
     """
 
-    __slots__ = ('_advise', '_take_row', '_watch')
+    __slots__ = ('_advise', '_call_store', '_take_row', '_watch')
 
     def __init__(
         self,
         watch: Callable[[str, float], SchedulerStatus],
         take_row: Callable[[Row], bool],
+        call_store: Callable[[RelayedCall], StoreReply],
         advise: Callable[[AdviceQuestion], AdviceAnswer | None],
     ) -> None:
         """Answer by these functions."""
         self._watch = watch
         self._take_row = take_row
+        self._call_store = call_store
         self._advise = advise
 
     def __call__(
@@ -141,6 +166,9 @@
             notice = _notice_decoder.decode(_body(environ))
             row = Row(notice.key, notice.version, notice.value)
             return b'' if self._take_row(row) else None
+        if path == _STORE_PATH:
+            call = _relayed_decoder.decode(_body(environ))
+            return _encoder.encode(self._call_store(call))
         if path == _ADVICE_PATH:
             question = _question_decoder.decode(_body(environ))
             answer = self._advise(question)
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -167,6 +167,10 @@
         self._peers[peer_address] = (boot_now(), cores)
         return self.status()
 
+    def peer_addresses(self) -> list[str]:
+        """Return the instances in contact, without this one."""
+        return list(self._fresh_peers(boot_now()))
+
     def set_view(self, view: CellView) -> None:
         """Take over a new configuration."""
         self.scheduler.set_view(view)
--- a/src/apricotlead/transport/store_health.py
+++ b/src/apricotlead/transport/store_health.py
@@ -43,6 +43,10 @@
         if self._failed_since_s is None:
             self._failed_since_s = max(sent_s, self._answered_s)
 
+    def is_failing(self) -> bool:
+        """Tell whether the last call brought no answer."""
+        return self._failed_since_s is not None
+
     def lost_in_s(self) -> float:
         """Return when the store counts as lost if no answer comes."""
         if self._failed_since_s is None:
@@ -51,7 +55,7 @@
 
     def is_lost(self) -> bool:
         """Tell whether the store has not answered for a while."""
-        return self._failed_since_s is not None and not self.lost_in_s()
+        return self.is_failing() and not self.lost_in_s()
 
     def store_ms(self) -> float:
         """Return the store's clock, as estimated."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -38,6 +38,7 @@
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.http_pool import Answered, NeverSent, NoAnswer
 from apricotlead.transport.store_health import StoreHealth
+from apricotlead.transport.store_relay import StoreRelay
 
 CONFIG = {
     'Version': 7,
@@ -331,6 +332,9 @@
     def status(self) -> None:
         """Return nothing recent."""
 
+    def addresses(self) -> list[str]:
+        return []
+
     def announce(self, row: Row) -> None:
         self.announced.append(row)
 
@@ -348,13 +352,16 @@
         *answers: Any,
         lost_after_s: float = 1,
     ) -> Any:
+        health = StoreHealth(lost_after_s)
+        metrics = CellMetrics()
+        store = ScriptedStore(*answers)
         desk = CellDesk(
-            ScriptedStore(*answers),
-            StoreHealth(lost_after_s),
+            StoreRelay(store, health, self.scheduler, metrics),
+            health,
             self.scheduler,
             4.5,
             lambda kind, **fields: None,
-            CellMetrics(),
+            metrics,
         )
         queue = decode_config(Row('k', 1, CONFIG)).queues[0]
         body = b'{"Spec":"x","Steps":[{"Count":1,"Cpu":5}]}'
--- /dev/null
+++ b/tests/test_store_relay.py
@@ -0,0 +1,100 @@
+"""Load pattern: the store turns away one instance and serves the others."""
+
+from typing import Any
+
+from testtools import TestCase
+
+from apricotlead.protocol.cell_peers import RelayedCall
+from apricotlead.protocol.table import (
+    Check,
+    CheckFailed,
+    Committed,
+    Put,
+    Row,
+    Rows,
+    StoreFailed,
+    Transaction,
+)
+from apricotlead.transport.cell_metrics import CellMetrics
+from apricotlead.transport.store_health import StoreHealth
+from apricotlead.transport.store_relay import StoreRelay
+
+KEY = 'jobs/1/a'
+WRITE = Transaction('', KEY, (Check(KEY, 0),), (Put(KEY, 1),))
+STORED = Committed({KEY: 4})
+REFUSED = StoreFailed(applied=False)
+UNKNOWN = StoreFailed(applied=None)
+
+
+class Scripted:
+    """A store or a peer that gives scripted answers and counts calls."""
+
+    def __init__(self, *answers: Any) -> None:
+        self.answers = list(answers)
+        self.calls = 0
+
+    def transact(self, transaction: Transaction, timeout_s: float) -> Any:
+        return self._next()
+
+    def read_row(self, key: str) -> Any:
+        return self._next()
+
+    def addresses(self) -> list[str]:
+        return ['peer'] if self.answers else []
+
+    def relay(self, address: str, call: RelayedCall, timeout_s: float) -> Any:
+        return self._next()
+
+    def _next(self) -> Any:
+        self.calls += 1
+        return self.answers.pop(0)
+
+
+class TestStoreRelay(TestCase):
+    """Callers are served by way of a peer, and told the truth."""
+
+    def relay(self, store: Scripted, peers: Scripted) -> StoreRelay:
+        self.health = StoreHealth()
+        return StoreRelay(store, self.health, peers, CellMetrics())
+
+    def test_peer_is_not_asked_while_the_store_answers(self) -> None:
+        peers = Scripted(STORED)
+        relay = self.relay(Scripted(STORED), peers)
+        self.assertEqual(STORED, relay.transact(WRITE, 3))
+        self.assertEqual(0, peers.calls)
+
+    def test_peer_writes_what_is_turned_away_here(self) -> None:
+        store = Scripted(REFUSED, REFUSED)
+        relay = self.relay(store, Scripted(STORED, STORED))
+        self.assertEqual(STORED, relay.transact(WRITE, 3))
+        self.assertEqual(STORED, relay.transact(WRITE, 3))
+        # The second goes to the peer without another try here.
+        self.assertEqual(1, store.calls)
+
+    def test_write_that_took_effect_here_is_found_by_the_peer(self) -> None:
+        known = CheckFailed((Row(KEY, 4, 1),))
+        relay = self.relay(Scripted(UNKNOWN), Scripted(known))
+        self.assertEqual(known, relay.transact(WRITE, 3))
+
+    def test_refusals_of_both_are_a_refusal(self) -> None:
+        relay = self.relay(Scripted(REFUSED), Scripted(REFUSED))
+        self.assertIs(False, relay.transact(WRITE, 3).applied)
+
+    def test_silence_on_either_way_is_not_a_refusal(self) -> None:
+        """The write may take effect seconds later."""
+        for here, there in ((UNKNOWN, REFUSED), (REFUSED, None)):
+            relay = self.relay(Scripted(here), Scripted(there))
+            self.assertIsNone(relay.transact(WRITE, 3).applied)
+
+    def test_rows_are_read_by_way_of_a_peer(self) -> None:
+        rows = Rows((Row(KEY, 4, 1),))
+        relay = self.relay(Scripted(REFUSED), Scripted(STORED, rows))
+        relay.transact(WRITE, 3)
+        self.assertEqual(rows, relay.read_row(KEY))
+
+    def test_peer_without_the_store_says_so_at_once(self) -> None:
+        store = Scripted(REFUSED)
+        relay = self.relay(store, Scripted())
+        relay.transact(WRITE, 3)
+        self.assertIs(False, relay.serve(RelayedCall(WRITE)).applied)
+        self.assertEqual(1, store.calls)
