--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -57,21 +57,25 @@
 
     ``BROKEN``: the connection was refused or reset, as by a process that is
     gone. ``SILENT``: no answer in time. ``CUT_OFF``: it says that it cannot
-    write. ``IDLE``: its instance answers, and holds no such term.
+    write. ``RELEASED``: it has written for the last time. ``IDLE``: its
+    instance answers, and holds no such term.
     """
 
     NONE = 'none'
     BROKEN = 'broken'
     SILENT = 'silent'
     CUT_OFF = 'cut_off'
+    RELEASED = 'released'
     IDLE = 'idle'
 
     @classmethod
     def of(cls, status: SchedulerStatus | None, *, is_silent: bool) -> 'Loss':
-        """Return the loss that a last word, or none, stands for."""
-        if status is not None:
-            return cls.CUT_OFF
-        return cls.SILENT if is_silent else cls.BROKEN
+        """Return the loss that a word, or none, stands for."""
+        if status is None:
+            return cls.SILENT if is_silent else cls.BROKEN
+        if status.is_released:
+            return cls.RELEASED
+        return cls.CUT_OFF if status.store_lost else cls.NONE
 
 
 def is_vacant(
@@ -122,21 +126,22 @@
     cores: float,
     age_s: float,
     chance: float,
+    read_s: float = 0,
 ) -> float:
     """Return how long an instance lets better candidates take over first.
 
     Large instances come first, since the scheduler's work grows with the
     cell; then those that started lately, since a rolling restart stops the
     others next. ``cores`` and ``age_s`` are those of the instance, ``chance``
-    is a random number from 0 to 1.
+    is a random number from 0 to 1. ``read_s`` is how long the store took for a
+    read: where it is slow, smaller delays would decide nothing.
     """
     known = 0.0 if owner is None else owner.largest_cores
     largest = known or max(cores, times.unknown_cores)
     shortfall = max(0, 1 - cores / largest)
     age = min(1, age_s / times.old_instance_s)
-    return times.small_delay_s * shortfall + times.stagger_s * (
-        chance + 2 * age
-    )
+    stagger_s = max(times.stagger_s, read_s)
+    return times.small_delay_s * shortfall + stagger_s * (chance + 2 * age)
 
 
 def should_yield(times: ElectionTimes, cores: float, largest: float) -> bool:
--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -24,12 +24,14 @@
     """What the scheduler tells its followers.
 
     ``store_lost`` asks the followers to take over, since the scheduler cannot
-    reach the store. ``pending_by_queue`` counts jobs that have not begun.
+    reach the store; ``is_released`` does so after its last write, since it
+    stops. ``pending_by_queue`` counts jobs that have not begun.
     """
 
     epoch: int = 0
     is_active: bool = False
     store_lost: bool = False
+    is_released: bool = False
     pending_by_queue: dict[str, int] = {}
     backlog: Backlog = Backlog()
 
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -48,6 +48,7 @@
     row: Row
     store_ms: float
     sent_s: float
+    took_s: float
 
 
 class CellCandidate:
@@ -212,7 +213,7 @@
         if isinstance(read, StoreFailed):
             return None
         row = read.rows[0] if read.rows else Row(OWNER_KEY)
-        return _OwnerRead(row, read.store_ms, sent_s)
+        return _OwnerRead(row, read.store_ms, sent_s, boot_now() - sent_s)
 
     def _follow(self, owner: OwnerRow) -> Loss:
         """Watch the scheduler until it is lost or the owner is to be read."""
@@ -246,10 +247,10 @@
             self._own.cores,
             times.watch_s + times.watch_slack_s,
         )
-        if status is not None and not status.store_lost:
-            return status, Loss.NONE
         is_silent = boot_now() - asked_s > times.watch_s
         loss = Loss.of(status, is_silent=is_silent)
+        if status is not None and loss is Loss.NONE:
+            return status, loss
         self._links.log(
             'scheduler lost',
             epoch=owner.epoch,
@@ -266,6 +267,7 @@
             self._own.cores,
             boot_now() - self._started_s,
             random.random(),
+            read.took_s,
         )
         pause(delay_s)
         if self._is_stopping or self._view is None:
--- a/src/apricotlead/transport/cell_journal_writer.py
+++ b/src/apricotlead/transport/cell_journal_writer.py
@@ -1,5 +1,7 @@
 """Writing the journal of a term, one write after another."""
 
+from functools import partial
+
 import eventlet
 
 from apricotlead.coordination.cell.election import (
@@ -12,7 +14,6 @@
 from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.coordination.cell.starts import PlannedStart
 from apricotlead.protocol.table import (
-    CheckFailed,
     Committed,
     StoreFailed,
     Transaction,
@@ -20,10 +21,13 @@
 from apricotlead.state.answer_time import AnswerTime
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_links import CellLinks, TermState
+from apricotlead.transport.hedging import hedged
 
 _STORE_RETRY_S = 0.05
-# A healthy store takes 20 ms, one 60 times slower than usual 300 ms.
-_LEAST_WRITE_S = 0.25
+# A healthy store takes 20 ms. A second write costs one call too many in a
+# store that has become slow.
+_LEAST_HEDGE_S = 0.15
+# A store 60 times slower than usual takes 0.3 s.
 _MOST_WRITE_S = 1.5
 
 
@@ -31,11 +35,12 @@
     """Makes changes durable, and tells when the store takes none."""
 
     __slots__ = (
-        '_blocked_s',
+        '_is_blocked',
         '_is_turned_away',
         '_links',
         '_state',
         '_times',
+        '_unanswered_s',
         '_writes',
     )
 
@@ -50,20 +55,21 @@
         self._links = links
         self._state = state
         self._times = times
-        # When the first of the writes left that brought no answer.
-        self._blocked_s: float | None = None
+        # When the first write left since the store last answered one.
+        self._unanswered_s: float | None = None
+        self._is_blocked = False
         # Whether the last write was refused, or its connection broke.
         self._is_turned_away = False
-        self._writes = AnswerTime(_LEAST_WRITE_S, _MOST_WRITE_S)
+        self._writes = AnswerTime(_LEAST_HEDGE_S, _MOST_WRITE_S)
         self._writes.answered(takeover_s)
 
     def is_cut_off(self) -> bool:
         """Tell whether the store has taken no write for a while."""
-        if self._blocked_s is None:
+        if self._unanswered_s is None:
             return False
         return is_cut_off(
             self._times,
-            boot_now() - self._blocked_s,
+            boot_now() - self._unanswered_s,
             is_turned_away=self._is_turned_away,
         )
 
@@ -104,46 +110,45 @@
     ) -> Committed | None:
         """Write once; ``None`` where the write must be sent again."""
         sent_s = boot_now()
-        timeout_s = self._writes.timeout_s
-        answer = self._links.store.transact(transaction, timeout_s)
+        self._unanswered_s = self._unanswered_s or sent_s
+        hedge_after_s = self._writes.timeout_s
+        answer = hedged(
+            partial(self._links.store.transact, transaction, _MOST_WRITE_S),
+            hedge_after_s,
+            lambda reply: isinstance(reply, StoreFailed),
+        )
         took_s = boot_now() - sent_s
-        if not isinstance(answer, StoreFailed):
-            self._writes.answered(took_s)
-        elif took_s >= timeout_s:
-            self._writes.missed()
-        self._is_turned_away = took_s < timeout_s
+        if isinstance(answer, StoreFailed):
+            self._is_turned_away = took_s < hedge_after_s
+            self._note_blocked(answer)
+            return None
+        self._writes.answered(took_s)
+        self._unanswered_s = None
+        self._is_turned_away = False
+        self._note_resumed()
         if isinstance(answer, Committed):
-            self._note_store(None, sent_s)
             return answer
-        if isinstance(answer, CheckFailed):
-            row = answer.row(OWNER_KEY)
-            current = read_owner(row)
-            if current is not None and _is_same_write(current, owner):
-                # An earlier send took effect and its answer was lost.
-                self._note_store(None, sent_s)
-                return Committed({OWNER_KEY: row.version})
-            self._state.end('another instance has taken over')
-            return None
-        self._note_store(answer, sent_s)
+        row = answer.row(OWNER_KEY)
+        current = read_owner(row)
+        if current is not None and _is_same_write(current, owner):
+            # An earlier send took effect and its answer was lost.
+            return Committed({OWNER_KEY: row.version})
+        self._state.end('another instance has taken over')
         return None
 
-    def _note_store(
-        self,
-        failure: StoreFailed | None,
-        sent_s: float,
-    ) -> None:
-        """Log when the store stops or begins to take the journal."""
-        was_blocked = self._blocked_s is not None
-        if was_blocked == (failure is not None):
-            return
-        self._blocked_s = None if failure is None else sent_s
-        self._links.log(
-            'journal blocked' if failure else 'journal resumed',
-            why=failure.reason if failure else '',
-            renewed_age_s=round(
-                boot_now() - self._state.scheduler.workers.renewed_s, 2
-            ),
-        )
+    def _note_blocked(self, failure: StoreFailed) -> None:
+        if not self._is_blocked:
+            self._is_blocked = True
+            self._log_store('journal blocked', failure.reason)
+
+    def _note_resumed(self) -> None:
+        if self._is_blocked:
+            self._is_blocked = False
+            self._log_store('journal resumed', '')
+
+    def _log_store(self, kind: str, why: str) -> None:
+        age_s = boot_now() - self._state.scheduler.workers.renewed_s
+        self._links.log(kind, why=why, renewed_age_s=round(age_s, 2))
 
 
 def _is_same_write(current: OwnerRow, owner: OwnerRow) -> bool:
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -33,6 +33,7 @@
 
 _TICK_S = 0.2
 _IDLE_PLAN_S = 0.1
+_WATCH_POLL_S = 0.03
 # Merges the ends of a few milliseconds into one round.
 _ROUND_PAUSE_S = 0.01
 _STORE_RETRY_S = 0.05
@@ -56,6 +57,7 @@
         '_green_threads',
         '_holds',
         '_is_loaded',
+        '_is_released',
         '_journal',
         '_links',
         '_orders',
@@ -96,6 +98,8 @@
         # When each peer was last in contact, and its processor.
         self._peers: dict[str, tuple[float, float]] = {}
         self._is_loaded = False
+        # Whether the term has ended by itself and written for the last time.
+        self._is_released = False
 
     @property
     def ended_why(self) -> str:
@@ -144,7 +148,7 @@
         finally:
             self._stop_parts()
         if self.ended_why == RELEASED:
-            self._journal.write_release()
+            self._release()
 
     def status(self) -> SchedulerStatus:
         """Return what followers are told."""
@@ -152,6 +156,7 @@
             self._state.epoch,
             not self.ended_why,
             self._journal.is_cut_off(),
+            self._is_released,
             self.scheduler.jobs.pending_by_queue(),
             self.scheduler.jobs.backlog(boot_now()),
         )
@@ -160,10 +165,12 @@
         """Hold a follower's call until there is news or for a while."""
         self._peers[peer_address] = (boot_now(), cores)
         ends_s = boot_now() + self._settings.election.watch_s
-        while boot_now() < ends_s and not self.ended_why:
-            if self.status().store_lost:
+        while boot_now() < ends_s and not self._journal.is_cut_off():
+            # A successor's claim before the last write would fail.
+            is_last_write_due = self.ended_why == RELEASED
+            if self._is_released or (self.ended_why and not is_last_write_due):
                 break
-            eventlet.sleep(_IDLE_PLAN_S)
+            eventlet.sleep(_WATCH_POLL_S)
         self._peers[peer_address] = (boot_now(), cores)
         return self.status()
 
@@ -203,6 +210,12 @@
         if self.scheduler.workers.update_worker(entry, boot_now()):
             self._holds.watch(worker_id)
 
+    def _release(self) -> None:
+        """Invite a successor, by the store if no follower is in contact."""
+        if not self.peer_addresses():
+            self._journal.write_release()
+        self._is_released = True
+
     def _stop_parts(self) -> None:
         for green_thread in self._green_threads:
             green_thread.kill()
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -15,6 +15,7 @@
     takeover_delay_s,
 )
 from apricotlead.coordination.cell.settings import ElectionTimes
+from apricotlead.protocol.cell_peers import SchedulerStatus
 from apricotlead.protocol.table import Row
 
 TIMES = ElectionTimes()
@@ -34,6 +35,14 @@
         """A rolling restart stops the old ones next."""
         self.assertLess(self.delay(2, 1), self.delay(2, 99))
 
+    def test_order_holds_where_the_store_is_slow(self) -> None:
+        """A read takes a third of a second then, and varies as much."""
+        young, old = (
+            takeover_delay_s(TIMES, OWNER, 2, age_s, 1 - age_s / 60, 0.3)
+            for age_s in (0, 30)
+        )
+        self.assertLess(young + 0.1, old)
+
     def test_equal_instances_do_not_wait_for_larger_ones(self) -> None:
         self.assertLess(self.delay(2, 99), 0.2)
 
@@ -86,6 +95,20 @@
         self.assertTrue(self.vacant(Loss.IDLE, 200, taken_ms=5000))
         self.assertFalse(self.vacant(Loss.SILENT, 1000, taken_ms=9500))
 
+    def test_released_term_is_taken_over_at_once(self) -> None:
+        self.assertTrue(self.vacant(Loss.RELEASED, 10))
+
+    def test_words_of_the_scheduler(self) -> None:
+        words = (
+            (SchedulerStatus(3, is_active=True), Loss.NONE),
+            (SchedulerStatus(3, store_lost=True), Loss.CUT_OFF),
+            (SchedulerStatus(3, is_released=True), Loss.RELEASED),
+            (None, Loss.BROKEN),
+        )
+        for word, loss in words:
+            self.assertEqual(loss, Loss.of(word, is_silent=False))
+        self.assertEqual(Loss.SILENT, Loss.of(None, is_silent=True))
+
     def test_another_epoch_is_followed(self) -> None:
         self.assertFalse(self.vacant(Loss.BROKEN, 1000, epoch=4))
         self.assertTrue(self.vacant(Loss.SILENT, 10, is_released=True))
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,54 @@
+"""Load pattern: a service that loses answers, or has become slow."""
+
+import eventlet
+from testtools import TestCase
+
+from apricotlead.transport.hedging import hedged
+
+
+class Scripted:
+    """Answers each call after a delay; a delay of ``None`` is very long."""
+
+    def __init__(self, *answers):
+        """Give ``(delay_s, answer)`` in turn."""
+        self.answers = list(answers)
+        self.calls = 0
+
+    def __call__(self):
+        """Answer the next call."""
+        self.calls += 1
+        delay_s, answer = self.answers.pop(0)
+        eventlet.sleep(delay_s)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class TestHedged(TestCase):
+    """The first good answer counts, and no call is given up early."""
+
+    def hedged(self, service):
+        return hedged(service, 0.05, lambda answer: answer == 'failed')
+
+    def test_fast_answer_needs_one_call(self):
+        service = Scripted((0, 'done'))
+        self.assertEqual(('done', 1), (self.hedged(service), service.calls))
+
+    def test_fast_failure_is_returned_at_once(self):
+        service = Scripted((0, 'failed'))
+        self.assertEqual(('failed', 1), (self.hedged(service), service.calls))
+
+    def test_slow_service_answers_the_first_call(self):
+        service = Scripted((0.1, 'first'), (0.3, 'second'))
+        self.assertEqual('first', self.hedged(service))
+
+    def test_lost_answer_is_replaced_by_the_second(self):
+        service = Scripted((5, 'failed'), (0, 'second'))
+        self.assertEqual('second', self.hedged(service))
+
+    def test_failure_waits_for_the_other_call(self):
+        service = Scripted((0.2, 'first'), (0, 'failed'))
+        self.assertEqual('first', self.hedged(service))
+
+    def test_fault_in_the_call_is_raised(self):
+        self.assertRaises(ValueError, self.hedged, Scripted((0, ValueError())))
