Test the cell's daemon as processes, against a small platform of the tests

Ruled out: the project's own stand-ins as the platform: they speak the older interface, and the wire's names stay in the adapter and its tests.

--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,239 @@
+"""The daemon of a cell as processes, against a small platform."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from itertools import combinations
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import urllib3
+import yaml
+from demo.stenora import wait_until
+from testtools import TestCase
+from testtools.content import text_content
+
+from tests.platform_standin import StoreModel, WorkerModel
+
+CONFIG = {
+    'Version': 3,
+    'Routes': [
+        {
+            'Name': 'lookups',
+            'Host': 'a.example',
+            'PathPrefix': '/lookups/',
+            'Service': 'transcripts',
+            'Priority': 0,
+            'MaxAttempts': 3,
+            'Stretch': 9.0,
+            'TargetDurationMs': 60000,
+        },
+    ],
+    'Services': [{'Name': 'transcripts', 'EnforcesCapacity': False}],
+    'Tenants': [
+        {
+            'Name': 'clerks',
+            'ApiKeys': ['key'],
+            'Weight': 100,
+            'MaxCount': {'Cpu': 0, 'MemMb': 0, 'Gpu': 0},
+        },
+    ],
+}
+RUN_S = '0.4'
+LOG_LINES = 40
+ID_DIGITS = 16
+
+
+class Instance:
+    """One process of the daemon."""
+
+    def __init__(self, name, folder, store_address):
+        """Start it with a settings file of its own."""
+        self.name = name
+        self._ports = [_free_port() for _ in range(3)]
+        settings = {
+            'instance_id': name,
+            'data_centre': 'north',
+            'callers_address': f'127.0.0.1:{self._ports[0]}',
+            'ready_address': f'127.0.0.1:{self._ports[1]}',
+            'peer_address': f'127.0.0.1:{self._ports[2]}',
+            'store_address': store_address,
+        }
+        path = Path(folder, f'{name}.yaml')
+        path.write_text(yaml.safe_dump(settings))
+        self.log_path = Path(folder, f'{name}.log')
+        with self.log_path.open('wb') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'apricotlead.cell_entry'],
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    'APRICOTLEAD_CONFIG': str(path),
+                    'EVENTLET_NO_GREENDNS': 'yes',
+                },
+            )
+
+    def is_ready(self):
+        """Tell whether the balancer would send callers here."""
+        try:
+            return self.call('GET', '/api/ready', port=1).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def call(self, method, path, body=None, port=0):
+        """Send a caller's request."""
+        return urllib3.PoolManager(retries=False, timeout=4).request(
+            method,
+            f'http://127.0.0.1:{self._ports[port]}{path}',
+            body=None if body is None else json.dumps(body).encode(),
+            headers={'Host': 'a.example', 'Api-Key': 'key'},
+        )
+
+    def end(self, number):
+        """Send a signal that ends the process; return its exit code."""
+        self.process.send_signal(number)
+        return self.process.wait(10)
+
+
+class TestCellProcesses(TestCase):
+    """Accepted work finishes once, whatever happens to processes."""
+
+    def setUp(self):
+        """Start a store, two workers and three instances."""
+        super().setUp()
+        self.addOnException(self.attach_logs)
+        folder = TemporaryDirectory(prefix='cell-')
+        self.addCleanup(folder.cleanup)
+        self.store = StoreModel()
+        self.addCleanup(self.store.close)
+        self.workers = [WorkerModel(f'w{i}', self.store) for i in range(2)]
+        for worker in self.workers:
+            self.addCleanup(worker.close)
+        self.store.put('op', 'config', CONFIG)
+        self.instances = [
+            Instance(f'i{i}', folder.name, self.store.address) for i in range(3)
+        ]
+        for instance in self.instances:
+            self.addCleanup(_kill, instance.process)
+        wait_until(lambda: all(each.is_ready() for each in self.instances))
+        wait_until(self.scheduler)
+
+    def attach_logs(self, _exception):
+        """Keep the last lines of all instances with a failure."""
+        for instance in self.instances:
+            lines = instance.log_path.read_text().splitlines()
+            last = '\n'.join(lines[-LOG_LINES:])
+            self.addDetail(instance.name, text_content(last))
+
+    def scheduler(self):
+        """Return the instance that holds the term, if there is one."""
+        owner = self.store.value('owner', 'cell', 'scheduler')
+        named = [
+            instance
+            for instance in self.instances
+            if owner is not None and instance.name == owner['instance_id']
+        ]
+        return named[0] if named else None
+
+    def submit(self, count, first=0):
+        """Submit jobs to all instances in turn; return their paths."""
+        body = {'Spec': RUN_S, 'Steps': [{'Count': 2, 'Cpu': 1000}]}
+        paths = [_path(first + number) for number in range(count)]
+        for number, path in enumerate(paths):
+            instance = self.instances[number % len(self.instances)]
+            answer = instance.call('POST', path, body)
+            self.assertEqual(200, answer.status, answer.data)
+        return paths
+
+    def state(self, path):
+        """Return a job's state as any instance tells it."""
+        answer = self.instances[-1].call('GET', path)
+        return json.loads(answer.data).get('State')
+
+    def check_ends(self, paths):
+        """All jobs complete, and no task ran twice at once or after its end."""
+        wait_until(
+            lambda: all(self.state(path) == 'completed' for path in paths),
+        )
+        runs = [run for worker in self.workers for run in worker.log]
+        done = [run[0] for run in runs if run[-1] == 'done']
+        self.assertEqual(2 * len(paths), len(done))
+        self.assertEqual(len(done), len(set(done)))
+        for one, other in combinations(runs, 2):
+            overlap_s = min(one[3], other[3]) - max(one[2], other[2])
+            if one[0] == other[0]:
+                self.assertLessEqual(overlap_s, 0)
+
+    def test_calm(self):
+        """Any instance accepts, tells the state, and finds repeats."""
+        paths = self.submit(9)
+        self.submit(9)
+        self.check_ends(paths)
+        unknown = self.instances[0].call('GET', _path(99))
+        self.assertEqual(410, unknown.status)
+
+    def test_scheduler_is_killed(self):
+        """A successor takes over what runs and what waits."""
+        paths = self.submit(12)
+        time.sleep(0.2)
+        killed = self.scheduler()
+        killed.end(signal.SIGKILL)
+        self.instances.remove(killed)
+        self.check_ends(paths + self.submit(4, first=100))
+
+    def test_scheduler_is_paused_beyond_its_term(self):
+        """It does no harm when it goes on."""
+        paths = self.submit(12)
+        paused = self.scheduler()
+        paused.process.send_signal(signal.SIGSTOP)
+        self.instances.remove(paused)
+        wait_until(lambda: self.scheduler() not in {None, paused})
+        paths.extend(self.submit(6, first=100))
+        paused.process.send_signal(signal.SIGCONT)
+        self.check_ends(paths)
+
+    def test_planned_stop_of_the_scheduler(self):
+        """The process ends by itself, and the others go on at once."""
+        paths = self.submit(6)
+        stopped = self.scheduler()
+        self.assertEqual(0, stopped.end(signal.SIGTERM))
+        self.instances.remove(stopped)
+        self.check_ends(paths + self.submit(6, first=100))
+
+    def test_store_outage(self):
+        """Refusals are visible, and accepted work goes on afterwards."""
+        paths = self.submit(6)
+        self.store.is_down = True
+        time.sleep(2)
+        refused = self.instances[0].call(
+            'POST',
+            _path(200),
+            {'Spec': RUN_S, 'Steps': [{'Count': 1, 'Cpu': 1000}]},
+        )
+        self.assertEqual(503, refused.status)
+        self.store.is_down = False
+        self.check_ends(paths)
+        never = self.instances[0].call('GET', _path(200))
+        self.assertEqual(410, never.status)
+
+
+def _path(number):
+    job_id = hex(number).removeprefix('0x').rjust(ID_DIGITS, '0')
+    return f'/lookups/{job_id}'
+
+
+def _free_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def _kill(process):
+    if process.poll() is None:
+        process.kill()
+    process.wait()
