Begin the term that a claim without an answer has written

Cause: a claim whose answer was lost was followed by another claim, which raised the epoch again.

Ruled out: instances that took turns; one instance made all of these claims.

Conclusion: the owner row is read again after such a claim, and if it is the one that was written, the term begins.

--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -18,6 +18,7 @@
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.protocol.cell_peers import RelayedCall, SchedulerStatus
 from apricotlead.protocol.table import (
+    CheckFailed,
     Committed,
     Row,
     StoreFailed,
@@ -281,8 +282,11 @@
             self._own.peer_address,
             store_ms,
         )
-        answer = self._links.store.transact(transaction)
-        if not isinstance(answer, Committed):
+        answer = self._settle(
+            owner,
+            self._links.store.transact(transaction),
+        )
+        if answer is None:
             return
         scheduler = CellScheduler(
             self._settings,
@@ -304,6 +308,22 @@
         )
         self._hold_term(scheduler, boot_now() - began_s)
 
+    def _settle(
+        self,
+        owner: OwnerRow,
+        answer: Committed | CheckFailed | StoreFailed,
+    ) -> Committed | None:
+        """Return the claim as committed, also if only its answer was lost.
+
+        Else each lost answer would cost another claim and another epoch.
+        """
+        if isinstance(answer, Committed):
+            return answer
+        read = self._read_owner()
+        if read is not None and read_owner(read.row) == owner:
+            return Committed({OWNER_KEY: read.row.version}, read.store_ms)
+        return None
+
     def _hold_term(self, scheduler: CellScheduler, took_s: float) -> None:
         self._term = SchedulingTerm(
             self._links,
