Stop a whole gang when the start of one member is given up

The run was stopped, but the six others were not; they waited for it until they ended alone (GANG).

Ruled out: room and leases; the members were placed in one round and answered at once but for this one.

Conclusion: stopping one member of a gang stops all of them, in the run book's one place for stops.

--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -114,7 +114,7 @@
         task.worker_id = ''
         self.open_steps(task.step.job, now)
         if task.step.spec.gang:
-            self._break_gang(task.step)
+            self.stop(task)
 
     def note_restored(self, job: JobRun) -> None:
         """Remember the runs that a former scheduler had placed."""
@@ -130,7 +130,15 @@
             self._use(task, added=True)
 
     def stop(self, task: TaskState) -> None:
-        """Order a placed run to be stopped."""
+        """Order a placed run to be stopped, and its whole gang with it.
+
+        Members that are left behind would wait for it in vain.
+        """
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            self._stop_one(member)
+
+    def _stop_one(self, task: TaskState) -> None:
         if task.phase is TaskPhase.STOPPING or not task.is_placed:
             return
         worker = self.workers_by_id.get(task.worker_id)
@@ -320,11 +328,6 @@
         if is_bounded and attempts >= step.job.stored.max_attempts:
             self.finish(step.job, JobState.FAILED)
 
-    def _break_gang(self, step: StepState) -> None:
-        """Stop the members that are left: a gang works only together."""
-        for member in step.tasks:
-            self.stop(member)
-
     def _listed(
         self,
         worker: WorkerState,
--- a/tests/test_cell_scheduler.py
+++ b/tests/test_cell_scheduler.py
@@ -224,6 +224,26 @@
         stops = rig.scheduler.starts.stops_due(rig.now)
         self.assertEqual([f'{JOB}.0.0.1'], [stop.task for _, stop in stops])
 
+    def test_gang_of_a_start_that_is_given_up_is_stopped(self) -> None:
+        """Its other members waited 3 s for it, alone.
+
+        The answer to one start was lost, and its ticket expired before the
+        repeat (stenora-ops, quiet-1 --vary --seed 605453616310).
+        """
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        rig.submit(JOB, stored_job(StepSpec(2, SMALL, gang=True)))
+        rig.scheduler.plan(rig.now, [])
+        lost, answered = rig.journal()
+        rig.send(answered)
+        reply = OrderReply(Refusal.UNANSWERED)
+        starts = rig.scheduler.starts
+        starts.start_answered(lost, reply, rig.now, rig.now)
+        lost.deadline_s = rig.now
+        self.assertIsNone(starts.start_order(lost, rig.now))
+        stopped = {stop.task for _, stop in starts.stops_due(rig.now)}
+        self.assertEqual({f'{JOB}.0.0.0', f'{JOB}.0.0.1'}, stopped)
+
 
 class TestLostAnswers(TestCase):
     """A start whose answer was lost may run; nothing else may begin it."""
