--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -17,7 +17,7 @@
 from testtools import TestCase
 from testtools.content import text_content
 
-from tests.platform_standin import StoreModel, WorkerModel
+from tests.platform.standin import StoreModel, WorkerModel
 
 CONFIG = {
     'Version': 3,
