--- /dev/null
+++ b/src/apricotlead/coordination/cell/listing.py
@@ -0,0 +1,114 @@
+"""What a worker's list of runs tells of the runs that were placed there."""
+
+from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.coordination.cell.stragglers import is_straggler
+from apricotlead.protocol.cell_workers import HoldReport, RunningTask
+from apricotlead.state.cell_jobs import TaskPhase, TaskState
+from apricotlead.state.cell_workers import WorkerState
+
+
+def reconcile(
+    book: RunBook,
+    worker: WorkerState,
+    report: HoldReport,
+    sent_s: float,
+    now: float,
+) -> None:
+    """Compare a worker's list with what is placed there.
+
+    ``sent_s`` is when the call left: the list proves nothing about a run
+    that was begun later.
+    """
+    running_names = set()
+    for listed in report.running:
+        running_names.add(listed.task)
+        _listed(book, worker, listed, now)
+    for name in tuple(worker.strays_by_task):
+        if name not in running_names:
+            worker.drop_stray(name)
+    for task in tuple(worker.tasks_by_name.values()):
+        if task.name not in running_names:
+            _not_listed(book, worker, task, sent_s, now)
+
+
+def _listed(
+    book: RunBook,
+    worker: WorkerState,
+    listed: RunningTask,
+    now: float,
+) -> None:
+    task = worker.tasks_by_name.get(listed.task)
+    if task is None or task.run != listed.run:
+        known = book.task(listed.task)
+        # The job may be final and forgotten while its run is stopped.
+        whole = worker.entry.capacity
+        demand = whole if known is None else known.step.demand()
+        worker.add_stray(listed.task, demand)
+        worker.stops_by_task[listed.task] = listed.run
+        return
+    book.running(task, now)
+    if listed.checkpoint:
+        task.checkpoint = listed.checkpoint
+    if task.first_progress is None:
+        task.first_progress = listed.progress
+    if listed.progress != task.progress:
+        task.progress = listed.progress
+        task.progress_s = now
+    task.load = listed.load
+    if is_straggler(task, now):
+        _replace_straggler(book, worker, task, now)
+    key = (worker.worker_id, task.name, task.run)
+    if task.phase is TaskPhase.STOPPING and key not in (
+        book.stop_acked_s_by_run
+    ):
+        worker.stops_by_task[task.name] = task.run
+
+
+def _replace_straggler(
+    book: RunBook,
+    worker: WorkerState,
+    task: TaskState,
+    now: float,
+) -> None:
+    book.note(
+        'straggler stopped',
+        task=task.name,
+        run=task.run,
+        worker=worker.worker_id,
+        progress=task.progress,
+        elapsed_s=round(now - task.started_s, 2),
+        unchanged_s=round(now - task.progress_s, 2),
+        estimate_ms=task.step.spec.estimated_ms,
+    )
+    # Half done at best: what is left takes as long again, or longer.
+    worker.speed.observe(
+        (now - task.started_s) * 2,
+        task.step.longest_done_s,
+    )
+    task.step.slow_worker_ids.add(worker.worker_id)
+    task.avoided_workers.add(worker.worker_id)
+    book.stop(task)
+
+
+def _not_listed(
+    book: RunBook,
+    worker: WorkerState,
+    task: TaskState,
+    sent_s: float,
+    now: float,
+) -> None:
+    if task.phase is TaskPhase.DONE:
+        worker.release(task)
+        return
+    key = (worker.worker_id, task.name, task.run)
+    acked_s = book.stop_acked_s_by_run.get(key)
+    was_stopped = acked_s is not None and acked_s < sent_s
+    vanished = task.phase is TaskPhase.RUNNING and task.started_s < sent_s
+    if was_stopped or vanished:
+        book.note(
+            'run not listed',
+            task=task.name,
+            run=task.run,
+            worker=worker.worker_id,
+        )
+        book.unplace(task, now)
--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -8,7 +8,7 @@
 priority that can; the oldest goes first.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.state.cell_jobs import JobRun, StepState
@@ -64,22 +64,28 @@
 
     With ``pending_only`` steps that are done count nothing.
     """
+    done: set[int] = set()
+    if pending_only:
+        done = {
+            index
+            for (occurrence, index), step in job.steps_by_key.items()
+            if occurrence == 0 and step.is_done
+        }
+    return submitted_chain_s(job.steps_spec, done)
+
+
+def submitted_chain_s(
+    steps: Sequence[StepSpec],
+    done: Collection[int] = (),
+) -> float:
+    """Return the longest chain of estimated work, in seconds.
+
+    Steps whose numbers are in ``done`` count nothing.
+    """
     chains: list[float] = []
-    for index, spec in enumerate(job.steps_spec):
-        state = job.steps_by_key.get((0, index))
-        skipped = pending_only and state is not None and state.is_done
-        own_s = 0 if skipped else spec.estimated_ms / _MS_PER_S
-        earlier = [chains[other] for other in spec.after if other < index]
-        chains.append(own_s + max(earlier, default=0))
-    return max(chains, default=0)
-
-
-def submitted_chain_s(steps: Sequence[StepSpec]) -> float:
-    """Return the longest chain of estimated work, in seconds."""
-    chains: list[float] = []
-    for spec in steps:
+    for index, spec in enumerate(steps):
         earlier = [chains[other] for other in spec.after]
-        own_s = spec.estimated_ms / _MS_PER_S
+        own_s = 0 if index in done else spec.estimated_ms / _MS_PER_S
         chains.append(own_s + max(earlier, default=0))
     return max(chains, default=0)
 
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -6,13 +6,10 @@
 
 from typing import Any
 
-from apricotlead.coordination.cell.stragglers import is_straggler
 from apricotlead.protocol.cell_jobs import JobState
 from apricotlead.protocol.cell_workers import (
     EndedTask,
     EndKind,
-    HoldReport,
-    RunningTask,
 )
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
@@ -205,29 +202,6 @@
         else:
             self._ended_undone(worker, task, ended.kind, now)
 
-    def reconcile(
-        self,
-        worker: WorkerState,
-        report: HoldReport,
-        sent_s: float,
-        now: float,
-    ) -> None:
-        """Compare a worker's list with what is placed there.
-
-        ``sent_s`` is when the call left: the list proves nothing about a run
-        that was begun later.
-        """
-        running_names = set()
-        for listed in report.running:
-            running_names.add(listed.task)
-            self._listed(worker, listed, now)
-        for name in tuple(worker.strays_by_task):
-            if name not in running_names:
-                worker.drop_stray(name)
-        for task in tuple(worker.tasks_by_name.values()):
-            if task.name not in running_names:
-                self._not_listed(worker, task, sent_s, now)
-
     def stop_acked(
         self, worker_id: str, name: str, run: int, now: float
     ) -> None:
@@ -266,6 +240,9 @@
         is_change: bool = True,
     ) -> None:
         step = task.step
+        if task.phase is TaskPhase.STOPPING:
+            key = (task.worker_id, task.name, task.run)
+            self.stop_acked_s_by_run.pop(key, None)
         if task.phase is TaskPhase.WAITING:
             step.waiting_count -= 1
         if phase is TaskPhase.WAITING:
@@ -327,83 +304,3 @@
         is_bounded = not step.spec.long_running
         if is_bounded and attempts >= step.job.stored.max_attempts:
             self.finish(step.job, JobState.FAILED)
-
-    def _listed(
-        self,
-        worker: WorkerState,
-        listed: RunningTask,
-        now: float,
-    ) -> None:
-        task = worker.tasks_by_name.get(listed.task)
-        if task is None or task.run != listed.run:
-            known = self.task(listed.task)
-            # The job may be final and forgotten while its run is stopped.
-            whole = worker.entry.capacity
-            demand = whole if known is None else known.step.demand()
-            worker.add_stray(listed.task, demand)
-            worker.stops_by_task[listed.task] = listed.run
-            return
-        self.running(task, now)
-        if listed.checkpoint:
-            task.checkpoint = listed.checkpoint
-        if task.first_progress is None:
-            task.first_progress = listed.progress
-        if listed.progress != task.progress:
-            task.progress = listed.progress
-            task.progress_s = now
-        task.load = listed.load
-        if is_straggler(task, now):
-            self._replace_straggler(worker, task, now)
-        key = (worker.worker_id, task.name, task.run)
-        if task.phase is TaskPhase.STOPPING and key not in (
-            self.stop_acked_s_by_run
-        ):
-            worker.stops_by_task[task.name] = task.run
-
-    def _replace_straggler(
-        self,
-        worker: WorkerState,
-        task: TaskState,
-        now: float,
-    ) -> None:
-        self.note(
-            'straggler stopped',
-            task=task.name,
-            run=task.run,
-            worker=worker.worker_id,
-            progress=task.progress,
-            elapsed_s=round(now - task.started_s, 2),
-            unchanged_s=round(now - task.progress_s, 2),
-            estimate_ms=task.step.spec.estimated_ms,
-        )
-        # Half done at best: what is left takes as long again, or longer.
-        worker.speed.observe(
-            (now - task.started_s) * 2,
-            task.step.longest_done_s,
-        )
-        task.step.slow_worker_ids.add(worker.worker_id)
-        task.avoided_workers.add(worker.worker_id)
-        self.stop(task)
-
-    def _not_listed(
-        self,
-        worker: WorkerState,
-        task: TaskState,
-        sent_s: float,
-        now: float,
-    ) -> None:
-        if task.phase is TaskPhase.DONE:
-            worker.release(task)
-            return
-        key = (worker.worker_id, task.name, task.run)
-        acked_s = self.stop_acked_s_by_run.get(key)
-        was_stopped = acked_s is not None and acked_s < sent_s
-        vanished = task.phase is TaskPhase.RUNNING and task.started_s < sent_s
-        if was_stopped or vanished:
-            self.note(
-                'run not listed',
-                task=task.name,
-                run=task.run,
-                worker=worker.worker_id,
-            )
-            self.unplace(task, now)
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -13,6 +13,7 @@
 from apricotlead.coordination.cell.planner import Planner
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.speed_rows import SpeedRows
 from apricotlead.coordination.cell.starts import PlannedStart, StartTracker
 from apricotlead.coordination.cell.store_clock import StoreClock
 from apricotlead.coordination.cell.worker_watch import WorkerWatch
@@ -38,6 +39,7 @@
         'owner',
         'owner_version',
         'planner',
+        'speeds',
         'starts',
         'workers',
     )
@@ -80,6 +82,7 @@
             owner.epoch,
         )
         self.planner = Planner(self.book, self.advice)
+        self.speeds = SpeedRows(self.book, now)
         self.owner = owner
         self.owner_version = 0
         self._summed_up_s = now
@@ -118,7 +121,7 @@
             self.owner_version,
             now,
             self.jobs.rows.take_expired(_MOST_EXPIRED),
-            self.workers.speeds_put(now),
+            self.speeds.due(now),
         )
         renewed_s = self.workers.renewed_s
         return batch, self.starts.prepare(batch.planned, renewed_s, now)
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -4,6 +4,8 @@
 
 from apricotlead.coordination.cell.election import LeaseRecord, OwnerRow
 from apricotlead.coordination.cell.evacuation import leaving_runs
+from apricotlead.coordination.cell.lease_records import LeaseRecords
+from apricotlead.coordination.cell.listing import reconcile
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.store_clock import StoreClock
@@ -16,17 +18,13 @@
     WorkerEntry,
 )
 from apricotlead.protocol.resources import Resources
-from apricotlead.protocol.table import Put, Row
 from apricotlead.state.cell_workers import WorkerState
-from apricotlead.state.worker_lease import Lapse, WorkerLease
-from apricotlead.state.worker_speed import WorkerSpeed
+from apricotlead.state.worker_lease import Lapse
 
 _MS_PER_S = 1000.0
 # A worker that failed this many runs in a row is left alone for a while.
 _FAILURES_TO_PAUSE = 3
 _FAILING_PAUSE_S = 4.0
-_SPEEDS_S = 5.0
-SPEEDS_KEY = 'workers/cell/speeds'
 
 
 class WorkerWatch:
@@ -35,11 +33,9 @@
     __slots__ = (
         '_book',
         '_clock',
-        '_former_leases',
-        '_granted_until_s',
+        '_leases',
         '_lossy_until_s',
         '_settings',
-        '_speeds_put_s',
         'epoch',
         'renewed_s',
     )
@@ -57,23 +53,12 @@
         self._settings = settings
         self._book = book
         self._clock = clock
-        self._granted_until_s = self._latest_grant_s(former, now)
-        self._former_leases: dict[str, LeaseRecord] = {}
-        if former is not None:
-            self._former_leases.update(former.leases_by_worker)
+        self._leases = LeaseRecords(settings, clock, former, now)
         self._lossy_until_s = now
-        self._speeds_put_s = now
         self.epoch = epoch
         # When the last confirmed write of the owner row was made.
         self.renewed_s = now
 
-    def load_speeds(self, row: Row) -> None:
-        """Take over what a former scheduler learned of its workers."""
-        for worker_id, (slowness, count) in (row.value or {}).items():
-            worker = self._book.workers_by_id.get(worker_id)
-            if worker is not None:
-                worker.speed = WorkerSpeed(slowness, count)
-
     def update_worker(self, entry: WorkerEntry, now: float) -> bool:
         """Take note of a registration; tell whether the worker is new."""
         worker = self._book.workers_by_id.get(entry.worker_id)
@@ -84,7 +69,7 @@
         if worker is not None and entry.born_ms > worker.entry.born_ms:
             # A later life under the same id knows nothing of the former one.
             self._book.note('worker reborn', worker=entry.worker_id)
-            self._former_leases.pop(entry.worker_id, None)
+            self._leases.forget(entry.worker_id)
             self._book.forget_worker(worker, now)
             worker = None
         if worker is None:
@@ -106,7 +91,7 @@
         """
         for worker_id in tuple(self._book.restored_by_worker):
             entry = WorkerEntry(worker_id, '', '', '', Resources())
-            worker = WorkerState(entry, self._new_lease(worker_id, now))
+            worker = WorkerState(entry, self._leases.new_lease(worker_id, now))
             worker.is_listed = False
             self._book.workers_by_id[worker_id] = worker
             self._book.restore_places(worker)
@@ -191,7 +176,7 @@
             order.deadline_ms,
         )
         self._apply_ends(worker, report, lapse, now)
-        self._book.reconcile(worker, report, sent_s, now)
+        reconcile(self._book, worker, report, sent_s, now)
         if not worker.lease.is_known:
             worker.lease.is_known = True
             self._settle_restored(worker, report, now)
@@ -232,7 +217,7 @@
         """Return the owner row of the next write."""
         leases: dict[str, LeaseRecord] = {}
         for worker in self._book.workers_by_id.values():
-            record = self._lease_record(worker, now)
+            record = self._leases.record(worker, now)
             leases[worker.worker_id] = record
             if record.over_ms:
                 # From here on a grant would outlast what the row says.
@@ -250,21 +235,6 @@
             record = owner.leases_by_worker.get(worker.worker_id)
             worker.is_granted = record is not None and not record.over_ms
 
-    def speeds_put(self, now: float) -> tuple[Put, ...]:
-        """Return the row of speeds when it is time to write it again."""
-        if now - self._speeds_put_s < _SPEEDS_S:
-            return ()
-        self._speeds_put_s = now
-        speeds = {
-            worker.worker_id: (
-                round(worker.speed.slowness, 2),
-                worker.speed.count,
-            )
-            for worker in self._book.workers_by_id.values()
-            if worker.speed.count
-        }
-        return (Put(SPEEDS_KEY, speeds),)
-
     def _note_answer(self, worker: WorkerState, now: float) -> None:
         """Tell lost answers from lost workers by an answer that follows."""
         lost_s = now - worker.unanswered_s
@@ -272,32 +242,12 @@
             worker.unanswered_s = float('-inf')
             self._lossy_until_s = now + self._settings.holds.lossy_s
 
-    def _lease_record(self, worker: WorkerState, now: float) -> LeaseRecord:
-        lease = worker.lease
-        held_ms = self._clock.to_store_ms(lease.surely_held_until_s, now)
-        age_s = now - lease.contact_s
-        if lease.is_known and age_s <= _contact_bound_s(self._settings):
-            return LeaseRecord(held_ms)
-        over_s = max(lease.surely_over_s, now)
-        return LeaseRecord(held_ms, self._clock.to_store_ms(over_s, now))
-
-    def _new_lease(self, worker_id: str, now: float) -> WorkerLease:
-        times = self._settings.leases
-        record = self._former_leases.get(worker_id)
-        if record is None:
-            return WorkerLease(times, now, self._granted_until_s)
-        until_s = self._granted_until_s
-        if record.over_ms:
-            over_s = self._clock.to_local_s(record.over_ms, now)
-            until_s = over_s + times.margin_s
-        held_s = self._clock.to_local_s(record.held_ms, now) - times.margin_s
-        return WorkerLease(times, now, until_s, held_s)
-
     def _add(self, entry: WorkerEntry, now: float) -> None:
-        worker = WorkerState(entry, self._new_lease(entry.worker_id, now))
+        worker = WorkerState(
+            entry, self._leases.new_lease(entry.worker_id, now)
+        )
         worker.take_entry(entry, now)
-        record = self._former_leases.get(entry.worker_id)
-        worker.is_granted = record is not None and not record.over_ms
+        worker.is_granted = self._leases.may_grant(entry.worker_id)
         self._book.workers_by_id[entry.worker_id] = worker
         self._book.restore_places(worker)
         self._book.note('worker added', worker=entry.worker_id)
@@ -390,18 +340,3 @@
                 worker=worker.worker_id,
             )
             self._book.unplace(task, now)
-
-    def _latest_grant_s(self, former: OwnerRow | None, now: float) -> float:
-        """Return until when any lease of the former term may hold."""
-        if former is None:
-            return now
-        times = self._settings.leases
-        renewed_s = self._clock.to_local_s(former.renewed_ms, now)
-        until_s = renewed_s + times.longest_s * times.slowest_clock
-        return max(until_s + times.margin_s, now)
-
-
-def _contact_bound_s(settings: CellSettings) -> float:
-    """Return how old the last answer of a worker in contact may be."""
-    holds = settings.holds
-    return holds.wait_s + holds.answer_slack_s + holds.pace_s
--- a/src/apricotlead/platform/callers.py
+++ b/src/apricotlead/platform/callers.py
@@ -13,6 +13,7 @@
     ApricotleadError,
     BadInput,
     KeyRefused,
+    NoSuchJob,
     NotFound,
     Overloaded,
 )
@@ -281,8 +282,7 @@
     elif isinstance(error, KeyRefused):
         status = 401
     elif isinstance(error, NotFound):
-        # The error knows whether a queue or a job is meant.
-        status = 410 if error.kind == 'no_job' else 404
+        status = 410 if isinstance(error, NoSuchJob) else 404
     elif isinstance(error, Overloaded):
         status = 429
     return Response(status, {'Error': str(error)}, retry_after_s)
--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -22,6 +22,7 @@
     Transaction,
 )
 from apricotlead.transport.http_pool import (
+    REFUSED_STATUSES,
     Answered,
     HttpCall,
     HttpCaller,
@@ -33,7 +34,6 @@
 _CALL_TIMEOUT_S = 1.0
 _WAIT_SLACK_S = 0.8
 _PAGE_ROWS = 500
-_REFUSED_STATUSES = frozenset((429, 503))
 _RETRY_S = 0.1
 
 
@@ -257,7 +257,7 @@
             return _answer_decoder.decode(answer.body)
         except msgspec.MsgspecError as error:
             return StoreFailed(None, _RETRY_S, f'malformed: {error}')
-    applied = False if answer.status in _REFUSED_STATUSES else None
+    applied = False if answer.status in REFUSED_STATUSES else None
     if 400 <= answer.status < 500:
         applied = False
     return StoreFailed(applied, _RETRY_S, f'status {answer.status}')
--- a/src/apricotlead/protocol/errors.py
+++ b/src/apricotlead/protocol/errors.py
@@ -62,6 +62,13 @@
     remedy = 'Check the name.'
 
 
+class NoSuchJob(NotFound):
+    """No accepted job has this id."""
+
+    kind = 'no_job'
+    remedy = 'Check the id; finished jobs are forgotten after a while.'
+
+
 class VersionConflict(ApricotleadError):
     """Another operator changed the configuration first."""
 
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -29,14 +29,13 @@
 from apricotlead.transport.cell_links import CellLinks
 from apricotlead.transport.cell_peers import PeerClient
 from apricotlead.transport.cell_scheduling import RELEASED, SchedulingTerm
-from apricotlead.transport.hedging import hedged
+from apricotlead.transport.hedging import LEAST_HEDGE_S, hedged
 from apricotlead.transport.serving import pause, run_in_background
 
 _RETRY_S = 0.15
 _STATUS_FRESH_S = 1.5
 # A claim that takes this many times as long as the read before it is lost.
 _HEDGE_AFTER = 4
-_LEAST_HEDGE_S = 0.15
 
 
 class OwnIdentity(Struct, frozen=True):
@@ -290,7 +289,7 @@
             owner,
             hedged(
                 partial(self._links.store.transact, transaction),
-                max(_LEAST_HEDGE_S, read.took_s * _HEDGE_AFTER),
+                max(LEAST_HEDGE_S, read.took_s * _HEDGE_AFTER),
                 lambda reply: isinstance(reply, StoreFailed),
             ),
         )
--- a/src/apricotlead/transport/cell_desk.py
+++ b/src/apricotlead/transport/cell_desk.py
@@ -4,7 +4,6 @@
 from contextlib import contextmanager
 from typing import Any, Protocol
 
-import eventlet
 import msgspec
 
 from apricotlead.coordination.cell.acceptance import check_submission
@@ -20,6 +19,7 @@
 from apricotlead.protocol.cell_peers import SchedulerStatus
 from apricotlead.protocol.errors import (
     KeyRefused,
+    NoSuchJob,
     NotFound,
     OutcomeUnknown,
     Overloaded,
@@ -41,8 +41,6 @@
 from apricotlead.transport.store_health import StoreHealth
 from apricotlead.transport.store_relay import StoreRelay
 
-_LEAST_CALL_S = 0.1
-_RETRY_S = 0.05
 # Left of a caller's wait for the answer to travel.
 _ANSWER_MARGIN_S = 0.15
 _COME_BACK_S = 1.0
@@ -50,13 +48,6 @@
 _NO_ORGANISATION = ''
 
 
-class NoSuchJob(NotFound):
-    """No accepted job has this id."""
-
-    kind = 'no_job'
-    remedy = 'Check the id; finished jobs are forgotten after a while.'
-
-
 class SchedulerContact(Protocol):
     """What the desk needs of the way to the scheduler."""
 
@@ -195,7 +186,7 @@
             (Put(key, msgspec.to_builtins(stored)),),
         )
         began_s = boot_now()
-        answer = self._write(transaction, ends_s)
+        answer = self._store.write(transaction, ends_s)
         self._announce(transaction, answer)
         return self._submitted(job_id, queue, answer, boot_now() - began_s)
 
@@ -207,13 +198,13 @@
     ) -> Outcome:
         """Return the :class:`JobState` of a job."""
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        progress = self._read(f'{PROGRESS_PREFIX}{job_id}', ends_s)
+        progress = self._store.read(f'{PROGRESS_PREFIX}{job_id}', ends_s)
         if isinstance(progress, StoreFailed):
             return _come_back(progress)
         if progress is not None:
             record = msgspec.convert(progress.value, JobProgress)
             return Done(str(record.state))
-        row = self._read(job_key(job_id), ends_s)
+        row = self._store.read(job_key(job_id), ends_s)
         if isinstance(row, StoreFailed):
             return _come_back(row)
         if row is None:
@@ -228,7 +219,7 @@
     ) -> Outcome:
         """Ask for a job to be cancelled; done once the store holds that."""
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        row = self._read(job_key(job_id), ends_s)
+        row = self._store.read(job_key(job_id), ends_s)
         if isinstance(row, StoreFailed):
             return _come_back(row)
         if row is None:
@@ -237,7 +228,7 @@
             return Done()
         key = cancel_key(job_id)
         transaction = Transaction('', key, (Check(key, 0),), (Put(key, 1),))
-        answer = self._write(transaction, ends_s)
+        answer = self._store.write(transaction, ends_s)
         self._announce(transaction, answer)
         self._log('cancel', job=job_id, queue=queue.name, outcome=_kind(answer))
         if isinstance(answer, StoreFailed):
@@ -338,45 +329,6 @@
             _COME_BACK_S,
         )
 
-    def _write(
-        self,
-        transaction: Transaction,
-        ends_s: float,
-    ) -> Committed | CheckFailed | StoreFailed:
-        """Send a transaction until its outcome is known or time is up."""
-        is_unknown = False
-        while True:
-            left_s = ends_s - boot_now()
-            answer = self._store.transact(transaction, left_s)
-            if not isinstance(answer, StoreFailed):
-                return answer
-            is_unknown = is_unknown or answer.applied is None
-            if self._is_given_up(ends_s):
-                break
-            eventlet.sleep(_RETRY_S)
-        if is_unknown:
-            return StoreFailed(None, answer.retry_after_s, answer.reason)
-        return answer
-
-    def _is_given_up(self, ends_s: float) -> bool:
-        """Tell whether another try is of no use to the caller.
-
-        Where the store is lost to this instance, the caller's next try at
-        another one may succeed at once.
-        """
-        is_late = boot_now() + _RETRY_S + _LEAST_CALL_S > ends_s
-        return is_late or self.health.is_lost()
-
-    def _read(self, key: str, ends_s: float) -> Row | StoreFailed | None:
-        """Read one row, again while time allows; ``None`` where none is."""
-        while True:
-            answer = self._store.read_row(key)
-            if not isinstance(answer, StoreFailed):
-                return answer.rows[0] if answer.rows else None
-            if boot_now() + _RETRY_S > ends_s or self.health.is_lost():
-                return answer
-            eventlet.sleep(_RETRY_S)
-
 
 def _come_back(failure: StoreFailed) -> NotRun:
     return NotRun(
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -54,8 +54,9 @@
         if worker_id in self._watched_worker_ids:
             return
         self._watched_worker_ids.add(worker_id)
-        green_thread = eventlet.spawn(self._hold_worker, worker_id)
-        self._green_threads.append(green_thread)
+        self._green_threads.append(
+            eventlet.spawn(self._state.run_part, self._hold_worker, worker_id),
+        )
 
     def _hold_worker(self, worker_id: str) -> None:
         """Hold one worker until it is gone."""
--- a/src/apricotlead/transport/cell_journal_writer.py
+++ b/src/apricotlead/transport/cell_journal_writer.py
@@ -21,12 +21,10 @@
 from apricotlead.state.answer_time import AnswerTime
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_links import CellLinks, TermState
-from apricotlead.transport.hedging import hedged
+from apricotlead.transport.hedging import LEAST_HEDGE_S, hedged
 
-_STORE_RETRY_S = 0.05
-# A healthy store takes 20 ms. A second write costs one call too many in a
-# store that has become slow.
-_LEAST_HEDGE_S = 0.15
+# Spaces the repeats of a call that the store refuses.
+STORE_RETRY_S = 0.05
 # A store 60 times slower than usual takes 0.3 s.
 _MOST_WRITE_S = 1.5
 
@@ -60,7 +58,7 @@
         self._is_blocked = False
         # Whether the last write was refused, or its connection broke.
         self._is_turned_away = False
-        self._writes = AnswerTime(_LEAST_HEDGE_S, _MOST_WRITE_S)
+        self._writes = AnswerTime(LEAST_HEDGE_S, _MOST_WRITE_S)
         self._writes.answered(takeover_s)
 
     def is_cut_off(self) -> bool:
@@ -82,7 +80,7 @@
         while not self._state.ended_why:
             committed = self._commit(batch.transaction, batch.owner)
             if committed is None:
-                eventlet.sleep(_STORE_RETRY_S)
+                eventlet.sleep(STORE_RETRY_S)
                 continue
             version = committed.versions[OWNER_KEY]
             now = boot_now()
--- a/src/apricotlead/transport/cell_links.py
+++ b/src/apricotlead/transport/cell_links.py
@@ -59,6 +59,16 @@
         """Return the epoch of the term."""
         return self.scheduler.owner.epoch
 
+    def run_part(self, run: Callable[..., Any], *arguments: Any) -> None:
+        """Run a part of the term; a fault in it ends the whole term.
+
+        Else it would end one green thread, and the rest go on without it.
+        """
+        try:
+            run(*arguments)
+        except Exception as error:
+            self.end(f'a part of the term failed: {error!r}')
+
     def end(self, why: str) -> None:
         """End the term."""
         if not self.ended_why:
--- a/src/apricotlead/transport/cell_orders.py
+++ b/src/apricotlead/transport/cell_orders.py
@@ -1,5 +1,6 @@
 """Sending starts, stops and questions for advice, many at a time."""
 
+from collections.abc import Callable
 from itertools import chain, repeat
 from typing import Any
 
@@ -42,17 +43,20 @@
     def send_starts(self, starts: list[PlannedStart]) -> None:
         """Send starts that the journal holds."""
         for start in starts:
-            self._pool.spawn_n(self._start, start)
+            self._spawn(self._start, start)
 
     def ask(self, calls: list[AdviceCall]) -> None:
         """Ask for advice."""
         for call in calls:
-            self._pool.spawn_n(self._ask, call)
+            self._spawn(self._ask, call)
 
     def send_stops(self, now: float) -> None:
         """Send the stops that are due."""
         for entry, order in self._state.scheduler.starts.stops_due(now):
-            self._pool.spawn_n(self._stop, entry, order)
+            self._spawn(self._stop, entry, order)
+
+    def _spawn(self, run: Callable[..., None], *arguments: Any) -> None:
+        self._pool.spawn_n(self._state.run_part, run, *arguments)
 
     def _stop(self, entry: WorkerEntry, order: Any) -> None:
         reply = self._links.workers.stop(entry, order)
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -12,7 +12,7 @@
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
-from apricotlead.coordination.cell.worker_watch import SPEEDS_KEY
+from apricotlead.coordination.cell.speed_rows import SPEEDS_KEY
 from apricotlead.protocol.cell_peers import SchedulerStatus
 from apricotlead.protocol.table import (
     CheckFailed,
@@ -25,7 +25,10 @@
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_feeds import JobsListener, RegistryListener
 from apricotlead.transport.cell_holds import WorkerHolds
-from apricotlead.transport.cell_journal_writer import JournalWriter
+from apricotlead.transport.cell_journal_writer import (
+    STORE_RETRY_S,
+    JournalWriter,
+)
 from apricotlead.transport.cell_links import CellLinks, TermState
 from apricotlead.transport.cell_orders import OrderSender
 from apricotlead.transport.serving import run_together
@@ -36,7 +39,6 @@
 _WATCH_POLL_S = 0.03
 # Merges the ends of a few milliseconds into one round.
 _ROUND_PAUSE_S = 0.01
-_STORE_RETRY_S = 0.05
 _PEER_FRESH_S = 2.0
 _LOAD_TRIES = 40
 # Final rows are shrunk together: one write for each part with some.
@@ -141,7 +143,9 @@
             self._stop_parts()
             return
         for run in (jobs.run, registry.run, self._tick, self._keep_rows):
-            self._green_threads.append(eventlet.spawn(self._run_part, run))
+            self._green_threads.append(
+                eventlet.spawn(self._state.run_part, run)
+            )
         try:
             while not self.ended_why:
                 self._round()
@@ -222,13 +226,6 @@
         self._holds.stop()
         self._log_notes()
 
-    def _run_part(self, run: Callable[[], None]) -> None:
-        """Run a part of the term; a fault in it ends the whole term."""
-        try:
-            run()
-        except Exception as error:
-            self.end(f'a part of the term failed: {error!r}')
-
     def _load(self, jobs: TableFollower, registry: TableFollower) -> bool:
         """Read all jobs, progress and registrations."""
         store = self._links.store
@@ -249,7 +246,7 @@
         for row in pages[2]:
             self.take_registration(row)
         for speeds in pages[3]:
-            self.scheduler.workers.load_speeds(speeds)
+            self.scheduler.speeds.load(speeds)
         self.scheduler.workers.restore_missing(now)
         self._is_loaded = True
         self._links.log(
@@ -271,7 +268,7 @@
             answer = read()
             if not isinstance(answer, StoreFailed):
                 return answer.rows
-            eventlet.sleep(_STORE_RETRY_S)
+            eventlet.sleep(STORE_RETRY_S)
         return None
 
     def _keep_rows(self) -> None:
--- a/src/apricotlead/transport/hedging.py
+++ b/src/apricotlead/transport/hedging.py
@@ -7,6 +7,9 @@
 import eventlet
 from eventlet.queue import Empty, LightQueue
 
+# A healthy store takes 20 ms. A second write costs one call too many in a
+# store that has become slow.
+LEAST_HEDGE_S = 0.15
 # Where three answers of ten are lost, one call in a hundred loses all.
 _MOST_CALLS = 4
 _SPREAD = 2
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -13,6 +13,8 @@
 _urllib3 = import_patched('urllib3')
 _errors = _urllib3.exceptions
 
+# A service that answers so has done nothing.
+REFUSED_STATUSES = frozenset((429, 503))
 # The part of a call's time that may go into connecting; an overall timeout
 # is then never mistaken for a call that was not sent, or the reverse.
 _CONNECT_FRACTION = 0.75
--- a/src/apricotlead/transport/platform_client.py
+++ b/src/apricotlead/transport/platform_client.py
@@ -16,6 +16,7 @@
     Transaction,
 )
 from apricotlead.transport.http_pool import (
+    REFUSED_STATUSES,
     Answered,
     HttpCall,
     HttpCaller,
@@ -25,7 +26,6 @@
 
 _OK = 200
 _NOT_FOUND = 404
-_REFUSED_STATUSES = frozenset((429, 503))
 _RETRY_HEADER = 'retry-after'
 _DEFAULT_RETRY_S = 0.2
 _EXCERPT_BYTES = 200
@@ -135,7 +135,7 @@
         return StoreFailed(applied=None, reason=answer.reason)
     excerpt = answer.body[:_EXCERPT_BYTES].decode(errors='replace')
     reason = f'status {answer.status}: {excerpt}'
-    if answer.status in _REFUSED_STATUSES:
+    if answer.status in REFUSED_STATUSES:
         return StoreFailed(False, _retry_after_s(answer), reason)
     if 400 <= answer.status < 500:
         return StoreFailed(False, _MALFORMED_RETRY_S, reason)
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -6,10 +6,13 @@
 
 from typing import Any, Protocol
 
+import eventlet
+
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.table import (
     CheckFailed,
     Committed,
+    Row,
     Rows,
     StoreFailed,
     Transaction,
@@ -18,6 +21,7 @@
 from apricotlead.transport.store_health import StoreHealth
 
 _LEAST_CALL_S = 0.1
+_RETRY_S = 0.05
 # A peer answers within this, or cannot reach the store either.
 _RELAY_TIMEOUT_S = 0.6
 
@@ -59,6 +63,35 @@
         """Tell whether there is no way to the store."""
         return self._health.is_lost() and not self._peers.addresses()
 
+    def write(
+        self,
+        transaction: Transaction,
+        ends_s: float,
+    ) -> Committed | CheckFailed | StoreFailed:
+        """Send a transaction until its outcome is known or time is up."""
+        is_unknown = False
+        while True:
+            answer = self.transact(transaction, ends_s - boot_now())
+            if not isinstance(answer, StoreFailed):
+                return answer
+            is_unknown = is_unknown or answer.applied is None
+            if self._is_given_up(ends_s):
+                break
+            eventlet.sleep(_RETRY_S)
+        if is_unknown:
+            return StoreFailed(None, answer.retry_after_s, answer.reason)
+        return answer
+
+    def read(self, key: str, ends_s: float) -> Row | StoreFailed | None:
+        """Read one row, again while time allows; ``None`` where none is."""
+        while True:
+            answer = self.read_row(key)
+            if not isinstance(answer, StoreFailed):
+                return answer.rows[0] if answer.rows else None
+            if self._is_given_up(ends_s):
+                return answer
+            eventlet.sleep(_RETRY_S)
+
     def transact(
         self,
         transaction: Transaction,
@@ -106,6 +139,15 @@
             return self._store.read_row(call.key)
         return self._transact_directly(call.transaction, _RELAY_TIMEOUT_S)
 
+    def _is_given_up(self, ends_s: float) -> bool:
+        """Tell whether another try is of no use to the caller.
+
+        Where the store is lost to this instance, the caller's next try at
+        another one may succeed at once.
+        """
+        is_late = boot_now() + _RETRY_S + _LEAST_CALL_S > ends_s
+        return is_late or self._health.is_lost()
+
     def _transact_directly(
         self,
         transaction: Transaction,
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -12,8 +12,8 @@
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.speed_rows import SPEEDS_KEY
 from apricotlead.coordination.cell.starts import PlannedStart
-from apricotlead.coordination.cell.worker_watch import SPEEDS_KEY
 from apricotlead.protocol.cell_config import (
     CellConfig,
     OrganisationConfig,
@@ -153,7 +153,7 @@
         for worker in self.workers_by_id.values():
             self.scheduler.workers.update_worker(worker.entry, self.now)
         if SPEEDS_KEY in self.rows_by_key:
-            self.scheduler.workers.load_speeds(self.rows_by_key[SPEEDS_KEY])
+            self.scheduler.speeds.load(self.rows_by_key[SPEEDS_KEY])
         self.scheduler.workers.restore_missing(self.now)
 
     @property
--- a/tests/test_cell_stragglers.py
+++ b/tests/test_cell_stragglers.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from apricotlead.coordination.cell.listing import reconcile
 from apricotlead.coordination.cell.stragglers import is_straggler
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.cell_workers import (
@@ -109,7 +110,7 @@
         state = rig.scheduler.book.workers_by_id[task.worker_id]
         listed = RunningTask(task.name, task.run, '', 50)
         report = HoldReport(rig.now * 1000, (listed,), ())
-        rig.scheduler.book.reconcile(state, report, rig.now, rig.now)
+        reconcile(rig.scheduler.book, state, report, rig.now, rig.now)
         if not rig.scheduler.starts.stops_due(rig.now):
             return 0
         worker.end(task.name, EndKind.STOPPED)
--- a/tests/test_cell_term.py
+++ b/tests/test_cell_term.py
@@ -5,9 +5,11 @@
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.protocol.table import Row, Rows, StoreFailed
 from apricotlead.transport.cell_feeds import JobsListener, RegistryListener
-from apricotlead.transport.cell_links import CellLinks
+from apricotlead.transport.cell_holds import WorkerHolds
+from apricotlead.transport.cell_links import CellLinks, TermState
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_scheduling import SchedulingTerm
+from apricotlead.transport.serving import pause
 from tests.cell_rig import CellRig, ModelWorker, stored_job
 
 PREFIX = 'registry//'
@@ -53,6 +55,33 @@
         self.assertEqual([row], self.taken)
 
 
+class FaultyWorkers:
+    """Workers whose answers nobody expected."""
+
+    def hold(self, *call: object) -> None:
+        raise TypeError('a list that nobody expected')
+
+
+class TestFaultyHold(TestCase):
+    """A worker that is no longer held would lose its lease unseen."""
+
+    def test_term_ends(self) -> None:
+        rig = CellRig(ModelWorker('w1'))
+        links = CellLinks(
+            EmptyStore(),
+            FaultyWorkers(),
+            PREFIX,
+            lambda row: None,
+            lambda address, question: None,
+            lambda kind, **fields: None,
+            CellMetrics(),
+        )
+        state = TermState(rig.scheduler, links.log)
+        WorkerHolds(links, state, CellSettings().holds).watch('w1')
+        pause(0.05)
+        self.assertIn('a list that nobody expected', state.ended_why)
+
+
 class TestFaultyPart(TestCase):
     """A part that fails ends the term, and does not just fall silent."""
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -14,7 +14,11 @@
 
 from tests.test_platform_process import CellProcesses, path_of, tasks_of
 
-SEEDS = os.environ.get('APRICOTLEAD_SOAK_SEEDS', '1,2')
+# Seeds that failed once. 2: each lost answer to a claim of the term cost an
+# epoch. 6: the tests' worker ran a repeated start again after its end. 35:
+# the tests asked for ends to count that a lapse had made void.
+REGRESSIONS = '2,6,35'
+SEEDS = os.environ.get('APRICOTLEAD_SOAK_SEEDS', REGRESSIONS)
 SOAK_S = float(os.environ.get('APRICOTLEAD_SOAK_S', '10'))
 BODY = {'Spec': '0.3', 'Steps': [{'Count': 2, 'Cpu': 800, 'EstimatedMs': 300}]}
 LONGEST_FAULT_S = 4
