Call work with little slack urgent

Cause: the code said hasty in one place and urgent in another for the same thing; the first is no term of the field, nor is an office that a scheduler holds.

Before and after: names and comments only; the tests of the cell pass.

--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -128,6 +128,6 @@
     return job.accepted_s + objective_s(job) - now - rest_s
 
 
-def is_hasty(step: StepState, now: float) -> bool:
+def is_urgent(step: StepState, now: float) -> bool:
     """Tell whether a step has less slack than its own work takes."""
     return slack_s(step.job, now) < chain_s(step.job, pending_only=True)
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -1,6 +1,6 @@
 """Which workers the waiting tasks of a step go to.
 
-Pattern: tasks of very unlike sizes and haste, on workers of unlike speed.
+Pattern: tasks of very unlike sizes and urgency, on workers of unlike speed.
 Tasks of a step with little slack go to the fastest workers with room, the
 others leave those free. Among equals a task goes to the worker that it fills
 best, so that whole workers stay free for gangs. A gang gets all its workers
@@ -76,33 +76,33 @@
     tasks: list[TaskState],
     rooms: Iterable[Room],
     *,
-    is_hasty: bool = False,
+    is_urgent: bool = False,
 ) -> list[Choice]:
     """Choose rooms for as many tasks as fit, and take them.
 
     For a gang that does not fit whole, nothing is taken. The tasks of a
-    hasty step go to fast workers first, those of others to slower ones.
+    urgent step go to fast workers first, those of others to slower ones.
     """
     candidates = [room for room in rooms if may_run_here(step, room.worker)]
     if step.spec.same_rack:
-        choices = _choose_in_one_rack(step, tasks, candidates, is_hasty)
+        choices = _choose_in_one_rack(step, tasks, candidates, is_urgent)
         if choices:
             return choices
-    return _choose_from(step, tasks, candidates, is_hasty)
+    return _choose_from(step, tasks, candidates, is_urgent)
 
 
 def _choose_in_one_rack(
     step: StepState,
     tasks: list[TaskState],
     candidates: list[Room],
-    is_hasty: bool,
+    is_urgent: bool,
 ) -> list[Choice]:
     rooms_by_rack: dict[str, list[Room]] = {}
     for room in candidates:
         rack = room.worker.entry.rack
         rooms_by_rack.setdefault(rack, []).append(room)
     for rooms in rooms_by_rack.values():
-        choices = _choose_from(step, tasks, rooms, is_hasty)
+        choices = _choose_from(step, tasks, rooms, is_urgent)
         if len(choices) == len(tasks):
             return choices
         _give_back(step, choices)
@@ -113,13 +113,13 @@
     step: StepState,
     tasks: list[TaskState],
     candidates: list[Room],
-    is_hasty: bool,
+    is_urgent: bool,
 ) -> list[Choice]:
     demand = step.demand()
     counts = _counts_by_worker(step)
     choices: list[Choice] = []
     for task in tasks:
-        best = _best_room(task, candidates, counts, is_hasty)
+        best = _best_room(task, candidates, counts, is_urgent)
         if best is None:
             if step.spec.gang:
                 _give_back(step, choices)
@@ -136,7 +136,7 @@
     task: TaskState,
     candidates: list[Room],
     counts: dict[str, int],
-    is_hasty: bool,
+    is_urgent: bool,
 ) -> Room | None:
     spec = task.step.spec
     demand = task.step.demand()
@@ -145,7 +145,7 @@
     for room in candidates:
         if not room.fits(demand) or _is_full(spec, room, counts):
             continue
-        key = _room_key(task, room, is_hasty)
+        key = _room_key(task, room, is_urgent)
         if best_key is None or key < best_key:
             best, best_key = room, key
     return best
@@ -159,7 +159,7 @@
 def _room_key(
     task: TaskState,
     room: Room,
-    is_hasty: bool,
+    is_urgent: bool,
 ) -> tuple[bool, bool, bool, int, int]:
     worker = room.worker
     rack = task.step.spec.data_rack
@@ -167,7 +167,7 @@
         worker.worker_id in task.avoided_workers,
         room.pace > _VERY_SLOW * _PACE_STEPS,
         bool(rack) and worker.entry.rack != rack,
-        room.pace if is_hasty else -room.pace,
+        room.pace if is_urgent else -room.pace,
         room.cpu,
     )
 
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -1,7 +1,7 @@
 """One round of placement over all waiting steps."""
 
 from apricotlead.coordination.cell.advice_book import AdviceBook, AdviceCall
-from apricotlead.coordination.cell.order import is_hasty, order_key
+from apricotlead.coordination.cell.order import is_urgent, order_key
 from apricotlead.coordination.cell.placement import (
     Choice,
     Room,
@@ -62,7 +62,7 @@
                 step,
                 tasks,
                 self._advised(step, len(tasks), planning),
-                is_hasty=is_hasty(step, now),
+                is_urgent=is_urgent(step, now),
             )
             for choice in choices:
                 self._place(choice, now)
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -51,7 +51,7 @@
 
 
 class SchedulingTerm:
-    """One term of office of the scheduler in this process."""
+    """One term of the scheduler in this process."""
 
     __slots__ = (
         '_began_s',
--- a/tests/test_cell_stragglers.py
+++ b/tests/test_cell_stragglers.py
@@ -61,7 +61,7 @@
 
 
 class TestSpeeds(TestCase):
-    """Hasty work goes to fast workers, also under a new scheduler."""
+    """Urgent work goes to fast workers, also under a new scheduler."""
 
     def test_one_odd_run_changes_little(self) -> None:
         speed = WorkerSpeed(1.0, 20)
