Keep records of leases in rows of their own

Ruled out: leaving the records out; a successor could not tell on which side of a lapse an end lies. Records of single workers as rows: hundreds of entries a write.

--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -23,23 +23,12 @@
 _MOST_SHORT_TERMS = 16
 
 
-class LeaseRecord(Struct, frozen=True, array_like=True):
-    """What a successor is told of one worker's lease, on the store's clock.
-
-    The lease surely holds until ``held_ms``. It is surely over after
-    ``over_ms``; 0 stands for a worker that grants may still reach.
-    """
-
-    held_ms: float
-    over_ms: float = 0
-
-
 class OwnerRow(Struct, frozen=True, omit_defaults=True):
     """The owner row; all times are on the store's clock.
 
     ``sequence`` grows with each write of an epoch, and ``taken_ms`` is when
     the epoch began. Grants follow from ``renewed_ms``, when this row was
-    written; ``leases_by_worker`` holds what is known of each worker's.
+    written; rows of their own tell of single leases.
     ``is_released`` invites a successor. ``largest_cores`` is the processor of
     the largest instance that could succeed, 0 while it is not known.
     ``short_terms`` counts the terms in a row that ended soon, by silence.
@@ -51,7 +40,6 @@
     sequence: int = 0
     taken_ms: float = 0
     renewed_ms: float = 0
-    leases_by_worker: dict[str, LeaseRecord] = {}
     is_released: bool = False
     largest_cores: float = 0
     short_terms: int = 0
--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -16,8 +16,9 @@
 from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
 
 PROGRESS_PREFIX = 'progress/cell/'
-# The platform takes 100 entries in a transaction; the owner row takes two.
-_MOST_JOBS = 80
+# The platform takes 100 entries in a transaction: the owner row takes two, the
+# rows of leases, speeds and expired jobs take up to 18.
+_MOST_JOBS = 76
 
 
 class JournalBatch(Struct):
--- a/src/apricotlead/coordination/cell/lease_records.py
+++ b/src/apricotlead/coordination/cell/lease_records.py
@@ -1,16 +1,32 @@
 """What one term tells the next of the workers' leases, and learns so itself."""
 
-from apricotlead.coordination.cell.election import LeaseRecord, OwnerRow
+from collections.abc import Iterable
+
+from apricotlead.coordination.cell.election import OwnerRow
+from apricotlead.coordination.cell.lease_rows import LeaseRecord, LeaseRows
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.store_clock import StoreClock
+from apricotlead.protocol.table import Put, Row
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.worker_lease import WorkerLease
 
+_MS_PER_S = 1000.0
+# The part of a lease by which a record may lag behind it.
+_LATE_SHARE = 0.5
+
 
 class LeaseRecords:
-    """Translates leases between the owner row and this term's clock."""
+    """Translates leases between the store's rows and this term's clock."""
 
-    __slots__ = ('_clock', '_former_by_worker', '_granted_until_s', '_settings')
+    __slots__ = (
+        '_clock',
+        '_former_by_worker',
+        '_granted_until_s',
+        '_made_by_worker',
+        '_rows',
+        '_settings',
+        '_told_by_worker',
+    )
 
     def __init__(
         self,
@@ -19,32 +35,82 @@
         former: OwnerRow | None,
         now: float,
     ) -> None:
-        """Begin with what the term that wrote ``former`` recorded."""
+        """Begin after the term that wrote ``former``."""
         self._settings = settings
         self._clock = clock
         self._granted_until_s = self._latest_grant_s(former, now)
         self._former_by_worker: dict[str, LeaseRecord] = {}
-        if former is not None:
-            self._former_by_worker.update(former.leases_by_worker)
+        # The records of the write that is under way.
+        self._made_by_worker: dict[str, LeaseRecord] = {}
+        # What the rows that were made last tell.
+        self._told_by_worker: dict[str, LeaseRecord] = {}
+        self._rows = LeaseRows()
+
+    def load(self, rows: Iterable[Row]) -> list[str]:
+        """Take over what former terms recorded, once, before any worker.
+
+        The rows have to be read after the claim of the owner row. Returns the
+        keys of those that cannot be read.
+        """
+        known, unreadable = self._rows.load(rows)
+        self._former_by_worker = known
+        self._told_by_worker.update(known)
+        return unreadable
 
     def forget(self, worker_id: str) -> None:
         """Drop what was recorded of a life that is over."""
         self._former_by_worker.pop(worker_id, None)
+        self._told_by_worker.pop(worker_id, None)
 
     def may_grant(self, worker_id: str) -> bool:
-        """Tell whether the row of the takeover allows grants to a worker."""
+        """Tell whether the rows of former terms allow grants to a worker."""
         record = self._former_by_worker.get(worker_id)
         return record is not None and not record.over_ms
 
-    def record(self, worker: WorkerState, now: float) -> LeaseRecord:
-        """Return what a successor is to know of a worker's lease."""
-        lease = worker.lease
-        held_ms = self._clock.to_store_ms(lease.surely_held_until_s, now)
-        age_s = now - lease.contact_s
-        if lease.is_known and age_s <= _contact_bound_s(self._settings):
-            return LeaseRecord(held_ms)
-        over_s = max(lease.surely_over_s, now)
-        return LeaseRecord(held_ms, self._clock.to_store_ms(over_s, now))
+    def wants_grant(self, worker: WorkerState, now: float) -> bool:
+        """Tell whether a write of its row would allow grants to a worker."""
+        return not worker.is_granted and self._is_in_contact(worker, now)
+
+    def make_rows(
+        self,
+        workers_by_id: dict[str, WorkerState],
+        now: float,
+    ) -> tuple[Put, ...]:
+        """Return the rows that the next write of the journal takes along.
+
+        Workers that a row calls out of contact are granted nothing from here
+        on: a grant would outlast what the row says.
+        """
+        for worker_id in self._rows.sync(workers_by_id):
+            self._told_by_worker.pop(worker_id, None)
+        due_ids = [
+            worker.worker_id
+            for worker in workers_by_id.values()
+            if self._is_due(worker, now)
+        ]
+        puts: list[Put] = []
+        self._made_by_worker = {}
+        for number in self._rows.due(due_ids):
+            workers = map(workers_by_id.get, self._rows.workers_of(number))
+            records = {
+                worker.worker_id: self._record(worker, now)
+                for worker in workers
+            }
+            puts.append(self._rows.make(number, records, now))
+            self._made_by_worker.update(records)
+        self._told_by_worker.update(self._made_by_worker)
+        for worker_id, record in self._made_by_worker.items():
+            if record.over_ms:
+                workers_by_id[worker_id].is_granted = False
+        return tuple(puts)
+
+    def written(self, workers_by_id: dict[str, WorkerState]) -> None:
+        """Allow grants to the workers that the durable write calls known."""
+        for worker_id, record in self._made_by_worker.items():
+            worker = workers_by_id.get(worker_id)
+            if worker is not None:
+                worker.is_granted = not record.over_ms
+        self._made_by_worker = {}
 
     def new_lease(self, worker_id: str, now: float) -> WorkerLease:
         """Return the lease of a worker that is not in contact yet."""
@@ -59,6 +125,32 @@
         held_s = self._clock.to_local_s(record.held_ms, now) - times.margin_s
         return WorkerLease(times, now, until_s, held_s)
 
+    def _record(self, worker: WorkerState, now: float) -> LeaseRecord:
+        """Return what a successor is to know of a worker's lease."""
+        lease = worker.lease
+        held_ms = self._clock.to_store_ms(lease.surely_held_until_s, now)
+        if self._is_in_contact(worker, now):
+            return LeaseRecord(held_ms)
+        over_s = max(lease.surely_over_s, now)
+        return LeaseRecord(held_ms, self._clock.to_store_ms(over_s, now))
+
+    def _is_due(self, worker: WorkerState, now: float) -> bool:
+        """Tell whether a successor has to know more than it was told."""
+        told = self._told_by_worker.get(worker.worker_id)
+        is_called_lost = told is None or bool(told.over_ms)
+        if is_called_lost == self._is_in_contact(worker, now):
+            return True
+        if is_called_lost:
+            return False
+        held_ms = self._clock.to_store_ms(worker.lease.surely_held_until_s, now)
+        late_s = (held_ms - told.held_ms) / _MS_PER_S
+        return late_s > self._settings.leases.lease_s * _LATE_SHARE
+
+    def _is_in_contact(self, worker: WorkerState, now: float) -> bool:
+        age_s = now - worker.lease.contact_s
+        bound_s = _contact_bound_s(self._settings)
+        return worker.lease.is_known and age_s <= bound_s
+
     def _latest_grant_s(self, former: OwnerRow | None, now: float) -> float:
         """Return until when any lease of the former term may hold."""
         if former is None:
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -121,18 +121,17 @@
             self.owner_version,
             now,
             self.jobs.rows.take_expired(_MOST_EXPIRED),
-            self.speeds.due(now),
+            (*self.workers.lease_puts(now), *self.speeds.due(now)),
         )
         renewed_s = self.workers.renewed_s
         return batch, self.starts.prepare(batch.planned, renewed_s, now)
 
-    def has_changes(self) -> bool:
+    def has_changes(self, now: float) -> bool:
         """Tell whether something waits to be journaled."""
-        if self.book.dirty_job_ids:
+        if self.book.dirty_job_ids or self.workers.wants_grant(now):
             return True
         return any(
             worker.reported_through > worker.acked_through
-            or (worker.lease.is_known and not worker.is_granted)
             for worker in self.book.workers_by_id.values()
         )
 
@@ -160,7 +159,7 @@
             worker = self.book.workers_by_id.get(worker_id)
             if worker is not None:
                 worker.acked_through = max(worker.acked_through, through)
-        self.workers.granted(batch.owner)
+        self.workers.leases_written()
         for task, run in batch.planned:
             if task.run == run:
                 self.book.sent(task)
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -1,8 +1,10 @@
 """Contact with workers: registrations, holds, leases and lapses."""
 
+from collections.abc import Iterable
+
 import msgspec
 
-from apricotlead.coordination.cell.election import LeaseRecord, OwnerRow
+from apricotlead.coordination.cell.election import OwnerRow
 from apricotlead.coordination.cell.evacuation import leaving_runs
 from apricotlead.coordination.cell.lease_records import LeaseRecords
 from apricotlead.coordination.cell.listing import reconcile
@@ -18,6 +20,7 @@
     WorkerEntry,
 )
 from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import Put, Row
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.worker_lease import Lapse
 
@@ -215,25 +218,31 @@
 
     def next_owner(self, owner: OwnerRow, now: float) -> OwnerRow:
         """Return the owner row of the next write."""
-        leases: dict[str, LeaseRecord] = {}
-        for worker in self._book.workers_by_id.values():
-            record = self._leases.record(worker, now)
-            leases[worker.worker_id] = record
-            if record.over_ms:
-                # From here on a grant would outlast what the row says.
-                worker.is_granted = False
         return msgspec.structs.replace(
             owner,
             sequence=owner.sequence + 1,
             renewed_ms=self._clock.read_ms(now),
-            leases_by_worker=leases,
         )
 
-    def granted(self, owner: OwnerRow) -> None:
+    def load_leases(self, rows: Iterable[Row]) -> None:
+        """Take over the rows of leases, read after the claim."""
+        for key in self._leases.load(rows):
+            self._book.note('row unreadable', key=key, why='no lease records')
+
+    def lease_puts(self, now: float) -> tuple[Put, ...]:
+        """Return the rows of leases that the next write takes along."""
+        return self._leases.make_rows(self._book.workers_by_id, now)
+
+    def leases_written(self) -> None:
         """Allow grants to the workers that a durable write calls known."""
-        for worker in self._book.workers_by_id.values():
-            record = owner.leases_by_worker.get(worker.worker_id)
-            worker.is_granted = record is not None and not record.over_ms
+        self._leases.written(self._book.workers_by_id)
+
+    def wants_grant(self, now: float) -> bool:
+        """Tell whether a worker in contact waits for a write to be granted."""
+        return any(
+            self._leases.wants_grant(worker, now)
+            for worker in self._book.workers_by_id.values()
+        )
 
     def _note_answer(self, worker: WorkerState, now: float) -> None:
         """Tell lost answers from lost workers by an answer that follows."""
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -10,6 +10,7 @@
 from apricotlead.coordination.cell.election import should_yield
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import SPEEDS_KEY
@@ -217,11 +218,13 @@
                 partial(store.scan_rows, PROGRESS_PREFIX),
                 registry.read_all,
                 partial(store.read_row, SPEEDS_KEY),
+                partial(store.scan_rows, LEASES_PREFIX),
             )
         )
         if None in pages:
             return False
         now = boot_now()
+        self.scheduler.workers.load_leases(pages[4])
         self.scheduler.jobs.load(pages[0], pages[1], now)
         for row in pages[2]:
             self.take_registration(row)
@@ -270,11 +273,11 @@
         """Write the journal, if it is due, and send what it then allows."""
         renew_s = self._settings.election.renew_s
         age_s = boot_now() - self.scheduler.workers.renewed_s
-        if self.scheduler.has_changes() or age_s > renew_s:
+        if self.scheduler.has_changes(boot_now()) or age_s > renew_s:
             self._orders.send_starts(self._journal.write())
         self._log_notes()
         eventlet.sleep(_ROUND_PAUSE_S)
-        if not self.scheduler.has_changes():
+        if not self.scheduler.has_changes(boot_now()):
             self._planned.wait(_IDLE_PLAN_S)
 
     def _tick(self) -> None:
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -10,6 +10,7 @@
 )
 from apricotlead.coordination.cell.job_rows import JOBS_TABLE, job_key
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import SPEEDS_KEY
@@ -141,7 +142,7 @@
             self.store_ms,
             CellSettings().election,
         )
-        self._write(transaction)
+        self.write(transaction)
         self.scheduler = CellScheduler(
             CellSettings(),
             CellView(self.config, self.now),
@@ -151,6 +152,7 @@
             self.store_ms,
         )
         self.scheduler.owner_version = self.version
+        self.scheduler.workers.load_leases(self.rows(LEASES_PREFIX))
         self.scheduler.jobs.load(
             self.rows(f'{JOBS_TABLE}/'),
             self.rows(PROGRESS_PREFIX),
@@ -233,7 +235,7 @@
     def journal(self) -> list[PlannedStart]:
         """Write the journal and return the starts that it allows."""
         batch, starts = self.scheduler.take_batch(self.now)
-        self._write(batch.transaction)
+        self.write(batch.transaction)
         self.scheduler.committed(
             batch,
             self.version,
@@ -255,7 +257,8 @@
                 start, reply, self.now, self.now
             )
 
-    def _write(self, transaction: object) -> None:
+    def write(self, transaction: object) -> None:
+        """Carry a transaction out."""
         for check in transaction.checks:
             row = self.rows_by_key.get(check.key, Row(check.key))
             assert row.version == check.version
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -5,7 +5,6 @@
 
 from apricotlead.coordination.cell.election import (
     OWNER_KEY,
-    LeaseRecord,
     Loss,
     OwnerRow,
     is_cut_off,
@@ -115,22 +114,17 @@
 
 
 class TestTakeover(TestCase):
-    """What a former term wrote of the leases survives the takeover."""
-
-    def test_lease_bounds_are_kept(self) -> None:
-        former = OwnerRow(
-            3,
-            'i1',
-            'peer1',
-            renewed_ms=500,
-            leases_by_worker={'w1': LeaseRecord(900, 1700)},
-        )
+    """A claim raises the epoch and leaves the rows of leases alone."""
+
+    def test_claim_writes_the_owner_row_alone(self) -> None:
+        former = OwnerRow(3, 'i1', 'peer1', renewed_ms=500)
         row = Row(OWNER_KEY, 9, msgspec.to_builtins(former))
         owner, transaction = takeover(row, 'i2', 'peer2', 1000, TIMES)
         self.assertEqual(4, owner.epoch)
         # Grants may follow the takeover, so it counts as a renewal.
         self.assertEqual(1000, owner.renewed_ms)
-        self.assertEqual(former.leases_by_worker, owner.leases_by_worker)
+        self.assertEqual([OWNER_KEY], [put.key for put in transaction.puts])
+        self.assertEqual((), transaction.deletes)
         self.assertEqual(9, transaction.checks[0].version)
 
     def test_first_takeover_expects_no_row(self) -> None:
