Tell for what jobs wait, and where a run's worth is lost

Cause: the lines of a job told that it was late, not whether it waited for advice, room, a limit or another member, nor what its lost runs cost.

The line at a job's end carries the sums.

Before and after: python -m bench.what_binds reads the logs of all instances and prints outcomes by queue, organisation, data centre and time, reasons, seconds a job and idle room.

--- /dev/null
+++ b/bench/what_binds.py
@@ -0,0 +1,178 @@
+"""Where the jobs of a cell lose their worth, from its instances' logs.
+
+    python -m bench.what_binds LOG...
+
+Reads the lines of all instances of one run and prints, for each queue,
+organisation, data centre and two seconds, which jobs ended within their
+objective, and for the others what cost them most of their time. Text before
+the first brace of a line is passed over, so a log collector may add prefixes.
+"""
+
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+from bench.job_stories import JobStory, Record, RunStories
+
+_FIXED_WORTH = 0.3
+_MOST_WORTH = 4.0
+_WINDOW_S = 2.0
+_IDLE_SHARE = 0.2
+_MOST_REASONS = 12
+# Times a job that are shorter are left out.
+_LEAST_S = 0.005
+_TINY = 0.001
+_NAME_WIDTH = 28
+_OUTCOMES = ('in time', 'late', 'worthless', 'unfinished', 'refused')
+
+
+class WorthTable:
+    """The worth that the jobs of a run earned and lost.
+
+    A job's worth is relative to the mean of its queue; cancelled jobs earn
+    nothing and are owed nothing.
+    """
+
+    def __init__(self, stories: RunStories) -> None:
+        """Weigh all jobs."""
+        self.jobs = [
+            job
+            for job in stories.jobs_by_id.values()
+            if job.first_s < float('inf') and job.outcome != 'cancelled'
+        ]
+        self.began_s = min(job.first_s for job in self.jobs)
+        sizes_by_queue: dict[str, list[float]] = defaultdict(list)
+        for job in self.jobs:
+            if job.ended is not None:
+                sizes_by_queue[job.queue].append(job.ended['core_s'])
+        self._mean_by_queue = {
+            queue: sum(sizes) / len(sizes)
+            for queue, sizes in sizes_by_queue.items()
+        }
+
+    def worth(self, job: JobStory) -> float:
+        """Return the worth of a job."""
+        size = 1.0
+        if job.ended is not None:
+            mean = self._mean_by_queue[job.queue]
+            size = job.ended['core_s'] / max(_TINY, mean)
+        worth = _FIXED_WORTH + (1 - _FIXED_WORTH) * size
+        return min(_MOST_WORTH, worth)
+
+    def lines_by(
+        self,
+        title: str,
+        key: Callable[[JobStory], Any],
+    ) -> Iterable[str]:
+        """Return a table of outcomes by a property of the jobs."""
+        groups: dict[Any, list[JobStory]] = defaultdict(list)
+        for job in self.jobs:
+            groups[key(job)].append(job)
+        outcomes = '  '.join(_OUTCOMES)
+        yield f'\n{title.ljust(_NAME_WIDTH)} jobs earned  {outcomes}'
+        for name in sorted(groups):
+            shown = str(name).ljust(_NAME_WIDTH)
+            yield f'{shown} {self._outcomes(groups[name])}'
+
+    def reasons(self) -> Iterable[str]:
+        """Return what cost the jobs of each queue their worth."""
+        lost: dict[str, Counter[str]] = defaultdict(Counter)
+        counts: Counter[tuple[str, str]] = Counter()
+        owed: Counter[str] = Counter()
+        for job in self.jobs:
+            worth = self.worth(job)
+            owed[job.queue] += worth
+            if job.share < 1:
+                reason = f'{job.outcome}: {job.reason()}'
+                lost[job.queue][reason] += worth * (1 - job.share)
+                counts[job.queue, reason] += 1
+        for queue, reasons in sorted(lost.items()):
+            yield f'\n{queue}: share of its worth lost, jobs, why'
+            for reason, worth in reasons.most_common(_MOST_REASONS):
+                share = _share(worth / owed[queue])
+                count = counts[queue, reason]
+                yield f'  {share} {count}  {reason}'
+
+    def times(self) -> Iterable[str]:
+        """Return where the time of the jobs of a queue went, a job."""
+        totals: dict[str, Counter[str]] = defaultdict(Counter)
+        counts: Counter[str] = Counter()
+        for job in self.jobs:
+            if job.ended is not None:
+                totals[job.queue].update(job.costs_s())
+                totals[job.queue]['work'] += job.ended['work_s']
+                counts[job.queue] += 1
+        yield '\nseconds a job'
+        for queue, times in sorted(totals.items()):
+            means = {
+                name: seconds / counts[queue]
+                for name, seconds in times.most_common()
+            }
+            shown = ', '.join(
+                f'{name} {round(mean, 2)}'
+                for name, mean in means.items()
+                if mean >= _LEAST_S
+            )
+            yield f'  {queue}: {shown}'
+
+    def _outcomes(self, jobs: list[JobStory]) -> str:
+        owed = sum(self.worth(job) for job in jobs)
+        earned = sum(self.worth(job) * job.share for job in jobs)
+        counts = Counter(job.outcome for job in jobs)
+        shown = '  '.join(
+            str(counts[outcome]).rjust(len(outcome)) for outcome in _OUTCOMES
+        )
+        share = _share(earned / max(_TINY, owed))
+        count = str(len(jobs)).rjust(4)
+        return f'{count} {share}  {shown}'
+
+
+def _share(share: float) -> str:
+    return f'{share:.3f}'
+
+
+def room_lines(states: Iterable[Record], began_s: float) -> Iterable[str]:
+    """Return the processors in use and the tasks that wait, by the second."""
+    yield '\nsecond: share of the processors in use, tasks that wait'
+    idle_count = 0
+    for state in states:
+        used = state['cpu_used_millis'] / max(1, state['cpu_millis'])
+        waiting = state['waiting_tasks']
+        idle_count += used < 1 - _IDLE_SHARE and sum(waiting.values()) > 0
+        second = round(state['timestamp'] - began_s, 1)
+        workers = state['usable_workers']
+        share = round(used, 2)
+        yield f'  {second} {share} of {workers} workers, {waiting}'
+    yield f'{idle_count} lines with over {_IDLE_SHARE} idle while tasks wait'
+
+
+def main(paths: list[str]) -> None:
+    """Print the tables of one run."""
+    lines = [
+        line
+        for path in paths
+        for line in Path(path).read_text(errors='replace').splitlines()
+    ]
+    stories = RunStories.from_lines(lines)
+    table = WorthTable(stories)
+    parts = (
+        table.lines_by('queue', lambda job: job.queue),
+        table.lines_by('organisation', lambda job: job.organisation),
+        table.lines_by('data centre', lambda job: job.data_centre),
+        table.lines_by(
+            'from second',
+            lambda job: (job.first_s - table.began_s) // _WINDOW_S * _WINDOW_S,
+        ),
+        table.reasons(),
+        table.times(),
+        room_lines(stories.states, table.began_s),
+    )
+    for part in parts:
+        for line in part:
+            sys.stdout.write(f'{line}\n')
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -15,6 +15,7 @@
 )
 from apricotlead.coordination.cell.placement_round import PlacementRound
 from apricotlead.state.cell_jobs import StepState, TaskState
+from apricotlead.state.wait_times import WaitReason
 
 # A third of these may run the most restricted steps that callers describe.
 _ASKED_WORKERS = 30
@@ -57,21 +58,31 @@
         step: StepState,
         tasks: list[TaskState],
         planning: PlacementRound,
-    ) -> None:
+    ) -> WaitReason:
         """Ask about tasks without a place, if that may bring them one.
 
         Room that the answer can be relied on to allow is kept until then.
+        Returns what the tasks wait for.
         """
-        policy = step.job.stored.advice
-        if policy is None:
-            return
+        if step.job.stored.advice is None:
+            return WaitReason.ROOM
         advice = self._advice.advice(step.name)
         if advice.is_asking:
             if advice.is_sure:
                 choose(step, tasks, planning.rooms_of(advice.good_workers()))
-            return
+            return WaitReason.ADVICE
         if not self._advice.may_ask(step.name, planning.now):
-            return
+            return WaitReason.ASKER
+        return self._ask_about_rooms(step, tasks, planning)
+
+    def _ask_about_rooms(
+        self,
+        step: StepState,
+        tasks: list[TaskState],
+        planning: PlacementRound,
+    ) -> WaitReason:
+        """Ask about the good workers with room, and about unknown ones."""
+        advice = self._advice.advice(step.name)
         choices = choose(
             step,
             tasks,
@@ -83,18 +94,21 @@
         if len(choices) < len(tasks):
             count = len(tasks) - len(choices)
             names.extend(self._unknown_workers(step, count, planning))
+        if not names:
+            return WaitReason.ROOM
         call = self._advice.plan_call(
             step.name,
             names,
-            policy,
+            step.job.stored.advice,
             planning.askers,
             planning.now,
         )
         if call is not None:
             planning.calls.append(call)
-            return
+            return WaitReason.ADVICE
         for _, room in choices:
             room.take(step.demand(), sign=-1)
+        return WaitReason.ASKER
 
     def _unknown_workers(
         self,
--- a/src/apricotlead/coordination/cell/job_intake.py
+++ b/src/apricotlead/coordination/cell/job_intake.py
@@ -81,7 +81,7 @@
         for job in tuple(self._book.jobs_by_id.values()):
             self._book.open_steps(job, now)
             if job.is_complete():
-                self._book.finish(job, JobState.COMPLETED)
+                self._book.finish(job, JobState.COMPLETED, now)
 
     def job_row(self, row: Row, now: float) -> None:
         """Take note of a row of the table of jobs."""
@@ -89,7 +89,7 @@
         if row.version == 0 or row.value is None:
             return
         if mark:
-            self._cancel(job_id)
+            self._cancel(job_id, now)
             return
         try:
             self._take_row(job_id, row, now)
@@ -206,7 +206,7 @@
         age_s = (
             max(0, self._clock.read_ms(now) - stored.accepted_ms) / _MS_PER_S
         )
-        job = JobRun(job_id, stored, now - age_s, row_version)
+        job = JobRun(job_id, stored, now - age_s, row_version, now)
         organisation = self.view.organisations_by_name.get(stored.organisation)
         if organisation is not None:
             job.is_within_weight = self._meter.admit(
@@ -229,11 +229,11 @@
             job.open_occurrence()
         self._book.open_steps(job, now)
 
-    def _cancel(self, job_id: str) -> None:
+    def _cancel(self, job_id: str, now: float) -> None:
         self.rows.note_cancel(job_id)
         job = self._book.jobs_by_id.get(job_id)
         if job is not None:
-            self._book.finish(job, JobState.CANCELLED)
+            self._book.finish(job, JobState.CANCELLED, now)
 
     def _note_final(
         self,
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -18,8 +18,11 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import StepState, TaskState
 from apricotlead.state.cell_view import CellView
+from apricotlead.state.wait_times import WaitReason
 
 _NO_LIMIT = Resources()
+# Steps that wait so cost a round nothing.
+_HELD_BACK = frozenset((WaitReason.MEMBERS, WaitReason.LIMIT))
 # Steps that could not be placed in a round, before the rest is left.
 _MOST_BLOCKED_STEPS = 60
 
@@ -65,20 +68,36 @@
             key=lambda step: order_key(step, now),
         )
         for step in steps:
-            tasks = self._within_limit(step, waiting_tasks(step, now))
-            if tasks and not self._place_step(step, tasks, planning):
-                blocked += 1
-            if blocked > _MOST_BLOCKED_STEPS:
-                break
+            reason: WaitReason | None = WaitReason.ORDER
+            if blocked <= _MOST_BLOCKED_STEPS:
+                before = step.waiting_count
+                reason = self._place_waiting(step, planning)
+                is_blocked = step.waiting_count == before
+                blocked += is_blocked and reason not in _HELD_BACK
+            step.waits.note(reason, now)
         return planning.calls
 
+    def _place_waiting(
+        self,
+        step: StepState,
+        planning: PlacementRound,
+    ) -> WaitReason | None:
+        """Place what fits; return what the rest waits for."""
+        waiting = waiting_tasks(step, planning.now)
+        if not waiting:
+            return WaitReason.MEMBERS
+        tasks = self._within_limit(step, waiting)
+        if not tasks:
+            return WaitReason.LIMIT
+        return self._place_step(step, tasks, planning)
+
     def _place_step(
         self,
         step: StepState,
         tasks: list[TaskState],
         planning: PlacementRound,
-    ) -> bool:
-        """Place what fits and ask about the rest; tell whether any did."""
+    ) -> WaitReason | None:
+        """Place what fits and ask about the rest."""
         may_ask = planning.may_ask(step.demand().cpu_millis * len(tasks))
         choices = choose(
             step,
@@ -90,9 +109,11 @@
             self._place(choice, planning.now)
         if step.spec.gang and not choices:
             self._keep_rooms(step, planning)
-        if may_ask and len(choices) < len(tasks):
-            self._asking.ask(step, tasks[len(choices) :], planning)
-        return bool(choices)
+        if len(choices) == len(tasks):
+            return None if not step.waiting_count else WaitReason.LIMIT
+        if may_ask:
+            return self._asking.ask(step, tasks[len(choices) :], planning)
+        return WaitReason.ROOM
 
     def _keep_rooms(self, step: StepState, planning: PlacementRound) -> None:
         """Keep workers for a gang that has time left and none that fit."""
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -6,6 +6,10 @@
 
 from typing import Any
 
+from apricotlead.coordination.cell.job_summary import (
+    job_summary,
+    run_core_s,
+)
 from apricotlead.protocol.cell_jobs import JobState
 from apricotlead.protocol.cell_workers import (
     EndedTask,
@@ -156,13 +160,18 @@
             task.step.job.has_started = True
             self._set_phase(task, TaskPhase.RUNNING, is_change=False)
 
-    def finish(self, job: JobRun, state: JobState) -> None:
+    def finish(self, job: JobRun, state: JobState, now: float) -> None:
         """Give a job its final state and stop what is left of it."""
         if job.state.is_final:
             return
         job.state = state
         self.touch(job)
-        self.note('job ended', job=job.job_id, state=str(state))
+        self.note(
+            'job ended',
+            job=job.job_id,
+            state=str(state),
+            **job_summary(job, now),
+        )
         for step in job.steps_by_key.values():
             self.ready_steps_by_name.pop(step.name, None)
         for task in job.tasks():
@@ -195,6 +204,7 @@
             after_s=round(now - task.started_s, 2),
             estimate_s=round(task.step.spec.estimated_ms / 1000, 2),
         )
+        self._account(task, ended.kind, now)
         if task.phase is TaskPhase.DONE:
             worker.release(task)
         elif ended.kind is EndKind.DONE:
@@ -202,6 +212,16 @@
         else:
             self._ended_undone(worker, task, ended.kind, now)
 
+    def _account(self, task: TaskState, kind: EndKind, now: float) -> None:
+        """Keep what the line at the job's end tells of a run."""
+        step = task.step
+        taken_s = now - task.started_s
+        if kind is EndKind.DONE:
+            step.longest_run_s = max(step.longest_run_s, taken_s)
+        else:
+            core_s = run_core_s(step.spec.demand.cpu_millis, taken_s)
+            step.lost_core_s_by_kind[str(kind)] += core_s
+
     def stop_acked(
         self, worker_id: str, name: str, run: int, now: float
     ) -> None:
@@ -273,7 +293,7 @@
             self._restart(task)
         job = step.job
         if job.is_complete():
-            self.finish(job, JobState.COMPLETED)
+            self.finish(job, JobState.COMPLETED, now)
         elif step.is_done:
             self.open_steps(job, now)
 
@@ -303,4 +323,4 @@
         attempts = step.gang_failures if step.spec.gang else task.failures
         is_bounded = not step.spec.long_running
         if is_bounded and attempts >= step.job.stored.max_attempts:
-            self.finish(step.job, JobState.FAILED)
+            self.finish(step.job, JobState.FAILED, now)
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -1,5 +1,6 @@
 """The jobs of the cell as the elected scheduler sees them."""
 
+from collections import Counter
 from enum import Enum
 
 from apricotlead.protocol.cell_jobs import (
@@ -11,6 +12,7 @@
     TaskRecord,
 )
 from apricotlead.protocol.resources import Resources
+from apricotlead.state.wait_times import WaitTimes
 
 # A task's name is its job's id and the occurrence, step and index.
 _NAME_NUMBERS = 3
@@ -112,6 +114,8 @@
         'index',
         'job',
         'longest_done_s',
+        'longest_run_s',
+        'lost_core_s_by_kind',
         'name',
         'occurrence',
         'ready_s',
@@ -119,6 +123,7 @@
         'spec',
         'tasks',
         'waiting_count',
+        'waits',
     )
 
     def __init__(self, job: 'JobRun', occurrence: int, index: int) -> None:
@@ -136,9 +141,13 @@
         self.gang_failures = 0
         # The longest time that a task of the step took, 0 before the first.
         self.longest_done_s = 0.0
+        # As above, with runs that resumed and gangs; told at the job's end.
+        self.longest_run_s = 0.0
+        self.lost_core_s_by_kind: Counter[str] = Counter()
         # Workers on which a run was replaced for its pace.
         self.slow_worker_ids: set[str] = set()
         self.ready_s: float | None = None
+        self.waits = WaitTimes()
 
     @property
     def is_done(self) -> bool:
@@ -194,6 +203,7 @@
         'has_started',
         'is_within_weight',
         'job_id',
+        'known_since_s',
         'next_occurrence',
         'row_version',
         'state',
@@ -208,14 +218,22 @@
         stored: StoredJob,
         accepted_s: float,
         row_version: int,
+        known_since_s: float | None = None,
     ) -> None:
-        """Begin without occurrences; ``accepted_s`` is in local seconds."""
+        """Begin without occurrences; times are in local seconds.
+
+        ``known_since_s`` is when this term took the job, by default when it
+        was accepted.
+        """
         if stored.submission is None:
             raise ValueError(f'Job {job_id} is final; it cannot run again.')
         self.job_id = job_id
         self.stored = stored
         self.steps_spec = stored.submission.steps
         self.accepted_s = accepted_s
+        self.known_since_s = (
+            accepted_s if known_since_s is None else known_since_s
+        )
         self.row_version = row_version
         self.steps_by_key: dict[tuple[int, int], StepState] = {}
         self.state = JobState.QUEUED
