Judge stragglers by the errors of their queue, and gangs by their workers

Cause: a run counted as a straggler by the caller's estimate. Estimates of diagnoses are off by a factor of 2.5 either way, so whole gangs on healthy workers were stopped, up to six times in turn and at 78 percent of their work; half of them save nothing. Runs of a former term counted as very fast, since their start was taken as that of the term, and so did their workers.

Ruled out: more tries before the estimate counts as wrong; each one costs a gang its whole work. Members of a gang as evidence for one another: they go at one pace.

The errors of each queue are learned from whole runs, one a step, and told to the next term.

--- a/src/apricotlead/coordination/cell/listing.py
+++ b/src/apricotlead/coordination/cell/listing.py
@@ -58,7 +58,7 @@
         task.progress = listed.progress
         task.progress_s = made_s
     task.load = listed.load
-    if is_straggler(task, made_s):
+    if is_straggler(task, worker.speed, book.estimate_errors, made_s):
         _replace_straggler(book, worker, task, made_s)
     key = (worker.worker_id, task.name, task.run)
     if task.phase is TaskPhase.STOPPING and key not in (
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -18,6 +18,7 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
+from apricotlead.state.estimate_errors import EstimateErrors
 
 _MS_PER_S = 1000.0
 
@@ -27,6 +28,7 @@
 
     __slots__ = (
         'dirty_job_ids',
+        'estimate_errors',
         'jobs_by_id',
         'notes',
         'ready_steps_by_name',
@@ -40,6 +42,7 @@
         """Begin empty."""
         self.jobs_by_id: dict[str, JobRun] = {}
         self.workers_by_id: dict[str, WorkerState] = {}
+        self.estimate_errors = EstimateErrors()
         # Runs of a former term whose workers are not known yet.
         self.restored_by_worker: dict[str, list[TaskState]] = {}
         self.ready_steps_by_name: dict[str, StepState] = {}
@@ -94,6 +97,7 @@
         task.worker_id = worker.worker_id
         task.ticket = ticket
         task.started_s = now
+        task.is_start_known = True
         task.first_progress = None
         task.progress = 0.0
         task.progress_s = now
@@ -278,10 +282,8 @@
     def _done(self, worker: WorkerState, task: TaskState, now: float) -> None:
         worker.failures_in_row = 0
         step = task.step
-        if not task.checkpoint and not step.spec.gang:
-            taken_s = now - task.started_s
-            step.longest_done_s = max(step.longest_done_s, taken_s)
-            worker.speed.observe(taken_s, step.spec.estimated_ms / _MS_PER_S)
+        if task.is_start_known and not task.checkpoint:
+            self._learn(worker, task, now - task.started_s)
         # The end of one member stands for its whole gang.
         members = step.tasks if step.spec.gang else [task]
         worker.release(task)
@@ -297,6 +299,26 @@
         elif step.is_done:
             self.open_steps(job, now)
 
+    def _learn(
+        self,
+        worker: WorkerState,
+        task: TaskState,
+        taken_s: float,
+    ) -> None:
+        """Learn from a whole run how long such work takes, and here."""
+        step = task.step
+        estimate_s = step.spec.estimated_ms / _MS_PER_S
+        if not step.done_count:
+            self.estimate_errors.observe(
+                step.job.stored.queue,
+                taken_s / worker.speed.slowness,
+                estimate_s,
+            )
+        # The slowest worker decides how long a gang takes.
+        if not step.spec.gang:
+            step.longest_done_s = max(step.longest_done_s, taken_s)
+            worker.speed.observe(taken_s, estimate_s)
+
     def _restart(self, task: TaskState) -> None:
         """Let a task that lasts wait again after it ended as done."""
         step = task.step
--- a/src/apricotlead/coordination/cell/speed_rows.py
+++ b/src/apricotlead/coordination/cell/speed_rows.py
@@ -1,16 +1,23 @@
-"""What a scheduler learned of its workers' speeds, kept for the next term."""
+"""What a scheduler learned of speeds and estimates, kept for the next term."""
+
+import msgspec
 
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.protocol.table import Put, Row
+from apricotlead.state.estimate_errors import EstimateError
 from apricotlead.state.worker_speed import WorkerSpeed
 
-SPEEDS_KEY = 'workers/cell/speeds'
+LEARNED_PREFIX = 'workers/cell/'
+SPEEDS_KEY = f'{LEARNED_PREFIX}speeds'
+ESTIMATES_KEY = f'{LEARNED_PREFIX}estimates'
 # A successor that misses this much learns it again from a few runs.
 _WRITE_EVERY_S = 5.0
+_Speeds = dict[str, tuple[float, int]]
+_Estimates = dict[str, tuple[float, float, int]]
 
 
 class SpeedRows:
-    """Reads and writes the one row of speeds."""
+    """Reads and writes the rows of workers' speeds and queues' estimates."""
 
     __slots__ = ('_book', '_put_s')
 
@@ -20,14 +27,14 @@
         self._put_s = now
 
     def load(self, row: Row) -> None:
-        """Take over what a former scheduler learned of its workers."""
-        for worker_id, (slowness, count) in (row.value or {}).items():
-            worker = self._book.workers_by_id.get(worker_id)
-            if worker is not None:
-                worker.speed = WorkerSpeed(slowness, count)
+        """Take over what a former scheduler learned, if it can be read."""
+        try:
+            self._take(row)
+        except msgspec.ValidationError as error:
+            self._book.note('row unreadable', key=row.key, why=str(error))
 
     def due(self, now: float) -> tuple[Put, ...]:
-        """Return the row when it is time to write it again."""
+        """Return the rows when it is time to write them again."""
         if now - self._put_s < _WRITE_EVERY_S:
             return ()
         self._put_s = now
@@ -39,4 +46,21 @@
             for worker in self._book.workers_by_id.values()
             if worker.speed.count
         }
-        return (Put(SPEEDS_KEY, speeds),)
+        estimates = {
+            queue: (round(error.mean, 3), round(error.variance, 3), error.count)
+            for queue, error in self._book.estimate_errors.by_queue.items()
+        }
+        return (Put(SPEEDS_KEY, speeds), Put(ESTIMATES_KEY, estimates))
+
+    def _take(self, row: Row) -> None:
+        if row.key == SPEEDS_KEY:
+            speeds = msgspec.convert(row.value, _Speeds)
+            for worker_id, (slowness, count) in speeds.items():
+                worker = self._book.workers_by_id.get(worker_id)
+                if worker is not None and slowness > 0:
+                    worker.speed = WorkerSpeed(slowness, count)
+        elif row.key == ESTIMATES_KEY:
+            estimates = msgspec.convert(row.value, _Estimates)
+            for queue, known in estimates.items():
+                error = EstimateError(*known)
+                self._book.estimate_errors.by_queue[queue] = error
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -53,6 +53,7 @@
         'failures',
         'first_progress',
         'index',
+        'is_start_known',
         'load',
         'name',
         'not_before_s',
@@ -79,6 +80,8 @@
         self.checkpoint = ''
         self.ticket = ''
         self.started_s = 0.0
+        # Whether this term saw the run begin.
+        self.is_start_known = False
         # None until a worker lists the run; a resumed run starts above 0.
         self.first_progress: float | None = None
         self.progress = 0.0
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -13,7 +13,7 @@
 from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
-from apricotlead.coordination.cell.speed_rows import SPEEDS_KEY
+from apricotlead.coordination.cell.speed_rows import LEARNED_PREFIX
 from apricotlead.protocol.table import Row, Rows, StoreFailed
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
@@ -217,7 +217,7 @@
                 jobs.read_all,
                 partial(store.scan_rows, PROGRESS_PREFIX),
                 registry.read_all,
-                partial(store.read_row, SPEEDS_KEY),
+                partial(store.scan_rows, LEARNED_PREFIX),
                 partial(store.scan_rows, LEASES_PREFIX),
             )
         )
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -13,7 +13,7 @@
 from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
-from apricotlead.coordination.cell.speed_rows import SPEEDS_KEY
+from apricotlead.coordination.cell.speed_rows import LEARNED_PREFIX
 from apricotlead.coordination.cell.starts import PlannedStart
 from apricotlead.protocol.cell_config import (
     CellConfig,
@@ -160,8 +160,8 @@
         )
         for worker in self.workers_by_id.values():
             self.scheduler.workers.update_worker(worker.entry, self.now)
-        if SPEEDS_KEY in self.rows_by_key:
-            self.scheduler.speeds.load(self.rows_by_key[SPEEDS_KEY])
+        for row in self.rows(LEARNED_PREFIX):
+            self.scheduler.speeds.load(row)
         self.scheduler.workers.restore_missing(self.now)
 
     @property
--- a/tests/test_cell_stragglers.py
+++ b/tests/test_cell_stragglers.py
@@ -11,6 +11,7 @@
     RunningTask,
 )
 from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
+from apricotlead.state.estimate_errors import EstimateErrors
 from apricotlead.state.worker_speed import WorkerSpeed
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
@@ -28,36 +29,119 @@
     task = job.open_occurrence()[0].tasks[0]
     task.phase = TaskPhase.RUNNING
     task.run = 1
+    task.is_start_known = True
     task.first_progress = 0
     task.progress = progress
     task.progress_s = progress_s
     return task
 
 
+def straggles(
+    task: TaskState,
+    now: float,
+    slowness: float = 1,
+    errors: EstimateErrors | None = None,
+) -> bool:
+    """Tell whether a task on a worker of known slowness is a straggler."""
+    speed = WorkerSpeed(slowness, 9)
+    return is_straggler(task, speed, errors or EstimateErrors(), now)
+
+
 class TestStragglers(TestCase):
     """Runs on slow or stuck workers begin again elsewhere."""
 
     def test_run_at_an_ordinary_pace_goes_on(self) -> None:
         task = running_task(60, 1)
-        self.assertFalse(is_straggler(task, 1))
+        self.assertFalse(straggles(task, 1))
 
     def test_run_at_a_sixth_of_the_pace_is_replaced(self) -> None:
         task = running_task(16, 1)
-        self.assertTrue(is_straggler(task, 1))
+        self.assertTrue(straggles(task, 1))
 
     def test_stuck_run_is_replaced(self) -> None:
         task = running_task(40, 0.5)
-        self.assertTrue(is_straggler(task, 4))
+        self.assertTrue(straggles(task, 4))
 
     def test_estimate_that_is_too_low_replaces_nothing(self) -> None:
         """Like tasks that took as long show that the estimate is wrong."""
         task = running_task(16, 1)
         task.step.longest_done_s = 6
-        self.assertFalse(is_straggler(task, 1))
+        self.assertFalse(straggles(task, 1))
 
     def test_task_that_lasts_is_never_replaced(self) -> None:
         task = running_task(long_running=True)
-        self.assertFalse(is_straggler(task, 100))
+        self.assertFalse(straggles(task, 100))
+
+
+class TestUnreliableEstimates(TestCase):
+    """Pattern: callers whose estimates are off by a factor, either way.
+
+    Gangs on healthy workers were stopped up to six times in turn, at 78
+    percent of their work (trapwerk-sched, trouble-3).
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.errors = EstimateErrors()
+        queue = running_task().step.job.stored.queue
+        for _ in range(10):
+            self.errors.observe(queue, 4, 1)
+            self.errors.observe(queue, 1, 3)
+
+    def test_gang_that_takes_six_times_its_estimate_goes_on(self) -> None:
+        task = running_task(16, 1, gang=True)
+        self.assertFalse(straggles(task, 1))
+
+    def test_gang_on_a_worker_that_is_known_as_slow_is_replaced(self) -> None:
+        task = running_task(16, 1, gang=True)
+        self.assertTrue(straggles(task, 1, slowness=5))
+
+    def test_gang_that_is_nearly_done_is_left_alone(self) -> None:
+        task = running_task(90, 1, gang=True)
+        self.assertFalse(straggles(task, 1, slowness=5))
+
+    def test_stuck_gang_is_replaced(self) -> None:
+        task = running_task(40, 0.5, gang=True)
+        self.assertTrue(straggles(task, 4))
+
+    def test_task_of_an_unreliable_queue_goes_on(self) -> None:
+        """Six times the estimate is usual there."""
+        task = running_task(16, 1)
+        self.assertTrue(straggles(task, 1))
+        self.assertFalse(straggles(task, 1, errors=self.errors))
+
+    def test_errors_are_told_to_the_next_term(self) -> None:
+        rig = CellRig(ModelWorker('w1'))
+        rig.scheduler.book.estimate_errors.observe('lookups', 5, 1)
+        before = rig.scheduler.book.estimate_errors.factor('lookups', 1)
+        rig.pass_time(6)
+        rig.take_over()
+        after = rig.scheduler.book.estimate_errors.factor('lookups', 1)
+        self.assertAlmostEqual(before, after, delta=0.01)
+        self.assertGreater(after, EstimateErrors().factor('lookups', 1))
+
+
+class TestFormerRuns(TestCase):
+    """Pattern: a hand-over while runs go on.
+
+    The successor does not know when they began. It took them for very fast,
+    and their workers too.
+    """
+
+    def test_run_of_a_former_term_tells_nothing_of_its_worker(self) -> None:
+        worker = ModelWorker('w1')
+        rig = CellRig(worker)
+        rig.submit(JOB, stored_job(StepSpec(1, SMALL, estimated_ms=4000)))
+        rig.round()
+        rig.pass_time(4)
+        rig.take_over()
+        worker.end(f'{JOB}.0.0.0')
+        rig.hold_all()
+        rig.round()
+        self.assertEqual('completed', rig.state(JOB))
+        speed = rig.scheduler.book.workers_by_id['w1'].speed
+        self.assertEqual((1, 0), (speed.slowness, speed.count))
+        self.assertEqual({}, rig.scheduler.book.estimate_errors.by_queue)
 
 
 class TestSpeeds(TestCase):
