Call a job worthless only when the errors of its queue make that likely

Cause: how long a job is of use to its caller follows from how long it really is. By the caller's estimate, diagnoses that take five times as long counted as worthless after seconds: they went behind all other work, and were refused at the door.

Ruled out: no order by lateness at all; labels, whose estimates are good, would wait behind those that are of no use any more.

Factors come from what is seen in each queue.

--- a/src/apricotlead/coordination/cell/admission.py
+++ b/src/apricotlead/coordination/cell/admission.py
@@ -13,6 +13,7 @@
 
 from apricotlead.coordination.cell.order import (
     WORTHLESS_AFTER,
+    WORTHLESS_DEVIATIONS,
     WeightMeter,
     objective_of,
     submitted_chain_s,
@@ -84,20 +85,10 @@
         for worker in book.workers_by_id.values()
         if worker.takes_work(now)
     )
-    work_by_priority: dict[int, float] = {}
-    surplus = 0.0
-    for step in book.ready_steps_by_name.values():
-        spec = step.spec
-        work = step.waiting_count * spec.demand.cpu_millis * spec.estimated_ms
-        if step.job.is_within_weight:
-            priority = step.job.stored.priority
-            known = work_by_priority.get(priority, 0.0)
-            work_by_priority[priority] = known + work
-        else:
-            surplus += work
     if not cores:
         return Backlog()
     per_s = cores * _MS_PER_S
+    work_by_priority, surplus = _waiting_work(book)
     return Backlog(
         {
             priority: round(work / per_s, 2)
@@ -106,6 +97,10 @@
         round(surplus / per_s, 2),
         tuple(meter.over_weight(now)),
         round(load.rate(now) / per_s, 2),
+        {
+            queue: round(error.factor(WORTHLESS_DEVIATIONS), 2)
+            for queue, error in book.estimate_errors.by_queue.items()
+        },
     )
 
 
@@ -119,18 +114,53 @@
     lasts = any(step.long_running for step in submission.steps)
     if submission.occurrences or lasts:
         return None
-    wait_s = sum(
+    wait_s = _wait_s(queue, organisation, backlog)
+    useful_s = _useful_s(submission, queue, backlog)
+    if wait_s <= useful_s:
+        return None
+    retry_after_s = min(_MOST_RETRY_S, max(_LEAST_RETRY_S, wait_s - useful_s))
+    return Refused(round(wait_s, 2), round(useful_s, 2), retry_after_s)
+
+
+def _waiting_work(book: RunBook) -> tuple[dict[int, float], float]:
+    """Return the work that waits by priority, and that beyond the weights."""
+    work_by_priority: dict[int, float] = {}
+    surplus = 0.0
+    for step in book.ready_steps_by_name.values():
+        spec = step.spec
+        work = step.waiting_count * spec.demand.cpu_millis * spec.estimated_ms
+        if step.job.is_within_weight:
+            priority = step.job.stored.priority
+            known = work_by_priority.get(priority, 0.0)
+            work_by_priority[priority] = known + work
+        else:
+            surplus += work
+    return work_by_priority, surplus
+
+
+def _wait_s(
+    queue: QueueConfig,
+    organisation: str,
+    backlog: Backlog,
+) -> float:
+    """Return how long the work takes that goes before a new job."""
+    if organisation in backlog.over_weight:
+        before_s = sum(backlog.wait_s_by_priority.values()) + backlog.surplus_s
+        return before_s / max(_LEAST_SHARE_LEFT, 1 - backlog.load)
+    return sum(
         work_s
         for priority, work_s in backlog.wait_s_by_priority.items()
         if priority <= queue.priority
     )
-    if organisation in backlog.over_weight:
-        before_s = sum(backlog.wait_s_by_priority.values()) + backlog.surplus_s
-        wait_s = before_s / max(_LEAST_SHARE_LEFT, 1 - backlog.load)
-    chain_s = submitted_chain_s(submission.steps)
+
+
+def _useful_s(
+    submission: JobSubmission,
+    queue: QueueConfig,
+    backlog: Backlog,
+) -> float:
+    """Return how long a job may well wait and still be of use."""
+    factor = backlog.longest_by_queue.get(queue.name, 1)
+    chain_s = submitted_chain_s(submission.steps) * factor
     aim_s = objective_of(queue.stretch, chain_s, queue.aim_ms)
-    useful_s = WORTHLESS_AFTER * aim_s - chain_s
-    if wait_s <= useful_s:
-        return None
-    retry_after_s = min(_MOST_RETRY_S, max(_LEAST_RETRY_S, wait_s - useful_s))
-    return Refused(round(wait_s, 2), round(useful_s, 2), retry_after_s)
+    return WORTHLESS_AFTER * aim_s - chain_s
--- a/src/apricotlead/coordination/cell/hold_pacing.py
+++ b/src/apricotlead/coordination/cell/hold_pacing.py
@@ -8,6 +8,7 @@
 from apricotlead.coordination.cell.order import slack_s
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.state.cell_workers import WorkerState
+from apricotlead.state.estimate_errors import EstimateErrors
 
 # With less room than this free, an end that shows late keeps work waiting.
 _FREE_SHARE = 0.15
@@ -15,7 +16,11 @@
 _SPARE_S = 1.0
 
 
-def may_pause(worker: WorkerState, now: float) -> bool:
+def may_pause(
+    worker: WorkerState,
+    now: float,
+    errors: EstimateErrors,
+) -> bool:
     """Tell whether the runs on a worker allow to see ends a little later.
 
     Not to be done in a cell that :func:`is_crowded`.
@@ -24,7 +29,7 @@
         task.step.name: task.step for task in worker.tasks_by_name.values()
     }
     return all(
-        step.spec.long_running or slack_s(step.job, now) > _SPARE_S
+        step.spec.long_running or slack_s(step.job, now, errors) > _SPARE_S
         for step in steps.values()
     )
 
--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -6,16 +6,23 @@
 jobs have little time, so that the delay falls on the jobs with much of it.
 Jobs that can no longer meet their objective wait behind those of the same
 priority that can; the oldest goes first.
+
+Pattern: callers whose estimates are far off. How long a job is of use depends
+on how long it really is, so it counts as too late only when the errors seen in
+its queue make that very likely.
 """
 
 from collections.abc import Collection, Iterator, Sequence
 
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.state.cell_jobs import JobRun, StepState
+from apricotlead.state.estimate_errors import EstimateErrors
 
 _MS_PER_S = 1000.0
 # A job is of no use to its caller after this many times its objective.
 WORTHLESS_AFTER = 3.0
+# A tenth of all jobs are longer than by this many standard deviations.
+WORTHLESS_DEVIATIONS = 1.3
 
 
 class WeightMeter:
@@ -103,45 +110,59 @@
     return stretch * work_s + aim_ms / _MS_PER_S
 
 
-def objective_s(job: JobRun) -> float:
-    """Return the objective of an accepted job, in seconds."""
+def objective_s(job: JobRun, factor: float = 1.0) -> float:
+    """Return the objective of an accepted job, in seconds.
+
+    Its work is taken as ``factor`` times the estimate.
+    """
     stored = job.stored
-    return objective_of(stored.stretch, chain_s(job), stored.aim_ms)
+    return objective_of(stored.stretch, chain_s(job) * factor, stored.aim_ms)
 
 
 def order_key(
     step: StepState,
     now: float,
+    errors: EstimateErrors,
 ) -> tuple[bool, bool, int, bool, float]:
     """Return the sort key of a waiting step; the least goes first."""
     job = step.job
-    aim_s = objective_s(job)
-    ends_s = now + chain_s(job, pending_only=True)
     lasts = step.spec.long_running
     return (
-        is_worthless(step, now),
+        is_worthless(step, now, errors),
         not job.is_within_weight,
         job.stored.priority,
-        not lasts and ends_s > job.accepted_s + aim_s,
+        not lasts and slack_s(job, now, errors) < 0,
         job.accepted_s,
     )
 
 
-def is_worthless(step: StepState, now: float) -> bool:
-    """Tell whether a step's job ends too late to be of any use."""
+def is_worthless(
+    step: StepState,
+    now: float,
+    errors: EstimateErrors,
+) -> bool:
+    """Tell whether a step's job very likely ends too late to be of any use.
+
+    A job that is longer than its estimate is of use for longer.
+    """
     if step.spec.long_running:
         return False
-    most_s = WORTHLESS_AFTER * objective_s(step.job)
-    ends_s = now + chain_s(step.job, pending_only=True)
-    return ends_s > step.job.accepted_s + most_s
+    job = step.job
+    factor = errors.factor(job.stored.queue, WORTHLESS_DEVIATIONS)
+    most_s = WORTHLESS_AFTER * objective_s(job, factor)
+    ends_s = now + chain_s(job, pending_only=True) * factor
+    return ends_s > job.accepted_s + most_s
 
 
-def slack_s(job: JobRun, now: float) -> float:
-    """Return the time that a job can lose and meet its objective."""
-    rest_s = chain_s(job, pending_only=True)
-    return job.accepted_s + objective_s(job) - now - rest_s
+def slack_s(job: JobRun, now: float, errors: EstimateErrors) -> float:
+    """Return the time that a job can lose and as likely as not be in time."""
+    factor = errors.factor(job.stored.queue)
+    rest_s = chain_s(job, pending_only=True) * factor
+    return job.accepted_s + objective_s(job, factor) - now - rest_s
 
 
-def is_urgent(step: StepState, now: float) -> bool:
+def is_urgent(step: StepState, now: float, errors: EstimateErrors) -> bool:
     """Tell whether a step has less slack than its own work takes."""
-    return slack_s(step.job, now) < chain_s(step.job, pending_only=True)
+    factor = errors.factor(step.job.stored.queue)
+    rest_s = chain_s(step.job, pending_only=True) * factor
+    return slack_s(step.job, now, errors) < rest_s
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -65,7 +65,7 @@
         blocked = 0
         steps = sorted(
             self._book.ready_steps_by_name.values(),
-            key=lambda step: order_key(step, now),
+            key=lambda step: order_key(step, now, self._book.estimate_errors),
         )
         for step in steps:
             reason: WaitReason | None = WaitReason.ORDER
@@ -103,7 +103,11 @@
             step,
             tasks,
             self._asking.rooms(step, planning),
-            is_urgent=is_urgent(step, planning.now),
+            is_urgent=is_urgent(
+                step,
+                planning.now,
+                self._book.estimate_errors,
+            ),
         )
         for choice in choices:
             self._place(choice, planning.now)
@@ -117,7 +121,9 @@
 
     def _keep_rooms(self, step: StepState, planning: PlacementRound) -> None:
         """Keep workers for a gang that has time left and none that fit."""
-        if not step.job.is_within_weight or is_worthless(step, planning.now):
+        errors = self._book.estimate_errors
+        is_hopeless = is_worthless(step, planning.now, errors)
+        if is_hopeless or not step.job.is_within_weight:
             return
         self._gangs.keep(step, self._asking.good_rooms(step, planning))
 
--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -13,13 +13,15 @@
     ``surplus_s`` is the work of jobs beyond their organisation's weight, which
     goes last; ``over_weight`` are the organisations whose next job would be
     such a one. ``load`` is the part of the workers that newly accepted jobs
-    within the weights take.
+    within the weights take. ``longest_by_queue`` tells how many times its
+    estimate a job of a queue may well take.
     """
 
     wait_s_by_priority: dict[int, float] = {}
     surplus_s: float = 0
     over_weight: tuple[str, ...] = ()
     load: float = 0
+    longest_by_queue: dict[str, float] = {}
 
 
 class SchedulerStatus(Struct, frozen=True, omit_defaults=True):
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -145,7 +145,8 @@
         if now - self._crowded_read_s > _PACE_POLL_S:
             self._crowded_read_s = now
             self._was_crowded = is_crowded(self._state.scheduler.book, now)
-        return not self._was_crowded and may_pause(worker, now)
+        errors = self._state.scheduler.book.estimate_errors
+        return not self._was_crowded and may_pause(worker, now, errors)
 
     def _contact_regained(self, worker_id: str) -> None:
         if worker_id in self._lost_worker_ids:
--- a/tests/test_cell_admission.py
+++ b/tests/test_cell_admission.py
@@ -3,10 +3,16 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.admission import LoadMeter, judge
-from apricotlead.coordination.cell.order import WeightMeter, order_key
+from apricotlead.coordination.cell.order import (
+    WeightMeter,
+    is_worthless,
+    order_key,
+)
 from apricotlead.protocol.cell_config import QueueConfig
 from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
 from apricotlead.protocol.cell_peers import Backlog
+from apricotlead.state.cell_jobs import JobRun
+from apricotlead.state.estimate_errors import EstimateErrors
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 LOOKUP = JobSubmission('', (StepSpec(2, SMALL, estimated_ms=800),))
@@ -72,8 +78,11 @@
         rig = CellRig()
         for job_id, job in jobs:
             rig.submit(job_id, job)
-        steps = rig.scheduler.book.ready_steps_by_name.values()
-        ordered = sorted(steps, key=lambda step: order_key(step, rig.now))
+        book = rig.scheduler.book
+        ordered = sorted(
+            book.ready_steps_by_name.values(),
+            key=lambda step: order_key(step, rig.now, book.estimate_errors),
+        )
         return [step.job.job_id for step in ordered]
 
     def job(self, age_s: float, **changes: object) -> object:
@@ -98,6 +107,50 @@
         )
 
 
+class TestUnreliableEstimates(TestCase):
+    """Pattern: callers whose estimates are off by a factor, either way.
+
+    A job that takes five times its estimate is of use five times as long. It
+    was put behind all others, and refused at the door, by its estimate
+    (trapwerk-sched, trouble-3).
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.errors = EstimateErrors()
+        for _ in range(10):
+            self.errors.observe('lookups', 4, 1)
+            self.errors.observe('lookups', 1, 3)
+
+    def step(self, age_s: float) -> object:
+        spec = StepSpec(1, SMALL, estimated_ms=1000)
+        stored = stored_job(spec, stretch=2, aim_ms=1000)
+        job = JobRun('00000000000000aa', stored, 100 - age_s, 1)
+        return job.open_occurrence()[0]
+
+    def test_job_of_a_queue_with_good_estimates_is_worthless(self) -> None:
+        errors = EstimateErrors()
+        for _ in range(20):
+            errors.observe('lookups', 1, 1)
+        self.assertTrue(is_worthless(self.step(12), 100, errors))
+
+    def test_job_that_may_be_much_longer_is_not_worthless(self) -> None:
+        self.assertFalse(is_worthless(self.step(12), 100, self.errors))
+        self.assertTrue(is_worthless(self.step(60), 100, self.errors))
+
+    def test_refusal_at_the_door_counts_the_errors_too(self) -> None:
+        backlog = Backlog({0: 6.0})
+        self.assertIsNotNone(judge(LOOKUP, QUEUE, 'clerks', backlog))
+        unsure = Backlog({0: 6.0}, longest_by_queue={'lookups': 4.0})
+        self.assertIsNone(judge(LOOKUP, QUEUE, 'clerks', unsure))
+
+    def test_scheduler_tells_the_errors_of_each_queue(self) -> None:
+        rig = CellRig(ModelWorker('w1'))
+        rig.scheduler.book.estimate_errors = self.errors
+        backlog = rig.scheduler.jobs.backlog(rig.now)
+        self.assertGreater(backlog.longest_by_queue['lookups'], 3)
+
+
 class TestHotOrganisation(TestCase):
     """An organisation at many times its usual delays only itself."""
 
--- a/tests/test_cell_hold_pacing.py
+++ b/tests/test_cell_hold_pacing.py
@@ -31,7 +31,12 @@
 
     def may_pause(self) -> bool:
         book, now = self.rig.scheduler.book, self.rig.now
-        return not is_crowded(book, now) and may_pause(self.worker, now)
+        errors = book.estimate_errors
+        return not is_crowded(book, now) and may_pause(
+            self.worker,
+            now,
+            errors,
+        )
 
     def test_patient_runs_are_not_looked_after_at_once(self) -> None:
         self.run_job(JOB, SMALL, **PATIENT)
