Let a gang ask again before it keeps workers for itself

Cause: a gang whose tickets had expired kept its workers first, so that nothing fitted on them in that round, and then found no room there to ask about.

Ruled out: advice that knows no good workers; the test of the order shows the same with two good and idle ones, and fails before.

--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -56,14 +56,7 @@
         """Choose workers for waiting tasks; return the advice to ask for."""
         if not self._book.ready_steps_by_name:
             return []
-        usable: list[WorkerState] = []
-        absent: list[WorkerState] = []
-        for worker in self._book.workers_by_id.values():
-            if worker.takes_work(now):
-                usable.append(worker)
-            elif worker.is_listed and not worker.entry.draining:
-                absent.append(worker)
-        planning = PlacementRound(usable, askers, now, absent)
+        planning = self._begin_round(now, askers)
         self._gangs.begin(planning.rooms)
         blocked = 0
         steps = sorted(
@@ -80,6 +73,16 @@
             step.waits.note(reason, now)
         return planning.calls
 
+    def _begin_round(self, now: float, askers: list[str]) -> PlacementRound:
+        usable: list[WorkerState] = []
+        absent: list[WorkerState] = []
+        for worker in self._book.workers_by_id.values():
+            if worker.takes_work(now):
+                usable.append(worker)
+            elif worker.is_listed and not worker.entry.draining:
+                absent.append(worker)
+        return PlacementRound(usable, askers, now, absent)
+
     def _place_waiting(
         self,
         step: StepState,
@@ -114,13 +117,14 @@
         )
         for choice in choices:
             self._place(choice, planning.now)
-        if step.spec.gang and not choices:
-            self._keep_rooms(step, planning)
         if len(choices) == len(tasks):
             return None if not step.waiting_count else WaitReason.LIMIT
+        reason = WaitReason.ROOM
         if may_ask:
-            return self._asking.ask(step, tasks[len(choices) :], planning)
-        return WaitReason.ROOM
+            reason = self._asking.ask(step, tasks[len(choices) :], planning)
+        if step.spec.gang and reason is WaitReason.ROOM:
+            self._keep_rooms(step, planning)
+        return reason
 
     def _keep_rooms(self, step: StepState, planning: PlacementRound) -> None:
         """Keep workers for a gang that has time left and none that fit."""
--- a/tests/test_cell_placement.py
+++ b/tests/test_cell_placement.py
@@ -132,6 +132,30 @@
         started = [len(each.started) for each in rig.workers_by_id.values()]
         self.assertEqual([0, 0, 1], started)
 
+    def test_gang_whose_tickets_expired_asks_again_once_it_fits(self) -> None:
+        """It kept its workers for itself and found no room on them.
+
+        Gangs waited for seconds in a cell that was two fifths idle
+        (trapwerk-sched-grown, quiet-1), one for the rest of the day (LOST,
+        trouble-2).
+        """
+        whole = Resources(16000, 1024, 0)
+        policy = AdvicePolicy(800, 7, 2000)
+        rig = CellRig(*(ModelWorker(f'w{each}') for each in range(3)))
+        spec = StepSpec(2, whole, estimated_ms=5000, gang=True)
+        gang = stored_job(spec, advice=policy, accepted_ms=rig.store_ms)
+        rig.submit(JOB, gang)
+        call = rig.scheduler.plan(rig.now, ['peer'])[0]
+        good = AdviceAnswer({'w0': 'a', 'w1': 'b'}, 0)
+        rig.scheduler.advice.answered(call, good, rig.now, rig.now)
+        for _ in range(4):
+            rig.now += 0.5
+            rig.hold_all()
+            again = rig.scheduler.plan(rig.now, ['peer'])
+            if again:
+                break
+        self.assertEqual({'w0', 'w1'}, set(again[0].worker_ids))
+
     def test_step_without_good_workers_asks_again(self) -> None:
         call = self.scheduler.plan(self.rig.now, ['peer'])[0]
         missing = None
