--- a/src/apricotlead/coordination/cell/advice_book.py
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -120,22 +120,20 @@
         policy: AdvicePolicy,
         askers: list[str],
         now: float,
-        lead_s: float = 0.0,
     ) -> AdviceCall | None:
         """Return a call to make now, ``None`` if none is of use yet.
 
-        ``worker_ids`` are the workers that could hold a task of the step in
-        ``lead_s`` seconds.
+        ``worker_ids`` are the workers that could hold a task of the step.
         """
         advice = self.advice(step)
         if not self.may_ask(step, now):
             return None
-        usable_at_s = now + self._times.ticket_margin_s + lead_s
         unsettled = [
             worker_id
             for worker_id in worker_ids
             if worker_id not in advice.bad
-            and advice.ticket(worker_id, usable_at_s) is None
+            and advice.ticket(worker_id, now + self._times.ticket_margin_s)
+            is None
         ][:_MOST_WORKERS]
         if not unsettled or not askers:
             return None
--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -110,28 +110,6 @@
             room.take(step.demand(), sign=-1)
         return WaitReason.ASKER
 
-    def renew(
-        self,
-        step: StepState,
-        rooms: list[Room],
-        planning: PlacementRound,
-        lead_s: float,
-    ) -> None:
-        """Renew tickets that would expire before rooms become free."""
-        policy = step.job.stored.advice
-        if policy is None:
-            return
-        call = self._advice.plan_call(
-            step.name,
-            [room.worker.worker_id for room in rooms],
-            policy,
-            planning.askers,
-            planning.now,
-            lead_s,
-        )
-        if call is not None:
-            planning.calls.append(call)
-
     def _unknown_workers(
         self,
         step: StepState,
--- a/src/apricotlead/coordination/cell/gang_rooms.py
+++ b/src/apricotlead/coordination/cell/gang_rooms.py
@@ -52,13 +52,11 @@
             if room.cpu >= 0 and demand.fits_in(whole):
                 needed -= whole.cpu_millis // max(1, demand.cpu_millis)
                 kept.append(room)
-        if needed <= 0:
-            self.keep_all(kept)
-
-    def keep_all(self, rooms: Iterable[Room]) -> None:
-        """Keep these rooms; nothing fits in them any more in this round."""
-        for room in rooms:
+        if needed > 0:
+            return
+        for room in kept:
             self._kept_worker_ids.add(room.worker.worker_id)
+            # Nothing fits any more in this round.
             room.cpu = -1
 
 
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -2,7 +2,6 @@
 
 from apricotlead.coordination.cell.advice_book import AdviceBook, AdviceCall
 from apricotlead.coordination.cell.advice_planning import AdvicePlanner
-from apricotlead.coordination.cell.clearing import RoomClearing
 from apricotlead.coordination.cell.gang_rooms import GangRooms
 from apricotlead.coordination.cell.order import (
     is_urgent,
@@ -36,25 +35,16 @@
         '_advice',
         '_asking',
         '_book',
-        '_clearing',
         '_gangs',
         '_limits_by_organisation',
-        '_stop_s',
     )
 
-    def __init__(
-        self,
-        book: RunBook,
-        advice: AdviceBook,
-        stop_s: float,
-    ) -> None:
-        """Begin without limits; a worker takes up to ``stop_s`` for a stop."""
+    def __init__(self, book: RunBook, advice: AdviceBook) -> None:
+        """Begin without limits."""
         self._book = book
         self._advice = advice
         self._asking = AdvicePlanner(advice)
         self._gangs = GangRooms()
-        self._clearing = RoomClearing(book.estimate_errors)
-        self._stop_s = stop_s
         self._limits_by_organisation: dict[str, Resources] = {}
 
     def set_view(self, view: CellView) -> None:
@@ -69,7 +59,11 @@
         planning = self._begin_round(now, askers)
         self._gangs.begin(planning.rooms)
         blocked = 0
-        for step in self._ordered_steps(now):
+        steps = sorted(
+            self._book.ready_steps_by_name.values(),
+            key=lambda step: order_key(step, now, self._book.estimate_errors),
+        )
+        for step in steps:
             reason: WaitReason | None = WaitReason.ORDER
             if blocked <= _MOST_BLOCKED_STEPS:
                 before = step.waiting_count
@@ -79,20 +73,6 @@
             step.waits.note(reason, now)
         return planning.calls
 
-    def _ordered_steps(self, now: float) -> list[StepState]:
-        """Return the waiting steps, those first that runs were stopped for.
-
-        Others would take the room that the stops leave.
-        """
-        errors = self._book.estimate_errors
-        return sorted(
-            self._book.ready_steps_by_name.values(),
-            key=lambda step: (
-                not self._clearing.is_under_way(step, now),
-                order_key(step, now, errors),
-            ),
-        )
-
     def _begin_round(self, now: float, askers: list[str]) -> PlacementRound:
         usable: list[WorkerState] = []
         absent: list[WorkerState] = []
@@ -142,40 +122,17 @@
         reason = WaitReason.ROOM
         if may_ask:
             reason = self._asking.ask(step, tasks[len(choices) :], planning)
-        if self._clearing.is_under_way(step, planning.now):
-            rooms = self._asking.good_rooms(step, planning)
-            self._gangs.keep_all(self._clearing.cleared_rooms(step, rooms))
-        elif step.spec.gang and reason is WaitReason.ROOM:
-            self._make_room(step, planning)
+        if step.spec.gang and reason is WaitReason.ROOM:
+            self._keep_rooms(step, planning)
         return reason
 
-    def _make_room(self, step: StepState, planning: PlacementRound) -> None:
-        """Clear or keep workers for a gang that has time left."""
-        now = planning.now
-        is_hopeless = is_worthless(step, now, self._book.estimate_errors)
+    def _keep_rooms(self, step: StepState, planning: PlacementRound) -> None:
+        """Keep workers for a gang that has time left and none that fit."""
+        errors = self._book.estimate_errors
+        is_hopeless = is_worthless(step, planning.now, errors)
         if is_hopeless or not step.job.is_within_weight:
             return
-        rooms = self._asking.good_rooms(step, planning)
-        cleared = self._clearing.clear(step, rooms, now)
-        if cleared is None:
-            self._gangs.keep(step, rooms)
-            return
-        for task in cleared.victims:
-            self._give_way(task, step)
-        self._gangs.keep_all(cleared.rooms)
-        self._asking.renew(step, cleared.rooms, planning, self._stop_s)
-
-    def _give_way(self, task: TaskState, step: StepState) -> None:
-        self._book.note(
-            'run gives way',
-            task=task.name,
-            run=task.run,
-            worker=task.worker_id,
-            progress=task.progress,
-            gang=step.name,
-        )
-        task.stop_count += 1
-        self._book.stop(task)
+        self._gangs.keep(step, self._asking.good_rooms(step, planning))
 
     def _within_limit(
         self,
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -81,7 +81,7 @@
             self.advice,
             owner.epoch,
         )
-        self.planner = Planner(self.book, self.advice, settings.stop_s)
+        self.planner = Planner(self.book, self.advice)
         self.speeds = SpeedRows(self.book, now)
         self.owner = owner
         self.owner_version = 0
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -64,7 +64,6 @@
         'run',
         'started_s',
         'step',
-        'stop_count',
         'ticket',
         'worker_id',
     )
@@ -90,8 +89,6 @@
         self.load = 0.0
         self.percent = 100
         self.not_before_s = 0.0
-        # How often a run of it was stopped to make room.
-        self.stop_count = 0
         self.avoided_workers: set[str] = set()
 
     @property
