Send no work to a worker that left a start without an answer

Cause: a worker behind a cut was used until its held calls had timed out, for up to 3.2 s; a third of all lookups went there and stayed for the length of a lease.

Stopping the repeats of the start: a worker that lost one answer is back with the next.

--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -92,7 +92,10 @@
         has_ticket = not task.ticket or (
             self._advice.ticket(task.step.name, task.worker_id, now) is not None
         )
-        is_in_place = start.worker.takes_work(now)
+        # A repeat also tells whether a worker in doubt is there.
+        is_in_place = start.worker.takes_work(now) or (
+            start.is_unknown and start.worker.may_work(now)
+        )
         if not (has_time and has_ticket and is_in_place):
             self._book.note(
                 'start dropped',
@@ -179,6 +182,7 @@
         worker = start.worker
         if refusal is Refusal.UNANSWERED:
             start.is_unknown = True
+            worker.doubted_s = now
         is_lost = refusal in {Refusal.UNANSWERED, Refusal.NOT_SENT}
         if start.is_unknown and is_lost:
             # start_order ends the repeats when their time is over.
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -14,6 +14,7 @@
 
     __slots__ = (
         'acked_through',
+        'doubted_s',
         'drain_ends_s',
         'entry',
         'failures_in_row',
@@ -49,6 +50,9 @@
         self.acked_through = 0
         self.reported_through = 0
         self.not_before_s = 0.0
+        # When an order that was left without an answer was given up waiting
+        # for; the worker is in doubt until it answers anything later.
+        self.doubted_s = float('-inf')
         # When a call was last left without an answer, until one is answered.
         self.unanswered_s = float('-inf')
         self.failures_in_row = 0
@@ -71,10 +75,23 @@
 
     def takes_work(self, now: float) -> bool:
         """Tell whether a task may be started here now."""
+        return self.may_work(now) and not self.is_doubted
+
+    def may_work(self, now: float) -> bool:
+        """Tell whether a start that was sent here may be sent again."""
         if self.entry.draining or self.not_before_s > now:
             return False
         return self.is_listed and self.is_granted and self.lease.is_usable(now)
 
+    @property
+    def is_doubted(self) -> bool:
+        """Tell whether nothing was heard since an order had no answer.
+
+        Pattern: a cut between the scheduler and a zone of workers. Until held
+        calls time out, work sent there would be stuck until its lease ends.
+        """
+        return self.doubted_s > self.lease.contact_s
+
     def place(self, task: TaskState) -> None:
         """Take room for a task."""
         self.tasks_by_name[task.name] = task
