Count work that is done, however late that is heard

Cause: an end that a worker listed before its lease lapsed was called void, and an end of a run that another one had replaced was passed over.

Nobody has to know any more on which side of a lapse an end lies: the records of how long leases surely hold, and workers in doubt after a hand-over, are gone.

--- a/src/apricotlead/coordination/cell/lease_records.py
+++ b/src/apricotlead/coordination/cell/lease_records.py
@@ -3,17 +3,13 @@
 from collections.abc import Iterable
 
 from apricotlead.coordination.cell.election import OwnerRow
-from apricotlead.coordination.cell.lease_rows import LeaseRecord, LeaseRows
+from apricotlead.coordination.cell.lease_rows import LeaseRows, OverByWorker
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.store_clock import StoreClock
 from apricotlead.protocol.table import Put, Row
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.worker_lease import WorkerLease
 
-_MS_PER_S = 1000.0
-# The part of a lease by which a record may lag behind it.
-_LATE_SHARE = 0.5
-
 
 class LeaseRecords:
     """Translates leases between the store's rows and this term's clock."""
@@ -39,11 +35,11 @@
         self._settings = settings
         self._clock = clock
         self._granted_until_s = self._latest_grant_s(former, now)
-        self._former_by_worker: dict[str, LeaseRecord] = {}
+        self._former_by_worker: OverByWorker = {}
         # The records of the write that is under way.
-        self._made_by_worker: dict[str, LeaseRecord] = {}
+        self._made_by_worker: OverByWorker = {}
         # What the rows that were made last tell.
-        self._told_by_worker: dict[str, LeaseRecord] = {}
+        self._told_by_worker: OverByWorker = {}
         self._rows = LeaseRows()
 
     def load(self, rows: Iterable[Row]) -> list[str]:
@@ -64,8 +60,7 @@
 
     def may_grant(self, worker_id: str) -> bool:
         """Tell whether the rows of former terms allow grants to a worker."""
-        record = self._former_by_worker.get(worker_id)
-        return record is not None and not record.over_ms
+        return self._former_by_worker.get(worker_id) == 0
 
     def wants_grant(self, worker: WorkerState, now: float) -> bool:
         """Tell whether a write of its row would allow grants to a worker."""
@@ -93,58 +88,47 @@
         for number in self._rows.due(due_ids):
             workers = map(workers_by_id.get, self._rows.workers_of(number))
             records = {
-                worker.worker_id: self._record(worker, now)
+                worker.worker_id: self._over_ms(worker, now)
                 for worker in workers
             }
             puts.append(self._rows.make(number, records, now))
             self._made_by_worker.update(records)
         self._told_by_worker.update(self._made_by_worker)
-        for worker_id, record in self._made_by_worker.items():
-            if record.over_ms:
+        for worker_id, over_ms in self._made_by_worker.items():
+            if over_ms:
                 workers_by_id[worker_id].is_granted = False
         return tuple(puts)
 
     def written(self, workers_by_id: dict[str, WorkerState]) -> None:
         """Allow grants to the workers that the durable write calls known."""
-        for worker_id, record in self._made_by_worker.items():
+        for worker_id, over_ms in self._made_by_worker.items():
             worker = workers_by_id.get(worker_id)
             if worker is not None:
-                worker.is_granted = not record.over_ms
+                worker.is_granted = not over_ms
         self._made_by_worker = {}
 
     def new_lease(self, worker_id: str, now: float) -> WorkerLease:
         """Return the lease of a worker that is not in contact yet."""
         times = self._settings.leases
-        record = self._former_by_worker.get(worker_id)
-        if record is None:
-            return WorkerLease(times, now, self._granted_until_s)
         until_s = self._granted_until_s
-        if record.over_ms:
-            over_s = self._clock.to_local_s(record.over_ms, now)
+        over_ms = self._former_by_worker.get(worker_id)
+        if over_ms:
+            over_s = self._clock.to_local_s(over_ms, now)
             until_s = over_s + times.margin_s
-        held_s = self._clock.to_local_s(record.held_ms, now) - times.margin_s
-        return WorkerLease(times, now, until_s, held_s)
+        return WorkerLease(times, now, until_s)
 
-    def _record(self, worker: WorkerState, now: float) -> LeaseRecord:
+    def _over_ms(self, worker: WorkerState, now: float) -> float:
         """Return what a successor is to know of a worker's lease."""
-        lease = worker.lease
-        held_ms = self._clock.to_store_ms(lease.surely_held_until_s, now)
         if self._is_in_contact(worker, now):
-            return LeaseRecord(held_ms)
-        over_s = max(lease.surely_over_s, now)
-        return LeaseRecord(held_ms, self._clock.to_store_ms(over_s, now))
+            return 0
+        over_s = max(worker.lease.surely_over_s, now)
+        return self._clock.to_store_ms(over_s, now)
 
     def _is_due(self, worker: WorkerState, now: float) -> bool:
         """Tell whether a successor has to know more than it was told."""
-        told = self._told_by_worker.get(worker.worker_id)
-        is_called_lost = told is None or bool(told.over_ms)
-        if is_called_lost == self._is_in_contact(worker, now):
-            return True
-        if is_called_lost:
-            return False
-        held_ms = self._clock.to_store_ms(worker.lease.surely_held_until_s, now)
-        late_s = (held_ms - told.held_ms) / _MS_PER_S
-        return late_s > self._settings.leases.lease_s * _LATE_SHARE
+        told_ms = self._told_by_worker.get(worker.worker_id)
+        is_called_lost = told_ms is None or told_ms > 0
+        return is_called_lost == self._is_in_contact(worker, now)
 
     def _is_in_contact(self, worker: WorkerState, now: float) -> bool:
         age_s = now - worker.lease.contact_s
--- a/src/apricotlead/coordination/cell/lease_rows.py
+++ b/src/apricotlead/coordination/cell/lease_rows.py
@@ -6,37 +6,27 @@
 last word of its predecessor.
 
 Only a record that calls a worker out of contact binds: the worker is granted
-nothing until a later record that calls it known is durable. All others may be
-old, or missing; a successor then waits longer.
+nothing until a later record that calls it in contact is durable. All others may
+be old, or missing; a successor then waits longer.
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import msgspec
-from msgspec import Struct
 
 from apricotlead.protocol.table import Put, Row
 
 LEASES_PREFIX = 'leases/cell/'
-# Some 20 kB in a row of at most 64.
+# Some 10 kB in a row of at most 64.
 _WORKERS_A_ROW = 400
 # The journal's write has to hold them beside its jobs.
 MOST_ROWS_A_WRITE = 8
 
 
-class LeaseRecord(Struct, frozen=True, array_like=True):
-    """What a successor is told of one worker's lease, on the store's clock.
-
-    The lease surely holds until ``held_ms``. It is surely over after
-    ``over_ms``; 0 stands for a worker that grants may still reach.
-    """
-
-    held_ms: float
-    over_ms: float = 0
-
-
-RecordsByWorker = Mapping[str, LeaseRecord]
+# When the lease of each worker is surely over, on the store's clock; 0 stands
+# for a worker that grants may still reach.
+OverByWorker = dict[str, float]
 
 
 class LeaseRows:
@@ -53,13 +43,13 @@
     def load(
         self,
         rows: Iterable[Row],
-    ) -> tuple[dict[str, LeaseRecord], list[str]]:
+    ) -> tuple[OverByWorker, list[str]]:
         """Take over the rows of former terms.
 
         Returns what they tell, and the keys of rows that cannot be read; the
         workers in these count as missing.
         """
-        known: dict[str, LeaseRecord] = {}
+        known: OverByWorker = {}
         unreadable: list[str] = []
         for row in sorted(rows, key=lambda each: each.version):
             try:
@@ -96,13 +86,13 @@
     def make(
         self,
         number: int,
-        records: RecordsByWorker,
+        records: OverByWorker,
         now: float,
     ) -> Put:
         """Return a row with the records of its workers."""
         self._made_s_by_row[number] = now
         key = f'{LEASES_PREFIX}{number}'
-        return Put(key, msgspec.to_builtins(records))
+        return Put(key, records)
 
     def _roomy_row(self) -> int:
         for number, workers in self._workers_by_row.items():
@@ -121,6 +111,6 @@
             self._workers_by_row[number].discard(worker_id)
 
 
-def _read(row: Row) -> tuple[int, dict[str, LeaseRecord]]:
+def _read(row: Row) -> tuple[int, OverByWorker]:
     number = int(row.key.removeprefix(LEASES_PREFIX))
-    return number, msgspec.convert(row.value, dict[str, LeaseRecord])
+    return number, msgspec.convert(row.value, OverByWorker)
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -188,13 +188,7 @@
             worker.stops_by_task.pop(ended.task)
         task = worker.tasks_by_name.get(ended.task)
         if task is None or task.run != ended.run:
-            self.note(
-                'old end',
-                task=ended.task,
-                run=ended.run,
-                worker=worker.worker_id,
-                how=str(ended.kind),
-            )
+            self._end_former(worker, ended, now)
             return
         task.step.job.has_started = True
         if ended.checkpoint:
@@ -216,6 +210,47 @@
         else:
             self._ended_undone(worker, task, ended.kind, now)
 
+    def _end_former(
+        self,
+        worker: WorkerState,
+        ended: EndedTask,
+        now: float,
+    ) -> None:
+        """Apply the end of a run that another one has replaced.
+
+        Work that is done counts, however late that is heard; what runs of it
+        elsewhere is stopped.
+        """
+        self.note(
+            'old end',
+            task=ended.task,
+            run=ended.run,
+            worker=worker.worker_id,
+            how=str(ended.kind),
+        )
+        task = self.task(ended.task)
+        if task is None or ended.kind is not EndKind.DONE:
+            return
+        job = task.step.job
+        if job.state.is_final or task.step.spec.long_running:
+            return
+        # The end of one member stands for its whole gang.
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            self._done_elsewhere(member)
+        self._step_done(task.step, now)
+
+    def _done_elsewhere(self, task: TaskState) -> None:
+        """Call a task done whose present run, if any, is not needed."""
+        if task.phase is TaskPhase.DONE:
+            return
+        if task.is_placed:
+            worker = self.workers_by_id.get(task.worker_id)
+            if worker is not None:
+                worker.stops_by_task[task.name] = task.run
+            self._use(task, added=False)
+        self._set_phase(task, TaskPhase.DONE)
+
     def _account(self, task: TaskState, kind: EndKind, now: float) -> None:
         """Keep what the line at the job's end tells of a run."""
         step = task.step
@@ -293,6 +328,10 @@
                 self._set_phase(member, TaskPhase.DONE)
         if step.spec.long_running:
             self._restart(task)
+        self._step_done(step, now)
+
+    def _step_done(self, step: StepState, now: float) -> None:
+        """Finish the job or open its next steps, if this one is done."""
         job = step.job
         if job.is_complete():
             self.finish(job, JobState.COMPLETED, now)
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -131,12 +131,7 @@
         if task.run != start.run:
             return False
         if reply.refusal is None:
-            start.worker.lease.answered(
-                reply.clock_ms,
-                sent_s,
-                now,
-                start.deadline_ms,
-            )
+            start.worker.lease.answered(reply.clock_ms, sent_s, now)
             self._book.running(task, now)
             return False
         self._book.note(
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -12,7 +12,6 @@
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.store_clock import StoreClock
 from apricotlead.protocol.cell_workers import (
-    EndKind,
     HoldOrder,
     HoldReport,
     OrderReply,
@@ -22,7 +21,6 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Put, Row
 from apricotlead.state.cell_workers import WorkerState
-from apricotlead.state.worker_lease import Lapse
 
 _MS_PER_S = 1000.0
 # A worker that failed this many runs in a row is left alone for a while.
@@ -153,7 +151,6 @@
     def hold_answered(
         self,
         worker_id: str,
-        order: HoldOrder,
         report: HoldReport,
         sent_s: float,
         now: float,
@@ -166,19 +163,8 @@
         if report.born_ms > worker.entry.born_ms:
             self._reborn(worker, report, now)
             return
-        lapse = Lapse.NO
-        if order.deadline_ms is None:
-            lapse = self._judge_lapse(worker, report, now)
-            if lapse is Lapse.UNKNOWN:
-                worker.lease.contact_s = now
-                return
-        worker.lease.answered(
-            report.clock_ms,
-            sent_s,
-            now,
-            order.deadline_ms,
-        )
-        self._apply_ends(worker, report, lapse, now)
+        worker.lease.answered(report.clock_ms, sent_s, now)
+        self._apply_ends(worker, report, now)
         reconcile(self._book, worker, report, sent_s, now)
         if not worker.lease.is_known:
             worker.lease.is_known = True
@@ -286,45 +272,16 @@
         entry = msgspec.structs.replace(worker.entry, born_ms=report.born_ms)
         self.update_worker(entry, now)
 
-    def _judge_lapse(
-        self,
-        worker: WorkerState,
-        report: HoldReport,
-        now: float,
-    ) -> Lapse:
-        if report.running:
-            # A lapse kills everything that runs.
-            return Lapse.NO
-        lapse = worker.lease.lapse(report.clock_ms, now)
-        has_done = any(
-            ended.kind is EndKind.DONE and ended.number > worker.acked_through
-            for ended in report.ended
-        )
-        if not has_done:
-            return Lapse.NO
-        if lapse is not Lapse.NO:
-            self._book.note(
-                'lease in doubt',
-                worker=worker.worker_id,
-                lapse=lapse.value,
-            )
-        return lapse
-
     def _apply_ends(
         self,
         worker: WorkerState,
         report: HoldReport,
-        lapse: Lapse,
         now: float,
     ) -> None:
         for ended in report.ended:
-            if ended.number <= worker.reported_through:
-                continue
-            worker.reported_through = ended.number
-            if lapse is Lapse.YES and ended.kind is EndKind.DONE:
-                # An end before a lapse does not count once it lapsed.
-                ended = msgspec.structs.replace(ended, kind=EndKind.LAPSED)
-            self._book.end(worker, ended, now)
+            if ended.number > worker.reported_through:
+                worker.reported_through = ended.number
+                self._book.end(worker, ended, now)
 
     def _pause_failing(self, worker: WorkerState, now: float) -> None:
         if worker.failures_in_row >= _FAILURES_TO_PAUSE:
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -1,28 +1,16 @@
-"""What is known of a worker's clock, its lease, and whether it lapsed.
+"""What is known of a worker's clock and its lease.
 
 A worker kills everything when its lease ends, on its own clock. A run whose
 worker cannot be reached may be started elsewhere once the lease has certainly
-ended. An end that was listed before a lapse and acknowledged after it does not
-count, so the scheduler must know for each unacknowledged end on which side of
-a lapse it lies.
+ended.
 """
 
-from enum import Enum
-
 from msgspec import Struct
 from msgspec.structs import replace
 
 _MS_PER_S = 1000.0
 
 
-class Lapse(Enum):
-    """Whether a lease has ended since the last contact."""
-
-    NO = 'no'
-    YES = 'yes'
-    UNKNOWN = 'unknown'
-
-
 class LeaseTimes(Struct, frozen=True):
     """Settings of leases, in seconds.
 
@@ -61,20 +49,16 @@
     """The lease of one life of a worker, as granted by this scheduler.
 
     ``inherited_until_s`` is the local time until which a former scheduler's
-    grant may hold; ``inherited_from_s`` the time until which it surely holds.
+    grant may hold.
     """
 
     __slots__ = (
         '_clock_ms',
         '_clock_s',
-        '_granted_ms',
-        '_inherited_until_s',
         '_most_lead_ms',
-        '_sent_ms',
         '_times',
         'contact_s',
         'is_known',
-        'surely_held_until_s',
         'surely_over_s',
     )
 
@@ -83,20 +67,15 @@
         times: LeaseTimes,
         now: float,
         inherited_until_s: float = 0.0,
-        inherited_from_s: float = 0.0,
     ) -> None:
         """Begin before the first contact; ``is_known`` tells of a first one."""
         self._times = times
         self._clock_ms: float | None = None
         self._clock_s = now
-        self._granted_ms = 0.0
-        self._sent_ms = 0.0
         self._most_lead_ms = float('inf')
-        self._inherited_until_s = inherited_until_s
         self.is_known = False
         self.contact_s = now
         self.surely_over_s = inherited_until_s
-        self.surely_held_until_s = inherited_from_s
 
     def is_usable(self, now: float) -> bool:
         """Tell whether the worker answered lately under this epoch."""
@@ -117,22 +96,14 @@
             return None
         # The worker's clock reads at least ``_clock_ms`` at ``_clock_s``.
         span_s = until_s - self._clock_s
-        deadline_ms = float(int(self._clock_ms + span_s * _MS_PER_S))
-        self._sent_ms = max(self._sent_ms, deadline_ms)
         over_s = self._clock_s + span_s * times.slowest_clock + times.margin_s
         self.surely_over_s = max(self.surely_over_s, over_s)
-        return deadline_ms
+        return float(int(self._clock_ms + span_s * _MS_PER_S))
 
-    def answered(
-        self,
-        clock_ms: float,
-        sent_s: float,
-        now: float,
-        deadline_ms: float | None = None,
-    ) -> None:
+    def answered(self, clock_ms: float, sent_s: float, now: float) -> None:
         """Note the worker's clock in the answer to a call sent at ``sent_s``.
 
-        ``deadline_ms`` is the deadline that the call carried.
+        Such an answer may arrive after that of a later call.
         """
         self.contact_s = max(self.contact_s, now)
         if self._clock_ms is None or clock_ms > self._clock_ms:
@@ -141,13 +112,6 @@
         # The worker's clock read at most ``clock_ms`` when the call left.
         lead_ms = clock_ms - sent_s * _MS_PER_S
         self._most_lead_ms = min(self._most_lead_ms, lead_ms)
-        if deadline_ms is None:
-            return
-        self._granted_ms = max(self._granted_ms, deadline_ms)
-        # No clock is fast, so the smallest lead seen bounds all later ones.
-        held_s = (deadline_ms - self._most_lead_ms) / _MS_PER_S
-        until_s = held_s - self._times.margin_s
-        self.surely_held_until_s = max(self.surely_held_until_s, until_s)
 
     def made_s(self, clock_ms: float, now: float) -> float:
         """Return the local time at which the worker's clock read this.
@@ -158,16 +122,3 @@
         if self._most_lead_ms == float('inf'):
             return now
         return min(now, (clock_ms - self._most_lead_ms) / _MS_PER_S)
-
-    def lapse(self, clock_ms: float, now: float) -> Lapse:
-        """Tell whether the lease had ended when the worker read its clock.
-
-        ``clock_ms`` comes from a call that did not extend the lease, or from
-        one whose own deadline is not noted yet.
-        """
-        if clock_ms < self._granted_ms or now < self.surely_held_until_s:
-            return Lapse.NO
-        is_past_grants = self.is_known and clock_ms > self._sent_ms
-        if is_past_grants and now > self._inherited_until_s:
-            return Lapse.YES
-        return Lapse.YES if now > self.surely_over_s else Lapse.UNKNOWN
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -82,7 +82,6 @@
                 self._contact_regained(worker_id)
                 self._state.scheduler.workers.hold_answered(
                     worker_id,
-                    order,
                     answer,
                     sent_s,
                     now,
