Let leases last as long as workers allow

Cause: a lease of 6 s ended behind each cut of that length, with all that ran there and each gang that had a member there. Workers allow 10 s on the platform.

Ruled out: still longer ones; a successor waits for the longest grant of a worker that it cannot reach, and a lost worker's runs wait as long to begin again.

Where workers allow less, leases are cut to that, and calls to workers stay frequent enough to notice silence within half of one.

--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -131,13 +131,6 @@
         ``longest_hold_s`` is where workers cut a lease. Calls to workers are
         shortened with the leases that they extend.
         """
-        leases = self.leases
-        most_s = leases.most_lease_s(longest_hold_s)
-        if leases.lease_s <= most_s:
-            return self
-        factor = most_s / leases.lease_s
-        return replace(
-            self,
-            leases=leases.scaled(factor),
-            holds=self.holds.scaled(factor),
-        )
+        leases = self.leases.bounded(self.leases.most_lease_s(longest_hold_s))
+        factor = leases.silent_s / self.leases.silent_s
+        return replace(self, leases=leases, holds=self.holds.scaled(factor))
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -9,20 +9,24 @@
 from msgspec.structs import replace
 
 _MS_PER_S = 1000.0
+# The part of a lease after which a worker is called silent, at most.
+_SILENT_SHARE = 0.5
 
 
 class LeaseTimes(Struct, frozen=True):
     """Settings of leases, in seconds.
 
-    ``lease_s`` is what a hold grants. ``longest_s`` bounds any grant from the
-    last confirmed renewal of the scheduler's own epoch. ``slowest_clock`` is
+    ``lease_s`` is what a hold grants: as long as workers allow, so that work
+    outlasts cuts and outages, at the price that it waits as long to begin again
+    when its worker is lost. ``longest_s`` bounds any grant from the last
+    confirmed renewal of the scheduler's own epoch. ``slowest_clock`` is
     how much longer a worker's second may be than a second here. ``margin_s``
     covers timers and rounding. A worker is used while its last answer is
     less than ``silent_s`` old.
     """
 
-    lease_s: float = 6.0
-    longest_s: float = 7.5
+    lease_s: float = 8.0
+    longest_s: float = 9.2
     slowest_clock: float = 1.03
     margin_s: float = 0.1
     silent_s: float = 3.2
@@ -35,13 +39,19 @@
         """
         return longest_hold_s / self.slowest_clock**2 - self.margin_s
 
-    def scaled(self, factor: float) -> 'LeaseTimes':
-        """Return leases of another length in the same proportions."""
+    def bounded(self, most_s: float) -> 'LeaseTimes':
+        """Return leases of at most ``most_s`` in the same proportions.
+
+        A worker has to be called silent well within its lease.
+        """
+        if self.lease_s <= most_s:
+            return self
+        factor = most_s / self.lease_s
         return replace(
             self,
-            lease_s=self.lease_s * factor,
+            lease_s=most_s,
             longest_s=self.longest_s * factor,
-            silent_s=self.silent_s * factor,
+            silent_s=min(self.silent_s, most_s * _SILENT_SHARE),
         )
 
 
