--- a/src/apricotlead/transport/store_health.py
+++ b/src/apricotlead/transport/store_health.py
@@ -8,9 +8,6 @@
 # usual in 300 ms.
 _LEAST_WRITE_S = 0.25
 _MOST_WRITE_S = 1.0
-# Without any answer for this long the store is lost to an instance: its callers
-# are better served elsewhere, and time for that is short.
-_LEAST_LOST_AFTER_S = 0.6
 _LOST_AFTER_S = 1.3
 
 
@@ -20,31 +17,22 @@
     __slots__ = (
         '_answered_s',
         '_failed_since_s',
-        '_patience',
+        '_lost_after_s',
         '_store_base',
         'writes',
     )
 
     def __init__(self, lost_after_s: float = _LOST_AFTER_S) -> None:
-        """Begin as healthy; it is lost after failing for that long at most.
-
-        A store that has answered quickly is lost sooner.
-        """
-        least_s = min(_LEAST_LOST_AFTER_S, lost_after_s)
-        self._patience = AnswerTime(least_s, lost_after_s)
+        """Begin as healthy; it is lost after failing for that long."""
+        self._lost_after_s = lost_after_s
         self._failed_since_s: float | None = None
         self._answered_s = float('-inf')
         self._store_base = (0.0, 0.0)
         self.writes = AnswerTime(_LEAST_WRITE_S, _MOST_WRITE_S)
 
-    def answered(self, store_ms: float = 0, took_s: float = 0) -> None:
-        """Note an answer, with the store's clock if it told one.
-
-        ``took_s`` is 0 for an answer that the store held back.
-        """
+    def answered(self, store_ms: float = 0) -> None:
+        """Note an answer, with the store's clock if it told one."""
         now = boot_now()
-        if took_s:
-            self._patience.answered(took_s)
         self._failed_since_s = None
         self._answered_s = now
         if store_ms:
@@ -61,10 +49,9 @@
 
     def lost_in_s(self) -> float:
         """Return when the store counts as lost if no answer comes."""
-        patience_s = self._patience.timeout_s
         if self._failed_since_s is None:
-            return patience_s
-        return max(0, self._failed_since_s + patience_s - boot_now())
+            return self._lost_after_s
+        return max(0, self._failed_since_s + self._lost_after_s - boot_now())
 
     def is_lost(self) -> bool:
         """Tell whether the store has not answered for a while."""
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -125,8 +125,7 @@
         if isinstance(answer, StoreFailed):
             self._health.failed(sent_s)
         else:
-            took_s = boot_now() - sent_s
-            self._health.answered(answer.store_ms, took_s)
+            self._health.answered(answer.store_ms)
         return answer
 
     def serve(
@@ -161,7 +160,7 @@
         answer = self._store.transact(transaction, min(wanted_s, bound_s))
         took_s = boot_now() - sent_s
         if not isinstance(answer, StoreFailed):
-            health.answered(took_s=took_s)
+            health.answered()
             health.writes.answered(took_s)
             return answer
         health.failed(sent_s)
