Divide the book of runs, and name the terms of the order; list the ablations

Ruled out: switches in the product. python -m bench.ablation edits a copy of the tree: the function that carries a mechanism returns at once.

Conclusion: run_ends.py has what ends bring about.

--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,162 @@
+"""Copies of the source tree that lack one mechanism, to measure its worth.
+
+    python -m bench.ablation list
+    python -m bench.ablation NAME TREE
+
+edits the copy of the repository at TREE: the function that carries the
+mechanism returns at once what leaves it without effect. The product itself
+has no such switches.
+"""
+
+import ast
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from msgspec import Struct
+
+_PACKAGE = 'src/apricotlead'
+_SETTINGS_TEMPLATE = 'deploy/settings.yaml.template'
+_Edit = Callable[[Path], None]
+_edits_by_name: dict[str, _Edit] = {}
+
+
+class _Function(Struct, frozen=True):
+    """A function, or a method as ``Class.name``, of a module."""
+
+    module: str
+    name: str
+
+    def path(self, tree: Path) -> Path:
+        """Return its file in a tree."""
+        return tree / _PACKAGE / f'{self.module}.py'
+
+    def find(self, source: str) -> ast.FunctionDef:
+        """Return its definition."""
+        body: list[ast.stmt] = ast.parse(source).body
+        found: ast.stmt | None = None
+        for part in self.name.split('.'):
+            found = next(
+                node for node in body if getattr(node, 'name', '') == part
+            )
+            body = found.body
+        return found
+
+
+def _mechanism(name: str) -> Callable[[_Edit], _Edit]:
+    """Register an edit that takes a mechanism out of a tree."""
+
+    def register(edit: _Edit) -> _Edit:
+        _edits_by_name[name] = edit
+        return edit
+
+    return register
+
+
+def _returning(name: str, module: str, function: str, returned: str) -> None:
+    """Register a mechanism that ends when a function returns at once."""
+    target = _Function(module, function)
+
+    @_mechanism(name)
+    def edit(tree: Path) -> None:
+        path = target.path(tree)
+        source = path.read_text()
+        node = target.find(source)
+        has_docstring = ast.get_docstring(node) is not None
+        first = node.body[int(has_docstring)]
+        lines = source.splitlines()
+        indent = ' ' * first.col_offset
+        lines.insert(first.lineno - 1, f'{indent}return {returned}')
+        path.write_text('\n'.join((*lines, '')))
+
+
+_CELL = 'coordination/cell'
+_RETURNING = (
+    ('weights', f'{_CELL}/order', '_is_surplus', 'False'),
+    ('lateness', f'{_CELL}/order', '_is_late', 'False'),
+    ('worthless jobs last', f'{_CELL}/order', 'is_worthless', 'False'),
+    ('fast workers for urgent', f'{_CELL}/order', 'is_urgent', 'False'),
+    ('refusal at the door', f'{_CELL}/admission', 'judge', 'None'),
+    ('workers kept for gangs', f'{_CELL}/gang_rooms', 'GangRooms.keep', 'None'),
+    ('straggler stops', f'{_CELL}/stragglers', 'is_straggler', 'False'),
+    (
+        'errors of estimates',
+        'state/estimate_errors',
+        'EstimateErrors.factor',
+        '1.0',
+    ),
+    ('evacuation', f'{_CELL}/evacuation', 'leaving_runs', '[]'),
+    ('pauses between holds', f'{_CELL}/hold_pacing', 'may_pause', 'False'),
+    (
+        'patience with short terms',
+        f'{_CELL}/election',
+        'patience_s',
+        'times.silent_owner_s',
+    ),
+    ('deputies', f'{_CELL}/election', 'rank_deputies', '{}'),
+    (
+        'askers kept for cheap calls',
+        f'{_CELL}/askers',
+        'Askers._allowed',
+        'ordered',
+    ),
+    ('lost askers left alone', f'{_CELL}/askers', 'Askers.missed', 'None'),
+    (
+        'room kept for answers',
+        f'{_CELL}/advice_planning',
+        'AdvicePlanner._keep_for_answer',
+        'None',
+    ),
+    (
+        'askers share workers',
+        f'{_CELL}/advice_book',
+        'AdviceBook._divide',
+        '[worker_ids[:_MOST_WORKERS]] if worker_ids else []',
+    ),
+    (
+        'workers in doubt',
+        'state/cell_workers',
+        'WorkerState.is_doubted',
+        'False',
+    ),
+    (
+        'ends of former runs',
+        f'{_CELL}/run_ends',
+        'RunEnds._apply_former',
+        'None',
+    ),
+    ('hedged writes', 'transport/hedging', 'hedged', 'call()'),
+    (
+        'announced jobs',
+        'transport/cell_candidate',
+        'CellCandidate.announce',
+        'None',
+    ),
+    ('relay by peers', 'transport/store_relay', 'StoreRelay._by_peer', 'None'),
+)
+
+
+@_mechanism('long leases')
+def _shorten_leases(tree: Path) -> None:
+    path = tree / _SETTINGS_TEMPLATE
+    leases = '  leases:\n    lease_s: 6.0\n    longest_s: 7.5\n'
+    path.write_text(f'{path.read_text()}{leases}')
+
+
+def _register_returning() -> None:
+    for entry in _RETURNING:
+        _returning(*entry)
+
+
+def main(arguments: list[str]) -> None:
+    """List the mechanisms, or take one out of a tree."""
+    _register_returning()
+    if arguments == ['list']:
+        sys.stdout.writelines(f'{name}\n' for name in sorted(_edits_by_name))
+        return
+    name, tree = arguments
+    _edits_by_name[name](Path(tree))
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -125,14 +125,12 @@
     errors: EstimateErrors,
 ) -> tuple[bool, bool, int, bool, float]:
     """Return the sort key of a waiting step; the least goes first."""
-    job = step.job
-    lasts = step.spec.long_running
     return (
         is_worthless(step, now, errors),
-        not job.is_within_weight,
-        job.stored.priority,
-        not lasts and slack_s(job, now, errors) < 0,
-        job.accepted_s,
+        _is_surplus(step),
+        step.job.stored.priority,
+        _is_late(step, now, errors),
+        step.job.accepted_s,
     )
 
 
@@ -166,3 +164,14 @@
     factor = errors.factor(step.job.stored.queue)
     rest_s = chain_s(step.job, pending_only=True) * factor
     return slack_s(step.job, now, errors) < rest_s
+
+
+def _is_surplus(step: StepState) -> bool:
+    """Tell whether a step's job lies beyond its organisation's weight."""
+    return not step.job.is_within_weight
+
+
+def _is_late(step: StepState, now: float, errors: EstimateErrors) -> bool:
+    """Tell whether a step's job can hardly meet its objective any more."""
+    lasts = step.spec.long_running
+    return not lasts and slack_s(step.job, now, errors) < 0
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -1,27 +1,19 @@
-"""The life of runs: placing, ends, stops, and what workers report.
+"""The life of runs: placing, stops, and what is counted by the way.
 
-A run takes room on its worker from the moment it is chosen until the worker
+What their ends bring about is in
+:mod:`apricotlead.coordination.cell.run_ends`. A run takes room on its worker from the moment it is chosen until the worker
 lists its end, shows that it is not there, or has certainly lost its lease.
 """
 
 from typing import Any
 
-from apricotlead.coordination.cell.job_summary import (
-    job_summary,
-    run_core_s,
-)
+from apricotlead.coordination.cell.job_summary import job_summary
 from apricotlead.protocol.cell_jobs import JobState
-from apricotlead.protocol.cell_workers import (
-    EndedTask,
-    EndKind,
-)
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.estimate_errors import EstimateErrors
 
-_MS_PER_S = 1000.0
-
 
 class RunBook:
     """All jobs, workers and runs; collects what must be journaled."""
@@ -103,8 +95,8 @@
         task.progress_s = now
         task.percent = 100
         worker.place(task)
-        self._use(task, added=True)
-        self._set_phase(task, TaskPhase.PLANNED)
+        self.use(task, added=True)
+        self.set_phase(task, TaskPhase.PLANNED)
 
     def unplace(self, task: TaskState, now: float) -> None:
         """Let a task wait again; its run is certainly not running."""
@@ -114,8 +106,8 @@
         if worker is not None:
             worker.release(task)
             worker.stops_by_task.pop(task.name, None)
-        self._use(task, added=False)
-        self._set_phase(task, TaskPhase.WAITING)
+        self.use(task, added=False)
+        self.set_phase(task, TaskPhase.WAITING)
         task.worker_id = ''
         self.open_steps(task.step.job, now)
         if task.step.spec.gang:
@@ -132,7 +124,7 @@
         """Count the runs that a former scheduler had placed on a worker."""
         for task in self.restored_by_worker.pop(worker.worker_id, ()):
             worker.place(task)
-            self._use(task, added=True)
+            self.use(task, added=True)
 
     def stop(self, task: TaskState) -> None:
         """Order a placed run to be stopped, and its whole gang with it.
@@ -149,12 +141,12 @@
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
             worker.stops_by_task[task.name] = task.run
-        self._set_phase(task, TaskPhase.STOPPING)
+        self.set_phase(task, TaskPhase.STOPPING)
 
     def sent(self, task: TaskState) -> None:
         """Note that the journal holds a planned run."""
         if task.phase is TaskPhase.PLANNED:
-            self._set_phase(task, TaskPhase.SENT, is_change=False)
+            self.set_phase(task, TaskPhase.SENT, is_change=False)
 
     def running(self, task: TaskState, now: float) -> None:
         """Note that a worker has begun a run."""
@@ -162,7 +154,7 @@
             task.started_s = now
             task.progress_s = now
             task.step.job.has_started = True
-            self._set_phase(task, TaskPhase.RUNNING, is_change=False)
+            self.set_phase(task, TaskPhase.RUNNING, is_change=False)
 
     def finish(self, job: JobRun, state: JobState, now: float) -> None:
         """Give a job its final state and stop what is left of it."""
@@ -181,86 +173,6 @@
         for task in job.tasks():
             self.stop(task)
 
-    def end(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
-        """Apply an end that a worker lists."""
-        worker.drop_stray(ended.task)
-        if worker.stops_by_task.get(ended.task, ended.run + 1) <= ended.run:
-            worker.stops_by_task.pop(ended.task)
-        task = worker.tasks_by_name.get(ended.task)
-        if task is None or task.run != ended.run:
-            self._end_former(worker, ended, now)
-            return
-        task.step.job.has_started = True
-        if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
-        self.note(
-            'run ended',
-            task=task.name,
-            run=task.run,
-            worker=worker.worker_id,
-            how=str(ended.kind),
-            after_s=round(now - task.started_s, 2),
-            estimate_s=round(task.step.spec.estimated_ms / 1000, 2),
-        )
-        self._account(task, ended.kind, now)
-        if task.phase is TaskPhase.DONE:
-            worker.release(task)
-        elif ended.kind is EndKind.DONE:
-            self._done(worker, task, now)
-        else:
-            self._ended_undone(worker, task, ended.kind, now)
-
-    def _end_former(
-        self,
-        worker: WorkerState,
-        ended: EndedTask,
-        now: float,
-    ) -> None:
-        """Apply the end of a run that another one has replaced.
-
-        Work that is done counts, however late that is heard; what runs of it
-        elsewhere is stopped.
-        """
-        self.note(
-            'old end',
-            task=ended.task,
-            run=ended.run,
-            worker=worker.worker_id,
-            how=str(ended.kind),
-        )
-        task = self.task(ended.task)
-        if task is None or ended.kind is not EndKind.DONE:
-            return
-        job = task.step.job
-        if job.state.is_final or task.step.spec.long_running:
-            return
-        # The end of one member stands for its whole gang.
-        members = task.step.tasks if task.step.spec.gang else [task]
-        for member in members:
-            self._done_elsewhere(member)
-        self._step_done(task.step, now)
-
-    def _done_elsewhere(self, task: TaskState) -> None:
-        """Call a task done whose present run, if any, is not needed."""
-        if task.phase is TaskPhase.DONE:
-            return
-        if task.is_placed:
-            worker = self.workers_by_id.get(task.worker_id)
-            if worker is not None:
-                worker.stops_by_task[task.name] = task.run
-            self._use(task, added=False)
-        self._set_phase(task, TaskPhase.DONE)
-
-    def _account(self, task: TaskState, kind: EndKind, now: float) -> None:
-        """Keep what the line at the job's end tells of a run."""
-        step = task.step
-        taken_s = now - task.started_s
-        if kind is EndKind.DONE:
-            step.longest_run_s = max(step.longest_run_s, taken_s)
-        else:
-            core_s = run_core_s(step.spec.demand.cpu_millis, taken_s)
-            step.lost_core_s_by_kind[str(kind)] += core_s
-
     def stop_acked(
         self, worker_id: str, name: str, run: int, now: float
     ) -> None:
@@ -284,20 +196,22 @@
                 )
                 self.unplace(task, now)
 
-    def _use(self, task: TaskState, *, added: bool) -> None:
+    def use(self, task: TaskState, *, added: bool) -> None:
+        """Count what a task takes of its organisation's limit, or frees."""
         organisation = task.step.job.stored.organisation
         usage = self.usage(organisation)
         demand = task.step.demand()
         usage = usage + demand if added else usage - demand
         self.usage_by_organisation[organisation] = usage
 
-    def _set_phase(
+    def set_phase(
         self,
         task: TaskState,
         phase: TaskPhase,
         *,
         is_change: bool = True,
     ) -> None:
+        """Move a task to a phase; a change is journaled."""
         step = task.step
         if task.phase is TaskPhase.STOPPING:
             key = (task.worker_id, task.name, task.run)
@@ -313,75 +227,3 @@
             self.ready_steps_by_name.pop(step.name, None)
         if is_change:
             self.touch(step.job)
-
-    def _done(self, worker: WorkerState, task: TaskState, now: float) -> None:
-        worker.failures_in_row = 0
-        step = task.step
-        if task.is_start_known and not task.checkpoint:
-            self._learn(worker, task, now - task.started_s)
-        # The end of one member stands for its whole gang.
-        members = step.tasks if step.spec.gang else [task]
-        worker.release(task)
-        for member in members:
-            if member.phase is not TaskPhase.DONE and member.run == task.run:
-                self._use(member, added=False)
-                self._set_phase(member, TaskPhase.DONE)
-        if step.spec.long_running:
-            self._restart(task)
-        self._step_done(step, now)
-
-    def _step_done(self, step: StepState, now: float) -> None:
-        """Finish the job or open its next steps, if this one is done."""
-        job = step.job
-        if job.is_complete():
-            self.finish(job, JobState.COMPLETED, now)
-        elif step.is_done:
-            self.open_steps(job, now)
-
-    def _learn(
-        self,
-        worker: WorkerState,
-        task: TaskState,
-        taken_s: float,
-    ) -> None:
-        """Learn from a whole run how long such work takes, and here."""
-        step = task.step
-        estimate_s = step.spec.estimated_ms / _MS_PER_S
-        if not step.done_count:
-            self.estimate_errors.observe(
-                step.job.stored.queue,
-                taken_s / worker.speed.slowness,
-                estimate_s,
-            )
-        # The slowest worker decides how long a gang takes.
-        if not step.spec.gang:
-            step.longest_done_s = max(step.longest_done_s, taken_s)
-            worker.speed.observe(taken_s, estimate_s)
-
-    def _restart(self, task: TaskState) -> None:
-        """Let a task that lasts wait again after it ended as done."""
-        step = task.step
-        step.done_count -= 1
-        task.phase = TaskPhase.WAITING
-        task.worker_id = ''
-        step.waiting_count += 1
-        self.ready_steps_by_name[step.name] = step
-
-    def _ended_undone(
-        self,
-        worker: WorkerState,
-        task: TaskState,
-        kind: EndKind,
-        now: float,
-    ) -> None:
-        step = task.step
-        if kind is EndKind.FAILED:
-            worker.failures_in_row += 1
-            task.avoided_workers.add(worker.worker_id)
-            task.failures += 1
-            step.gang_failures += 1
-        self.unplace(task, now)
-        attempts = step.gang_failures if step.spec.gang else task.failures
-        is_bounded = not step.spec.long_running
-        if is_bounded and attempts >= step.job.stored.max_attempts:
-            self.finish(step.job, JobState.FAILED, now)
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -9,6 +9,7 @@
 from apricotlead.coordination.cell.lease_records import LeaseRecords
 from apricotlead.coordination.cell.listing import reconcile
 from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.coordination.cell.run_ends import RunEnds
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.store_clock import StoreClock
 from apricotlead.protocol.cell_workers import (
@@ -34,6 +35,7 @@
     __slots__ = (
         '_book',
         '_clock',
+        '_ends',
         '_leases',
         '_lossy_until_s',
         '_settings',
@@ -54,6 +56,7 @@
         self._settings = settings
         self._book = book
         self._clock = clock
+        self._ends = RunEnds(book)
         self._leases = LeaseRecords(settings, clock, former, now)
         self._lossy_until_s = now
         self.epoch = epoch
@@ -281,7 +284,7 @@
         for ended in report.ended:
             if ended.number > worker.reported_through:
                 worker.reported_through = ended.number
-                self._book.end(worker, ended, now)
+                self._ends.apply(worker, ended, now)
 
     def _pause_failing(self, worker: WorkerState, now: float) -> None:
         if worker.failures_in_row >= _FAILURES_TO_PAUSE:
