Let instances share the workers of a wide step

Ruled out: asking about fewer workers; a quarter of those asked about may run the step. More calls where instances are busy: only those without a call share.

--- a/src/apricotlead/coordination/cell/advice_book.py
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -3,6 +3,8 @@
 The answer for a step never changes, but its tickets expire.
 """
 
+from math import ceil
+
 from msgspec import Struct
 
 from apricotlead.coordination.cell.askers import Askers
@@ -13,6 +15,9 @@
 _MS_PER_S = 1000.0
 # The service takes at most this many workers in one call.
 _MOST_WORKERS = 100
+# A call names at least so many workers that they add this part to its cost.
+_LEAST_PART = 0.4
+_TINY_MS = 0.001
 
 
 class AdviceCall(Struct, frozen=True):
@@ -36,8 +41,8 @@
         'asked_s',
         'bad',
         'expires_s',
-        'is_asking',
         'is_sure',
+        'open_calls',
         'tickets_by_worker',
     )
 
@@ -46,11 +51,17 @@
         self.tickets_by_worker: dict[str, str] = {}
         self.bad: set[str] = set()
         self.expires_s: dict[str, float] = {}
-        self.is_asking = False
-        # Whether all workers in the call under way have had tickets before.
+        # How many calls are under way, and whether all workers in them have
+        # had tickets before.
+        self.open_calls = 0
         self.is_sure = False
         self.asked_s = float('-inf')
 
+    @property
+    def is_asking(self) -> bool:
+        """Tell whether a call is under way."""
+        return self.open_calls > 0
+
     def ticket(self, worker_id: str, usable_at_s: float) -> str | None:
         """Return a ticket that is valid at a time, ``None`` without one."""
         if self.expires_s.get(worker_id, 0) < usable_at_s:
@@ -113,42 +124,99 @@
         is_recent = now - advice.asked_s < self._times.retry_s
         return not (advice.is_asking or is_recent)
 
-    def plan_call(
+    def plan_calls(
         self,
         step: str,
         worker_ids: list[str],
         policy: AdvicePolicy,
         askers: list[str],
         now: float,
-    ) -> AdviceCall | None:
-        """Return a call to make now, ``None`` if none is of use yet.
+    ) -> list[AdviceCall]:
+        """Return the calls to make now, none if none is of use yet.
 
         ``worker_ids`` are the workers that could hold a task of the step.
+
+        Pattern: wide steps in a large cell, for which an answer about all
+        workers takes longer than its tickets are valid. Several instances
+        that have nothing to ask share the workers.
         """
+        if not askers or not self.may_ask(step, now):
+            return []
+        unsettled = self._unsettled(step, worker_ids, now)
+        parts = self._divide(unsettled, policy, askers, now)
+        calls = [
+            call
+            for part in parts
+            if (call := self._call(step, part, policy, askers, now)) is not None
+        ]
+        if calls:
+            advice = self.advice(step)
+            advice.open_calls = len(calls)
+            advice.is_sure = advice.tickets_by_worker.keys() >= set(unsettled)
+            advice.asked_s = now
+        return calls
+
+    def _unsettled(
+        self,
+        step: str,
+        worker_ids: list[str],
+        now: float,
+    ) -> list[str]:
+        """Return the workers of which no usable answer is known."""
         advice = self.advice(step)
-        if not self.may_ask(step, now):
-            return None
-        unsettled = [
+        usable_at_s = now + self._times.ticket_margin_s
+        return [
             worker_id
             for worker_id in worker_ids
             if worker_id not in advice.bad
-            and advice.ticket(worker_id, now + self._times.ticket_margin_s)
-            is None
-        ][:_MOST_WORKERS]
-        if not unsettled or not askers:
-            return None
-        cost_s = policy.decision_ms + policy.each_ms * len(unsettled)
-        cost_s /= _MS_PER_S
+            and advice.ticket(worker_id, usable_at_s) is None
+        ]
+
+    def _divide(
+        self,
+        worker_ids: list[str],
+        policy: AdvicePolicy,
+        askers: list[str],
+        now: float,
+    ) -> list[list[str]]:
+        """Divide workers over calls that cost much less than one call."""
+        whole = len(worker_ids)
+        if not whole:
+            return []
+        least = int(policy.decision_ms / max(_TINY_MS, policy.each_ms))
+        most_parts = whole // max(1, int(least * _LEAST_PART)) or 1
+        saved_s = self._cost_s(whole, policy) - self._cost_s(1, policy)
+        if saved_s < self._times.cheap_s:
+            most_parts = 1
+        idle_count = self._askers.idle_count(
+            askers,
+            self._cost_s(whole // most_parts, policy),
+            now,
+        )
+        parts = max(1, min(most_parts, idle_count))
+        size = min(_MOST_WORKERS, ceil(whole / parts))
+        starts = range(0, min(whole, size * parts), size)
+        return [worker_ids[start : start + size] for start in starts]
+
+    def _call(
+        self,
+        step: str,
+        worker_ids: list[str],
+        policy: AdvicePolicy,
+        askers: list[str],
+        now: float,
+    ) -> AdviceCall | None:
+        cost_s = self._cost_s(len(worker_ids), policy)
         asker = self._askers.choose(askers, cost_s, now)
         most_s = self._longest_backlog_s(cost_s)
         if self._askers.backlog_s(asker, now) > most_s:
             return None
         due_s = self._askers.add(asker, cost_s, now)
-        advice.is_asking = True
-        advice.is_sure = advice.tickets_by_worker.keys() >= set(unsettled)
-        advice.asked_s = now
         timeout_s = due_s + self._askers.slack_s()
-        return AdviceCall(step, tuple(unsettled), asker, due_s, timeout_s)
+        return AdviceCall(step, tuple(worker_ids), asker, due_s, timeout_s)
+
+    def _cost_s(self, count: int, policy: AdvicePolicy) -> float:
+        return (policy.decision_ms + policy.each_ms * count) / _MS_PER_S
 
     def _longest_backlog_s(self, cost_s: float) -> float:
         if cost_s > self._times.cheap_s:
@@ -167,7 +235,7 @@
         advice = self.steps_by_name.get(call.step)
         if advice is None:
             return
-        advice.is_asking = False
+        advice.open_calls = max(0, advice.open_calls - 1)
         if answer is None:
             return
         advice.asked_s = float('-inf')
--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -68,13 +68,23 @@
             return WaitReason.ROOM
         advice = self._advice.advice(step.name)
         if advice.is_asking:
-            if advice.is_sure:
-                choose(step, tasks, planning.rooms_of(advice.good_workers()))
+            self._keep_for_answer(step, tasks, planning)
             return WaitReason.ADVICE
         if not self._advice.may_ask(step.name, planning.now):
             return WaitReason.ASKER
         return self._ask_about_rooms(step, tasks, planning)
 
+    def _keep_for_answer(
+        self,
+        step: StepState,
+        tasks: list[TaskState],
+        planning: PlacementRound,
+    ) -> None:
+        """Take the room that the answer under way surely allows to use."""
+        advice = self._advice.advice(step.name)
+        if advice.is_sure:
+            choose(step, tasks, planning.rooms_of(advice.good_workers()))
+
     def _ask_about_rooms(
         self,
         step: StepState,
@@ -96,15 +106,15 @@
             names.extend(self._unknown_workers(step, count, planning))
         if not names:
             return WaitReason.ROOM
-        call = self._advice.plan_call(
+        calls = self._advice.plan_calls(
             step.name,
             names,
             step.job.stored.advice,
             planning.askers,
             planning.now,
         )
-        if call is not None:
-            planning.calls.append(call)
+        if calls:
+            planning.calls.extend(calls)
             return WaitReason.ADVICE
         for _, room in choices:
             room.take(step.demand(), sign=-1)
--- a/src/apricotlead/coordination/cell/askers.py
+++ b/src/apricotlead/coordination/cell/askers.py
@@ -51,19 +51,18 @@
         Of those without a backlog it is the one that asked last, whose
         connections are open; else the one whose backlog ends first.
         """
-        allowed = self._allowed(sorted(askers), cost_s)
-        allowed = [
-            address
-            for address in allowed
-            if self._shunned_until_s.get(address, 0) <= now
-        ] or allowed
         ends_s = self._backlog_ends_s
-        idle_s = now - self._times.answer_way_s
-        idle = [each for each in allowed if ends_s.get(each, 0) <= idle_s]
+        idle = self._idle(askers, cost_s, now)
         if idle:
             return max(idle, key=lambda address: ends_s.get(address, 0))
+        allowed = self._allowed(sorted(askers), cost_s)
+        allowed = self._trusted(allowed, now) or allowed
         return min(allowed, key=lambda address: ends_s.get(address, 0))
 
+    def idle_count(self, askers: list[str], cost_s: float, now: float) -> int:
+        """Return how many askers would begin such a call at once."""
+        return len(self._idle(askers, cost_s, now))
+
     def backlog_s(self, asker: str, now: float) -> float:
         """Return how long the calls of an asker take that are under way."""
         return max(0, self._backlog_ends_s.get(asker, 0) - now)
@@ -99,6 +98,26 @@
         until_s = now + self._times.shun_s * 2**doublings
         self._shunned_until_s[asker] = until_s
 
+    def _idle(
+        self,
+        askers: list[str],
+        cost_s: float,
+        now: float,
+    ) -> list[str]:
+        allowed = self._trusted(self._allowed(sorted(askers), cost_s), now)
+        idle_s = now - self._times.answer_way_s
+        ends_s = self._backlog_ends_s
+        return [
+            address
+            for address in allowed
+            if ends_s.get(address, float('-inf')) <= idle_s
+        ]
+
+    def _trusted(self, askers: list[str], now: float) -> list[str]:
+        """Leave out the askers through which calls were lost lately."""
+        until_s = self._shunned_until_s
+        return [each for each in askers if until_s.get(each, 0) <= now]
+
     def _allowed(self, ordered: list[str], cost_s: float) -> list[str]:
         kept = 0
         if cost_s > self._times.cheap_s:
--- a/tests/test_cell_advice.py
+++ b/tests/test_cell_advice.py
@@ -27,7 +27,9 @@
         policy: AdvicePolicy,
         now: float = 0,
     ) -> AdviceCall | None:
-        return self.book.plan_call(step, ['w1', 'w2'], policy, ASKERS, now)
+        names = ['w1', 'w2']
+        calls = self.book.plan_calls(step, names, policy, ASKERS, now)
+        return calls[0] if calls else None
 
     def test_costly_calls_leave_an_asker_free(self) -> None:
         costly = [self.ask(f'gang{number}', COSTLY) for number in range(4)]
@@ -87,7 +89,9 @@
     def ask(self, policy: AdvicePolicy = CHEAP) -> AdviceCall:
         self.now += 0.01
         step = f'step{self.now}'
-        return self.book.plan_call(step, ['w1'], policy, ASKERS, self.now)
+        names = ['w1']
+        calls = self.book.plan_calls(step, names, policy, ASKERS, self.now)
+        return calls[0]
 
     def miss(self, call: AdviceCall) -> None:
         """Let the answer to a call be lost."""
@@ -164,6 +168,64 @@
         self.assertEqual(('w0',), calls[0].worker_ids)
 
 
+class TestWideSteps(TestCase):
+    """Pattern: gangs in a large cell, by way of many instances.
+
+    An answer about 70 workers took 0.9 s, of which tickets for the next 70
+    had expired when they came.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.book = AdviceBook(AdviceTimes())
+        self.askers = [f'peer{number}' for number in range(24)]
+        self.workers = [f'w{number}' for number in range(70)]
+
+    def calls(self, policy: AdvicePolicy, now: float = 0) -> list[AdviceCall]:
+        return self.book.plan_calls(
+            'step',
+            self.workers,
+            policy,
+            self.askers,
+            now,
+        )
+
+    def test_instances_share_the_workers(self) -> None:
+        calls = self.calls(AdvicePolicy(430, 6.2, 1500))
+        self.assertGreater(len(calls), 1)
+        self.assertEqual(len(calls), len({call.asker for call in calls}))
+        asked = [name for call in calls for name in call.worker_ids]
+        self.assertEqual(self.workers, asked)
+        self.assertLess(max(call.due_s for call in calls), 0.7)
+
+    def test_cheap_calls_are_not_divided(self) -> None:
+        self.assertEqual(1, len(self.calls(AdvicePolicy(9, 0.1, 1500))))
+
+    def test_busy_instances_are_not_asked(self) -> None:
+        self.askers = self.askers[:1]
+        self.assertEqual(1, len(self.calls(AdvicePolicy(430, 6.2, 1500))))
+
+    def test_no_call_follows_before_all_are_answered(self) -> None:
+        policy = AdvicePolicy(430, 6.2, 1500)
+        calls = self.calls(policy)
+        answer = AdviceAnswer({}, 1500)
+        for call in calls:
+            self.assertEqual([], self.calls(policy, 0.5))
+            self.book.answered(call, answer, 0, 0.5)
+        self.assertTrue(self.book.may_ask('step', 0.5))
+
+    def test_lost_answer_is_asked_again_alone(self) -> None:
+        policy = AdvicePolicy(430, 6.2, 1500)
+        lost, *others = self.calls(policy)
+        for call in others:
+            self.book.answered(call, AdviceAnswer({}, 1500), 0, 0.6)
+        self.book.answered(lost, None, 0, 0.9)
+        asked: set[str] = set()
+        for again in self.calls(policy, 1):
+            asked.update(again.worker_ids)
+        self.assertEqual(set(lost.worker_ids), asked)
+
+
 class TestLargeCells(TestCase):
     """A step of a few tasks is not asked about on every worker."""
 
