Ask a worker again at once when an answer was lost

Cause: an end in a lost answer of a held call was heard when the next one ended: the call was given up 0.4 s after the worker's wait, a pause of 0.3 s followed, and the next call waited again.

A second call beside each held one, likewise.

The time-out follows how late answers came, and the call after a lost answer waits for nothing.

--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -10,13 +10,17 @@
     """How workers are watched and ordered about, in seconds.
 
     ``wait_s`` is how long a worker holds a call until a run ends; it has to
-    be well under ``LeaseTimes.silent_s``. While workers leave some calls
+    be well under ``LeaseTimes.silent_s``. An answer is lost when it comes
+    ``least_slack_s`` later, or more where answers lately were late, up to
+    ``answer_slack_s``. While workers leave some calls
     unanswered, which shows when an answer follows, ``lossy_wait_s`` is used
     for ``lossy_s``: the end in a lost answer is then seen sooner.
     ``pace_s`` is left after an end before the next call, where no run is
     urgent; it saves a fifth of all calls on a calm day.
     ``unacked_pause_s`` spaces calls while ends cannot be acknowledged, since
-    such calls return at once. A start is repeated, which is harmless, after
+    such calls return at once. A call without an answer is followed by one that
+    waits for nothing, at once, and then after ``retry_pause_s`` times the number
+    of those missed, up to ``most_pauses``. A start is repeated, which is harmless, after
     each of ``start_timeouts_s``, the last one again and again.
     """
 
@@ -26,6 +30,8 @@
     pace_s: float = 0.4
     unacked_pause_s: float = 0.8
     retry_pause_s: float = 0.3
+    most_pauses: int = 3
+    least_slack_s: float = 0.15
     answer_slack_s: float = 0.4
     stop_retry_s: float = 0.4
     unhealthy_pause_s: float = 1.5
@@ -40,6 +46,7 @@
             pace_s=self.pace_s * factor,
             unacked_pause_s=self.unacked_pause_s * factor,
             retry_pause_s=self.retry_pause_s * factor,
+            least_slack_s=self.least_slack_s * factor,
             answer_slack_s=self.answer_slack_s * factor,
         )
 
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -140,7 +140,9 @@
         """Return how long a worker may hold a call that extends its lease."""
         holds = self._settings.holds
         has_unacked = worker.reported_through > worker.acked_through
-        if has_unacked or not worker.is_granted:
+        # The answer that was lost may have told an end.
+        is_missed = worker.unanswered_s > worker.lease.contact_s
+        if has_unacked or is_missed or not worker.is_granted:
             return 0
         if now < self._lossy_until_s:
             return holds.lossy_wait_s
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -1,5 +1,7 @@
 """One held call at each worker: it extends leases and brings ends."""
 
+from typing import Any
+
 import eventlet
 from eventlet.greenthread import GreenThread
 
@@ -10,11 +12,14 @@
     HoldReport,
     OrderReply,
     Refusal,
+    WorkerEntry,
 )
+from apricotlead.state.answer_time import AnswerTime
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_links import LATER_EPOCH, CellLinks, TermState
 
+_MS_PER_S = 1000.0
 # An urgent run that is placed meanwhile ends the pause within this.
 _PACE_POLL_S = 0.1
 
@@ -24,6 +29,7 @@
 
     __slots__ = (
         '_crowded_read_s',
+        '_delays',
         '_green_threads',
         '_links',
         '_lost_worker_ids',
@@ -46,6 +52,8 @@
         self._green_threads: list[GreenThread] = []
         self._watched_worker_ids: set[str] = set()
         self._lost_worker_ids: set[str] = set()
+        # How much later than they may wait answers come.
+        self._delays = AnswerTime(times.least_slack_s, times.answer_slack_s)
         self._crowded_read_s = float('-inf')
         self._was_crowded = False
 
@@ -65,7 +73,7 @@
 
     def _hold_worker(self, worker_id: str) -> None:
         """Hold one worker until it is gone."""
-        holds = self._times
+        missed_count = 0
         while not self._state.ended_why:
             planned = self._state.scheduler.workers.hold_order(
                 worker_id, boot_now()
@@ -74,11 +82,10 @@
                 break
             entry, order = planned
             sent_s = boot_now()
-            wait_s = order.wait_ms / 1000
-            timeout_s = wait_s + holds.answer_slack_s
-            answer = self._links.workers.hold(entry, order, timeout_s)
+            answer = self._hold(entry, order)
             now = boot_now()
             if isinstance(answer, HoldReport):
+                missed_count = 0
                 self._contact_regained(worker_id)
                 self._state.scheduler.workers.hold_answered(
                     worker_id,
@@ -90,9 +97,28 @@
                 self._wait_after(worker_id, order, answer)
             else:
                 self._hold_failed(worker_id, answer, now)
-                eventlet.sleep(holds.retry_pause_s)
+                eventlet.sleep(self._retry_pause_s(answer, missed_count))
+                missed_count += 1
         self._watched_worker_ids.discard(worker_id)
 
+    def _hold(self, entry: WorkerEntry, order: HoldOrder) -> Any:
+        """Make one call; tell an answer that is lost from one that waits."""
+        wait_s = order.wait_ms / _MS_PER_S
+        sent_s = boot_now()
+        timeout_s = wait_s + self._delays.timeout_s
+        answer = self._links.workers.hold(entry, order, timeout_s)
+        late_s = boot_now() - sent_s - wait_s
+        if isinstance(answer, HoldReport) and late_s >= 0:
+            self._delays.answered(late_s)
+        return answer
+
+    def _retry_pause_s(self, reply: OrderReply, missed_count: int) -> float:
+        """Return how long to wait after a call without lists."""
+        if reply.refusal is Refusal.UNANSWERED:
+            pauses = min(missed_count, self._times.most_pauses)
+            return pauses * self._times.retry_pause_s
+        return self._times.retry_pause_s
+
     def _wait_after(
         self,
         worker_id: str,
--- a/tests/test_cell_doubt.py
+++ b/tests/test_cell_doubt.py
@@ -91,3 +91,40 @@
         self.miss()
         self.rig.pass_time(3)
         self.assertEqual(self.state.worker_id, self.holder(JOB))
+
+
+class TestLostAnswers(TestCase):
+    """Pattern: workers that lose some answers.
+
+    An end in a lost answer of a held call was heard two seconds late, when the
+    next one ended.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w1'))
+
+    def wait_ms(self) -> float:
+        hold = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+        return hold[1].wait_ms
+
+    def miss(self) -> None:
+        self.rig.now += 0.5
+        self.rig.scheduler.workers.hold_refused(
+            'w1',
+            OrderReply(Refusal.UNANSWERED),
+            self.rig.now,
+        )
+
+    def test_call_after_a_lost_answer_waits_for_nothing(self) -> None:
+        self.assertGreater(self.wait_ms(), 1000)
+        self.miss()
+        self.assertEqual(0, self.wait_ms())
+
+    def test_calls_stay_short_while_answers_are_lost(self) -> None:
+        self.miss()
+        self.rig.now += 0.1
+        self.rig.hold_all()
+        self.assertLess(self.wait_ms(), 500)
+        self.rig.pass_time(10)
+        self.assertGreater(self.wait_ms(), 1000)
