--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -32,6 +32,8 @@
     ``is_released`` invites a successor. ``largest_cores`` is the processor of
     the largest instance that could succeed, 0 while it is not known.
     ``short_terms`` counts the terms in a row that ended soon, by silence.
+    ``patience_ms`` is how long a silence the scheduler asks its followers to
+    bear, by how long it has been held up lately; 0 while that is not known.
     """
 
     epoch: int
@@ -43,6 +45,7 @@
     is_released: bool = False
     largest_cores: float = 0
     short_terms: int = 0
+    patience_ms: float = 0
 
 
 class Loss(Enum):
@@ -104,7 +107,8 @@
     slow falls silent, and its successor is slower still while it loads; each
     replacement would make the next one likelier.
     """
-    patience = times.silent_owner_s * 2**owner.short_terms
+    asked_s = owner.patience_ms / _MS_PER_S
+    patience = max(times.silent_owner_s, asked_s) * 2**owner.short_terms
     return min(times.most_silent_owner_s, patience)
 
 
@@ -209,6 +213,7 @@
         taken_ms=store_ms,
         renewed_ms=store_ms,
         is_released=False,
+        patience_ms=0,
         short_terms=_short_terms(times, former, loss, store_ms),
     )
     return owner, owner_transaction(owner, row.version)
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -20,6 +20,7 @@
 from apricotlead.state.cell_view import CellView
 
 _MOST_EXPIRED = 8
+_MS_PER_S = 1000.0
 _SUM_UP_S = 1.0
 
 
@@ -105,6 +106,14 @@
         """Note the processor of the largest instance for a successor."""
         self.owner = msgspec.structs.replace(self.owner, largest_cores=cores)
 
+    def note_patience(self, patience_s: float) -> None:
+        """Note how long a silence followers are asked to bear."""
+        patience_ms = round(patience_s * _MS_PER_S)
+        self.owner = msgspec.structs.replace(
+            self.owner,
+            patience_ms=patience_ms,
+        )
+
     def plan(self, now: float, askers: list[str]) -> list[AdviceCall]:
         """Choose workers for waiting tasks; return the advice to ask for."""
         return self.planner.plan(now, askers)
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -61,8 +61,9 @@
     connections, which are no sign of a slow store, the scheduler asks its
     followers to take over; one that can read the store does.
     One that does not answer is replaced once its last write is more than
-    ``silent_owner_s`` old: two renewals, which a healthy store takes at once.
-    That doubles with each term in a row that silence ended in less than
+    ``silent_owner_s`` old: two renewals, which a healthy store takes at once;
+    later where the scheduler has told that it is held up for longer. That
+    doubles with each term in a row that silence ended in less than
     ``short_term_s``, up to ``most_silent_owner_s``.
     A deputy waits ``deputy_delay_s`` for each better one, any other instance
     ``small_delay_s`` times the part of the largest instance's processor that
@@ -73,13 +74,13 @@
     before ``settled_s`` of its term.
     """
 
-    watch_s: float = 0.4
+    watch_s: float = 0.25
     far_watch_s: float = 0.9
     deputies: int = 6
     deputy_delay_s: float = 0.06
-    watch_slack_s: float = 0.4
-    renew_s: float = 0.4
-    silent_owner_s: float = 0.8
+    watch_slack_s: float = 0.25
+    renew_s: float = 0.25
+    silent_owner_s: float = 0.5
     short_term_s: float = 10.0
     most_silent_owner_s: float = 6.4
     store_lost_s: float = 1.0
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -15,6 +15,7 @@
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import LEARNED_PREFIX
 from apricotlead.protocol.table import Row, Rows, StoreFailed
+from apricotlead.state.answer_time import AnswerTime
 from apricotlead.state.cell_view import CellView
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_feeds import JobsListener, RegistryListener
@@ -27,6 +28,7 @@
 from apricotlead.transport.cell_links import RELEASED, CellLinks, TermState
 from apricotlead.transport.cell_orders import OrderSender
 from apricotlead.transport.cell_row_upkeep import RowUpkeep
+from apricotlead.transport.hedging import hedged
 from apricotlead.transport.serving import run_together
 from apricotlead.transport.table_follower import TableFollower
 from apricotlead.transport.wake_up import WakeUp
@@ -36,6 +38,10 @@
 # Merges the ends of a few milliseconds into one round.
 _ROUND_PAUSE_S = 0.01
 _LOAD_TRIES = 40
+# A read of a whole table that takes longer, and longer than so many times the
+# write before it, may have lost a packet.
+_LEAST_READ_S = 0.25
+_HEDGE_AFTER = 10
 # Most jobs are announced; this merges the reads that bring the others.
 _JOBS_PAUSE_S = 0.2
 # Merges the workers' heartbeats into one read.
@@ -49,6 +55,7 @@
         '_began_s',
         '_cores',
         '_green_threads',
+        '_hedge_s',
         '_holds',
         '_is_loaded',
         '_journal',
@@ -77,6 +84,7 @@
         self._links = links
         self._settings = settings
         self._own_address = own_address
+        self._hedge_s = max(_LEAST_READ_S, takeover_s * _HEDGE_AFTER)
         self._cores = cores
         self._began_s = boot_now()
         self._state = TermState(scheduler, links.log)
@@ -248,7 +256,7 @@
         for _ in range(_LOAD_TRIES):
             if self.ended_why:
                 return None
-            answer = read()
+            answer = hedged(read, self._hedge_s, _has_failed)
             if not isinstance(answer, StoreFailed):
                 return answer.rows
             eventlet.sleep(STORE_RETRY_S)
@@ -281,9 +289,15 @@
             self._planned.wait(_IDLE_PLAN_S)
 
     def _tick(self) -> None:
+        times = self._settings.election
+        held_up = AnswerTime(times.silent_owner_s, times.most_silent_owner_s)
         while True:
+            due_s = boot_now() + _TICK_S
             eventlet.sleep(_TICK_S)
             now = boot_now()
+            # How late a sleeper is woken shows how long nothing else ran.
+            held_up.answered(now - due_s)
+            self.scheduler.note_patience(held_up.timeout_s)
             self.scheduler.tick(now)
             self.scheduler.jobs.open_due(time() * 1000, now)
             self._state.changed.set()
@@ -305,3 +319,7 @@
         for kind, fields in notes:
             self._links.log(kind, epoch=self._state.epoch, **fields)
             self._links.metrics.count(f'cell_{kind.replace(" ", "_")}')
+
+
+def _has_failed(answer: Rows | StoreFailed) -> bool:
+    return isinstance(answer, StoreFailed)
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -93,6 +93,21 @@
         terms.run(60)
         self.assertGreater(terms.owner.epoch, 30)
 
+    def test_scheduler_that_is_held_up_asks_for_patience(self) -> None:
+        """It tells how long it could not answer before it falls silent."""
+        owner = OwnerRow(3, 'i', 'peer', renewed_ms=1000)
+        row = stored(owner, 1)
+        self.assertTrue(is_vacant(TIMES, Loss.SILENT, owner, row, 1900))
+        owner = msgspec.structs.replace(owner, patience_ms=1200)
+        row = stored(owner, 1)
+        self.assertFalse(is_vacant(TIMES, Loss.SILENT, owner, row, 1900))
+        self.assertTrue(is_vacant(TIMES, Loss.SILENT, owner, row, 2300))
+
+    def test_successor_begins_without_the_patience_of_the_former(self) -> None:
+        row = stored(OwnerRow(3, 'i', 'peer', patience_ms=1200), 1)
+        owner, _ = takeover(row, 'i2', 'peer2', 9000, TIMES, Loss.BROKEN)
+        self.assertEqual(0, owner.patience_ms)
+
     def test_patience_is_bounded(self) -> None:
         """A cell whose schedulers freeze in turn is not left alone."""
         terms = SlowSuccessions(TIMES, load_s=600, busy_s=600)
