Spare the places that gangs wait for

Cause: a gang of 18-core tasks needs places on the quarter of the workers that may run it.

Gangs that wait leave word what a task of theirs needs on the workers that may run it; others go where they break no such place, urgent ones among the fast workers.

--- a/src/apricotlead/coordination/cell/gang_rooms.py
+++ b/src/apricotlead/coordination/cell/gang_rooms.py
@@ -5,6 +5,10 @@
 time. The first gangs in order therefore keep some of their workers: steps
 that come later get nothing on these, and those that come before use them
 last. What is kept at a time is bounded, since it stands idle in part.
+
+All other gangs that wait, and may run on few workers, leave word what one of
+their tasks needs there, so that smaller tasks go where they break no such
+place.
 """
 
 from collections.abc import Iterable
@@ -19,22 +23,33 @@
 class GangRooms:
     """Keeps workers for gangs, anew in each round of placement."""
 
-    __slots__ = ('_kept_worker_ids', '_most_count')
+    __slots__ = ('_kept_worker_ids', '_most_count', '_wanted_cpu_by_worker')
 
     def __init__(self) -> None:
         """Begin with nothing kept."""
         self._kept_worker_ids: set[str] = set()
         self._most_count = 0.0
+        self._wanted_cpu_by_worker: dict[str, int] = {}
 
     def begin(self, rooms: Iterable[Room]) -> None:
-        """Begin a round; mark what the round before it kept."""
+        """Begin a round; mark what the round before it kept and wanted."""
         count = 0
         for room in rooms:
-            room.is_kept = room.worker.worker_id in self._kept_worker_ids
+            worker_id = room.worker.worker_id
+            room.is_kept = worker_id in self._kept_worker_ids
+            room.wanted_cpu = self._wanted_cpu_by_worker.get(worker_id, 0)
             count += 1
         self._kept_worker_ids = set()
+        self._wanted_cpu_by_worker = {}
         self._most_count = count * _KEPT_SHARE
 
+    def want(self, step: StepState, rooms: Iterable[Room]) -> None:
+        """Note what a gang that comes in its turn needs of its workers."""
+        cpu_millis = step.demand().cpu_millis
+        for room in rooms:
+            worker_id = room.worker.worker_id
+            self._wanted_cpu_by_worker.setdefault(worker_id, cpu_millis)
+
     def keep(self, step: StepState, rooms: Iterable[Room]) -> None:
         """Keep as many of a gang's rooms as it needs when they are free.
 
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -2,7 +2,8 @@
 
 Pattern: tasks of very unlike sizes and urgency, on workers of unlike speed.
 Tasks of a step with little slack go to the fastest workers with room, the
-others leave those free. Among equals a task goes to the worker that it fills
+others leave those free. Small tasks spare the places that gangs wait for,
+where others do as well. Among equals a task goes to the worker that it fills
 best, so that whole workers stay free for gangs. A gang gets all its workers
 at once or none.
 """
@@ -24,6 +25,7 @@
         'is_kept',
         'memory',
         'pace',
+        'wanted_cpu',
         'worker',
     )
 
@@ -33,6 +35,8 @@
         self.worker = worker
         # Whether a gang waits for this worker to become free.
         self.is_kept = False
+        # What a task of a gang that waits needs here, 0 without one.
+        self.wanted_cpu = 0
         # Workers whose speeds differ by less count as equal.
         self.pace = round(worker.speed.slowness * _PACE_STEPS)
         self.cpu = capacity.cpu_millis - used.cpu_millis
@@ -47,6 +51,13 @@
             and demand.accelerators <= self.accelerators
         )
 
+    def loses_place(self, demand: Resources) -> bool:
+        """Tell whether a demand leaves fewer places for a gang that waits."""
+        if not self.wanted_cpu or demand.cpu_millis >= self.wanted_cpu:
+            return False
+        left = self.cpu - demand.cpu_millis
+        return left // self.wanted_cpu < self.cpu // self.wanted_cpu
+
     def take(self, demand: Resources, sign: int = 1) -> None:
         """Take a demand, or give it back with ``sign`` -1."""
         self.cpu -= sign * demand.cpu_millis
@@ -55,11 +66,13 @@
 
 
 _PACE_STEPS = 5
+# An urgent task uses workers that are slower than this only after others.
+_SLOW = 1.2
 # A worker this much slower than estimated is used last by all.
 _VERY_SLOW = 2.0
 Choice = tuple[TaskState, Room]
 # How good a room is, the least first; its number; the room.
-_Offer = tuple[tuple[bool, bool, bool, int, int], int, Room]
+_Offer = tuple[tuple[bool, bool, bool, bool, bool, int, int], int, Room]
 
 
 def waiting_tasks(step: StepState, now: float) -> list[TaskState]:
@@ -199,10 +212,13 @@
 
     def _offer(self, number: int, room: Room) -> '_Offer':
         rack = self._spec.data_rack
+        is_slow = room.pace > _SLOW * _PACE_STEPS
         key = (
             room.is_kept,
             room.pace > _VERY_SLOW * _PACE_STEPS,
             bool(rack) and room.worker.entry.rack != rack,
+            self._is_urgent and is_slow,
+            room.loses_place(self._demand),
             room.pace if self._is_urgent else -room.pace,
             room.cpu,
         )
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -122,17 +122,25 @@
         reason = WaitReason.ROOM
         if may_ask:
             reason = self._asking.ask(step, tasks[len(choices) :], planning)
-        if step.spec.gang and reason is WaitReason.ROOM:
-            self._keep_rooms(step, planning)
+        if step.spec.gang:
+            self._spare_rooms(step, planning, reason)
         return reason
 
-    def _keep_rooms(self, step: StepState, planning: PlacementRound) -> None:
-        """Keep workers for a gang that has time left and none that fit."""
+    def _spare_rooms(
+        self,
+        step: StepState,
+        planning: PlacementRound,
+        reason: WaitReason,
+    ) -> None:
+        """Have others spare workers for a gang that has time left."""
         errors = self._book.estimate_errors
         is_hopeless = is_worthless(step, planning.now, errors)
         if is_hopeless or not step.job.is_within_weight:
             return
-        self._gangs.keep(step, self._asking.good_rooms(step, planning))
+        rooms = self._asking.good_rooms(step, planning)
+        self._gangs.want(step, rooms)
+        if reason is WaitReason.ROOM:
+            self._gangs.keep(step, rooms)
 
     def _within_limit(
         self,
--- a/tests/test_cell_gang_rooms.py
+++ b/tests/test_cell_gang_rooms.py
@@ -3,9 +3,10 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.gang_rooms import GangRooms
-from apricotlead.coordination.cell.placement import Room
+from apricotlead.coordination.cell.placement import Room, choose
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.resources import Resources
+from apricotlead.state.cell_jobs import JobRun
 from tests.cell_rig import CellRig, ModelWorker, stored_job
 
 BATCH = '00000000000000aa'
@@ -114,3 +115,56 @@
             for rooms in (self.rooms, again)
         )
         self.assertEqual(first, second)
+
+
+class TestPlacesOfGangs(TestCase):
+    """Pattern: small tasks that leave remainders on large workers.
+
+    A fifth of the cell stood idle in pieces while gangs of larger tasks waited
+    (trapwerk-sched, trouble-3).
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        rig = CellRig(*(ModelWorker(f'w{each}') for each in range(3)))
+        workers = rig.scheduler.book.workers_by_id.values()
+        self.rooms = [Room(worker) for worker in workers]
+
+    def want(self, cpu_millis: int) -> None:
+        """Let a gang wait for such places on all workers."""
+        spec = StepSpec(9, Resources(cpu_millis, 1024, 0), gang=True)
+        job = JobRun(GANG, stored_job(spec), 0, 1)
+        gangs = GangRooms()
+        gangs.want(job.open_occurrence()[0], self.rooms)
+        gangs.begin(self.rooms)
+
+    def chosen(self, cpu_millis: int) -> list[int]:
+        """Return the numbers of the rooms that two small tasks go to."""
+        spec = StepSpec(2, Resources(cpu_millis, 1024, 0))
+        step = JobRun(LATER, stored_job(spec), 0, 1).open_occurrence()[0]
+        choices = choose(step, step.tasks, self.rooms)
+        return [self.rooms.index(room) for _, room in choices]
+
+    def test_small_tasks_use_what_a_place_leaves(self) -> None:
+        self.rooms[0].cpu = 10_000
+        self.rooms[1].cpu = 11_000
+        self.want(9000)
+        self.assertEqual([1, 2], self.chosen(2000))
+
+    def test_room_without_a_place_is_used_first(self) -> None:
+        self.rooms[0].cpu = 9000
+        self.rooms[1].cpu = 9000
+        self.rooms[2].cpu = 8000
+        self.want(9000)
+        self.assertEqual([2, 2], self.chosen(4000))
+
+    def test_last_resort_is_a_place(self) -> None:
+        for room in self.rooms:
+            room.cpu = 9000
+        self.want(9000)
+        self.assertEqual(2, len(self.chosen(4000)))
+
+    def test_nobody_waits(self) -> None:
+        """The fullest worker is filled, as without gangs."""
+        self.rooms[0].cpu = 9000
+        self.assertEqual([0, 0], self.chosen(4000))
