Renew the tickets of a gang together

Cause: a gang of 14 tasks that fitted on its good workers asked each 0.7 s about the one to four of them whose tickets had expired; by the answer others had.

Ruled out: want of room (the cell was 15 to 45 percent in use) and of answers (13 came, each naming all workers asked about as good).

Before and after: tests/test_cell_placement.py test_tickets_of_a_gang_are_renewed_ together fails before.

A ticket that expires before the answer comes is asked for with the others, some further workers with room are asked about, and what is kept until the answer is room that it allows to use.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -78,6 +78,12 @@
     ('fast workers for urgent', f'{_CELL}/order', 'is_urgent', 'False'),
     ('refusal at the door', f'{_CELL}/admission', 'judge', 'None'),
     ('workers kept for gangs', f'{_CELL}/gang_rooms', 'GangRooms.keep', 'None'),
+    (
+        'places spared for gangs',
+        f'{_CELL}/placement',
+        'Room.loses_place',
+        'False',
+    ),
     ('straggler stops', f'{_CELL}/stragglers', 'is_straggler', 'False'),
     (
         'errors of estimates',
--- a/src/apricotlead/coordination/cell/advice_book.py
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -38,6 +38,7 @@
     """What is known of one step; times are local seconds."""
 
     __slots__ = (
+        'asked_ids',
         'asked_s',
         'bad',
         'expires_s',
@@ -51,9 +52,10 @@
         self.tickets_by_worker: dict[str, str] = {}
         self.bad: set[str] = set()
         self.expires_s: dict[str, float] = {}
-        # How many calls are under way, and whether all workers in them have
-        # had tickets before.
+        # How many calls are under way, about which workers, and whether all of
+        # these have had tickets before.
         self.open_calls = 0
+        self.asked_ids: frozenset[str] = frozenset()
         self.is_sure = False
         self.asked_s = float('-inf')
 
@@ -142,7 +144,8 @@
         """
         if not askers or not self.may_ask(step, now):
             return []
-        unsettled = self._unsettled(step, worker_ids, now)
+        answered_s = now + self._cost_s(len(worker_ids), policy)
+        unsettled = self._unsettled(step, worker_ids, answered_s)
         parts = self._divide(unsettled, policy, askers, now)
         calls = [
             call
@@ -152,19 +155,34 @@
         if calls:
             advice = self.advice(step)
             advice.open_calls = len(calls)
+            advice.asked_ids = frozenset(unsettled)
             advice.is_sure = advice.tickets_by_worker.keys() >= set(unsettled)
             advice.asked_s = now
         return calls
 
+    def usable_after_answer(self, step: str, now: float) -> list[str]:
+        """Return the workers that a step may use once its calls are answered.
+
+        Those that have had tickets before, and are asked about or have a
+        ticket that is valid now.
+        """
+        advice = self.advice(step)
+        asked = advice.asked_ids & advice.tickets_by_worker.keys()
+        return [*asked, *self.ticketed_workers(step, now)]
+
     def _unsettled(
         self,
         step: str,
         worker_ids: list[str],
-        now: float,
+        answered_s: float,
     ) -> list[str]:
-        """Return the workers of which no usable answer is known."""
+        """Return the workers that are not known to be usable then.
+
+        Pattern: gangs on many workers. A ticket that expires before the
+        others come is renewed with them; else some are always missing.
+        """
         advice = self.advice(step)
-        usable_at_s = now + self._times.ticket_margin_s
+        usable_at_s = answered_s + self._times.ticket_margin_s
         return [
             worker_id
             for worker_id in worker_ids
--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -20,6 +20,7 @@
 # A third of these may run the most restricted steps that callers describe.
 _ASKED_WORKERS = 30
 _ASKED_FOR_EACH_TASK = 2
+_CHOSEN_FOR_EACH_SPARE = 3
 
 
 class AdvicePlanner:
@@ -81,9 +82,9 @@
         planning: PlacementRound,
     ) -> None:
         """Take the room that the answer under way surely allows to use."""
-        advice = self._advice.advice(step.name)
-        if advice.is_sure:
-            choose(step, tasks, planning.rooms_of(advice.good_workers()))
+        if self._advice.advice(step.name).is_sure:
+            usable = self._advice.usable_after_answer(step.name, planning.now)
+            choose(step, tasks, planning.rooms_of(dict.fromkeys(usable)))
 
     def _ask_about_rooms(
         self,
@@ -104,6 +105,8 @@
         if len(choices) < len(tasks):
             count = len(tasks) - len(choices)
             names.extend(self._unknown_workers(step, count, planning))
+        elif step.spec.gang:
+            names.extend(self._spare_workers(step, names, planning))
         if not names:
             return WaitReason.ROOM
         calls = self._advice.plan_calls(
@@ -120,6 +123,25 @@
             room.take(step.demand(), sign=-1)
         return WaitReason.ASKER
 
+    def _spare_workers(
+        self,
+        step: StepState,
+        names: list[str],
+        planning: PlacementRound,
+    ) -> list[str]:
+        """Return further good workers with room for a gang.
+
+        Others may take a room that it has chosen before the answer comes.
+        """
+        advice = self._advice.advice(step.name)
+        fitting = [
+            room.worker.worker_id
+            for room in planning.rooms_of(advice.good_workers())
+            if room.fits(step.demand())
+        ]
+        spare = [name for name in fitting if name not in names]
+        return spare[: len(names) // _CHOSEN_FOR_EACH_SPARE + 1]
+
     def _unknown_workers(
         self,
         step: StepState,
--- a/tests/test_cell_placement.py
+++ b/tests/test_cell_placement.py
@@ -1,5 +1,6 @@
 """Load pattern: wide steps in a cell of many workers."""
 
+import msgspec
 from testtools import TestCase
 
 from apricotlead.coordination.cell.placement import Room, choose
@@ -156,6 +157,37 @@
                 break
         self.assertEqual({'w0', 'w1'}, set(again[0].worker_ids))
 
+    def test_tickets_of_a_gang_are_renewed_together(self) -> None:
+        """Each answer brought a few tickets while others expired.
+
+        A gang of 14 tasks asked 13 times about one to four workers each, and
+        never had all its tickets at a time (trapwerk-sched-grown, scale-1,
+        LOST 1f327abc45213311).
+        """
+        whole = Resources(16000, 1024, 0)
+        policy = AdvicePolicy(400, 6, 1500)
+        rig = CellRig(*(ModelWorker(f'w{each}') for each in range(6)))
+        spec = StepSpec(4, whole, estimated_ms=5000, gang=True)
+        gang = stored_job(spec, advice=policy, accepted_ms=rig.store_ms)
+        rig.submit(JOB, gang)
+        call = rig.scheduler.plan(rig.now, ['peer'])[0]
+        names = ('w0', 'w1', 'w2', 'w3')
+        for name in names:
+            # Their tickets expire one after another.
+            early = AdviceAnswer({name: 'old'}, 1000 + 200 * int(name[1]))
+            asked = msgspec.structs.replace(call, worker_ids=(name,))
+            rig.scheduler.advice.answered(asked, early, rig.now, rig.now)
+        rig.now += 1.1
+        rig.hold_all()
+        again = rig.scheduler.plan(rig.now, ['peer'])[0]
+        self.assertEqual(set(names), set(again.worker_ids))
+        rig.now += again.due_s
+        answer = AdviceAnswer(dict.fromkeys(again.worker_ids, 'new'), 1500)
+        rig.scheduler.advice.answered(again, answer, rig.now, rig.now)
+        rig.round()
+        started = [len(each.started) for each in rig.workers_by_id.values()]
+        self.assertEqual(4, sum(started))
+
     def test_step_without_good_workers_asks_again(self) -> None:
         call = self.scheduler.plan(self.rig.now, ['peer'])[0]
         missing = None
