Leave the workers that gangs wait for to them where others do

Cause: a task that breaks no place of a gang still takes what the next end would have added to one.

Ruled out: nothing may use such workers; with several gangs waiting all are wanted.

--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -2,8 +2,8 @@
 
 Pattern: tasks of very unlike sizes and urgency, on workers of unlike speed.
 Tasks of a step with little slack go to the fastest workers with room, the
-others leave those free. Small tasks spare the places that gangs wait for,
-where others do as well. Among equals a task goes to the worker that it fills
+others leave those free. Small tasks spare the places, and then the workers,
+that gangs wait for, where others do as well. Among equals a task goes to the worker that it fills
 best, so that whole workers stay free for gangs. A gang gets all its workers
 at once or none.
 """
@@ -72,7 +72,7 @@
 _VERY_SLOW = 2.0
 Choice = tuple[TaskState, Room]
 # How good a room is, the least first; its number; the room.
-_Offer = tuple[tuple[bool, bool, bool, bool, bool, int, int], int, Room]
+_Offer = tuple[tuple[int, ...], int, Room]
 
 
 def waiting_tasks(step: StepState, now: float) -> list[TaskState]:
@@ -219,6 +219,7 @@
             bool(rack) and room.worker.entry.rack != rack,
             self._is_urgent and is_slow,
             room.loses_place(self._demand),
+            room.wanted_cpu > self._demand.cpu_millis,
             room.pace if self._is_urgent else -room.pace,
             room.cpu,
         )
--- a/tests/test_cell_gang_rooms.py
+++ b/tests/test_cell_gang_rooms.py
@@ -130,12 +130,12 @@
         workers = rig.scheduler.book.workers_by_id.values()
         self.rooms = [Room(worker) for worker in workers]
 
-    def want(self, cpu_millis: int) -> None:
-        """Let a gang wait for such places on all workers."""
+    def want(self, cpu_millis: int, count: int = 3) -> None:
+        """Let a gang wait for such places on the first workers."""
         spec = StepSpec(9, Resources(cpu_millis, 1024, 0), gang=True)
         job = JobRun(GANG, stored_job(spec), 0, 1)
         gangs = GangRooms()
-        gangs.want(job.open_occurrence()[0], self.rooms)
+        gangs.want(job.open_occurrence()[0], self.rooms[:count])
         gangs.begin(self.rooms)
 
     def chosen(self, cpu_millis: int) -> list[int]:
@@ -158,6 +158,11 @@
         self.want(9000)
         self.assertEqual([2, 2], self.chosen(4000))
 
+    def test_workers_that_no_gang_waits_for_come_first(self) -> None:
+        self.rooms[0].cpu = 14_000
+        self.want(9000, count=2)
+        self.assertEqual([2, 2], self.chosen(4000))
+
     def test_last_resort_is_a_place(self) -> None:
         for room in self.rooms:
             room.cpu = 9000
