Tell each second for what tasks wait, and read runs over all terms

Cause: the line at a job's end covers the last term only; jobs that wait over a hand-over showed as lost to former terms, also where they ran all the time.

Ruled out: writing waits to the store; nothing but these tables would read them.

--- a/bench/job_stories.py
+++ b/bench/job_stories.py
@@ -13,6 +13,8 @@
 _WORTHLESS_AFTER = 3.0
 # Keeps quotients finite.
 _TINY = 0.001
+# A job that a term took later than this was taken by another before.
+_ONE_TERM_S = 0.2
 Record = dict[str, Any]
 _decoder = msgspec.json.Decoder(dict[str, Any])
 
@@ -30,6 +32,14 @@
     is_cancelled: bool = False
     taken: Record | None = None
     ended: Record | None = None
+    # When each run was placed, and from when to when those ran that are over.
+    placed_s_by_run: dict[tuple[str, int], float] = {}
+    spans_s: list[tuple[float, float]] = []
+
+    @property
+    def ended_s(self) -> float:
+        """Return when the job ended."""
+        return self.ended['timestamp']
 
     @property
     def outcome(self) -> str:
@@ -38,7 +48,7 @@
             return 'unfinished' if self.is_stored else 'refused'
         if self.is_cancelled or self.ended['state'] == 'cancelled':
             return 'cancelled'
-        age_s = self.ended['timestamp'] - self.first_s
+        age_s = self.ended_s - self.first_s
         ratio = age_s / max(_TINY, self.objective_s)
         if ratio <= 1:
             return 'in time'
@@ -59,8 +69,18 @@
         """Return the share of its worth that the job earned."""
         return {'in time': 1.0, 'late': LATE_SHARE}.get(self.outcome, 0)
 
+    @property
+    def running_s(self) -> float:
+        """Return for how long any run of the job was placed."""
+        running_s = 0.0
+        reached_s = float('-inf')
+        for began_s, ended_s in sorted(self.spans_s):
+            running_s += max(0, ended_s - max(began_s, reached_s))
+            reached_s = max(reached_s, ended_s)
+        return running_s
+
     def costs_s(self) -> Counter[str]:
-        """Return where the time of the job went."""
+        """Return where the time of the job went that it did not run."""
         ended = self.ended
         if ended is None:
             return Counter({self.outcome: 1})
@@ -68,13 +88,15 @@
         cores = ended['core_s'] / max(_TINY, ended['estimate_s'])
         for how, core_s in ended['lost'].items():
             costs[f'run {how}'] = core_s / max(_TINY, cores)
-        costs['former term'] = max(0, ended['age_s'] - ended['known_s'])
-        costs['accepting'] = max(
-            0,
-            ended['timestamp'] - ended['age_s'] - self.first_s,
-        )
-        rest_s = ended['timestamp'] - self.first_s - ended['work_s']
-        costs['on the way'] = max(0, rest_s - costs.total())
+        taken_s = self.ended_s - ended['age_s']
+        costs['accepting'] = max(0, taken_s - self.first_s)
+        beyond_s = self.running_s - ended['estimate_s']
+        costs['long runs'] = max(0, beyond_s)
+        rest_s = self.ended_s - self.first_s - self.running_s
+        is_of_one_term = ended['age_s'] - ended['known_s'] < _ONE_TERM_S
+        name = 'on the way' if is_of_one_term else 'wait in former terms'
+        waited_s = sum(ended['waits'].values()) + costs['accepting']
+        costs[name] = max(0, rest_s - waited_s)
         return costs
 
     def reason(self) -> str:
@@ -146,11 +168,31 @@
         job.organisation = record['organisation']
         job.is_stored = True
 
+    def take_placed(self, record: Record) -> None:
+        """Note the begin of a run."""
+        job = self._job_of_task(record)
+        run = (record['task'], record['run'])
+        job.placed_s_by_run[run] = record['timestamp']
+
+    def take_run_over(self, record: Record) -> None:
+        """Note the end of a run, however it ended."""
+        job = self._job_of_task(record)
+        run = (record['task'], record['run'])
+        placed_s = job.placed_s_by_run.pop(run, None)
+        if placed_s is not None:
+            job.spans_s.append((placed_s, record['timestamp']))
+
     def take_ended(self, record: Record) -> None:
         """Note the end; the first one counts."""
         job = self.job(record)
         if job.ended is None:
             job.ended = record
+            for placed_s in job.placed_s_by_run.values():
+                job.spans_s.append((placed_s, record['timestamp']))
+
+    def _job_of_task(self, record: Record) -> JobStory:
+        job_id = record['task'].partition('.')[0]
+        return self.jobs_by_id.setdefault(job_id, JobStory(job_id))
 
     def take_state(self, record: Record) -> None:
         """Note the room in use."""
@@ -164,6 +206,12 @@
     'cancel': RunStories.take_cancel,
     'job taken': RunStories.take_taken,
     'job ended': RunStories.take_ended,
+    'run placed': RunStories.take_placed,
+    'run ended': RunStories.take_run_over,
+    'run lost': RunStories.take_run_over,
+    'run lapsed': RunStories.take_run_over,
+    'run not listed': RunStories.take_run_over,
+    'start dropped': RunStories.take_run_over,
     'cell state': RunStories.take_state,
 }
 
--- a/bench/what_binds.py
+++ b/bench/what_binds.py
@@ -102,7 +102,7 @@
         for job in self.jobs:
             if job.ended is not None:
                 totals[job.queue].update(job.costs_s())
-                totals[job.queue]['work'] += job.ended['work_s']
+                totals[job.queue]['running'] += job.running_s
                 counts[job.queue] += 1
         yield '\nseconds a job'
         for queue, times in sorted(totals.items()):
@@ -139,8 +139,9 @@
     idle_count = 0
     for state in states:
         used = state['cpu_used_millis'] / max(1, state['cpu_millis'])
-        waiting = state['waiting_tasks']
-        idle_count += used < 1 - _IDLE_SHARE and sum(waiting.values()) > 0
+        waiting = state.get('waiting_for', state['waiting_tasks'])
+        is_idle = used < 1 - _IDLE_SHARE
+        idle_count += is_idle and sum(state['waiting_tasks'].values()) > 0
         second = round(state['timestamp'] - began_s, 1)
         workers = state['usable_workers']
         share = round(used, 2)
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -4,6 +4,8 @@
 is :mod:`apricotlead.transport.cell_scheduling`.
 """
 
+from collections import Counter, defaultdict
+
 import msgspec
 
 from apricotlead.coordination.cell.advice_book import AdviceBook, AdviceCall
@@ -181,10 +183,12 @@
             for worker in self.book.workers_by_id.values()
             if worker.takes_work(now)
         ]
-        waiting: dict[str, int] = {}
+        waiting: Counter[str] = Counter()
+        reasons: defaultdict[str, Counter[str]] = defaultdict(Counter)
         for step in self.book.ready_steps_by_name.values():
             queue = step.job.stored.queue
-            waiting[queue] = waiting.get(queue, 0) + step.waiting_count
+            waiting[queue] += step.waiting_count
+            reasons[queue][str(step.waits.reason)] += step.waiting_count
         self.book.note(
             'cell state',
             usable_workers=len(workers),
@@ -194,4 +198,5 @@
             memory_used_mb=sum(w.used.memory_mb for w in workers),
             jobs=len(self.book.jobs_by_id),
             waiting_tasks=waiting,
+            waiting_for=reasons,
         )
--- a/src/apricotlead/state/wait_times.py
+++ b/src/apricotlead/state/wait_times.py
@@ -32,6 +32,11 @@
         self._since_s = 0.0
         self._waited_s_by_reason: dict[WaitReason, float] = {}
 
+    @property
+    def reason(self) -> WaitReason | None:
+        """Return what is waited for, ``None`` where nothing is."""
+        return self._reason
+
     def note(self, reason: WaitReason | None, now: float) -> None:
         """Begin to wait for ``reason``; ``None`` ends the waiting."""
         if self._reason is not None:
