Name the reason of tasks that never waited before

Cause: the line cell state counted tasks that wait for the first time under the name None. Ruled out: leaving them out; the counts must add up to waiting_tasks. Before: {"None": 12}. After: {"new": 12}. Conclusion: kept; no decision reads it.

--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -188,7 +188,9 @@
         for step in self.book.ready_steps_by_name.values():
             queue = step.job.stored.queue
             waiting[queue] += step.waiting_count
-            reasons[queue][str(step.waits.reason)] += step.waiting_count
+            reasons[queue][str(step.waits.reason or 'new')] += (
+                step.waiting_count
+            )
         self.book.note(
             'cell state',
             usable_workers=len(workers),
