Estimate what perfect knowledge could earn with a run's jobs

Ruled out: an exact bound; packing jobs of many tasks is too hard for that, so jobs are liquid and the line says that it is an estimate.

--- a/bench/job_stories.py
+++ b/bench/job_stories.py
@@ -10,7 +10,7 @@
 # A job that ends after its objective earns this share of its worth, until it
 # is of no use to its caller any more.
 LATE_SHARE = 0.2
-_WORTHLESS_AFTER = 3.0
+WORTHLESS_AFTER = 3.0
 # Keeps quotients finite.
 _TINY = 0.001
 # A job that a term took later than this was taken by another before.
@@ -52,17 +52,28 @@
         ratio = age_s / max(_TINY, self.objective_s)
         if ratio <= 1:
             return 'in time'
-        return 'late' if ratio <= _WORTHLESS_AFTER else 'worthless'
+        return 'late' if ratio <= WORTHLESS_AFTER else 'worthless'
 
     @property
     def objective_s(self) -> float:
         """Return the objective by the runs that were seen, if any ended."""
         ended = self.ended or {}
         told_s = ended.get('objective_s', 0)
-        if not ended.get('work_s'):
-            return told_s
-        missed_s = ended['work_s'] - ended['estimate_s']
-        return told_s + ended['stretch'] * missed_s
+        missed_s = self.work_s - ended.get('estimate_s', 0)
+        return told_s + ended.get('stretch', 0) * missed_s
+
+    @property
+    def work_s(self) -> float:
+        """Return its longest chain of work, estimated without runs."""
+        ended = self.ended or {}
+        return ended.get('work_s') or ended.get('estimate_s', 0)
+
+    @property
+    def cores(self) -> float:
+        """Return the cores that it uses on the mean of its work."""
+        ended = self.ended or {}
+        estimate_s = max(_TINY, ended.get('estimate_s', 0))
+        return ended.get('core_s', 0) / estimate_s
 
     @property
     def share(self) -> float:
@@ -85,9 +96,8 @@
         if ended is None:
             return Counter({self.outcome: 1})
         costs = Counter({f'wait {k}': s for k, s in ended['waits'].items()})
-        cores = ended['core_s'] / max(_TINY, ended['estimate_s'])
         for how, core_s in ended['lost'].items():
-            costs[f'run {how}'] = core_s / max(_TINY, cores)
+            costs[f'run {how}'] = core_s / max(_TINY, self.cores)
         taken_s = self.ended_s - ended['age_s']
         costs['accepting'] = max(0, taken_s - self.first_s)
         beyond_s = self.running_s - ended['estimate_s']
--- a/bench/what_binds.py
+++ b/bench/what_binds.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from bench.job_stories import JobStory, Record, RunStories
+from bench.worth_bound import BoundJob, earned_share, pool_of
 
 _FIXED_WORTH = 0.3
 _MOST_WORTH = 4.0
@@ -117,6 +118,39 @@
             )
             yield f'  {queue}: {shown}'
 
+    def bound_lines(self, states: list[Record]) -> Iterable[str]:
+        """Return what perfect knowledge could have earned, estimated.
+
+        Jobs whose sizes the lines do not tell count as a job of their queue
+        that ended.
+        """
+        ended_by_queue: dict[str, list[JobStory]] = defaultdict(list)
+        for job in self.jobs:
+            if job.ended is not None:
+                ended_by_queue[job.queue].append(job)
+        numbers: Counter[str] = Counter()
+        jobs: list[BoundJob] = []
+        for job in self.jobs:
+            likely = job
+            if job.ended is None:
+                peers = ended_by_queue[job.queue]
+                if not peers:
+                    continue
+                likely = peers[numbers[job.queue] % len(peers)]
+                numbers[job.queue] += 1
+            bound_job = BoundJob(
+                worth=self.worth(likely),
+                arrives_s=job.first_s - self.began_s,
+                objective_s=likely.objective_s,
+                work_s=likely.work_s,
+                cores=likely.cores,
+            )
+            jobs.append(bound_job)
+        yield '\nestimate: share that perfect knowledge could earn'
+        for name, is_whole in (('all the room', True), ('room as seen', False)):
+            pool = pool_of(states, self.began_s, is_whole=is_whole)
+            yield f'  {name}: {_share(earned_share(jobs, pool))}'
+
     def _outcomes(self, jobs: list[JobStory]) -> str:
         owed = sum(self.worth(job) for job in jobs)
         earned = sum(self.worth(job) * job.share for job in jobs)
@@ -168,6 +202,7 @@
         ),
         table.reasons(),
         table.times(),
+        table.bound_lines(stories.states),
         room_lines(stories.states, table.began_s),
     )
     for part in parts:
--- /dev/null
+++ b/tests/test_worth_bound.py
@@ -0,0 +1,58 @@
+"""The estimate of what perfect knowledge could earn."""
+
+from itertools import repeat
+
+from bench.worth_bound import BoundJob, Pool, earned_share, pool_of
+from testtools import TestCase
+
+_SLOTS_A_SECOND = 20
+
+
+def _job(worth: float = 1, work_s: float = 1, cores: float = 4) -> BoundJob:
+    return BoundJob(
+        worth=worth,
+        arrives_s=0,
+        objective_s=2 * work_s,
+        work_s=work_s,
+        cores=cores,
+    )
+
+
+def _pool(cores: float, lasts_s: int) -> Pool:
+    return Pool(list(repeat(cores, lasts_s * _SLOTS_A_SECOND)))
+
+
+class TestWorthBound(TestCase):
+    """Jobs that reserve their work in a pool of cores."""
+
+    def test_enough_room_earns_all(self) -> None:
+        pool = _pool(8, lasts_s=2)
+
+        self.assertEqual(1, earned_share([_job(), _job()], pool))
+
+    def test_a_job_uses_no_more_than_its_cores(self) -> None:
+        pool = _pool(100, lasts_s=1)
+
+        self.assertEqual(0, earned_share([_job(work_s=1.2)], pool))
+
+    def test_the_densest_jobs_go_first(self) -> None:
+        pool = _pool(4, lasts_s=6)
+        jobs = [_job(worth=1), _job(worth=3), _job(worth=2)]
+
+        share = earned_share(jobs, pool)
+
+        self.assertAlmostEqual((3 + 2 + 0.2) / 6, share)
+
+    def test_room_as_seen_follows_the_lines(self) -> None:
+        states = [
+            {'timestamp': 10.0, 'cpu_millis': 4000},
+            {'timestamp': 11.0, 'cpu_millis': 0},
+            {'timestamp': 13.0, 'cpu_millis': 4000},
+        ]
+        jobs = [_job(work_s=1.5)]
+
+        whole = pool_of(states, 10, is_whole=True)
+        seen = pool_of(states, 10, is_whole=False)
+
+        self.assertEqual(1, earned_share(jobs, whole))
+        self.assertLess(earned_share(jobs, seen), 1)
