Log steps that could run and do not

Ruled out: a line for each round; it would grow with the steps that wait. Before: no line. No decision changes: gangs that wait for 'turn' keep workers as those that wait for 'room' do.

--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -24,6 +24,8 @@
 _NO_LIMIT = Resources()
 # Steps that wait so cost a round nothing.
 _HELD_BACK = frozenset((WaitReason.MEMBERS, WaitReason.LIMIT))
+# Gangs that wait so keep workers until they fit.
+_WITHOUT_ROOM = frozenset((WaitReason.ROOM, WaitReason.TURN))
 # Steps that could not be placed in a round, before the rest is left.
 _MOST_BLOCKED_STEPS = 60
 
@@ -119,8 +121,10 @@
             self._place(choice, planning.now)
         if len(choices) == len(tasks):
             return None if not step.waiting_count else WaitReason.LIMIT
-        reason = WaitReason.ROOM
-        if may_ask:
+        reason = WaitReason.TURN
+        if step.job.stored.advice is None:
+            reason = WaitReason.ROOM
+        elif may_ask:
             reason = self._asking.ask(step, tasks[len(choices) :], planning)
         if step.spec.gang:
             self._spare_rooms(step, planning, reason)
@@ -139,7 +143,7 @@
             return
         rooms = self._asking.good_rooms(step, planning)
         self._gangs.want(step, rooms)
-        if reason is WaitReason.ROOM:
+        if reason in _WITHOUT_ROOM:
             self._gangs.keep(step, rooms)
 
     def _within_limit(
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -16,6 +16,7 @@
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import SpeedRows
+from apricotlead.coordination.cell.stalled_steps import StalledSteps
 from apricotlead.coordination.cell.starts import PlannedStart, StartTracker
 from apricotlead.coordination.cell.store_clock import StoreClock
 from apricotlead.coordination.cell.worker_watch import WorkerWatch
@@ -43,6 +44,7 @@
         'owner_version',
         'planner',
         'speeds',
+        'stalled',
         'starts',
         'workers',
     )
@@ -86,6 +88,7 @@
         )
         self.planner = Planner(self.book, self.advice)
         self.speeds = SpeedRows(self.book, now)
+        self.stalled = StalledSteps(self.book, self.advice)
         self.owner = owner
         self.owner_version = 0
         self._summed_up_s = now
@@ -101,6 +104,7 @@
         if now - self._summed_up_s >= _SUM_UP_S:
             self._summed_up_s = now
             self._sum_up(now)
+            self.stalled.check(now)
         self.workers.tick(now)
         self.jobs.drop_over()
 
--- a/src/apricotlead/state/wait_times.py
+++ b/src/apricotlead/state/wait_times.py
@@ -9,14 +9,16 @@
 
     ``ORDER``: the round of placement ended before the step's turn. ``LIMIT``:
     its organisation may have no more running. ``ADVICE``: an answer is under
-    way. ``ASKER``: no instance is free to ask. ``ROOM``: the workers that
-    may run it are full. ``MEMBERS``: other members of its gang still stop.
+    way. ``ASKER``: no instance is free to ask. ``TURN``: steps before it may
+    take all room that tickets could be used for. ``ROOM``: the workers that may
+    run it are full. ``MEMBERS``: other members of its gang still stop.
     """
 
     ORDER = 'order'
     LIMIT = 'limit'
     ADVICE = 'advice'
     ASKER = 'asker'
+    TURN = 'turn'
     ROOM = 'room'
     MEMBERS = 'members'
 
--- /dev/null
+++ b/tests/test_cell_stalled_steps.py
@@ -0,0 +1,105 @@
+"""Accepted work that stands still in a half-empty cell leaves a line."""
+
+from typing import Any
+
+from testtools import TestCase
+
+from apricotlead.coordination.cell.stalled_steps import STALLED_AFTER_S
+from apricotlead.protocol.cell_config import AdvicePolicy
+from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.protocol.cell_workers import AdviceAnswer
+from apricotlead.protocol.resources import Resources
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
+
+JOB = '00000000000000aa'
+WHOLE = Resources(16000, 1024)
+ADVICE = AdvicePolicy(100, 1, 2000)
+
+
+class StalledStepsCase(TestCase):
+    """A cell of four workers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.workers = [ModelWorker(f'w{number}') for number in range(4)]
+        self.rig = CellRig(*self.workers)
+
+    def stalled(self) -> list[dict[str, Any]]:
+        return [
+            fields
+            for kind, fields in self.rig.scheduler.book.notes
+            if kind == 'step stalled'
+        ]
+
+
+class TestStalledSteps(StalledStepsCase):
+    """The line tells what keeps a step."""
+
+    def test_step_that_nobody_asks_about(self) -> None:
+        self.rig.submit(JOB, stored_job(StepSpec(2, SMALL), advice=ADVICE))
+        self.rig.pass_time(STALLED_AFTER_S + 2)
+        line = self.stalled()[0]
+        self.assertEqual(f'{JOB}.0.0', line['step'])
+        self.assertEqual({'room, not asked about': 4}, line['workers'])
+        self.assertGreaterEqual(line['stalled_s'], STALLED_AFTER_S)
+
+    def test_expired_tickets_are_told_apart(self) -> None:
+        self.rig.submit(JOB, stored_job(StepSpec(2, SMALL), advice=ADVICE))
+        scheduler = self.rig.scheduler
+        call = scheduler.plan(self.rig.now, ['peer'])[0]
+        answer = AdviceAnswer({'w0': 'ticket'}, 0)
+        scheduler.advice.answered(call, answer, self.rig.now, self.rig.now)
+        self.rig.pass_time(STALLED_AFTER_S + 2)
+        self.assertEqual(
+            {'room, no ticket': 1, 'ruled out': 3},
+            self.stalled()[0]['workers'],
+        )
+
+    def test_run_that_does_not_begin(self) -> None:
+        self.rig.submit(JOB, stored_job(StepSpec(1, SMALL)))
+        self.rig.scheduler.plan(self.rig.now, [])
+        start = self.rig.journal()[0]
+        task = start.task
+        self.rig.scheduler.book.stop(task)
+        for _ in range(10):
+            self.rig.now += 0.5
+            self.rig.hold_all()
+            self.rig.scheduler.tick(self.rig.now)
+        chosen = self.stalled()[0]['chosen'][0]
+        self.assertEqual('stopping', chosen['phase'])
+        self.assertTrue(chosen['is_stop_pending'])
+
+
+class TestStepsThatAreNotStalled(StalledStepsCase):
+    """What waits for a reason leaves no line."""
+
+    def test_step_that_runs(self) -> None:
+        self.rig.submit(JOB, stored_job(StepSpec(1, SMALL)))
+        self.rig.pass_time(STALLED_AFTER_S * 2)
+        self.assertEqual([], self.stalled())
+
+    def test_gang_that_does_not_fit(self) -> None:
+        spec = StepSpec(5, WHOLE, gang=True)
+        self.rig.submit(JOB, stored_job(spec))
+        self.rig.pass_time(STALLED_AFTER_S * 2)
+        self.assertEqual([], self.stalled())
+
+    def test_step_in_a_cell_that_is_used(self) -> None:
+        self.rig.submit('f' * 16, stored_job(StepSpec(2, WHOLE)))
+        self.rig.round()
+        self.rig.submit(JOB, stored_job(StepSpec(2, SMALL), advice=ADVICE))
+        self.rig.pass_time(STALLED_AFTER_S * 2)
+        self.assertEqual([], self.stalled())
+
+
+class TestVolume(StalledStepsCase):
+    """Hundreds of stalled steps leave a few lines a second."""
+
+    def test_lines_are_bounded(self) -> None:
+        for number in range(300):
+            job_id = format(number, '016x')
+            job = stored_job(StepSpec(1, SMALL), advice=ADVICE)
+            self.rig.submit(job_id, job)
+        self.rig.pass_time(20)
+        self.assertLessEqual(len(self.stalled()), 5 * 20)
+        self.assertNotEqual([], self.stalled())
