Show that steps which cannot run keep all others from asking (red)

A model cell in virtual time plays seeded faults with the real decision objects: workers cut off, restarted, leaving, failing; answers lost, orders late; a slow store; lost askers; hand-overs.

Traces show one picture: the cell is idle, gangs that cannot run on the workers left come first in order, their demand exceeds what a round may ask about, and every step behind them waits for its 'turn' until those gangs count as worthless.

--- /dev/null
+++ b/tests/faulty/links.py
@@ -0,0 +1,135 @@
+"""Calls between the scheduler, the workers and the advice service."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from random import Random
+
+from msgspec import Struct
+
+from apricotlead.coordination.cell.advice_book import AdviceCall
+from apricotlead.protocol.cell_config import AdvicePolicy
+from apricotlead.protocol.cell_workers import (
+    AdviceAnswer,
+    OrderReply,
+    Refusal,
+    WorkerEntry,
+)
+from tests.faulty.shape import MS_PER_S
+from tests.faulty.timeline import Process, Timeline
+from tests.faulty.workers import FaultyWorker
+
+_LEAST_LATE_S = 2.0
+_MOST_LATE_S = 8.0
+CarryOut = Callable[[FaultyWorker], OrderReply]
+
+
+class Links:
+    """Carries calls; some are lost, or carried out late."""
+
+    def __init__(
+        self,
+        timeline: Timeline,
+        random: Random,
+        workers_by_id: dict[str, FaultyWorker],
+    ) -> None:
+        """Begin without faults."""
+        # Shares of calls whose request, or whose answer, is lost.
+        self.lost_share = 0.0
+        self.late_share = 0.0
+        self._timeline = timeline
+        self._random = random
+        self._workers_by_id = workers_by_id
+
+    def is_lost(self) -> bool:
+        """Draw whether the next message is lost."""
+        return self._random.random() < self.lost_share
+
+    def reach(self, entry: WorkerEntry) -> FaultyWorker | Refusal:
+        """Return the life that a call reaches, or why it reaches none."""
+        worker = self._workers_by_id.get(entry.worker_id)
+        if worker is None or worker.is_cut:
+            return Refusal.UNANSWERED
+        if worker.is_over:
+            return Refusal.NOT_SENT
+        if worker.entry.address != entry.address:
+            return Refusal.OTHER_LIFE
+        return worker
+
+    def order(self, entry: WorkerEntry, carry_out: CarryOut) -> OrderReply:
+        """Send an order; its request or its answer may be lost, or late."""
+        worker = self.reach(entry)
+        if isinstance(worker, Refusal):
+            return OrderReply(worker)
+        if self._random.random() < self.late_share:
+            self._timeline.spawn(self._carry_out_late(worker, carry_out))
+            return OrderReply(Refusal.UNANSWERED)
+        if self.is_lost():
+            return OrderReply(Refusal.UNANSWERED)
+        reply = carry_out(worker)
+        return OrderReply(Refusal.UNANSWERED) if self.is_lost() else reply
+
+    def _carry_out_late(
+        self,
+        worker: FaultyWorker,
+        carry_out: CarryOut,
+    ) -> Process:
+        yield self._random.uniform(_LEAST_LATE_S, _MOST_LATE_S)
+        if not worker.is_over:
+            carry_out(worker)
+
+
+class AnswerPlan(Struct, frozen=True):
+    """When a call for advice is answered, and for how long tickets hold."""
+
+    answered_s: float
+    valid_ms: float
+
+    def ticket(self, worker_id: str) -> str:
+        """Return a ticket for a worker."""
+        ends_s = self.answered_s + self.valid_ms / MS_PER_S
+        return f'{worker_id} {ends_s}'
+
+
+class AdviceService:
+    """Handles the calls of each asker in turn."""
+
+    def __init__(self, is_good: Callable[[str, str], bool]) -> None:
+        """Tell by ``is_good(step, worker_id)`` who may run a step."""
+        self.lost_askers: frozenset[str] = frozenset()
+        self._is_good = is_good
+        self._busy_until_s_by_asker: defaultdict[str, float]
+        self._busy_until_s_by_asker = defaultdict(float)
+
+    def take(
+        self,
+        call: AdviceCall,
+        policy: AdvicePolicy,
+        now: float,
+    ) -> AnswerPlan | None:
+        """Queue a call; ``None`` where its answer is lost or too late."""
+        if call.asker in self.lost_askers:
+            return None
+        cost_ms = policy.decision_ms + policy.each_ms * len(call.worker_ids)
+        begins_s = max(now, self._busy_until_s_by_asker[call.asker])
+        answered_s = begins_s + cost_ms / MS_PER_S
+        self._busy_until_s_by_asker[call.asker] = answered_s
+        if answered_s - now > call.timeout_s:
+            return None
+        return AnswerPlan(answered_s, policy.valid_ms)
+
+    def answer(self, call: AdviceCall, plan: AnswerPlan) -> AdviceAnswer:
+        """Return the answer to a call."""
+        tickets = {
+            worker_id: plan.ticket(worker_id)
+            for worker_id in call.worker_ids
+            if self._is_good(call.step, worker_id)
+        }
+        return AdviceAnswer(tickets, plan.valid_ms)
+
+
+def is_valid_ticket(ticket: str, worker: FaultyWorker, now: float) -> bool:
+    """Tell whether a worker accepts a ticket; queues without advice have none."""
+    if not ticket:
+        return True
+    worker_id, _, ends_s = ticket.partition(' ')
+    return worker_id == worker.entry.worker_id and now <= float(ends_s)
--- /dev/null
+++ b/tests/faulty/shape.py
@@ -0,0 +1,78 @@
+"""The size of a model cell, and the jobs that come to it."""
+
+from msgspec import Struct
+
+from apricotlead.protocol.cell_config import (
+    AdvicePolicy,
+    CellConfig,
+    OrganisationConfig,
+    QueueConfig,
+)
+from apricotlead.protocol.resources import Resources
+
+MS_PER_S = 1000.0
+SERVICE = 'transcripts'
+MOST_ATTEMPTS = 4
+# In jobs a second; more than any shape sends.
+_WEIGHT = 50.0
+
+
+class JobKind(Struct, frozen=True):
+    """Jobs of one queue; ranges are drawn from evenly.
+
+    ``good`` is the share of workers that may run a step, where ``advice`` has
+    to be asked.
+    """
+
+    name: str
+    per_s: float
+    tasks: tuple[int, int]
+    cpu_millis: tuple[int, int]
+    memory_mb: tuple[int, int]
+    work_s: tuple[float, float]
+    priority: int = 0
+    gang: bool = False
+    steps: int = 1
+    most_per_worker: int = 0
+    stretch: float = 2.2
+    aim_s: float = 1.0
+    good: float = 1.0
+    advice: AdvicePolicy | None = None
+
+    def queue(self) -> QueueConfig:
+        """Return the queue of the jobs."""
+        return QueueConfig(
+            self.name,
+            'host',
+            f'/{self.name}/',
+            SERVICE,
+            self.priority,
+            max_attempts=MOST_ATTEMPTS,
+            stretch=self.stretch,
+            aim_ms=self.aim_s * MS_PER_S,
+            advice=self.advice,
+        )
+
+
+class CellShape(Struct, frozen=True):
+    """A cell and its traffic, which lasts for ``lasts_s``."""
+
+    kinds: tuple[JobKind, ...]
+    workers: int = 12
+    capacity: Resources = Resources(16000, 32768)
+    askers: int = 5
+    organisations: int = 3
+    limit: Resources = Resources()
+    lasts_s: float = 20.0
+
+    def config(self) -> CellConfig:
+        """Return the configuration of the cell."""
+        names = (f'org{number}' for number in range(self.organisations))
+        return CellConfig(
+            1,
+            tuple(kind.queue() for kind in self.kinds),
+            tuple(
+                OrganisationConfig(name, (name,), _WEIGHT, self.limit)
+                for name in names
+            ),
+        )
