Let steps claim only room that they can use

Cause: a round asks for advice only while the steps before may not use up all room that becomes free while tickets are valid. Each waiting step was charged its whole demand against one sum for the cell, also a gang that the workers left cannot hold, and a wide step whose few workers are busy. A few of those in front kept all steps behind from asking, for as long as they waited.

Change: room is claimed by worker, on workers that advice does not rule out, no more than they can ever hold; a gang that they cannot hold when idle claims nothing.

Why it works: what a step cannot use stays with those behind it, whatever the order.

--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -7,6 +7,9 @@
 costly calls kept all askers from the others.
 """
 
+from collections.abc import Collection, Iterator
+from itertools import chain
+
 from apricotlead.coordination.cell.advice_book import AdviceBook
 from apricotlead.coordination.cell.placement import (
     Room,
@@ -15,6 +18,7 @@
 )
 from apricotlead.coordination.cell.placement_round import PlacementRound
 from apricotlead.state.cell_jobs import StepState, TaskState
+from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.wait_times import WaitReason
 
 # A third of these may run the most restricted steps that callers describe.
@@ -65,8 +69,12 @@
         Room that the answer can be relied on to allow is kept until then.
         Returns what the tasks wait for.
         """
+        workers = self._possible_workers(step, planning)
+        reason = planning.claim_soon(step, len(tasks), workers)
         if step.job.stored.advice is None:
             return WaitReason.ROOM
+        if reason is not None:
+            return reason
         advice = self._advice.advice(step.name)
         if advice.is_asking:
             self._keep_for_answer(step, tasks, planning)
@@ -75,6 +83,21 @@
             return WaitReason.ASKER
         return self._ask_about_rooms(step, tasks, planning)
 
+    def _possible_workers(
+        self,
+        step: StepState,
+        planning: PlacementRound,
+    ) -> Iterator[WorkerState]:
+        """Return the workers that may run a step, for all that is known."""
+        ruled_out: Collection[str] = ()
+        if step.job.stored.advice is not None:
+            ruled_out = self._advice.advice(step.name).bad
+        present = (room.worker for room in planning.best_rooms())
+        for worker in chain(present, planning.absent):
+            if worker.worker_id not in ruled_out:
+                if may_run_here(step, worker):
+                    yield worker
+
     def _keep_for_answer(
         self,
         step: StepState,
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -95,6 +95,19 @@
     )
 
 
+def places_in(step: StepState, room: Resources) -> int:
+    """Return how many tasks of a step fit in a worker's room."""
+    demand = step.demand()
+    counts = [step.spec.max_per_worker or step.spec.task_count]
+    if demand.cpu_millis:
+        counts.append(room.cpu_millis // demand.cpu_millis)
+    if demand.memory_mb:
+        counts.append(room.memory_mb // demand.memory_mb)
+    if demand.accelerators:
+        counts.append(room.accelerators // demand.accelerators)
+    return max(0, min(counts))
+
+
 def choose(
     step: StepState,
     tasks: list[TaskState],
--- a/src/apricotlead/coordination/cell/placement_round.py
+++ b/src/apricotlead/coordination/cell/placement_round.py
@@ -1,10 +1,23 @@
-"""What one round of placement shares between its steps."""
+"""What one round of placement shares between its steps.
+
+Pattern: more steps than askers. Advice is asked only for steps that may get
+room while their tickets are valid, in the order of the steps. Each one claims
+that room on workers that may run it, so one that cannot run there, or waits
+for few workers, leaves what it cannot use to those behind it.
+"""
 
 from collections.abc import Iterable
+from math import ceil
 
 from apricotlead.coordination.cell.advice_book import AdviceCall
-from apricotlead.coordination.cell.placement import Room
+from apricotlead.coordination.cell.placement import (
+    Choice,
+    Room,
+    places_in,
+)
+from apricotlead.state.cell_jobs import StepState
 from apricotlead.state.cell_workers import WorkerState
+from apricotlead.state.wait_times import WaitReason
 
 # The part of all room that becomes free while a ticket is valid.
 _SOON_FREE = 0.6
@@ -14,8 +27,9 @@
     """The room that is left, and the advice to ask for."""
 
     __slots__ = (
-        '_askable_cpu',
         '_best_rooms',
+        '_soon_cpu_by_worker',
+        '_soon_free_cpu',
         'absent',
         'askers',
         'calls',
@@ -44,9 +58,13 @@
         self.askers = askers
         self.now = now
         self.calls: list[AdviceCall] = []
-        free = sum(max(0, room.cpu) for room in self.rooms)
-        whole = sum(worker.entry.capacity.cpu_millis for worker in workers)
-        self._askable_cpu = free + whole * _SOON_FREE
+        self._soon_cpu_by_worker = {
+            worker_id: max(0, room.cpu) + _soon_cpu(room.worker)
+            for worker_id, room in self.rooms_by_worker.items()
+        }
+        for worker in absent:
+            self._soon_cpu_by_worker[worker.worker_id] = _soon_cpu(worker)
+        self._soon_free_cpu = sum(self._soon_cpu_by_worker.values())
 
     def rooms_of(self, worker_ids: Iterable[str]) -> list[Room]:
         """Return the rooms of some workers that take work."""
@@ -62,8 +80,51 @@
             )
         return self._best_rooms
 
-    def may_ask(self, cpu_millis: int) -> bool:
-        """Tell whether a step may get room while its tickets are valid."""
-        is_near = self._askable_cpu > 0
-        self._askable_cpu -= cpu_millis
-        return is_near
+    def claim_soon(
+        self,
+        step: StepState,
+        task_count: int,
+        workers: Iterable[WorkerState],
+    ) -> WaitReason | None:
+        """Claim room that becomes free while tickets are valid.
+
+        ``workers`` may run the step. Returns why there is none, ``None`` where
+        there is some. A gang that the workers cannot hold even when they are
+        idle claims nothing.
+        """
+        if self._soon_free_cpu <= 0:
+            return WaitReason.TURN
+        most_count = 0
+        left = task_count
+        claims: list[tuple[str, int]] = []
+        for worker in workers:
+            whole_count = places_in(step, worker.idle_room)
+            claimed = min(left, whole_count, self._soon_places(step, worker))
+            claims.append((worker.worker_id, claimed))
+            most_count += whole_count
+            left -= claimed
+            if not left:
+                break
+        if step.spec.gang and most_count < task_count:
+            return WaitReason.ROOM
+        for worker_id, count in claims:
+            self._take_soon(worker_id, count * step.demand().cpu_millis)
+        return WaitReason.TURN if left == task_count else None
+
+    def take(self, choice: Choice) -> None:
+        """Note that a task was placed."""
+        task, room = choice
+        self._take_soon(room.worker.worker_id, task.step.demand().cpu_millis)
+
+    def _soon_places(self, step: StepState, worker: WorkerState) -> int:
+        """Return how many tasks find some room soon, the last one in part."""
+        soon_cpu = self._soon_cpu_by_worker.get(worker.worker_id, 0)
+        return ceil(max(0, soon_cpu) / max(1, step.demand().cpu_millis))
+
+    def _take_soon(self, worker_id: str, cpu_millis: int) -> None:
+        self._soon_cpu_by_worker[worker_id] -= cpu_millis
+        self._soon_free_cpu -= cpu_millis
+
+
+def _soon_cpu(worker: WorkerState) -> int:
+    return int(worker.entry.capacity.cpu_millis * _SOON_FREE)
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -106,7 +106,6 @@
         planning: PlacementRound,
     ) -> WaitReason | None:
         """Place what fits and ask about the rest."""
-        may_ask = planning.may_ask(step.demand().cpu_millis * len(tasks))
         choices = choose(
             step,
             tasks,
@@ -118,14 +117,10 @@
             ),
         )
         for choice in choices:
-            self._place(choice, planning.now)
+            self._place(choice, planning)
         if len(choices) == len(tasks):
             return None if not step.waiting_count else WaitReason.LIMIT
-        reason = WaitReason.TURN
-        if step.job.stored.advice is None:
-            reason = WaitReason.ROOM
-        elif may_ask:
-            reason = self._asking.ask(step, tasks[len(choices) :], planning)
+        reason = self._asking.ask(step, tasks[len(choices) :], planning)
         if step.spec.gang:
             self._spare_rooms(step, planning, reason)
         return reason
@@ -169,7 +164,9 @@
             return []
         return tasks[: int(min(count, len(tasks)))]
 
-    def _place(self, choice: Choice, now: float) -> None:
+    def _place(self, choice: Choice, planning: PlacementRound) -> None:
+        planning.take(choice)
+        now = planning.now
         task, room = choice
         worker_id = room.worker.worker_id
         ticket = ''
--- a/src/apricotlead/coordination/cell/stalled_steps.py
+++ b/src/apricotlead/coordination/cell/stalled_steps.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from apricotlead.coordination.cell.advice_book import AdviceBook, StepAdvice
-from apricotlead.coordination.cell.placement import may_run_here
+from apricotlead.coordination.cell.placement import may_run_here, places_in
 from apricotlead.coordination.cell.run_book import RunBook
 from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
@@ -25,8 +25,6 @@
 # Bounds the work of a check; the others are looked at in the next ones.
 _MOST_EXAMINED = 40
 _MOST_TASKS_TOLD = 4
-# A step that fits anywhere on a worker with an endless resource.
-_ENDLESS = 1_000_000
 
 
 class StalledSteps:
@@ -184,17 +182,7 @@
 
 def _places(step: StepState, worker: WorkerState) -> int:
     """Return how many tasks of a step fit on a worker now."""
-    demand = step.demand()
-    free = worker.entry.capacity - worker.used
-    counts = [
-        free.cpu_millis // demand.cpu_millis if demand.cpu_millis else _ENDLESS,
-        free.memory_mb // demand.memory_mb if demand.memory_mb else _ENDLESS,
-        free.accelerators // demand.accelerators
-        if demand.accelerators
-        else _ENDLESS,
-        step.spec.max_per_worker or _ENDLESS,
-    ]
-    return max(0, min(counts))
+    return places_in(step, worker.entry.capacity - worker.used)
 
 
 def _describe_worker(
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -18,6 +18,7 @@
         'drain_ends_s',
         'entry',
         'failures_in_row',
+        'idle_room',
         'is_granted',
         'is_listed',
         'lease',
@@ -43,6 +44,8 @@
         # Grows with each run placed here.
         self.placed_count = 0
         self.used = Resources()
+        # What is free once all has ended that ends by itself.
+        self.idle_room = entry.capacity
         # Runs that the worker must not have or keep: task to run.
         self.stops_by_task: dict[str, int] = {}
         self.strays_by_task: dict[str, Resources] = {}
@@ -65,6 +68,8 @@
 
     def take_entry(self, entry: WorkerEntry, now: float) -> None:
         """Take over a registration; a drain notice never grows longer."""
+        grown = entry.capacity - self.entry.capacity
+        self.idle_room = self.idle_room + grown
         self.entry = entry
         self.is_listed = True
         if not entry.draining:
@@ -97,11 +102,16 @@
         self.tasks_by_name[task.name] = task
         self.placed_count += 1
         self.used = self.used + task.step.demand()
+        if task.step.spec.long_running:
+            self.idle_room = self.idle_room - task.step.demand()
 
     def release(self, task: TaskState) -> None:
         """Give back the room of a task; repeating it changes nothing."""
-        if self.tasks_by_name.pop(task.name, None) is not None:
-            self.used = self.used - task.step.demand()
+        if self.tasks_by_name.pop(task.name, None) is None:
+            return
+        self.used = self.used - task.step.demand()
+        if task.step.spec.long_running:
+            self.idle_room = self.idle_room + task.step.demand()
 
     def add_stray(self, name: str, demand: Resources) -> None:
         """Count the room of a run that must not be here, once."""
--- a/tests/test_cell_progress.py
+++ b/tests/test_cell_progress.py
@@ -121,7 +121,7 @@
 
 
 class TestStepsThatCannotRun(TestCase):
-    """Gangs whose workers are gone kept all others from asking for advice.
+    """Gangs that cannot run kept all others from asking for advice.
 
     A cell that stood idle placed nothing for twenty seconds.
     """
