Try all steps of a round while half of the cell is free

A round ended after 60 steps that could not be placed, so 61 steps that can never run kept all others from being tried.

Cause: the bound on a round's work counted steps in front whether or not the rest of the cell was free.

Ruled out: trying some of the others in turn in each round; in a full cell that gives room to steps out of their order.

Before and after: tests/test_cell_round_order.py test_later_step_in_an_idle_cell fails before; in a full cell the bound stands (second test).

Why it works: where much is free, trying the rest costs less than leaving it idle.

--- a/src/apricotlead/coordination/cell/placement_round.py
+++ b/src/apricotlead/coordination/cell/placement_round.py
@@ -28,8 +28,10 @@
 
     __slots__ = (
         '_best_rooms',
+        '_free_cpu',
         '_soon_cpu_by_worker',
         '_soon_free_cpu',
+        '_whole_cpu',
         'absent',
         'askers',
         'calls',
@@ -62,10 +64,19 @@
             worker_id: max(0, room.cpu) + _soon_cpu(room.worker)
             for worker_id, room in self.rooms_by_worker.items()
         }
+        self._free_cpu = sum(max(0, room.cpu) for room in self.rooms)
+        self._whole_cpu = sum(
+            worker.entry.capacity.cpu_millis for worker in workers
+        )
         for worker in absent:
             self._soon_cpu_by_worker[worker.worker_id] = _soon_cpu(worker)
         self._soon_free_cpu = sum(self._soon_cpu_by_worker.values())
 
+    @property
+    def is_half_free(self) -> bool:
+        """Tell whether more than half of the processors are free."""
+        return self._free_cpu * 2 > self._whole_cpu
+
     def rooms_of(self, worker_ids: Iterable[str]) -> list[Room]:
         """Return the rooms of some workers that take work."""
         rooms = (self.rooms_by_worker.get(each) for each in worker_ids)
@@ -114,7 +125,9 @@
     def take(self, choice: Choice) -> None:
         """Note that a task was placed."""
         task, room = choice
-        self._take_soon(room.worker.worker_id, task.step.demand().cpu_millis)
+        cpu_millis = task.step.demand().cpu_millis
+        self._free_cpu -= cpu_millis
+        self._take_soon(room.worker.worker_id, cpu_millis)
 
     def _soon_places(self, step: StepState, worker: WorkerState) -> int:
         """Return how many tasks find some room soon, the last one in part."""
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -26,7 +26,8 @@
 _HELD_BACK = frozenset((WaitReason.MEMBERS, WaitReason.LIMIT))
 # Gangs that wait so keep workers until they fit.
 _WITHOUT_ROOM = frozenset((WaitReason.ROOM, WaitReason.TURN))
-# Steps that could not be placed in a round, before the rest is left.
+# Steps that could not be placed in a round, before the rest is left. While
+# half of the cell is free all are tried: those in front may never fit.
 _MOST_BLOCKED_STEPS = 60
 
 
@@ -67,7 +68,7 @@
         )
         for step in steps:
             reason: WaitReason | None = WaitReason.ORDER
-            if blocked <= _MOST_BLOCKED_STEPS:
+            if blocked <= _MOST_BLOCKED_STEPS or planning.is_half_free:
                 before = step.waiting_count
                 reason = self._place_waiting(step, planning)
                 is_blocked = step.waiting_count == before
