Let cheap askers serve costly calls while all others are lost

Cause: a third to a half of the instances is kept for cheap calls, always the first by address. While calls by way of all others got no answer, costly calls went on to these and never to the instances that answer.

Ruled out: giving up what is kept for cheap calls; lookups would wait behind gangs.

Before and after: tests/test_cell_advice.py TestAskersThatAreLost fails before: in 6 s with four of six askers lost no call reached one of the two others.

Why it works: an asker that answers is better than one that was just left alone.

--- a/src/apricotlead/coordination/cell/askers.py
+++ b/src/apricotlead/coordination/cell/askers.py
@@ -55,9 +55,9 @@
         idle = self._idle(askers, cost_s, now)
         if idle:
             return max(idle, key=lambda address: ends_s.get(address, 0))
-        allowed = self._allowed(sorted(askers), cost_s)
-        allowed = self._trusted(allowed, now) or allowed
-        return min(allowed, key=lambda address: ends_s.get(address, 0))
+        usable = self._usable(askers, cost_s, now)
+        usable = usable or self._allowed(sorted(askers), cost_s)
+        return min(usable, key=lambda address: ends_s.get(address, 0))
 
     def idle_count(self, askers: list[str], cost_s: float, now: float) -> int:
         """Return how many askers would begin such a call at once."""
@@ -104,15 +104,28 @@
         cost_s: float,
         now: float,
     ) -> list[str]:
-        allowed = self._trusted(self._allowed(sorted(askers), cost_s), now)
         idle_s = now - self._times.answer_way_s
         ends_s = self._backlog_ends_s
         return [
             address
-            for address in allowed
+            for address in self._usable(askers, cost_s, now)
             if ends_s.get(address, float('-inf')) <= idle_s
         ]
 
+    def _usable(
+        self,
+        askers: list[str],
+        cost_s: float,
+        now: float,
+    ) -> list[str]:
+        """Return the askers to use for a call, none where all are lost.
+
+        Those kept for cheaper calls serve while all others are lost.
+        """
+        ordered = sorted(askers)
+        allowed = self._trusted(self._allowed(ordered, cost_s), now)
+        return allowed or self._trusted(ordered, now)
+
     def _trusted(self, askers: list[str], now: float) -> list[str]:
         """Leave out the askers through which calls were lost lately."""
         until_s = self._shunned_until_s
--- a/tests/test_cell_advice.py
+++ b/tests/test_cell_advice.py
@@ -236,3 +236,28 @@
         rig.submit('00000000000000aa', stored_job(advice=policy))
         calls = rig.scheduler.plan(rig.now, ASKERS)
         self.assertEqual(32, len(calls[0].worker_ids))
+
+
+class TestAskersThatAreLost(TestCase):
+    """Costly calls went to the same lost instances, while others were idle."""
+
+    def test_costly_calls_use_the_others(self) -> None:
+        book = AdviceBook(AdviceTimes())
+        askers = [f'peer{number}' for number in range(6)]
+        reached = {'peer0', 'peer1'}
+        now = 0.0
+        answered = False
+        for number in range(20):
+            now += 0.3
+            calls = book.plan_calls(
+                f'step{number}',
+                ['w1'],
+                COSTLY,
+                askers,
+                now,
+            )
+            for call in calls:
+                if call.asker in reached:
+                    answered = True
+                book.answered(call, None, now, now + call.timeout_s)
+        self.assertTrue(answered)
