Stop each run of a task on a worker by itself

Cause: a worker kept one stop for each task. The stop of an older run that its list showed replaced the unanswered one of a newer run there, which then stayed STOPPING for as long as the worker was in contact; its step was never placed again. Likewise the end of one run dropped the stop of another.

Ruled out: leaving the older run alone while a stop is pending; it would go on.

Conclusion: stops are kept by task and run, and answers, ends and frees take away only that of their own run.

--- a/src/apricotlead/coordination/cell/listing.py
+++ b/src/apricotlead/coordination/cell/listing.py
@@ -47,7 +47,7 @@
         whole = worker.entry.capacity
         demand = whole if known is None else known.step.demand()
         worker.add_stray(listed.task, demand)
-        worker.stops_by_task[listed.task] = listed.run
+        worker.runs_to_stop[listed.task, listed.run] = None
         return
     book.running(task, now)
     if listed.checkpoint:
@@ -64,7 +64,7 @@
     if task.phase is TaskPhase.STOPPING and key not in (
         book.stop_acked_s_by_run
     ):
-        worker.stops_by_task[task.name] = task.run
+        worker.runs_to_stop[task.name, task.run] = None
 
 
 def _replace_straggler(
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -105,7 +105,7 @@
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
             worker.release(task)
-            worker.stops_by_task.pop(task.name, None)
+            worker.runs_to_stop.pop((task.name, task.run), None)
         self.use(task, added=False)
         self.set_phase(task, TaskPhase.WAITING)
         task.worker_id = ''
@@ -140,7 +140,7 @@
             return
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
-            worker.stops_by_task[task.name] = task.run
+            worker.runs_to_stop[task.name, task.run] = None
         self.set_phase(task, TaskPhase.STOPPING)
 
     def sent(self, task: TaskState) -> None:
@@ -179,8 +179,8 @@
         """Note that a worker took a stop: the run will never begin there."""
         self.stop_acked_s_by_run[worker_id, name, run] = now
         worker = self.workers_by_id.get(worker_id)
-        if worker is not None and worker.stops_by_task.get(name) == run:
-            worker.stops_by_task.pop(name)
+        if worker is not None:
+            worker.runs_to_stop.pop((name, run), None)
 
     def forget_worker(self, worker: WorkerState, now: float) -> None:
         """Free the runs of a worker's life that is certainly over."""
--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -22,8 +22,7 @@
     def apply(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
         """Apply an end that a worker lists."""
         worker.drop_stray(ended.task)
-        if worker.stops_by_task.get(ended.task, ended.run + 1) <= ended.run:
-            worker.stops_by_task.pop(ended.task)
+        worker.runs_to_stop.pop((ended.task, ended.run), None)
         task = worker.tasks_by_name.get(ended.task)
         if task is None or task.run != ended.run:
             self._apply_former(worker, ended, now)
@@ -75,7 +74,7 @@
         if task.is_placed:
             worker = self._book.workers_by_id.get(task.worker_id)
             if worker is not None:
-                worker.stops_by_task[task.name] = task.run
+                worker.runs_to_stop[task.name, task.run] = None
             self._book.use(task, added=False)
         self._book.set_phase(task, TaskPhase.DONE)
 
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -151,7 +151,7 @@
         due: list[tuple[WorkerEntry, StopOrder]] = []
         retry_s = self._settings.holds.stop_retry_s
         for worker in self._book.workers_by_id.values():
-            for name, run in worker.stops_by_task.items():
+            for name, run in worker.runs_to_stop:
                 key = (worker.worker_id, name, run)
                 if now - self._stop_sent_s.get(key, float('-inf')) >= retry_s:
                     self._stop_sent_s[key] = now
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -24,8 +24,8 @@
         'not_before_s',
         'placed_count',
         'reported_through',
+        'runs_to_stop',
         'speed',
-        'stops_by_task',
         'strays_by_task',
         'tasks_by_name',
         'unanswered_s',
@@ -43,8 +43,8 @@
         # Grows with each run placed here.
         self.placed_count = 0
         self.used = Resources()
-        # Runs that the worker must not have or keep: task to run.
-        self.stops_by_task: dict[str, int] = {}
+        # Tasks and runs that the worker must not have or keep, oldest first.
+        self.runs_to_stop: dict[tuple[str, int], None] = {}
         self.strays_by_task: dict[str, Resources] = {}
         self.speed = WorkerSpeed()
         self.acked_through = 0
