Free the limit of a gang's members once

Cause: the end of one member stands for its whole gang, and freed the limit also of members that were waiting again, as after the loss of their worker. The organisation's usage fell below zero, so that it could run more than its limit allows (QUOTA).

Ruled out: members of another run; all members of a gang share the number.

Conclusion: one method calls a task done, and frees its limit only while it is placed.

--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -75,6 +75,13 @@
             worker = self._book.workers_by_id.get(task.worker_id)
             if worker is not None:
                 worker.runs_to_stop[task.name, task.run] = None
+        self._mark_done(task)
+
+    def _mark_done(self, task: TaskState) -> None:
+        """Call a task done; one that is not placed takes up no limit."""
+        if task.phase is TaskPhase.DONE:
+            return
+        if task.is_placed:
             self._book.use(task, added=False)
         self._book.set_phase(task, TaskPhase.DONE)
 
@@ -112,9 +119,8 @@
         members = step.tasks if step.spec.gang else [task]
         worker.release(task)
         for member in members:
-            if member.phase is not TaskPhase.DONE and member.run == task.run:
-                self._book.use(member, added=False)
-                self._book.set_phase(member, TaskPhase.DONE)
+            if member.run == task.run:
+                self._mark_done(member)
         if step.spec.long_running:
             self._restart(task)
         self._step_done(step, now)
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -2,6 +2,8 @@
 
 from testtools import TestCase
 
+from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.protocol.resources import Resources
 from tests.cell_rig import CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
@@ -25,3 +27,20 @@
         rig.hold('w1')
         stops = rig.scheduler.starts.stops_due(rig.now)
         self.assertEqual({1, 2}, {stop.run for _, stop in stops})
+
+
+class TestUsage(TestCase):
+    """An organisation's usage is what its placed tasks demand."""
+
+    def test_gang_member_that_was_freed_is_not_freed_again(self) -> None:
+        """Usage below zero lets an organisation exceed its limit."""
+        whole = Resources(9000, 1024, 0)
+        rig = CellRig(ModelWorker('w1'), ModelWorker('w2'))
+        rig.submit(JOB, stored_job(StepSpec(2, whole, gang=True)))
+        rig.round()
+        task = rig.scheduler.book.task(TASK)
+        other = rig.scheduler.book.task(f'{JOB}.0.0.1')
+        rig.scheduler.book.unplace(other, rig.now)
+        rig.workers_by_id[task.worker_id].end(TASK)
+        rig.hold(task.worker_id)
+        self.assertEqual(Resources(), rig.scheduler.book.usage('clerks'))
