Begin no lasting task again after its job is final

Cause: a task that lasts and ended as done while its cancelled job was being stopped made its step ready again. It was placed, but final jobs are not journaled as planned, so the run stayed PLANNED and its room on the worker was taken for the rest of the term.

Before and after: tests/test_cell_accounting.py test_end_after_the_cancel_starts_ nothing: 1,000 thousandths of a core in use, then 0.

Conclusion: the step is made ready by open_steps, which leaves final jobs alone.

--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -122,7 +122,7 @@
             if member.run == task.run:
                 self._mark_done(member)
         if step.spec.long_running:
-            self._restart(task)
+            self._restart(task, now)
         self._step_done(step, now)
 
     def _step_done(self, step: StepState, now: float) -> None:
@@ -153,14 +153,14 @@
             step.longest_done_s = max(step.longest_done_s, taken_s)
             worker.speed.observe(taken_s, estimate_s)
 
-    def _restart(self, task: TaskState) -> None:
+    def _restart(self, task: TaskState, now: float) -> None:
         """Let a task that lasts wait again after it ended as done."""
         step = task.step
         step.done_count -= 1
         task.phase = TaskPhase.WAITING
         task.worker_id = ''
         step.waiting_count += 1
-        self._book.ready_steps_by_name[step.name] = step
+        self._book.open_steps(step.job, now)
 
     def _undone(
         self,
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -2,9 +2,11 @@
 
 from testtools import TestCase
 
+from apricotlead.coordination.cell.job_rows import cancel_key
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.resources import Resources
-from tests.cell_rig import CellRig, ModelWorker, stored_job
+from apricotlead.protocol.table import Row
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
 TASK = f'{JOB}.0.0.0'
@@ -44,3 +46,21 @@
         rig.workers_by_id[task.worker_id].end(TASK)
         rig.hold(task.worker_id)
         self.assertEqual(Resources(), rig.scheduler.book.usage('clerks'))
+
+
+class TestLastingTasks(TestCase):
+    """A task that lasts begins again when it ends, while its job lives."""
+
+    def test_end_after_the_cancel_starts_nothing(self) -> None:
+        """The step was placed again, and its room never came free."""
+        rig = CellRig(ModelWorker('w1'))
+        rig.submit(JOB, stored_job(StepSpec(1, SMALL, long_running=True)))
+        rig.round()
+        row = Row(cancel_key(JOB), 1, 1)
+        rig.scheduler.jobs.job_row(row, rig.now)
+        rig.workers_by_id['w1'].end(TASK)
+        rig.hold('w1')
+        rig.pass_time(1)
+        self.assertEqual({}, rig.scheduler.book.ready_steps_by_name)
+        state = rig.scheduler.book.workers_by_id['w1']
+        self.assertEqual(Resources(), state.used)
