Leave late registrations of a former life under an id alone

Cause: a registration of a former life that was read after the birth of the present one had been heard took the worker's birth back. The next hold then showed a later birth again, and the runs of the living worker were freed while they went on (TWICE).

Ruled out: the order of the feed; a birth is heard by a hold before the feed tells it, and the platform carries writes out seconds later.

Before and after: tests/test_cell_accounting.py test_late_registration_of_the_former_ life_frees_nothing: the worker was forgotten, then it is kept.

Conclusion: a registration with an earlier birth than the known one changes nothing.

--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -70,6 +70,8 @@
             # Only its restored runs were known so far.
             worker.take_entry(entry, now)
             return True
+        if worker is not None and _is_former(worker, entry.born_ms):
+            return False
         if worker is not None and entry.born_ms > worker.entry.born_ms:
             # A later life under the same id knows nothing of the former one.
             self._book.note('worker reborn', worker=entry.worker_id)
@@ -311,3 +313,8 @@
                 worker=worker.worker_id,
             )
             self._book.unplace(task, now)
+
+
+def _is_former(worker: WorkerState, born_ms: float) -> bool:
+    """Tell whether what arrived late is of a former life under this id."""
+    return 0 < born_ms < worker.entry.born_ms
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -1,11 +1,13 @@
 """What the scheduler counts of runs, room and limits, whatever happens."""
 
+import msgspec
 from testtools import TestCase
 
 from apricotlead.coordination.cell.job_rows import cancel_key
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Row
+from apricotlead.state.cell_workers import WorkerState
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
@@ -64,3 +66,37 @@
         self.assertEqual({}, rig.scheduler.book.ready_steps_by_name)
         state = rig.scheduler.book.workers_by_id['w1']
         self.assertEqual(Resources(), state.used)
+
+
+class TestLivesUnderOneId(TestCase):
+    """A worker that starts again under its id has a later birth."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = ModelWorker('w1', born_ms=1)
+        self.rig = CellRig(self.worker)
+        self.former = self.worker.entry
+        self.worker.entry = msgspec.structs.replace(self.former, born_ms=2)
+        self.rig.scheduler.workers.update_worker(
+            self.worker.entry, self.rig.now
+        )
+        self.rig.pass_time(1)
+
+    @property
+    def state(self) -> WorkerState:
+        return self.rig.scheduler.book.workers_by_id['w1']
+
+    def test_late_registration_of_the_former_life_frees_nothing(self) -> None:
+        """The next hold showed the later birth, and runs there were freed."""
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        life = self.state
+        self.rig.scheduler.workers.update_worker(self.former, self.rig.now)
+        report = msgspec.structs.replace(
+            self.worker.report(self.rig.now), born_ms=2
+        )
+        self.rig.scheduler.workers.hold_answered(
+            'w1', report, self.rig.now, self.rig.now
+        )
+        self.assertIs(life, self.state)
+        self.assertIn(TASK, self.state.tasks_by_name)
