Leave late lists of a former life under an id alone

Cause: a hold that was answered by a former life, and handled after the later one had registered, was applied to the later life. Its number of ends was acknowledged there, so that as many ends of the later life were never heard and their work was done again.

Ruled out: the address check of calls; both lives have one id.

Conclusion: lists with an earlier birth than the known one are dropped.

--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -164,7 +164,7 @@
     ) -> None:
         """Apply a worker's lists."""
         worker = self._book.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or _is_former(worker, report.born_ms):
             return
         self._note_answer(worker, now)
         if report.born_ms > worker.entry.born_ms:
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -5,6 +5,7 @@
 
 from apricotlead.coordination.cell.job_rows import cancel_key
 from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.protocol.cell_workers import EndedTask, EndKind
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Row
 from apricotlead.state.cell_workers import WorkerState
@@ -76,6 +77,7 @@
         self.worker = ModelWorker('w1', born_ms=1)
         self.rig = CellRig(self.worker)
         self.former = self.worker.entry
+        self.report = self.worker.report(self.rig.now)
         self.worker.entry = msgspec.structs.replace(self.former, born_ms=2)
         self.rig.scheduler.workers.update_worker(
             self.worker.entry, self.rig.now
@@ -100,3 +102,12 @@
         )
         self.assertIs(life, self.state)
         self.assertIn(TASK, self.state.tasks_by_name)
+
+    def test_late_lists_of_the_former_life_count_for_nothing(self) -> None:
+        """Ends of the later life were acknowledged before it listed them."""
+        end = EndedTask(5, TASK, 1, EndKind.DONE)
+        report = msgspec.structs.replace(self.report, ended=(end,), born_ms=1)
+        self.rig.scheduler.workers.hold_answered(
+            'w1', report, self.rig.now, self.rig.now
+        )
+        self.assertEqual(0, self.state.reported_through)
