Restore a job before its steps are opened

Cause: a takeover opened a job's steps before it read what had become of them. Steps that ran or were done stayed ready, and each round of placement weighed them. Where the progress row could not be read, the steps of the job that was left alone stayed ready: its tasks were placed, never journaled, and kept their room for the term.

Ruled out: the final opening of all jobs; it only adds steps.

Before and after: tests/test_cell_accounting.py TestReadySteps: a running step is ready after a takeover, then none; 1,000 thousandths of a core in use by the unreadable job, then 0.

Conclusion: progress is taken over as part of adding a job, before its steps are opened.

--- a/src/apricotlead/coordination/cell/job_intake.py
+++ b/src/apricotlead/coordination/cell/job_intake.py
@@ -96,7 +96,13 @@
         except _UNREADABLE as error:
             self._note_unreadable(row, error)
 
-    def _take_row(self, job_id: str, row: Row, now: float) -> None:
+    def _take_row(
+        self,
+        job_id: str,
+        row: Row,
+        now: float,
+        progress: JobProgress | None = None,
+    ) -> None:
         stored = msgspec.convert(row.value, StoredJob)
         if stored.is_refused:
             self.refusals.add(job_id, row.version, now)
@@ -106,7 +112,7 @@
             record = JobProgress([], stored.state, stored.ended_ms)
             self._note_final(job_id, stored, row.version, record, now)
         elif self._is_new(job_id):
-            self._add(job_id, stored, row.version, now)
+            self._add(job_id, stored, row.version, progress, now)
 
     def _note_unreadable(self, row: Row, error: Exception) -> None:
         """Leave a row alone that would end this term and each later one."""
@@ -190,17 +196,14 @@
             stored = msgspec.convert(row.value, StoredJob)
             self._note_final(job_id, stored, row.version, record, now)
             return
-        self._take_row(job_id, row, now)
-        job = self._book.jobs_by_id.get(job_id)
-        if job is not None and record is not None:
-            job.restore(record, now)
-            self._book.note_restored(job)
+        self._take_row(job_id, row, now, record)
 
     def _add(
         self,
         job_id: str,
         stored: StoredJob,
         row_version: int,
+        progress: JobProgress | None,
         now: float,
     ) -> None:
         age_s = (
@@ -227,6 +230,9 @@
         )
         if not stored.submission.occurrences:
             job.open_occurrence()
+        if progress is not None:
+            job.restore(progress, now)
+            self._book.note_restored(job)
         self._book.open_steps(job, now)
 
     def _cancel(self, job_id: str, now: float) -> None:
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -4,7 +4,8 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.job_rows import cancel_key
-from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.protocol.cell_jobs import JobProgress, StepRecord, StepSpec
 from apricotlead.protocol.cell_workers import EndedTask, EndKind
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Row
@@ -111,3 +112,29 @@
             'w1', report, self.rig.now, self.rig.now
         )
         self.assertEqual(0, self.state.reported_through)
+
+
+class TestReadySteps(TestCase):
+    """Only steps with tasks that wait are ready."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w1'))
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+
+    def test_step_that_runs_is_not_ready_after_a_takeover(self) -> None:
+        """Each round of placement of the term weighed it in vain."""
+        self.rig.begin_term()
+        self.assertEqual({}, self.rig.scheduler.book.ready_steps_by_name)
+
+    def test_job_whose_progress_is_unreadable_takes_no_room(self) -> None:
+        """Its tasks were placed, never journaled, and kept their room."""
+        key = f'{PROGRESS_PREFIX}{JOB}'
+        record = JobProgress([StepRecord(0, 0, [])])
+        self.rig.rows_by_key[key] = Row(key, 1, msgspec.to_builtins(record))
+        self.rig.workers_by_id['w1'].running_by_task.clear()
+        self.rig.take_over()
+        self.rig.round()
+        state = self.rig.scheduler.book.workers_by_id['w1']
+        self.assertEqual(Resources(), state.used)
