Stop runs that a worker's next life may have taken before they begin again

Cause: orders name a worker's id, which its next life may share. A start that was sent before the birth was heard of is taken by that life; the run was freed when the birth was heard, and began elsewhere beside it (TWICE).

Ruled out: freeing at the first lists of the next life; a start may be carried out later still, so only an answered stop proves that the run will not begin. Runs that the former life has listed are freed at once as before.

Conclusion: runs that were sent and never listed move to the next life and are stopped there.

--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -196,6 +196,28 @@
                 )
                 self.unplace(task, now)
 
+    def take_unlisted(self, worker: WorkerState) -> list[TaskState]:
+        """Take runs away from a worker that were sent and never listed."""
+        unlisted = [
+            task
+            for task in worker.tasks_by_name.values()
+            if task.is_placed
+            and task.phase is not TaskPhase.PLANNED
+            and task.first_progress is None
+        ]
+        for task in unlisted:
+            worker.release(task)
+        return unlisted
+
+    def move(self, tasks: list[TaskState], worker: WorkerState) -> None:
+        """Stop runs in the next life of their worker, which may have them."""
+        for task in tasks:
+            worker.place(task)
+        for moved in tasks:
+            # What the former life was told, or answered, counts no more.
+            self.set_phase(moved, TaskPhase.SENT)
+            self.stop(moved)
+
     def use(self, task: TaskState, *, added: bool) -> None:
         """Count what a task takes of its organisation's limit, or frees."""
         organisation = task.step.job.stored.organisation
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -73,11 +73,8 @@
         if worker is not None and _is_former(worker, entry.born_ms):
             return False
         if worker is not None and entry.born_ms > worker.entry.born_ms:
-            # A later life under the same id knows nothing of the former one.
-            self._book.note('worker reborn', worker=entry.worker_id)
-            self._leases.forget(entry.worker_id)
-            self._book.forget_worker(worker, now)
-            worker = None
+            self._begin_life(worker, entry, now)
+            return True
         if worker is None:
             self._add(entry, now)
             return True
@@ -254,6 +251,29 @@
         self._book.restore_places(worker)
         self._book.note('worker added', worker=entry.worker_id)
 
+    def _begin_life(
+        self,
+        former: WorkerState,
+        entry: WorkerEntry,
+        now: float,
+    ) -> None:
+        """Begin a later life under the same id.
+
+        It knows nothing of the former one. Orders name the id only, so it may
+        have taken starts that were meant for the former life.
+        """
+        self._book.note('worker reborn', worker=entry.worker_id)
+        self._leases.forget(entry.worker_id)
+        unproven = self._book.take_unlisted(former)
+        self._book.forget_worker(former, now)
+        self._add(entry, now)
+        worker = self._book.workers_by_id[entry.worker_id]
+        lease = worker.lease
+        lease.surely_over_s = max(
+            lease.surely_over_s, former.lease.surely_over_s
+        )
+        self._book.move(unproven, worker)
+
     def _settle_restored(
         self,
         worker: WorkerState,
@@ -263,11 +283,11 @@
         """Free restored runs that the worker's first lists do not show.
 
         The worker has seen this epoch, so it refuses the former scheduler's
-        starts that arrive later.
+        starts that arrive later. Starts of this epoch may still arrive.
         """
         listed = {running.task for running in report.running}
         for task in tuple(worker.tasks_by_name.values()):
-            if task.name not in listed:
+            if task.name not in listed and not task.is_start_known:
                 self._book.unplace(task, now)
 
     def _reborn(
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -114,6 +114,53 @@
         self.assertEqual(0, self.state.reported_through)
 
 
+class TestStartsAtABirth(TestCase):
+    """A start names a worker's id only, so the next life may take it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = ModelWorker('w1', born_ms=1)
+        self.rig = CellRig(self.worker)
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        self.worker.entry = msgspec.structs.replace(
+            self.worker.entry, born_ms=2
+        )
+        self.rig.scheduler.workers.update_worker(
+            self.worker.entry, self.rig.now
+        )
+        self.rig.workers_by_id['w2'] = ModelWorker('w2')
+        self.rig.scheduler.workers.update_worker(
+            self.rig.workers_by_id['w2'].entry, self.rig.now
+        )
+
+    def stop_acked(self) -> None:
+        """Let the next life answer the stop."""
+        self.rig.scheduler.book.stop_acked('w1', TASK, 1, self.rig.now)
+
+    def test_run_begins_elsewhere_after_its_stop(self) -> None:
+        """It ran in the next life and began elsewhere beside that."""
+        self.rig.pass_time(2)
+        self.assertEqual([], self.rig.workers_by_id['w2'].started)
+        stops = self.rig.scheduler.starts.stops_due(self.rig.now)
+        self.assertEqual([TASK], [stop.task for _, stop in stops])
+        self.stop_acked()
+        self.worker.end(TASK, EndKind.STOPPED)
+        self.rig.pass_time(1)
+        runs = [order.run for order in self.rig.workers_by_id['w2'].started]
+        runs.extend(order.run for order in self.worker.started)
+        self.assertEqual([1, 2], sorted(runs))
+
+    def test_run_that_did_not_reach_it_begins_after_its_stop(self) -> None:
+        """The start may still be on its way when the first lists come."""
+        self.worker.running_by_task.clear()
+        self.rig.pass_time(2)
+        self.assertEqual(1, self.rig.scheduler.book.task(TASK).run)
+        self.stop_acked()
+        self.rig.pass_time(1)
+        self.assertEqual(2, self.rig.scheduler.book.task(TASK).run)
+
+
 class TestReadySteps(TestCase):
     """Only steps with tasks that wait are ready."""
 
