Count all runs of a step on a worker against its bound

Cause: the bound of tasks per worker counted placed tasks. A run of a task that is done, by the late end of a former run, goes on until its stop ends, and after a takeover it is a stray; a second task was started beside it (ROUTE).

Ruled out: waiting with the task until the stop has ended; its work is done.

Before and after: tests/test_cell_accounting.py TestMaxPerWorker: the second task was placed at once, then after the run has ended.

Conclusion: what a worker holds of the step counts, by name, also strays.

--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -172,7 +172,7 @@
         self._spec = step.spec
         self._demand = step.demand()
         self._is_urgent = is_urgent
-        self._counts = _counts_by_worker(step)
+        self._counts = _counts_by_worker(step, candidates)
         self._heap: list[_Offer] = [
             self._offer(number, room)
             for number, room in enumerate(candidates)
@@ -226,13 +226,20 @@
         return key, number, room
 
 
-def _counts_by_worker(step: StepState) -> dict[str, int]:
-    counts: dict[str, int] = {}
+def _counts_by_worker(
+    step: StepState,
+    candidates: list[Room],
+) -> dict[str, int]:
+    """Count what workers have of a step, also runs that are not needed."""
     if not step.spec.max_per_worker:
-        return counts
-    for task in step.tasks:
-        if task.is_placed:
-            counts[task.worker_id] = counts.get(task.worker_id, 0) + 1
+        return {}
+    names = {task.name for task in step.tasks}
+    counts: dict[str, int] = {}
+    for room in candidates:
+        worker = room.worker
+        counts[worker.worker_id] = len(
+            names.intersection(worker.tasks_by_name),
+        ) + len(names.intersection(worker.strays_by_task))
     return counts
 
 
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -185,3 +185,45 @@
         self.rig.round()
         state = self.rig.scheduler.book.workers_by_id['w1']
         self.assertEqual(Resources(), state.used)
+
+
+class TestMaxPerWorker(TestCase):
+    """Whatever still runs of a step on a worker counts there."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w1'))
+        step = StepSpec(2, SMALL, max_per_worker=1)
+        self.rig.submit(JOB, stored_job(step))
+        self.rig.round()
+        self.book = self.rig.scheduler.book
+        self.other = self.book.task(f'{JOB}.0.0.1')
+
+    def end_former_run(self) -> None:
+        """Call the task done that runs, by the end of a former run."""
+        end = EndedTask(1, TASK, 0, EndKind.DONE)
+        worker = self.rig.workers_by_id['w1']
+        report = msgspec.structs.replace(
+            worker.report(self.rig.now), ended=(end,)
+        )
+        self.rig.scheduler.workers.hold_answered(
+            'w1', report, self.rig.now, self.rig.now
+        )
+
+    def test_run_of_a_task_that_is_done_counts_until_it_ends(self) -> None:
+        """A second task was started beside it (ROUTE)."""
+        self.end_former_run()
+        self.rig.round()
+        self.assertFalse(self.other.is_placed)
+        self.rig.workers_by_id['w1'].end(TASK, EndKind.STOPPED)
+        self.rig.pass_time(1)
+        self.assertTrue(self.other.is_placed)
+
+    def test_stray_run_counts(self) -> None:
+        """After a takeover such a run is known by the worker's list only."""
+        self.end_former_run()
+        self.rig.journal()
+        self.rig.take_over()
+        self.rig.round()
+        other = self.rig.scheduler.book.task(self.other.name)
+        self.assertFalse(other.is_placed)
