Compare a worker's list with the runs placed there, not with their tasks

Cause: the list was read by task. Beside an older run of the same task on its worker, a restored run that had never begun stayed SENT while the worker was in contact, and its step was never placed (LOST); one that had vanished counted as running; and the room of the older run stayed taken until the newer one had ended.

Ruled out: the stop of the older run; the newer one is not listed after it either.

Before and after: tests/test_cell_accounting.py TestLists: the runs stayed placed, then are freed; 2,000 thousandths of a core in use, then 1,000.

Conclusion: listed runs and strays are told apart by task and run.

--- a/src/apricotlead/coordination/cell/listing.py
+++ b/src/apricotlead/coordination/cell/listing.py
@@ -21,15 +21,14 @@
     may be long before ``now``.
     """
     made_s = worker.lease.made_s(report.clock_ms, now)
-    running_names = set()
+    running = {(listed.task, listed.run) for listed in report.running}
     for listed in report.running:
-        running_names.add(listed.task)
         _listed(book, worker, listed, now, made_s)
-    for name in tuple(worker.strays_by_task):
-        if name not in running_names:
-            worker.drop_stray(name)
+    for name, run in tuple(worker.strays_by_run):
+        if (name, run) not in running:
+            worker.drop_stray(name, run)
     for task in tuple(worker.tasks_by_name.values()):
-        if task.name not in running_names:
+        if (task.name, task.run) not in running:
             _not_listed(book, worker, task, sent_s, now)
 
 
@@ -46,7 +45,7 @@
         # The job may be final and forgotten while its run is stopped.
         whole = worker.entry.capacity
         demand = whole if known is None else known.step.demand()
-        worker.add_stray(listed.task, demand)
+        worker.add_stray(listed.task, listed.run, demand)
         worker.runs_to_stop[listed.task, listed.run] = None
         return
     book.running(task, now)
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -237,9 +237,9 @@
     counts: dict[str, int] = {}
     for room in candidates:
         worker = room.worker
-        counts[worker.worker_id] = len(
-            names.intersection(worker.tasks_by_name),
-        ) + len(names.intersection(worker.strays_by_task))
+        held = list(worker.tasks_by_name)
+        held.extend(name for name, _ in worker.strays_by_run)
+        counts[worker.worker_id] = sum(name in names for name in held)
     return counts
 
 
--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -21,7 +21,7 @@
 
     def apply(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
         """Apply an end that a worker lists."""
-        worker.drop_stray(ended.task)
+        worker.drop_stray(ended.task, ended.run)
         worker.runs_to_stop.pop((ended.task, ended.run), None)
         task = worker.tasks_by_name.get(ended.task)
         if task is None or task.run != ended.run:
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -285,9 +285,10 @@
         The worker has seen this epoch, so it refuses the former scheduler's
         starts that arrive later. Starts of this epoch may still arrive.
         """
-        listed = {running.task for running in report.running}
+        listed = {(each.task, each.run) for each in report.running}
         for task in tuple(worker.tasks_by_name.values()):
-            if task.name not in listed and not task.is_start_known:
+            is_listed = (task.name, task.run) in listed
+            if not is_listed and not task.is_start_known:
                 self._book.unplace(task, now)
 
     def _reborn(
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -26,7 +26,7 @@
         'reported_through',
         'runs_to_stop',
         'speed',
-        'strays_by_task',
+        'strays_by_run',
         'tasks_by_name',
         'unanswered_s',
         'used',
@@ -45,7 +45,7 @@
         self.used = Resources()
         # Tasks and runs that the worker must not have or keep, oldest first.
         self.runs_to_stop: dict[tuple[str, int], None] = {}
-        self.strays_by_task: dict[str, Resources] = {}
+        self.strays_by_run: dict[tuple[str, int], Resources] = {}
         self.speed = WorkerSpeed()
         self.acked_through = 0
         self.reported_through = 0
@@ -103,14 +103,14 @@
         if self.tasks_by_name.pop(task.name, None) is not None:
             self.used = self.used - task.step.demand()
 
-    def add_stray(self, name: str, demand: Resources) -> None:
+    def add_stray(self, name: str, run: int, demand: Resources) -> None:
         """Count the room of a run that must not be here, once."""
-        if name not in self.strays_by_task:
-            self.strays_by_task[name] = demand
+        if (name, run) not in self.strays_by_run:
+            self.strays_by_run[name, run] = demand
             self.used = self.used + demand
 
-    def drop_stray(self, name: str) -> None:
+    def drop_stray(self, name: str, run: int) -> None:
         """Give back the room of a stray run that is gone."""
-        demand = self.strays_by_task.pop(name, None)
+        demand = self.strays_by_run.pop((name, run), None)
         if demand is not None:
             self.used = self.used - demand
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -227,3 +227,42 @@
         self.rig.round()
         other = self.rig.scheduler.book.task(self.other.name)
         self.assertFalse(other.is_placed)
+
+
+class TestLists(TestCase):
+    """A list tells of runs, not of tasks."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = ModelWorker('w1')
+        self.rig = CellRig(self.worker)
+        self.rig.submit(JOB, stored_job())
+        self.rig.scheduler.plan(self.rig.now, [])
+        task = self.rig.scheduler.book.task(TASK)
+        self.rig.scheduler.book.unplace(task, self.rig.now)
+        self.rig.scheduler.plan(self.rig.now, [])
+
+    def test_restored_run_is_freed_beside_an_older_run(self) -> None:
+        """It stayed SENT for as long as the worker was in contact."""
+        self.rig.journal()
+        self.worker.running_by_task[TASK] = 1
+        self.rig.begin_term()
+        self.rig.hold_all()
+        self.assertFalse(self.rig.scheduler.book.task(TASK).is_placed)
+
+    def test_run_that_vanished_is_freed_beside_an_older_run(self) -> None:
+        """It counted as running for as long as the older one did."""
+        self.rig.send(self.rig.journal()[0])
+        self.worker.running_by_task[TASK] = 1
+        self.rig.now += 0.5
+        self.rig.hold_all()
+        self.assertFalse(self.rig.scheduler.book.task(TASK).is_placed)
+
+    def test_room_of_an_older_run_is_freed_beside_the_newer(self) -> None:
+        """It was taken until the newer run had ended, too."""
+        self.worker.running_by_task[TASK] = 1
+        self.rig.hold_all()
+        self.rig.send(self.rig.journal()[0])
+        self.rig.hold_all()
+        state = self.rig.scheduler.book.workers_by_id['w1']
+        self.assertEqual(SMALL, state.used)
