Keep acknowledgements with the life of a worker that listed the ends

When a worker began a later life under its id during the write, the number of its former life's ends was acknowledged to the later one, which forgot as many ends before they were heard: done work ran again (TWICE).

Conclusion: the write holds the lives themselves.

--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -14,6 +14,7 @@
 from apricotlead.protocol.cell_jobs import JobProgress
 from apricotlead.protocol.table import Put, Transaction
 from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
+from apricotlead.state.cell_workers import WorkerState
 
 PROGRESS_PREFIX = 'progress/cell/'
 # The platform takes 100 entries in a transaction: the owner row takes two, the
@@ -24,14 +25,14 @@
 class JournalBatch(Struct):
     """One write of the journal, made at ``made_s`` in local seconds.
 
-    ``planned`` are the runs that may be sent after it, ``acks_by_worker`` the
-    ends that may be acknowledged.
+    ``planned`` are the runs that may be sent after it, ``acks`` the ends
+    that may be acknowledged, each to the life of a worker that listed them.
     """
 
     transaction: Transaction
     owner: OwnerRow
     planned: list[tuple[TaskState, int]]
-    acks_by_worker: dict[str, int]
+    acks: list[tuple[WorkerState, int]]
     final_jobs: list[JobRun]
     made_s: float
 
@@ -67,7 +68,7 @@
         owner_transaction(owner, owner_version, tuple(puts), expired_keys),
         owner,
         planned,
-        _acks(book) if is_whole else {},
+        _acks(book) if is_whole else [],
         final_jobs,
         now,
     )
@@ -88,9 +89,9 @@
     ]
 
 
-def _acks(book: RunBook) -> dict[str, int]:
-    return {
-        worker.worker_id: worker.reported_through
+def _acks(book: RunBook) -> list[tuple[WorkerState, int]]:
+    return [
+        (worker, worker.reported_through)
         for worker in book.workers_by_id.values()
         if worker.reported_through > worker.acked_through
-    }
+    ]
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -166,10 +166,8 @@
         self.owner_version = version
         self.workers.renewed_s = batch.made_s
         self.clock.note(store_ms, now)
-        for worker_id, through in batch.acks_by_worker.items():
-            worker = self.book.workers_by_id.get(worker_id)
-            if worker is not None:
-                worker.acked_through = max(worker.acked_through, through)
+        for worker, through in batch.acks:
+            worker.acked_through = max(worker.acked_through, through)
         self.workers.leases_written()
         for task, run in batch.planned:
             if task.run == run:
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -113,6 +113,18 @@
         )
         self.assertEqual(0, self.state.reported_through)
 
+    def test_acknowledgement_under_way_stays_with_its_life(self) -> None:
+        """Ends of the later life were forgotten before they were heard."""
+        worker = self.state
+        worker.reported_through = 7
+        batch, _ = self.rig.scheduler.take_batch(self.rig.now)
+        later = msgspec.structs.replace(self.worker.entry, born_ms=3)
+        self.rig.scheduler.workers.update_worker(later, self.rig.now)
+        self.rig.scheduler.committed(
+            batch, self.rig.version + 1, self.rig.store_ms, self.rig.now
+        )
+        self.assertEqual(0, self.state.acked_through)
+
 
 class TestStartsAtABirth(TestCase):
     """A start names a worker's id only, so the next life may take it."""
