Count a run of a task that is done against its limit until it ends

Cause: the late end of a former run calls a task done while a newer run goes on until its stop ends. The limit of its organisation was freed at once, and runs beyond it began (10,500 of 9,000 thousandths of a core where a task had 1,000).

Ruled out: restored runs and those moved to another life; they are counted.

Before and after: tests/test_cell_accounting.py TestUsage: 1,000 thousandths of a core in use while two tasks of as much run, then 2,000.

Conclusion: a run counts while its worker has it, also once its task is done. Such a run that a successor knows only as a stray still counts against no limit.

--- a/src/apricotlead/coordination/cell/listing.py
+++ b/src/apricotlead/coordination/cell/listing.py
@@ -100,7 +100,7 @@
     now: float,
 ) -> None:
     if task.phase is TaskPhase.DONE:
-        worker.release(task)
+        book.release_done(worker, task)
         return
     key = (worker.worker_id, task.name, task.run)
     acked_s = book.stop_acked_s_by_run.get(key)
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -186,6 +186,7 @@
         """Free the runs of a worker's life that is certainly over."""
         self.workers_by_id.pop(worker.worker_id, None)
         for task in tuple(worker.tasks_by_name.values()):
+            self.release_done(worker, task)
             worker.release(task)
             if task.is_placed:
                 self.note(
@@ -196,6 +197,17 @@
                 )
                 self.unplace(task, now)
 
+    def is_held(self, task: TaskState) -> bool:
+        """Tell whether a run still takes room on its worker."""
+        worker = self.workers_by_id.get(task.worker_id)
+        return worker is not None and task.name in worker.tasks_by_name
+
+    def release_done(self, worker: WorkerState, task: TaskState) -> None:
+        """Free what the run of a task that is done took until its end."""
+        if task.phase is TaskPhase.DONE:
+            worker.release(task)
+            self.use(task, added=False)
+
     def take_unlisted(self, worker: WorkerState) -> list[TaskState]:
         """Take runs away from a worker that were sent and never listed."""
         unlisted = [
--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -32,7 +32,7 @@
             task.checkpoint = ended.checkpoint
         self._account(worker, task, ended.kind, now)
         if task.phase is TaskPhase.DONE:
-            worker.release(task)
+            self._book.release_done(worker, task)
         elif ended.kind is EndKind.DONE:
             self._done(worker, task, now)
         else:
@@ -78,10 +78,10 @@
         self._mark_done(task)
 
     def _mark_done(self, task: TaskState) -> None:
-        """Call a task done; one that is not placed takes up no limit."""
+        """Call a task done; its run counts as long as its worker has it."""
         if task.phase is TaskPhase.DONE:
             return
-        if task.is_placed:
+        if task.is_placed and not self._book.is_held(task):
             self._book.use(task, added=False)
         self._book.set_phase(task, TaskPhase.DONE)
 
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -51,6 +51,23 @@
         rig.hold(task.worker_id)
         self.assertEqual(Resources(), rig.scheduler.book.usage('clerks'))
 
+    def test_run_of_a_task_that_is_done_counts_until_it_ends(self) -> None:
+        """What is being stopped runs still (QUOTA)."""
+        rig = CellRig(ModelWorker('w1'))
+        rig.submit(JOB, stored_job(StepSpec(2, SMALL)))
+        rig.round()
+        worker = rig.workers_by_id['w1']
+        end = EndedTask(1, TASK, 0, EndKind.DONE)
+        report = msgspec.structs.replace(worker.report(rig.now), ended=(end,))
+        answered = rig.scheduler.workers.hold_answered
+        answered('w1', report, rig.now, rig.now)
+        usage = rig.scheduler.book.usage('clerks')
+        self.assertEqual(SMALL + SMALL, usage)
+        worker.end(TASK, EndKind.STOPPED)
+        worker.ended[0] = msgspec.structs.replace(worker.ended[0], number=2)
+        rig.hold('w1')
+        self.assertEqual(SMALL, rig.scheduler.book.usage('clerks'))
+
 
 class TestLastingTasks(TestCase):
     """A task that lasts begins again when it ends, while its job lives."""
