--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -105,7 +105,7 @@
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
             worker.release(task)
-            worker.stops_by_task.pop(task.name, None)
+            worker.runs_to_stop.pop((task.name, task.run), None)
         self.use(task, added=False)
         self.set_phase(task, TaskPhase.WAITING)
         task.worker_id = ''
@@ -140,7 +140,7 @@
             return
         worker = self.workers_by_id.get(task.worker_id)
         if worker is not None:
-            worker.stops_by_task[task.name] = task.run
+            worker.runs_to_stop[task.name, task.run] = None
         self.set_phase(task, TaskPhase.STOPPING)
 
     def sent(self, task: TaskState) -> None:
@@ -179,13 +179,14 @@
         """Note that a worker took a stop: the run will never begin there."""
         self.stop_acked_s_by_run[worker_id, name, run] = now
         worker = self.workers_by_id.get(worker_id)
-        if worker is not None and worker.stops_by_task.get(name) == run:
-            worker.stops_by_task.pop(name)
+        if worker is not None:
+            worker.runs_to_stop.pop((name, run), None)
 
     def forget_worker(self, worker: WorkerState, now: float) -> None:
         """Free the runs of a worker's life that is certainly over."""
         self.workers_by_id.pop(worker.worker_id, None)
         for task in tuple(worker.tasks_by_name.values()):
+            self.release_done(worker, task)
             worker.release(task)
             if task.is_placed:
                 self.note(
@@ -196,6 +197,39 @@
                 )
                 self.unplace(task, now)
 
+    def is_held(self, task: TaskState) -> bool:
+        """Tell whether a run still takes room on its worker."""
+        worker = self.workers_by_id.get(task.worker_id)
+        return worker is not None and task.name in worker.tasks_by_name
+
+    def release_done(self, worker: WorkerState, task: TaskState) -> None:
+        """Free what the run of a task that is done took until its end."""
+        if task.phase is TaskPhase.DONE:
+            worker.release(task)
+            self.use(task, added=False)
+
+    def take_unlisted(self, worker: WorkerState) -> list[TaskState]:
+        """Take runs away from a worker that were sent and never listed."""
+        unlisted = [
+            task
+            for task in worker.tasks_by_name.values()
+            if task.is_placed
+            and task.phase is not TaskPhase.PLANNED
+            and task.first_progress is None
+        ]
+        for task in unlisted:
+            worker.release(task)
+        return unlisted
+
+    def move(self, tasks: list[TaskState], worker: WorkerState) -> None:
+        """Stop runs in the next life of their worker, which may have them."""
+        for task in tasks:
+            worker.place(task)
+        for moved in tasks:
+            # What the former life was told, or answered, counts no more.
+            self.set_phase(moved, TaskPhase.SENT)
+            self.stop(moved)
+
     def use(self, task: TaskState, *, added: bool) -> None:
         """Count what a task takes of its organisation's limit, or frees."""
         organisation = task.step.job.stored.organisation
--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -21,9 +21,8 @@
 
     def apply(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
         """Apply an end that a worker lists."""
-        worker.drop_stray(ended.task)
-        if worker.stops_by_task.get(ended.task, ended.run + 1) <= ended.run:
-            worker.stops_by_task.pop(ended.task)
+        worker.drop_stray(ended.task, ended.run)
+        worker.runs_to_stop.pop((ended.task, ended.run), None)
         task = worker.tasks_by_name.get(ended.task)
         if task is None or task.run != ended.run:
             self._apply_former(worker, ended, now)
@@ -33,7 +32,7 @@
             task.checkpoint = ended.checkpoint
         self._account(worker, task, ended.kind, now)
         if task.phase is TaskPhase.DONE:
-            worker.release(task)
+            self._book.release_done(worker, task)
         elif ended.kind is EndKind.DONE:
             self._done(worker, task, now)
         else:
@@ -75,7 +74,14 @@
         if task.is_placed:
             worker = self._book.workers_by_id.get(task.worker_id)
             if worker is not None:
-                worker.stops_by_task[task.name] = task.run
+                worker.runs_to_stop[task.name, task.run] = None
+        self._mark_done(task)
+
+    def _mark_done(self, task: TaskState) -> None:
+        """Call a task done; its run counts as long as its worker has it."""
+        if task.phase is TaskPhase.DONE:
+            return
+        if task.is_placed and not self._book.is_held(task):
             self._book.use(task, added=False)
         self._book.set_phase(task, TaskPhase.DONE)
 
@@ -113,11 +119,10 @@
         members = step.tasks if step.spec.gang else [task]
         worker.release(task)
         for member in members:
-            if member.phase is not TaskPhase.DONE and member.run == task.run:
-                self._book.use(member, added=False)
-                self._book.set_phase(member, TaskPhase.DONE)
+            if member.run == task.run:
+                self._mark_done(member)
         if step.spec.long_running:
-            self._restart(task)
+            self._restart(task, now)
         self._step_done(step, now)
 
     def _step_done(self, step: StepState, now: float) -> None:
@@ -148,14 +153,14 @@
             step.longest_done_s = max(step.longest_done_s, taken_s)
             worker.speed.observe(taken_s, estimate_s)
 
-    def _restart(self, task: TaskState) -> None:
+    def _restart(self, task: TaskState, now: float) -> None:
         """Let a task that lasts wait again after it ended as done."""
         step = task.step
         step.done_count -= 1
         task.phase = TaskPhase.WAITING
         task.worker_id = ''
         step.waiting_count += 1
-        self._book.ready_steps_by_name[step.name] = step
+        self._book.open_steps(step.job, now)
 
     def _undone(
         self,
--- a/src/apricotlead/coordination/cell/stalled_steps.py
+++ b/src/apricotlead/coordination/cell/stalled_steps.py
@@ -162,7 +162,8 @@
             'is_worker_known': worker is not None,
         }
         if worker is not None:
-            told['is_stop_pending'] = task.name in worker.stops_by_task
+            run = (task.name, task.run)
+            told['is_stop_pending'] = run in worker.runs_to_stop
             told['contact_age_s'] = round(now - worker.lease.contact_s, 2)
         return told
 
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -70,12 +70,11 @@
             # Only its restored runs were known so far.
             worker.take_entry(entry, now)
             return True
+        if worker is not None and _is_former(worker, entry.born_ms):
+            return False
         if worker is not None and entry.born_ms > worker.entry.born_ms:
-            # A later life under the same id knows nothing of the former one.
-            self._book.note('worker reborn', worker=entry.worker_id)
-            self._leases.forget(entry.worker_id)
-            self._book.forget_worker(worker, now)
-            worker = None
+            self._begin_life(worker, entry, now)
+            return True
         if worker is None:
             self._add(entry, now)
             return True
@@ -162,7 +161,7 @@
     ) -> None:
         """Apply a worker's lists."""
         worker = self._book.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or _is_former(worker, report.born_ms):
             return
         self._note_answer(worker, now)
         if report.born_ms > worker.entry.born_ms:
@@ -252,6 +251,29 @@
         self._book.restore_places(worker)
         self._book.note('worker added', worker=entry.worker_id)
 
+    def _begin_life(
+        self,
+        former: WorkerState,
+        entry: WorkerEntry,
+        now: float,
+    ) -> None:
+        """Begin a later life under the same id.
+
+        It knows nothing of the former one. Orders name the id only, so it may
+        have taken starts that were meant for the former life.
+        """
+        self._book.note('worker reborn', worker=entry.worker_id)
+        self._leases.forget(entry.worker_id)
+        unproven = self._book.take_unlisted(former)
+        self._book.forget_worker(former, now)
+        self._add(entry, now)
+        worker = self._book.workers_by_id[entry.worker_id]
+        lease = worker.lease
+        lease.surely_over_s = max(
+            lease.surely_over_s, former.lease.surely_over_s
+        )
+        self._book.move(unproven, worker)
+
     def _settle_restored(
         self,
         worker: WorkerState,
@@ -261,11 +283,12 @@
         """Free restored runs that the worker's first lists do not show.
 
         The worker has seen this epoch, so it refuses the former scheduler's
-        starts that arrive later.
+        starts that arrive later. Starts of this epoch may still arrive.
         """
-        listed = {running.task for running in report.running}
+        listed = {(each.task, each.run) for each in report.running}
         for task in tuple(worker.tasks_by_name.values()):
-            if task.name not in listed:
+            is_listed = (task.name, task.run) in listed
+            if not is_listed and not task.is_start_known:
                 self._book.unplace(task, now)
 
     def _reborn(
@@ -311,3 +334,8 @@
                 worker=worker.worker_id,
             )
             self._book.unplace(task, now)
+
+
+def _is_former(worker: WorkerState, born_ms: float) -> bool:
+    """Tell whether what arrived late is of a former life under this id."""
+    return 0 < born_ms < worker.entry.born_ms
