Test the scheduler's books over random schedules

Jobs, gangs, limits, ends of all kinds, lost and late answers, births, strays, long writes and takeovers; after each event the books are counted anew, and at the end all work has to end.

--- /dev/null
+++ b/tests/accounting_checks.py
@@ -0,0 +1,203 @@
+"""Counts a scheduler's books anew and compares them with its own figures."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from functools import reduce
+from operator import add
+
+from apricotlead.coordination.cell.run_book import RunBook
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
+from apricotlead.state.cell_workers import WorkerState
+
+
+def faults(
+    book: RunBook,
+    journaled_job_ids: Iterable[str],
+    live_runs: Iterable[tuple[str, str, int]],
+    limit: Resources,
+) -> list[str]:
+    """Return what is wrong in a book, empty if all is well.
+
+    ``journaled_job_ids`` are those of the write under way. ``live_runs`` holds
+    the worker, task and run of all that runs, or has an end to be listed.
+    """
+    written = {*journaled_job_ids, *book.dirty_job_ids}
+    live = set(live_runs)
+    found = list(_usage_faults(book, limit))
+    found.extend(_ready_faults(book))
+    for worker in book.workers_by_id.values():
+        found.extend(_worker_faults(worker))
+    for job in book.jobs_by_id.values():
+        for step in job.steps_by_key.values():
+            found.extend(_step_faults(step))
+        for task in job.tasks():
+            if task.is_placed and not _is_restored(book, task):
+                found.extend(_task_faults(book, task, written, live))
+    return found
+
+
+def placed_runs(book: RunBook) -> set[tuple[str, int]]:
+    """Return the tasks and runs on workers."""
+    return {
+        (task.name, task.run)
+        for worker in book.workers_by_id.values()
+        for task in worker.tasks_by_name.values()
+    }
+
+
+def crowded(book: RunBook, before: set[tuple[str, int]]) -> list[str]:
+    """Return the tasks that a round placed beyond ``max_per_worker``.
+
+    ``before`` are the placed runs before the round.
+    """
+    found: list[str] = []
+    for worker in book.workers_by_id.values():
+        names = list(worker.tasks_by_name)
+        names.extend(name for name, _ in worker.strays_by_run)
+        counts = Counter(name.rpartition('.')[0] for name in names)
+        for task in worker.tasks_by_name.values():
+            most = task.step.spec.max_per_worker
+            is_new = (task.name, task.run) not in before
+            if most and is_new and counts[task.step.name] > most:
+                found.append(f'{task.name} is beyond max_per_worker')
+    return found
+
+
+def unfinished(
+    book: RunBook,
+    running: set[tuple[str, str, int]],
+) -> list[str]:
+    """Return what is neither done nor a lasting task that runs.
+
+    ``running`` holds the worker, task and run of all that runs.
+    """
+    found: list[str] = []
+    lasting: set[tuple[str, str, int]] = set()
+    jobs = book.jobs_by_id.values()
+    tasks = [task for job in jobs for task in job.tasks()]
+    for task in tasks:
+        key = (task.worker_id, task.name, task.run)
+        if task.step.spec.long_running and key in running:
+            lasting.add(key)
+        elif task.phase is not TaskPhase.DONE:
+            found.append(f'{task.name} is {task.phase}')
+    found.extend(
+        f'{job.job_id} is final and not dropped'
+        for job in jobs
+        if job.state.is_final
+    )
+    found.extend(f'{key} runs' for key in running - lasting)
+    found.extend(_left_on_workers(book, lasting))
+    return found
+
+
+def _left_on_workers(
+    book: RunBook,
+    lasting: set[tuple[str, str, int]],
+) -> Iterator[str]:
+    counts = Counter(key[0] for key in lasting)
+    for worker in book.workers_by_id.values():
+        if len(worker.tasks_by_name) > counts[worker.worker_id]:
+            yield f'{worker.worker_id} has tasks that are done'
+        if worker.strays_by_run or worker.runs_to_stop:
+            yield f'{worker.worker_id} has strays or stops'
+
+
+def _total(demands: Iterable[Resources]) -> Resources:
+    return reduce(add, demands, Resources())
+
+
+def _worker_faults(worker: WorkerState) -> Iterator[str]:
+    tasks = worker.tasks_by_name.values()
+    used = _total(
+        [
+            *(task.step.demand() for task in tasks),
+            *worker.strays_by_run.values(),
+        ],
+    )
+    if used != worker.used:
+        yield f'{worker.worker_id} uses {worker.used}, recounted {used}'
+
+
+def _usage_faults(book: RunBook, limit: Resources) -> Iterator[str]:
+    demands: dict[str, list[Resources]] = {}
+    for worker in book.workers_by_id.values():
+        for task in worker.tasks_by_name.values():
+            organisation = task.step.job.stored.organisation
+            demands.setdefault(organisation, []).append(task.step.demand())
+    known = demands.keys() | book.usage_by_organisation.keys()
+    for organisation in known:
+        usage = book.usage(organisation)
+        recounted = _total(demands.get(organisation, ()))
+        if usage != recounted:
+            yield f'{organisation} uses {usage}, recounted {recounted}'
+        if limit.cpu_millis and usage.cpu_millis > limit.cpu_millis:
+            yield f'{organisation} uses {usage}, over its limit'
+
+
+def _step_faults(step: StepState) -> Iterator[str]:
+    phases = Counter(task.phase for task in step.tasks)
+    if phases[TaskPhase.WAITING] != step.waiting_count:
+        yield f'{step.name} has a wrong waiting_count {step.waiting_count}'
+    if phases[TaskPhase.DONE] != step.done_count:
+        yield f'{step.name} has a wrong done_count {step.done_count}'
+
+
+def _ready_faults(book: RunBook) -> Iterator[str]:
+    expected = {
+        step.name: step
+        for job in book.jobs_by_id.values()
+        for step in job.steps_by_key.values()
+        if _is_ready(job, step)
+    }
+    if expected.keys() != book.ready_steps_by_name.keys():
+        wrong = expected.keys() ^ book.ready_steps_by_name.keys()
+        yield f'steps are wrongly ready or not: {sorted(wrong)}'
+    for name, step in book.ready_steps_by_name.items():
+        if expected.get(name) is not step:
+            yield f'{name} is ready as a step of another job'
+
+
+def _is_ready(job: JobRun, step: StepState) -> bool:
+    earlier = (
+        job.steps_by_key[step.occurrence, index] for index in step.spec.after
+    )
+    waits = any(task.phase is TaskPhase.WAITING for task in step.tasks)
+    is_open = all(
+        task.phase is TaskPhase.DONE
+        for other in earlier
+        for task in other.tasks
+    )
+    return waits and is_open and not job.state.is_final
+
+
+def _is_restored(book: RunBook, task: TaskState) -> bool:
+    """Tell whether the worker of a former term's run was not added yet."""
+    return any(
+        each is task for each in book.restored_by_worker.get(task.worker_id, ())
+    )
+
+
+def _task_faults(
+    book: RunBook,
+    task: TaskState,
+    written: set[str],
+    live: set[tuple[str, str, int]],
+) -> Iterator[str]:
+    worker = book.workers_by_id.get(task.worker_id)
+    if worker is None or worker.tasks_by_name.get(task.name) is not task:
+        yield f'{task.name} is {task.phase} but not on {task.worker_id!r}'
+        return
+    if task.phase is TaskPhase.PLANNED and task.step.job.job_id not in written:
+        yield f'{task.name} is PLANNED and not written'
+    if task.phase is TaskPhase.STOPPING:
+        key = (task.worker_id, task.name, task.run)
+        has_end = (
+            (task.name, task.run) in worker.runs_to_stop
+            or key in book.stop_acked_s_by_run
+            or key in live
+            or not worker.lease.is_known
+        )
+        if not has_end:
+            yield f'{task.name} is STOPPING and nothing ends it'
