Hold the room of a done task's run until it surely cannot run

Cause: a task that the late end of a former run calls done was freed at the first list without its present run. That list may be older than the run: its start was carried out afterwards, so that room and limit were given away twice (11,000 of 9,000 thousandths of a core). Its room also stayed taken while its worker was silent beyond its lease.

Ruled out: freeing at a stop that is answered before the list's call alone; the run of a gang's member that ended with its gang is not stopped and ends by itself.

Before and after: tests/test_cell_accounting.py TestUsage, the two tests on a done task: 1,000 thousandths of a core in use, then 2,000; after a lapse 1,000, then 0. Found by a random schedule (seed 2246, 400 events).

Conclusion: a run that is to be stopped is freed by its listed end, by a list that was asked for after the answered stop, or by the end of the lease.

--- a/src/apricotlead/coordination/cell/listing.py
+++ b/src/apricotlead/coordination/cell/listing.py
@@ -99,12 +99,15 @@
     sent_s: float,
     now: float,
 ) -> None:
-    if task.phase is TaskPhase.DONE:
-        book.release_done(worker, task)
-        return
     key = (worker.worker_id, task.name, task.run)
     acked_s = book.stop_acked_s_by_run.get(key)
     was_stopped = acked_s is not None and acked_s < sent_s
+    if task.phase is TaskPhase.DONE:
+        is_to_stop = (task.name, task.run) in worker.runs_to_stop
+        # Its start may be carried out after the list was made.
+        if was_stopped or (acked_s is None and not is_to_stop):
+            book.release_done(worker, task)
+        return
     vanished = task.phase is TaskPhase.RUNNING and task.started_s < sent_s
     if was_stopped or vanished:
         book.note(
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -207,6 +207,8 @@
         if task.phase is TaskPhase.DONE:
             worker.release(task)
             self.use(task, added=False)
+            key = (worker.worker_id, task.name, task.run)
+            self.stop_acked_s_by_run.pop(key, None)
 
     def take_unlisted(self, worker: WorkerState) -> list[TaskState]:
         """Take runs away from a worker that were sent and never listed."""
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -333,6 +333,7 @@
                 run=task.run,
                 worker=worker.worker_id,
             )
+            self._book.release_done(worker, task)
             self._book.unplace(task, now)
 
 
--- a/tests/accounting_rig.py
+++ b/tests/accounting_rig.py
@@ -57,6 +57,7 @@
         self.later: list[tuple[float, Callable[[], None]]] = []
         self.held_worker_ids: set[str] = set()
         self.job_count = 0
+        self.taken_runs: set[tuple[str, int]] = set()
         self.submitted_rows: list[Row] = []
         self.machine_count = 0
         self.trace: list[str] = []
@@ -236,18 +237,31 @@
         for start in self.sending:
             order = self.scheduler.starts.start_order(start, self.now)
             if order is not None and self.rng.random() < 0.5:
-                self._later(partial(self._carry_out_late, start, order))
+                entry = start.worker.entry
+                self._later(
+                    partial(self._carry_out_late, entry, order, self.term)
+                )
         self.begin_term()
 
-    def _carry_out_late(self, start: PlannedStart, order: StartOrder) -> None:
-        """Carry out a start of a former term, unless its worker crashed.
+    def _carry_out_late(
+        self,
+        entry: WorkerEntry,
+        order: StartOrder,
+        term: int,
+    ) -> None:
+        """Carry out a start late, unless no scheduler could know of it.
 
-        A later life under the id has seen no epoch, so it would take a start
-        that the former life refuses; no scheduler can know of that.
+        A later life under the id has seen neither an epoch nor a run, so it
+        would take a start of a former term, and a repeat of one whose run the
+        former life has had.
         """
-        entry = start.worker.entry
         machine = self._alive(entry.worker_id)
-        if machine is not None and machine.entry.born_ms == entry.born_ms:
+        if machine is None:
+            return
+        is_known = term != self.term or (
+            (order.task, order.run) in self.taken_runs
+        )
+        if machine.entry.born_ms == entry.born_ms or not is_known:
             self._carry_out(entry.worker_id, order)
 
     # Orders.
@@ -265,7 +279,7 @@
         if order is None:
             return False
         chance = 0.0 if is_calm else self.rng.random()
-        reply = self._start_reply(start.worker.worker_id, order, chance)
+        reply = self._start_reply(start.worker.entry, order, chance)
         answered = partial(self._start_answered, start, reply, self.now)
         if 0.5 < chance < 0.7:
             self._later(answered)
@@ -276,14 +290,17 @@
 
     def _start_reply(
         self,
-        worker_id: str,
+        entry: WorkerEntry,
         order: StartOrder,
         chance: float,
     ) -> OrderReply:
+        worker_id = entry.worker_id
         machine = self._reachable(worker_id)
         if machine is None or chance > 0.9:
             if machine is not None and self.rng.random() < 0.5:
-                self._later(partial(self._carry_out, worker_id, order))
+                self._later(
+                    partial(self._carry_out_late, entry, order, self.term)
+                )
             return OrderReply(Refusal.UNANSWERED)
         if chance > 0.8:
             return OrderReply(self.rng.choice(_REFUSALS))
@@ -311,6 +328,7 @@
         reply = machine.start(order, self.now)
         if reply.refusal is None:
             self.run_count += 1
+            self.taken_runs.add((order.task, order.run))
             self._check_start(order.task)
         return reply
 
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -69,6 +69,37 @@
         rig.hold('w1')
         self.assertEqual(SMALL, rig.scheduler.book.usage('clerks'))
 
+    def test_run_of_a_done_task_counts_until_its_stop(self) -> None:
+        """It may begin after the list that does not show it was made."""
+        rig = CellRig(ModelWorker('w1'))
+        rig.submit(JOB, stored_job(StepSpec(2, SMALL)))
+        rig.round()
+        worker = rig.workers_by_id['w1']
+        worker.running_by_task.pop(TASK)
+        end = EndedTask(1, TASK, 0, EndKind.DONE)
+        report = msgspec.structs.replace(worker.report(rig.now), ended=(end,))
+        answered = rig.scheduler.workers.hold_answered
+        answered('w1', report, rig.now, rig.now)
+        self.assertEqual(SMALL + SMALL, rig.scheduler.book.usage('clerks'))
+        rig.scheduler.book.stop_acked('w1', TASK, 1, rig.now)
+        rig.now += 0.1
+        rig.hold('w1')
+        self.assertEqual(SMALL, rig.scheduler.book.usage('clerks'))
+
+    def test_run_of_a_done_task_counts_until_its_lease_is_over(self) -> None:
+        """Its worker may stay silent for long."""
+        rig = CellRig(ModelWorker('w1'))
+        rig.submit(JOB, stored_job(StepSpec(2, SMALL)))
+        rig.round()
+        worker = rig.workers_by_id['w1']
+        end = EndedTask(1, TASK, 0, EndKind.DONE)
+        report = msgspec.structs.replace(worker.report(rig.now), ended=(end,))
+        answered = rig.scheduler.workers.hold_answered
+        answered('w1', report, rig.now, rig.now)
+        worker.is_reachable = False
+        rig.pass_time(14)
+        self.assertEqual(Resources(), rig.scheduler.book.usage('clerks'))
+
 
 class TestLastingTasks(TestCase):
     """A task that lasts begins again when it ends, while its job lives."""
@@ -245,7 +276,10 @@
         self.end_former_run()
         self.rig.round()
         self.assertFalse(self.other.is_placed)
-        self.rig.workers_by_id['w1'].end(TASK, EndKind.STOPPED)
+        worker = self.rig.workers_by_id['w1']
+        worker.end(TASK, EndKind.STOPPED)
+        # The worker has listed its first end.
+        worker.ended[0] = msgspec.structs.replace(worker.ended[0], number=2)
         self.rig.pass_time(1)
         self.assertTrue(self.other.is_placed)
 
@@ -350,3 +384,7 @@
     def test_done_task_goes_on_at_the_limit(self) -> None:
         """Its run did not count against the limit."""
         AccountingRig(7).play(300)
+
+    def test_done_task_begins_after_its_list(self) -> None:
+        """Its run did not count against the limit."""
+        AccountingRig(2246).play(400)
