Try: let short work use workers that stand idle for gangs

Cause: workers that a gang keeps are closed to all steps behind it until the gang fits, also to work that would have ended by then. Hypothesis: later work that very likely ends before the gang can begin may use them.

--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -107,7 +107,8 @@
         """Take the room that the answer under way surely allows to use."""
         if self._advice.advice(step.name).is_sure:
             usable = self._advice.usable_after_answer(step.name, planning.now)
-            choose(step, tasks, planning.rooms_of(dict.fromkeys(usable)))
+            rooms = planning.rooms_of(dict.fromkeys(usable))
+            choose(step, tasks, rooms, lasts_s=planning.lasts_s(step))
 
     def _ask_about_rooms(
         self,
@@ -121,6 +122,7 @@
             step,
             tasks,
             planning.rooms_of(advice.good_workers()),
+            lasts_s=planning.lasts_s(step),
         )
         names = list(
             dict.fromkeys(room.worker.worker_id for _, room in choices),
@@ -160,7 +162,7 @@
         fitting = [
             room.worker.worker_id
             for room in planning.rooms_of(advice.good_workers())
-            if room.fits(step.demand())
+            if room.fits(step.demand()) and not room.is_taken_over
         ]
         spare = [name for name in fitting if name not in names]
         return spare[: len(names) // _CHOSEN_FOR_EACH_SPARE + 1]
--- a/src/apricotlead/coordination/cell/gang_rooms.py
+++ b/src/apricotlead/coordination/cell/gang_rooms.py
@@ -3,8 +3,9 @@
 Pattern: gangs in a full cell. Each piece of room that becomes free is taken
 at once by a step that needs less, so a wide gang never finds enough at one
 time. The first gangs in order therefore keep some of their workers: steps
-that come later get nothing on these, and those that come before use them
-last. What is kept at a time is bounded, since it stands idle in part.
+that come before use them last, and those that come later only for work that
+ends before the gang can begin (backfilling). What is kept at a time is
+bounded, since it stands idle in part.
 
 All other gangs that wait, and may run on few workers, leave word what one of
 their tasks needs there, so that smaller tasks go where they break no such
@@ -14,6 +15,7 @@
 from collections.abc import Iterable
 
 from apricotlead.coordination.cell.placement import Room, places_in
+from apricotlead.coordination.cell.run_times import rest_s
 from apricotlead.state.cell_jobs import StepState
 
 # The part of all workers that gangs may keep, beyond those of the first one.
@@ -50,7 +52,12 @@
             worker_id = room.worker.worker_id
             self._wanted_cpu_by_worker.setdefault(worker_id, cpu_millis)
 
-    def keep(self, step: StepState, rooms: Iterable[Room]) -> None:
+    def keep(
+        self,
+        step: StepState,
+        rooms: Iterable[Room],
+        now: float,
+    ) -> None:
         """Keep as many of a gang's rooms as it needs when they are free.
 
         ``rooms`` are those of workers that may run the step. A gang that they
@@ -64,15 +71,34 @@
             if needed <= 0:
                 break
             count = places_in(step, room.worker.idle_room)
-            if room.cpu >= 0 and count:
+            if count and not room.is_taken_over:
                 needed -= count
                 kept.append(room)
         if needed > 0:
             return
-        for room in kept:
-            self._kept_worker_ids.add(room.worker.worker_id)
-            # Nothing fits any more in this round.
-            room.cpu = -1
+        begins_in_s = max(_free_in_s(step, each, now) for each in kept)
+        for keeping in kept:
+            self._kept_worker_ids.add(keeping.worker.worker_id)
+            keeping.open_for_s = begins_in_s
+
+
+def _free_in_s(step: StepState, room: Room, now: float) -> float:
+    """Return when a worker has the places that it has when it is idle."""
+    worker = room.worker
+    count = places_in(step, worker.idle_room)
+    free = worker.entry.capacity - worker.used
+    in_s = 0.0
+    rests = sorted(
+        (rest_s(task, worker.speed.slowness, now), task.name)
+        for task in worker.tasks_by_name.values()
+        if not task.step.spec.long_running
+    )
+    for task_rest_s, name in rests:
+        if places_in(step, free) >= count:
+            break
+        in_s = task_rest_s
+        free = free + worker.tasks_by_name[name].step.demand()
+    return in_s
 
 
 def _soonest_free(room: Room) -> tuple[bool, int]:
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 from heapq import heapify, heappop, heappush
+from math import inf
 
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
@@ -24,6 +25,7 @@
         'cpu',
         'is_kept',
         'memory',
+        'open_for_s',
         'pace',
         'wanted_cpu',
         'worker',
@@ -35,6 +37,8 @@
         self.worker = worker
         # Whether a gang waits for this worker to become free.
         self.is_kept = False
+        # Work that lasts longer than this leaves the room to a gang.
+        self.open_for_s = inf
         # What a task of a gang that waits needs here, 0 without one.
         self.wanted_cpu = 0
         # Workers whose speeds differ by less count as equal.
@@ -43,6 +47,11 @@
         self.memory = capacity.memory_mb - used.memory_mb
         self.accelerators = capacity.accelerators - used.accelerators
 
+    @property
+    def is_taken_over(self) -> bool:
+        """Tell whether a gang keeps the room in this round."""
+        return self.open_for_s < inf
+
     def fits(self, demand: Resources) -> bool:
         """Tell whether a demand fits."""
         return (
@@ -113,14 +122,20 @@
     tasks: list[TaskState],
     rooms: Iterable[Room],
     *,
+    lasts_s: float = inf,
     is_urgent: bool = False,
 ) -> list[Choice]:
     """Choose rooms for as many tasks as fit, and take them.
 
+    Rooms that gangs keep are left to work that ends in time, by ``lasts_s``.
     For a gang that does not fit whole, nothing is taken. The tasks of a
     urgent step go to fast workers first, those of others to slower ones.
     """
-    candidates = [room for room in rooms if may_run_here(step, room.worker)]
+    candidates = [
+        room
+        for room in rooms
+        if room.open_for_s >= lasts_s and may_run_here(step, room.worker)
+    ]
     if step.spec.same_rack:
         choices = _choose_in_one_rack(step, tasks, candidates, is_urgent)
         if choices:
--- a/src/apricotlead/coordination/cell/placement_round.py
+++ b/src/apricotlead/coordination/cell/placement_round.py
@@ -15,8 +15,10 @@
     Room,
     places_in,
 )
+from apricotlead.coordination.cell.run_times import likely_s
 from apricotlead.state.cell_jobs import StepState
 from apricotlead.state.cell_workers import WorkerState
+from apricotlead.state.estimate_errors import EstimateErrors
 from apricotlead.state.wait_times import WaitReason
 
 # The part of all room that becomes free while a ticket is valid.
@@ -28,6 +30,7 @@
 
     __slots__ = (
         '_best_rooms',
+        '_errors',
         '_free_cpu',
         '_soon_cpu_by_worker',
         '_soon_free_cpu',
@@ -45,12 +48,14 @@
         workers: list[WorkerState],
         askers: list[str],
         now: float,
+        errors: EstimateErrors,
         absent: Iterable[WorkerState] = (),
     ) -> None:
         """Begin with the room that the workers have now.
 
         ``absent`` are workers that may soon take work again.
         """
+        self._errors = errors
         self.rooms = [Room(worker) for worker in workers]
         self.absent = absent
         self.rooms_by_worker = {
@@ -77,6 +82,10 @@
         """Tell whether more than half of the processors are free."""
         return self._free_cpu * 2 > self._whole_cpu
 
+    def lasts_s(self, step: StepState) -> float:
+        """Return how long a run of a step very likely takes at most."""
+        return likely_s(step, self._errors)
+
     def rooms_of(self, worker_ids: Iterable[str]) -> list[Room]:
         """Return the rooms of some workers that take work."""
         rooms = (self.rooms_by_worker.get(each) for each in worker_ids)
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -84,7 +84,8 @@
                 usable.append(worker)
             elif worker.is_listed and not worker.entry.draining:
                 absent.append(worker)
-        return PlacementRound(usable, askers, now, absent)
+        errors = self._book.estimate_errors
+        return PlacementRound(usable, askers, now, errors, absent)
 
     def _place_waiting(
         self,
@@ -111,6 +112,7 @@
             step,
             tasks,
             self._asking.rooms(step, planning),
+            lasts_s=planning.lasts_s(step),
             is_urgent=is_urgent(
                 step,
                 planning.now,
@@ -140,7 +142,7 @@
         rooms = self._asking.good_rooms(step, planning)
         self._gangs.want(step, rooms)
         if reason in _WITHOUT_ROOM:
-            self._gangs.keep(step, rooms)
+            self._gangs.keep(step, rooms, planning.now)
 
     def _within_limit(
         self,
--- a/tests/test_cell_gang_rooms.py
+++ b/tests/test_cell_gang_rooms.py
@@ -88,35 +88,72 @@
         self.steps = self.rig.scheduler.book.ready_steps_by_name.values()
 
     def kept(self) -> int:
-        return sum(room.cpu < 0 for room in self.rooms)
+        return sum(room.is_taken_over for room in self.rooms)
 
     def test_part_of_the_workers(self) -> None:
         gangs = GangRooms()
         gangs.begin(self.rooms)
         for step in self.steps:
-            gangs.keep(step, self.rooms)
+            gangs.keep(step, self.rooms, self.rig.now)
         self.assertEqual(4, self.kept())
 
     def test_gang_that_never_fits_keeps_nothing(self) -> None:
         gangs = GangRooms()
         gangs.begin(self.rooms)
-        gangs.keep(next(iter(self.steps)), self.rooms[:1])
+        gangs.keep(next(iter(self.steps)), self.rooms[:1], self.rig.now)
         self.assertEqual(0, self.kept())
 
     def test_workers_stay_kept_in_the_next_round(self) -> None:
         gangs = GangRooms()
         gangs.begin(self.rooms)
-        gangs.keep(next(iter(self.steps)), self.rooms)
+        gangs.keep(next(iter(self.steps)), self.rooms, self.rig.now)
         again = [Room(room.worker) for room in reversed(self.rooms)]
         gangs.begin(again)
-        gangs.keep(next(iter(self.steps)), again)
+        gangs.keep(next(iter(self.steps)), again, self.rig.now)
         first, second = (
-            {room.worker.worker_id for room in rooms if room.cpu < 0}
+            {room.worker.worker_id for room in rooms if room.is_taken_over}
             for rooms in (self.rooms, again)
         )
         self.assertEqual(first, second)
 
 
+class TestBackfilling(TestCase):
+    """Short work used nothing of what stood idle for a gang."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(*(ModelWorker(f'w{each}') for each in range(2)))
+        self.submit(BATCH, StepSpec(1, WHOLE, estimated_ms=10_000), 0)
+        self.rig.round()
+        gang = StepSpec(2, WHOLE, estimated_ms=9000, gang=True)
+        self.submit(GANG, gang, 1)
+
+    def submit(self, job_id: str, spec: StepSpec, priority: int) -> None:
+        job = stored_job(
+            spec,
+            priority=priority,
+            accepted_ms=self.rig.store_ms,
+        )
+        self.rig.submit(job_id, job)
+
+    def started_after(self, estimated_ms: float) -> int:
+        """Return how many tasks of a later step start beside the gang."""
+        spec = StepSpec(1, HALF, estimated_ms=estimated_ms)
+        self.submit(LATER, spec, 2)
+        self.rig.round()
+        return sum(
+            order.task.startswith(LATER)
+            for worker in self.rig.workers_by_id.values()
+            for order in worker.started
+        )
+
+    def test_work_that_ends_in_time(self) -> None:
+        self.assertEqual(1, self.started_after(2000))
+
+    def test_work_that_would_delay_the_gang(self) -> None:
+        self.assertEqual(0, self.started_after(9000))
+
+
 class TestGangThatNeverFits(TestCase):
     """It kept workers that others could use until the end of the day."""
 
