Test the policies on cells and traffic of unlike shapes

Cause: the users ask that nothing is fitted to a deployment, and no test showed it.

Ruled out: a check that passes whatever the policies do.

--- /dev/null
+++ b/tests/test_unlike_cells.py
@@ -0,0 +1,157 @@
+"""Policies on cells and traffic of unlike shapes, in virtual time.
+
+Pattern: a new customer whose workers, kinds of jobs and estimates are like no
+other's. No policy may need to be told of them; each follows what it sees.
+"""
+
+from collections.abc import Iterator
+
+import msgspec
+from testtools import TestCase
+
+from apricotlead.protocol.cell_workers import EndKind
+from tests.virtual_cell import Kind, Shape, VirtualDay
+
+# What the users ask of a new deployment on days with trouble.
+_TARGET = 0.79
+_SEEDS = (1, 2)
+# Draws with a slow worker that were seen to fail.
+_SLOW_WORKER_SEEDS = (4, 8, 9, 10, 11)
+# Thrown away work beyond this share of the room is a fault of the policy.
+_MOST_THROWN_AWAY = 0.01
+_SLOWNESS = 4.0
+# So many ends tell that a worker is slow.
+_KNOWN_AFTER = 4
+
+_SHAPES = (
+    Shape(
+        'few small workers',
+        workers=((8, 8, 1.0),),
+        kinds=(
+            Kind('lookups', 1 / 3, 0.3),
+            Kind('batches', 1 / 3, 2, cores=2, tasks=3, priority=1),
+            Kind('gangs', 1 / 3, 4, cores=4, tasks=4, gang=True, priority=2),
+        ),
+    ),
+    Shape(
+        'workers of two sizes',
+        workers=((10, 16, 1.0), (5, 96, 1.0)),
+        kinds=(
+            Kind('lookups', 1 / 3, 1, cores=2),
+            Kind('batches', 1 / 3, 3, cores=14, tasks=2, priority=1),
+            Kind('gangs', 1 / 3, 6, cores=40, tasks=3, gang=True, priority=2),
+        ),
+    ),
+    Shape(
+        'one kind that leaves a quarter of each worker',
+        workers=((40, 4, 1.0),),
+        kinds=(Kind('lookups', 3 / 4, 1.5, cores=3),),
+    ),
+    Shape(
+        'gangs of a quarter of the cell',
+        workers=((12, 64, 1.0),),
+        kinds=(
+            Kind('lookups', 1 / 2, 1, cores=4),
+            Kind('gangs', 1 / 2, 8, cores=30, tasks=6, gang=True, priority=1),
+        ),
+    ),
+)
+
+
+def _shapes(
+    load: float,
+    seeds: tuple[int, ...] = _SEEDS,
+    **changes: object,
+) -> Iterator[Shape]:
+    """Return all shapes, with a share of the processors in use."""
+    for shape in _SHAPES:
+        for seed in seeds:
+            kinds = tuple(
+                msgspec.structs.replace(kind, load=load * kind.load)
+                for kind in shape.kinds
+            )
+            yield msgspec.structs.replace(
+                shape,
+                kinds=kinds,
+                seed=seed,
+                **changes,
+            )
+
+
+def _with_bias(shape: Shape, bias: float) -> Shape:
+    """Return a shape whose last kind is estimated wrongly."""
+    *kinds, last = shape.kinds
+    wrong = msgspec.structs.replace(last, bias=bias)
+    return msgspec.structs.replace(shape, kinds=(*kinds, wrong))
+
+
+def _with_slow_worker(shape: Shape) -> Shape:
+    """Return a shape with one worker that is slow from the beginning."""
+    (count, cores, pace), *others = shape.workers
+    workers = ((count - 1, cores, pace), *others, (1, cores, _SLOWNESS))
+    return msgspec.structs.replace(shape, workers=workers)
+
+
+class TestUnlikeCells(TestCase):
+    """The same bounds hold for each shape."""
+
+    def assert_served(self, day: VirtualDay, shape: Shape) -> None:
+        for kind in shape.kinds:
+            earned = day.earned(kind=kind.name)
+            where = f'{kind.name}, {shape.name}, seed {shape.seed}'
+            self.assertGreaterEqual(earned, _TARGET, where)
+
+    def assert_slow_worker_spared(self, shape: Shape) -> None:
+        day = VirtualDay(shape).play()
+        self.assert_served(day, shape)
+        cores = shape.workers[-1][1]
+        self.assertLess(
+            day.slow_share(_KNOWN_AFTER),
+            cores / shape.cores / 2,
+            f'{shape.name}, seed {shape.seed}',
+        )
+
+    def test_enough_room_serves_all_kinds(self) -> None:
+        for shape in _shapes(0.7):
+            self.assert_served(VirtualDay(shape).play(), shape)
+
+    def test_wrong_estimates_throw_no_work_away(self) -> None:
+        for plain in _shapes(0.5):
+            for bias in (0.25, 4.0):
+                shape = _with_bias(plain, bias)
+                day = VirtualDay(shape).play()
+                self.assert_served(day, shape)
+                room = shape.cores * shape.lasts_s
+                thrown_away = day.thrown_away_core_s / room
+                self.assertLess(thrown_away, _MOST_THROWN_AWAY, shape.name)
+
+    def test_a_slow_worker_costs_no_more_than_its_room(self) -> None:
+        for plain in _shapes(0.5):
+            self.assert_slow_worker_spared(_with_slow_worker(plain))
+
+    def test_a_slow_worker_in_draws_that_failed(self) -> None:
+        """Gangs go to a worker known as slow when they fit nowhere else."""
+        for plain in _shapes(0.5, _SLOW_WORKER_SEEDS):
+            self.assert_slow_worker_spared(_with_slow_worker(plain))
+
+    def test_a_flood_of_one_organisation_falls_on_itself(self) -> None:
+        for plain in _shapes(1.4, demands=(8.0, 1.0, 1.0)):
+            # The others send half of what they may.
+            rate = sum(kind.rate(plain.cores) for kind in plain.kinds)
+            weight = rate / 5
+            shape = msgspec.structs.replace(
+                plain,
+                weights=(weight, weight, weight),
+            )
+            day = VirtualDay(shape).play()
+            for organisation in ('org1', 'org2'):
+                earned = day.earned(organisation=organisation)
+                where = f'{shape.name}, seed {shape.seed}'
+                self.assertGreaterEqual(earned, _TARGET, where)
+
+    def test_nothing_runs_twice(self) -> None:
+        for shape in _shapes(1.2):
+            day = VirtualDay(shape).play()
+            tasks = sum(arrival.kind.tasks for arrival in day.arrivals)
+            self.assertLessEqual(day.ends_by_kind[EndKind.DONE], tasks)
+            self.assertEqual(0, day.open_count, shape.name)
