Tell no counts of waiting jobs before a term has read them

Cause: callers who asked how many jobs wait were told 0 while a new term still read the jobs; its counts were taken from an empty table, and were told to followers, too.

Before and after: tests/test_cell_candidate.py TestCounts, an instance whose store takes 0.3 s to list the jobs, and one that follows such a term: both told {} before, now nothing until the jobs are known, or the last word of the term before while that is fresh.

The status says whether the scheduler knows all jobs.

--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -29,9 +29,10 @@
 
     ``store_lost`` asks the followers to take over, since the scheduler cannot
     reach the store; ``is_released`` does so after its last write, since it
-    stops. ``pending_by_queue`` counts jobs that have not begun. ``rank`` is
-    the place of the follower that asked among the scheduler's deputies,
-    ``None`` for one that is no deputy.
+    stops. ``pending_by_queue`` counts jobs that have not begun; it and
+    ``backlog`` tell nothing until the scheduler has read all jobs
+    (``is_loaded``). ``rank`` is the place of the follower that asked among the
+    scheduler's deputies, ``None`` for one that is no deputy.
     """
 
     epoch: int = 0
@@ -41,6 +42,7 @@
     pending_by_queue: dict[str, int] = {}
     backlog: Backlog = Backlog()
     rank: int | None = None
+    is_loaded: bool = False
 
 
 class FollowerCall(Struct, frozen=True, omit_defaults=True):
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -117,9 +117,14 @@
             self._term.end(RELEASED)
 
     def status(self) -> SchedulerStatus | None:
-        """Return the scheduler's last word unless it is too old."""
+        """Return the last word of a scheduler that knew all jobs.
+
+        ``None`` if that is too old. A term that has just begun knows none.
+        """
         if self._term is not None and not self._term.ended_why:
-            return self._term.followers.status()
+            status = self._term.followers.status()
+            if status.is_loaded:
+                return status
         if boot_now() - self._status_read_s > _STATUS_FRESH_S:
             return None
         return self._status
@@ -240,8 +245,9 @@
                 break
             was_active = True
             self._rank = status.rank
-            self._status = status
-            self._status_read_s = boot_now()
+            if status.is_loaded:
+                self._status = status
+                self._status_read_s = boot_now()
             self._scheduler_address = owner.peer_address
             status, loss = self._watch(owner)
         self._scheduler_address = ''
--- a/src/apricotlead/transport/cell_follower_calls.py
+++ b/src/apricotlead/transport/cell_follower_calls.py
@@ -28,6 +28,7 @@
     pending_by_queue: dict[str, int] = {}
     backlog: Backlog = Backlog()
     ranks_by_address: dict[str, int] = {}
+    is_loaded: bool = False
 
 
 class FollowerCalls:
@@ -83,6 +84,7 @@
             summary.pending_by_queue,
             summary.backlog,
             summary.ranks_by_address.get(peer_address),
+            summary.is_loaded,
         )
 
     def watch(self, call: FollowerCall) -> SchedulerStatus:
@@ -123,7 +125,8 @@
     def _fresh_summary(self) -> _Summary:
         """Return the costly part of the status, counted lately."""
         now = boot_now()
-        if now - self._summary.made_s > _SUMMARY_S:
+        is_old = now - self._summary.made_s > _SUMMARY_S
+        if is_old or not self._summary.is_loaded:
             self._followers.drop_silent(now)
             jobs = self._state.scheduler.jobs
             self._summary = _Summary(
@@ -131,5 +134,6 @@
                 jobs.pending_by_queue(),
                 jobs.backlog(now),
                 rank_deputies(self._times, self._followers.candidates()),
+                self._state.is_loaded,
             )
         return self._summary
--- a/src/apricotlead/transport/cell_links.py
+++ b/src/apricotlead/transport/cell_links.py
@@ -47,6 +47,7 @@
         'changed',
         'ended_why',
         'has_failed',
+        'is_loaded',
         'journaled',
         'scheduler',
     )
@@ -64,6 +65,8 @@
         self.ended_why = ''
         # Whether a fault in a part has ended the term.
         self.has_failed = False
+        # Whether the scheduler knows all jobs of the store.
+        self.is_loaded = False
 
     @property
     def epoch(self) -> int:
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -57,7 +57,6 @@
         '_green_threads',
         '_hedge_s',
         '_holds',
-        '_is_loaded',
         '_journal',
         '_links',
         '_orders',
@@ -104,7 +103,6 @@
         )
         # Wakes the journal after a round of placement.
         self._planned = WakeUp()
-        self._is_loaded = False
 
     @property
     def ended_why(self) -> str:
@@ -180,7 +178,7 @@
 
         ``False`` while the term still reads all rows, which hold it.
         """
-        if self._is_loaded and not self.ended_why:
+        if self._state.is_loaded and not self.ended_why:
             self.take_job_row(row)
             return True
         return False
@@ -239,7 +237,7 @@
         for speeds in pages[3]:
             self.scheduler.speeds.load(speeds)
         self.scheduler.workers.restore_missing(now)
-        self._is_loaded = True
+        self._state.is_loaded = True
         self._links.log(
             'jobs loaded',
             epoch=self._state.epoch,
--- a/tests/test_cell_candidate.py
+++ b/tests/test_cell_candidate.py
@@ -1,12 +1,14 @@
-"""Claims of the scheduler's term when the store loses answers."""
+"""Claims of the scheduler's term, and what a term tells that has begun."""
 
 from typing import Any
 
 import msgspec
 from testtools import TestCase
 
-from apricotlead.coordination.cell.election import OWNER_KEY
-from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.coordination.cell.election import OWNER_KEY, takeover
+from apricotlead.coordination.cell.job_rows import job_key
+from apricotlead.coordination.cell.settings import CellSettings, ElectionTimes
+from apricotlead.protocol.cell_peers import SchedulerStatus
 from apricotlead.protocol.table import (
     Committed,
     Row,
@@ -19,7 +21,10 @@
 from apricotlead.transport.cell_links import CellLinks
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.serving import pause, run_in_background
-from tests.cell_rig import cell_config
+from tests.cell_rig import cell_config, stored_job
+
+_LIST_S = 0.3
+_JOB = msgspec.to_builtins(stored_job())
 
 
 class LossyStore:
@@ -50,24 +55,78 @@
         return Committed({OWNER_KEY: version}, 100)
 
 
+class SlowStore(LossyStore):
+    """Holds one job, and takes a while to list it."""
+
+    def scan_rows(self, prefix: str) -> Rows:
+        pause(_LIST_S)
+        job = Row(job_key('00000000000000aa'), 1, _JOB)
+        rows = (job,) if job.key.startswith(prefix) else ()
+        return Rows(rows, 1, 100)
+
+
+class ReadingScheduler:
+    """A scheduler whose term still reads the jobs."""
+
+    def watch(self, *call: object) -> SchedulerStatus:
+        pause(0.05)
+        return SchedulerStatus(1, is_active=True)
+
+
+def _run_candidate(
+    store: LossyStore,
+    peers: ReadingScheduler | None = None,
+) -> CellCandidate:
+    """Let an instance follow, or claim the term."""
+    links = CellLinks(
+        store,
+        None,
+        'registry//',
+        lambda row: None,
+        lambda address, question: None,
+        lambda kind, **fields: None,
+        CellMetrics(),
+    )
+    own = OwnIdentity('i1', 'peer1', 1)
+    candidate = CellCandidate(links, peers, own, CellSettings())
+    candidate.set_view(CellView(cell_config(), 0))
+    run_in_background(candidate.run)
+    return candidate
+
+
+class TestCounts(TestCase):
+    """Callers were told that no job waits while a new term read them."""
+
+    def test_a_term_tells_no_counts_before_it_knows_all_jobs(self) -> None:
+        candidate = _run_candidate(SlowStore())
+        told: list[dict[str, int]] = []
+        for _ in range(100):
+            pause(0.02)
+            status = candidate.status()
+            if status is not None:
+                told.append(status.pending_by_queue)
+        candidate.stop()
+        pause(0.2)
+        self.assertEqual({'lookups': 1}, told[0])
+
+    def test_a_follower_takes_no_counts_of_such_a_term(self) -> None:
+        store = LossyStore()
+        _, claim = takeover(store.row, 'i2', 'peer2', 100, ElectionTimes())
+        store.transact(claim)
+        candidate = _run_candidate(store, ReadingScheduler())
+        pause(0.3)
+        status = candidate.status()
+        candidate.stop()
+        pause(0.2)
+        self.assertIsNone(status)
+
+
 class TestLostClaim(TestCase):
     """A claim whose answer was lost begins the term that it wrote."""
 
     def test_one_claim_is_enough(self) -> None:
         store = LossyStore()
-        links = CellLinks(
-            store,
-            None,
-            'registry//',
-            lambda row: None,
-            lambda address, question: None,
-            lambda kind, **fields: None,
-            CellMetrics(),
-        )
-        own = OwnIdentity('i1', 'peer1', 1)
-        candidate = CellCandidate(links, None, own, CellSettings())
-        candidate.set_view(CellView(cell_config(), 0))
-        run_in_background(candidate.run)
+        candidate = _run_candidate(store)
         pause(0.8)
         candidate.stop()
         pause(0.2)
