Read stops by run in the model of unlike cells

Ruled out: a change of what the model does; a run is stopped by an order for it. Before and after: tests/test_unlike_cells.py fails to read the workers, then passes. Conclusion: no code of the product changes.

--- a/tests/virtual_cell.py
+++ b/tests/virtual_cell.py
@@ -309,7 +309,7 @@
         ends_s: float,
     ) -> EndKind | None:
         run = worker.running_by_task[task]
-        if known.stops_by_task.get(task, -1) >= run:
+        if (task, run) in known.runs_to_stop:
             return EndKind.STOPPED
         return EndKind.DONE if ends_s <= self._rig.now else None
 
