--- /dev/null
+++ b/tests/accounting/__init__.py
@@ -0,0 +1,1 @@
+"""Random schedules that check what the scheduler counts of runs and room."""
--- /dev/null
+++ b/tests/accounting/orders.py
@@ -0,0 +1,183 @@
+"""Events of orders: sent, lost, late, refused, carried out."""
+
+from functools import partial
+
+from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.protocol.cell_workers import (
+    OrderReply,
+    Refusal,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+)
+from apricotlead.state.cell_jobs import StepState
+from tests.accounting.state import LIMIT, AccountingState
+
+_REFUSALS = (Refusal.UNHEALTHY, Refusal.MALFORMED, Refusal.NOT_SENT)
+
+
+class OrderEvents(AccountingState):
+    """Orders on their way to workers."""
+
+    def send_one(self) -> None:
+        """Send a start that the journal holds."""
+        if self.sending:
+            start = self.rng.choice(self.sending)
+            if not self._send(start, is_calm=False):
+                self.sending.remove(start)
+
+    def _send(self, start: PlannedStart, *, is_calm: bool) -> bool:
+        """Send a start; tell whether it is sent again."""
+        order = self.scheduler.starts.start_order(start, self.now)
+        if order is None:
+            return False
+        chance = 0.0 if is_calm else self.rng.random()
+        reply = self._start_reply(start.worker.entry, order, chance)
+        answered = partial(self._start_answered, start, reply, self.now)
+        if 0.5 < chance < 0.7:
+            self._later(answered)
+            return False
+        return self.scheduler.starts.start_answered(
+            start, reply, self.now, self.now
+        )
+
+    def _start_reply(
+        self,
+        entry: WorkerEntry,
+        order: StartOrder,
+        chance: float,
+    ) -> OrderReply:
+        worker_id = entry.worker_id
+        machine = self._reachable(worker_id)
+        if machine is None or chance > 0.9:
+            if machine is not None and self.rng.random() < 0.5:
+                self._later(
+                    partial(self._carry_out_late, entry, order, self.term),
+                    outlives_term=True,
+                )
+            return OrderReply(Refusal.UNANSWERED)
+        if chance > 0.8:
+            return OrderReply(self.rng.choice(_REFUSALS))
+        reply = self._carry_out(worker_id, order)
+        return OrderReply(Refusal.UNANSWERED) if chance > 0.7 else reply
+
+    def _start_answered(
+        self,
+        start: PlannedStart,
+        reply: OrderReply,
+        sent_s: float,
+    ) -> None:
+        answered = self.scheduler.starts.start_answered
+        if answered(start, reply, sent_s, self.now):
+            self.sending.append(start)
+
+    def _carry_out(self, worker_id: str, order: object) -> OrderReply:
+        machine = self._alive(worker_id)
+        if machine is None:
+            return OrderReply(Refusal.NOT_SENT)
+        self.note(f'{worker_id} gets {order}')
+        machine.pass_time(self.now)
+        if isinstance(order, StopOrder):
+            return machine.stop(order, self.now)
+        reply = machine.start(order, self.now)
+        if reply.refusal is None:
+            self.run_count += 1
+            self.taken_runs.add((order.task, order.run))
+            self._check_start(order.task)
+        return reply
+
+    def _carry_out_late(
+        self,
+        entry: WorkerEntry,
+        order: StartOrder,
+        term: int,
+    ) -> None:
+        """Carry out a start late, unless no scheduler could know of it.
+
+        A later life under the id has seen neither an epoch nor a run, so it
+        would take a start of a former term, and a repeat of one whose run the
+        former life has had.
+        """
+        machine = self._alive(entry.worker_id)
+        if machine is None:
+            return
+        is_known = term != self.term or (
+            (order.task, order.run) in self.taken_runs
+        )
+        if machine.entry.born_ms == entry.born_ms or not is_known:
+            self._carry_out(entry.worker_id, order)
+
+    def _check_start(self, task: str) -> None:
+        """Check that a task neither runs elsewhere nor was done."""
+        genuine = 0
+        was_done = False
+        for other in self.machines:
+            other.pass_time(self.now)
+            genuine += sum(
+                name == task and not state.is_stray
+                for (name, _), state in other.runs.items()
+            )
+            was_done = was_done or task in other.noted_done_tasks
+        if genuine > 1:
+            self.fail([f'{task} runs twice'])
+        known = self.scheduler.book.task(task)
+        if known is None:
+            return
+        step = known.step
+        if was_done and not step.spec.long_running:
+            self.fail([f'{task} starts after it was done'])
+        for index in step.spec.after:
+            if not step.job.steps_by_key[step.occurrence, index].is_done:
+                self.fail([f'{task} starts before the step that it follows'])
+        self._check_quota(step)
+
+    def _check_quota(self, step: StepState) -> None:
+        """Check an organisation's limit; a task more is allowed."""
+        organisation = step.job.stored.organisation
+        running = [
+            self.scheduler.book.task(name)
+            for machine in self.machines
+            for (name, _), state in machine.runs.items()
+            if not state.is_stray
+        ]
+        used_millis = sum(
+            task.step.demand().cpu_millis
+            for task in running
+            if task and task.step.job.stored.organisation == organisation
+        )
+        if used_millis > LIMIT.cpu_millis + step.demand().cpu_millis:
+            self.fail([f'{organisation} runs {used_millis}, over its limit'])
+
+    def send_stops(self) -> None:
+        """Send the stops that are due; some answers are lost or late."""
+        for entry, order in self.scheduler.starts.stops_due(self.now):
+            self._send_stop(entry, order, is_calm=False)
+
+    def _send_stop(
+        self,
+        entry: WorkerEntry,
+        order: StopOrder,
+        *,
+        is_calm: bool,
+    ) -> None:
+        worker_id = entry.worker_id
+        chance = 0.0 if is_calm else self.rng.random()
+        if self._reachable(worker_id) is None or chance > 0.9:
+            return
+        if chance > 0.8:
+            late = partial(self._carry_out, worker_id, order)
+            self._later(late, outlives_term=True)
+            return
+        reply = self._carry_out(worker_id, order)
+        if reply.refusal is not None or chance > 0.6:
+            return
+        acked = partial(self._stop_acked, worker_id, order)
+        if chance > 0.4:
+            self._later(acked)
+        else:
+            acked()
+
+    def _stop_acked(self, worker_id: str, order: StopOrder) -> None:
+        self.scheduler.book.stop_acked(
+            worker_id, order.task, order.run, self.now
+        )
--- /dev/null
+++ b/tests/accounting/rig.py
@@ -0,0 +1,240 @@
+"""Random schedules of everything that a scheduler of runs may meet."""
+
+from functools import partial
+
+from apricotlead.coordination.cell.job_rows import cancel_key
+from apricotlead.protocol.cell_jobs import StepSpec
+from apricotlead.protocol.cell_workers import (
+    EndKind,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import Row
+from tests.accounting.checks import crowded, faults, placed_runs, unfinished
+from tests.accounting.ends import EndEvents
+from tests.accounting.state import LIMIT
+from tests.cell_rig import stored_job
+
+_MACHINES = 6
+# The job whose tasks last; they leave room for the largest gang.
+_LASTING_JOB = 3
+_JOB_ID = '016x'
+_ORGANISATIONS = ('clerks', 'judges')
+_SMALL = Resources(300, 256, 0)
+_CALM_STEP_S = 0.2
+_CALM_WORK_S = 0.7
+# Leases, pauses and the repeats of runs are over by then.
+_CALM_S = 60.0
+
+
+class AccountingRig(EndEvents):
+    """Plays a random schedule and checks the books after each event."""
+
+    def __init__(self, seed: int) -> None:
+        """Begin with some machines and no jobs."""
+        super().__init__(seed)
+        for _ in range(_MACHINES):
+            self.add_machine()
+
+    def play(self, event_count: int) -> None:
+        """Carry out random events, then let all calm down."""
+        events = (
+            (self.submit_one, 6),
+            (self.cancel_one, 1),
+            (self.read_again, 1),
+            (self.plan, 14),
+            (self.begin_write, 10),
+            (self.end_write, 12),
+            (self.send_one, 20),
+            (self.send_stops, 10),
+            (self.hold_one, 30),
+            (self.end_one, 12),
+            (self.hand_over, 0.7),
+            (self.silence_one, 1),
+            (self.heal_one, 1.5),
+            (self.replace_one, 0.6),
+            (self.drain_one, 0.3),
+            (self.unlist_one, 0.4),
+            (self.register_one, 2),
+            (self.add_stray, 1.5),
+            (self.wait, 14),
+            (self.wait_long, 0.3),
+        )
+        runs = [run for run, _ in events]
+        weights = [weight for _, weight in events]
+        for _ in range(event_count):
+            run = self.rng.choices(runs, weights)[0]
+            self.note(run.__name__)
+            run()
+            self.check()
+        self.calm()
+
+    def check(self) -> None:
+        """Compare the books with what they count."""
+        notes = self.scheduler.book.notes
+        self.scheduler.book.notes = []
+        for kind, fields in notes:
+            if kind != 'cell state':
+                self.note(f'{kind} {fields}')
+        written = [
+            put.key.rpartition('/')[2]
+            for put in (
+                self.under_way[0].transaction.puts if self.under_way else ()
+            )
+        ]
+        found = faults(
+            self.scheduler.book,
+            written,
+            self.live_runs(),
+            LIMIT,
+        )
+        if found:
+            self.fail(found)
+
+    def submit_one(self) -> None:
+        """Submit a job of one to three steps."""
+        self.job_count += 1
+        count = self.rng.choice((1, 1, 2, 3))
+        steps = tuple(self._step(index) for index in range(count))
+        organisation = self.rng.choice(_ORGANISATIONS)
+        job = stored_job(*steps, organisation=organisation)
+        row = self.submit(format(self.job_count, _JOB_ID), job)
+        self.submitted_rows.append(row)
+
+    def _step(self, index: int) -> StepSpec:
+        rng = self.rng
+        after = (index - 1,) if index and rng.random() < 0.7 else ()
+        if self.job_count == _LASTING_JOB:
+            return StepSpec(1, _SMALL, long_running=True)
+        is_gang = rng.random() < 0.4
+        return StepSpec(
+            rng.choice((2, 3, 4)) if is_gang else rng.choice((1, 2, 5)),
+            Resources(rng.choice((500, 1000, 2000)), 512, 0),
+            estimated_ms=rng.choice((0, 500, 3000)),
+            after=after,
+            checkpoints=rng.random() < 0.3,
+            gang=is_gang,
+            max_per_worker=rng.choice((0, 0, 1, 2)),
+        )
+
+    def cancel_one(self) -> None:
+        """Cancel a job."""
+        if self.job_count:
+            number = self.rng.randint(1, self.job_count)
+            self._cancel(format(number, _JOB_ID))
+
+    def _cancel(self, job_id: str) -> None:
+        key = cancel_key(job_id)
+        self.version += 1
+        row = Row(key, self.version, 1)
+        self.rows_by_key[key] = row
+        self.scheduler.jobs.job_row(row, self.now)
+
+    def read_again(self) -> None:
+        """Let a read of a job's row that began long ago arrive."""
+        if self.submitted_rows:
+            row = self.rng.choice(self.submitted_rows)
+            self.scheduler.jobs.job_row(row, self.now)
+
+    def plan(self) -> None:
+        """Place what waits."""
+        before = placed_runs(self.scheduler.book)
+        self.scheduler.plan(self.now, [])
+        found = crowded(self.scheduler.book, before)
+        if found:
+            self.fail(found)
+
+    def begin_write(self) -> None:
+        """Begin a write of the journal, unless one is under way."""
+        if self.under_way is None:
+            self.under_way = self.scheduler.take_batch(self.now)
+
+    def end_write(self) -> None:
+        """Let the write under way become durable."""
+        if self.under_way is None:
+            return
+        batch, starts = self.under_way
+        self.under_way = None
+        self.write(batch.transaction)
+        self.scheduler.committed(batch, self.version, self.store_ms, self.now)
+        self.sending.extend(starts)
+
+    def hand_over(self) -> None:
+        """Begin another term, perhaps in the middle of a write."""
+        self.note(f'term {self.term} ends')
+        if self.under_way is not None and self.rng.random() < 0.5:
+            self.write(self.under_way[0].transaction)
+        for start in self.sending:
+            order = self.scheduler.starts.start_order(start, self.now)
+            if order is not None and self.rng.random() < 0.5:
+                entry = start.worker.entry
+                self._later(
+                    partial(self._carry_out_late, entry, order, self.term),
+                    outlives_term=True,
+                )
+        self.begin_term()
+
+    def wait(self) -> None:
+        """Let a little time pass."""
+        self._pass(self.rng.uniform(0.01, 0.5))
+
+    def wait_long(self) -> None:
+        """Let more time pass than a lease lasts, without calls."""
+        for _ in range(20):
+            self._pass(self.rng.uniform(0.2, 0.6))
+
+    def _pass(self, duration_s: float) -> None:
+        self.now += duration_s
+        due = [each for each in self.later if each[0] <= self.now]
+        self.later = [each for each in self.later if each[0] > self.now]
+        self.rng.shuffle(due)
+        for _, run in due:
+            run()
+            self.check()
+        for machine in self.machines:
+            machine.pass_time(self.now)
+        self._break_gangs()
+        self.scheduler.tick(self.now)
+
+    def calm(self) -> None:
+        """Let all be reached and all work end; then nothing may be left."""
+        self.note('calm')
+        self.end_write()
+        for machine in self.machines:
+            machine.is_reachable = True
+            self._register(machine)
+        ends_s = self.now + _CALM_S
+        while self.now < ends_s and self._has_work():
+            self._calm_step()
+            self.check()
+        if self._has_work():
+            self.fail(self._left())
+
+    def _calm_step(self) -> None:
+        self._pass(_CALM_STEP_S)
+        for machine in self.machines:
+            for (task, run), state in tuple(machine.runs.items()):
+                known = self.scheduler.book.task(task)
+                lasts = known is not None and known.step.spec.long_running
+                if not lasts and self.now - state.began_s > _CALM_WORK_S:
+                    self._end(machine, task, run, EndKind.DONE)
+        for worker_id in sorted(self.scheduler.book.workers_by_id):
+            self._hold(worker_id, is_calm=True)
+        self.plan()
+        self.begin_write()
+        self.end_write()
+        for entry, order in self.scheduler.starts.stops_due(self.now):
+            self._send_stop(entry, order, is_calm=True)
+        self.sending = [
+            start for start in self.sending if self._send(start, is_calm=True)
+        ]
+
+    def _has_work(self) -> bool:
+        return bool(self._left())
+
+    def _left(self) -> list[str]:
+        running = {
+            (machine.entry.worker_id, task, run)
+            for machine in self.machines
+            for task, run in machine.runs
+        }
+        return unfinished(self.scheduler.book, running)
--- /dev/null
+++ b/tests/accounting/state.py
@@ -0,0 +1,110 @@
+"""What a random schedule keeps, and how it fails."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from apricotlead.coordination.cell.journal import JournalBatch
+from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.protocol.cell_config import OrganisationConfig
+from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import Row
+from tests.accounting.machine import Machine
+from tests.cell_rig import CellRig
+
+LIMIT = Resources(9000, 0, 0)
+_ORGANISATIONS = ('clerks', 'judges')
+# Events that a failure shows.
+_TRACED = 400
+
+
+class AccountingState(CellRig):
+    """The machines, what is under way, and what has happened so far."""
+
+    def __init__(self, seed: int) -> None:
+        """Begin with some machines and no jobs."""
+        self.rng = random.Random(seed)
+        self.machines: list[Machine] = []
+        self.term = 0
+        self.under_way: tuple[JournalBatch, list[PlannedStart]] | None = None
+        self.sending: list[PlannedStart] = []
+        # Answers and carried out orders that come later: when, and what.
+        self.later: list[tuple[float, Callable[[], None]]] = []
+        self.held_worker_ids: set[str] = set()
+        self.job_count = 0
+        self.taken_runs: set[tuple[str, int]] = set()
+        self.submitted_rows: list[Row] = []
+        self.machine_count = 0
+        self.trace: list[str] = []
+        self.run_count = 0
+        super().__init__()
+
+    def take_over(self) -> None:
+        """Begin the first term without machines."""
+        self.config = msgspec.structs.replace(
+            self.config,
+            organisations=tuple(
+                OrganisationConfig(name, ('key',), 100.0, LIMIT)
+                for name in _ORGANISATIONS
+            ),
+        )
+        self.begin_term()
+
+    def begin_term(self) -> None:
+        """Begin a term; what was under way in the former one is lost."""
+        self.term += 1
+        self.under_way = None
+        self.sending = []
+        self.held_worker_ids = set()
+        super().begin_term()
+
+    def note(self, text: str) -> None:
+        """Remember an event for a failure."""
+        self.trace.append(f'{self.now:.2f} {text}')
+
+    def fail(self, found: list[str]) -> None:
+        """Stop with what is wrong and what came before."""
+        raise AssertionError('\n'.join((*self.trace[-_TRACED:], *found)))
+
+    def live_runs(self) -> list[tuple[str, str, int]]:
+        """Return all that runs, or has an end that is not acknowledged."""
+        found: list[tuple[str, str, int]] = []
+        for machine in self.machines:
+            name = machine.entry.worker_id
+            found.extend((name, task, run) for task, run in machine.runs)
+            found.extend((name, end.task, end.run) for end in machine.ended)
+        return found
+
+    def _later(
+        self,
+        run: Callable[[], object],
+        *,
+        outlives_term: bool = False,
+    ) -> None:
+        """Have something happen later; answers are lost with the term."""
+        term = self.term
+        at_s = self.now + self.rng.uniform(0.05, 1.5)
+
+        def happen() -> None:
+            if outlives_term or term == self.term:
+                run()
+
+        self.later.append((at_s, happen))
+
+    def _any_machine(self) -> Machine | None:
+        return self.rng.choice(self.machines) if self.machines else None
+
+    def _alive(self, worker_id: str) -> Machine | None:
+        return next(
+            (
+                each
+                for each in self.machines
+                if each.entry.worker_id == worker_id
+            ),
+            None,
+        )
+
+    def _reachable(self, worker_id: str) -> Machine | None:
+        machine = self._alive(worker_id)
+        return machine if machine and machine.is_reachable else None
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -10,7 +10,7 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Row
 from apricotlead.state.cell_workers import WorkerState
-from tests.accounting_rig import AccountingRig
+from tests.accounting.rig import AccountingRig
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
--- a/tests/test_cell_gang_rooms.py
+++ b/tests/test_cell_gang_rooms.py
@@ -117,16 +117,12 @@
         self.assertEqual(first, second)
 
 
-class TestBackfilling(TestCase):
-    """Short work used nothing of what stood idle for a gang."""
+class TwoWorkersCase(TestCase):
+    """A cell of two workers."""
 
     def setUp(self) -> None:
         super().setUp()
         self.rig = CellRig(*(ModelWorker(f'w{each}') for each in range(2)))
-        self.submit(BATCH, StepSpec(1, WHOLE, estimated_ms=10_000), 0)
-        self.rig.round()
-        gang = StepSpec(2, WHOLE, estimated_ms=9000, gang=True)
-        self.submit(GANG, gang, 1)
 
     def submit(self, job_id: str, spec: StepSpec, priority: int) -> None:
         job = stored_job(
@@ -136,16 +132,30 @@
         )
         self.rig.submit(job_id, job)
 
+    def started(self, job_id: str) -> int:
+        return sum(
+            order.task.startswith(job_id)
+            for worker in self.rig.workers_by_id.values()
+            for order in worker.started
+        )
+
+
+class TestBackfilling(TwoWorkersCase):
+    """Short work used nothing of what stood idle for a gang."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.submit(BATCH, StepSpec(1, WHOLE, estimated_ms=10_000), 0)
+        self.rig.round()
+        gang = StepSpec(2, WHOLE, estimated_ms=9000, gang=True)
+        self.submit(GANG, gang, 1)
+
     def started_after(self, estimated_ms: float) -> int:
         """Return how many tasks of a later step start beside the gang."""
         spec = StepSpec(1, HALF, estimated_ms=estimated_ms)
         self.submit(LATER, spec, 2)
         self.rig.round()
-        return sum(
-            order.task.startswith(LATER)
-            for worker in self.rig.workers_by_id.values()
-            for order in worker.started
-        )
+        return self.started(LATER)
 
     def test_work_that_ends_in_time(self) -> None:
         self.assertEqual(1, self.started_after(2000))
@@ -154,31 +164,14 @@
         self.assertEqual(0, self.started_after(9000))
 
 
-class TestGangThatNeverFits(TestCase):
+class TestGangThatNeverFits(TwoWorkersCase):
     """It kept workers that others could use until the end of the day."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        self.rig = CellRig(*(ModelWorker(f'w{each}') for each in range(2)))
-
-    def submit(self, job_id: str, spec: StepSpec, priority: int) -> None:
-        job = stored_job(
-            spec,
-            priority=priority,
-            accepted_ms=self.rig.store_ms,
-        )
-        self.rig.submit(job_id, job)
-
     def assert_later_step_starts(self, count: int) -> None:
         """Submit a step that fills all workers."""
         self.submit(LATER, StepSpec(count, HALF, estimated_ms=9000), priority=2)
         self.rig.pass_time(1)
-        started = [
-            order.task.partition('.')[0]
-            for worker in self.rig.workers_by_id.values()
-            for order in worker.started
-        ]
-        self.assertEqual(count, started.count(LATER))
+        self.assertEqual(count, self.started(LATER))
 
     def test_for_want_of_memory(self) -> None:
         demand = Resources(1000, 20000)
