--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -50,7 +50,6 @@
     ``expired_keys`` are the rows of final jobs that may go.
     """
     job_ids = list(book.dirty_job_ids)[:_MOST_JOBS]
-    is_whole = len(job_ids) == len(book.dirty_job_ids)
     puts = list(extra_puts)
     planned: list[tuple[TaskState, int]] = []
     final_jobs: list[JobRun] = []
@@ -68,7 +67,7 @@
         owner_transaction(owner, owner_version, tuple(puts), expired_keys),
         owner,
         planned,
-        _acks(book) if is_whole else [],
+        _acks(book),
         final_jobs,
         now,
     )
@@ -90,8 +89,14 @@
 
 
 def _acks(book: RunBook) -> list[tuple[WorkerState, int]]:
-    return [
-        (worker, worker.reported_through)
-        for worker in book.workers_by_id.values()
-        if worker.reported_through > worker.acked_through
-    ]
+    """Return the ends of which all effects are in this write or before it.
+
+    Pattern: a slow store. Each write then leaves some jobs over, so ends that
+    waited for a write of all of them would never be acknowledged.
+    """
+    acks: list[tuple[WorkerState, int]] = []
+    for worker in book.workers_by_id.values():
+        through = worker.durable_through(book.dirty_job_ids)
+        if through > worker.acked_through:
+            acks.append((worker, through))
+    return acks
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -308,7 +308,7 @@
     ) -> None:
         for ended in report.ended:
             if ended.number > worker.reported_through:
-                worker.reported_through = ended.number
+                worker.note_end(ended)
                 self._ends.apply(worker, ended, now)
 
     def _pause_failing(self, worker: WorkerState, now: float) -> None:
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -1,6 +1,9 @@
 """The workers of the cell as the elected scheduler sees them."""
 
-from apricotlead.protocol.cell_workers import WorkerEntry
+from collections import deque
+from collections.abc import Container
+
+from apricotlead.protocol.cell_workers import EndedTask, WorkerEntry
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import TaskState
 from apricotlead.state.worker_lease import WorkerLease
@@ -13,6 +16,7 @@
     """One life of a worker; times are local seconds."""
 
     __slots__ = (
+        '_unacked_ends',
         'acked_through',
         'doubted_s',
         'drain_ends_s',
@@ -52,6 +56,8 @@
         self.speed = WorkerSpeed()
         self.acked_through = 0
         self.reported_through = 0
+        # The numbers and jobs of the ends between the two, oldest first.
+        self._unacked_ends: deque[tuple[int, str]] = deque()
         self.not_before_s = 0.0
         # When an order that was left without an answer was given up waiting
         # for; the worker is in doubt until it answers anything later.
@@ -113,6 +119,26 @@
         if task.step.spec.long_running:
             self.idle_room = self.idle_room + task.step.demand()
 
+    def note_end(self, ended: EndedTask) -> None:
+        """Note an end whose effect the journal may not hold yet."""
+        self.reported_through = ended.number
+        job_id = ended.task.partition('.')[0]
+        self._unacked_ends.append((ended.number, job_id))
+
+    def durable_through(self, dirty_job_ids: Container[str]) -> int:
+        """Return up to which end no job has changes left to be journaled."""
+        for number, job_id in self._unacked_ends:
+            if job_id in dirty_job_ids:
+                return number - 1
+        return self.reported_through
+
+    def acked(self, through: int) -> None:
+        """Note that ends up to ``through`` may be acknowledged."""
+        self.acked_through = max(self.acked_through, through)
+        ends = self._unacked_ends
+        while ends and ends[0][0] <= self.acked_through:
+            ends.popleft()
+
     def add_stray(self, name: str, run: int, demand: Resources) -> None:
         """Count the room of a run that must not be here, once."""
         if (name, run) not in self.strays_by_run:
--- /dev/null
+++ b/tests/test_cell_held_room.py
@@ -0,0 +1,81 @@
+"""Work that cannot proceed takes nothing from work that can."""
+
+from collections.abc import Iterable
+
+from testtools import TestCase
+
+from apricotlead.protocol.cell_config import AdvicePolicy
+from apricotlead.protocol.cell_workers import AdviceAnswer
+from apricotlead.protocol.resources import Resources
+from tests.cell_rig import CellRig, ModelWorker, stored_job
+
+LATER = 'f' * 16
+FIRST = 'a' * 16
+WHOLE = Resources(16000, 1024)
+POLICY = AdvicePolicy(100, 1, 2000)
+ASKERS = ('peer1', 'peer2', 'peer3')
+
+
+def job_id(number: int) -> str:
+    return format(number, '016x')
+
+
+def make_workers(count: int) -> tuple[ModelWorker, ...]:
+    return tuple(ModelWorker(f'w{each}') for each in range(count))
+
+
+def answer_all(rig: CellRig, good: Iterable[str]) -> list[str]:
+    """Plan, answer all calls alike; return the steps that were asked about."""
+    asked_s = rig.now
+    calls = rig.scheduler.plan(rig.now, list(ASKERS))
+    rig.pass_time(0.5)
+    answer = AdviceAnswer(dict.fromkeys(good, 'ticket'), 2000)
+    for call in calls:
+        rig.scheduler.advice.answered(call, answer, asked_s, rig.now)
+    return [each.step for each in calls]
+
+
+class TestAcknowledgements(TestCase):
+    """Ends whose effects are durable are acknowledged, however much waits.
+
+    A worker lists at most 500 ends, so later ones were never heard of.
+    """
+
+    def test_a_journal_that_falls_behind(self) -> None:
+        rig = CellRig(*make_workers(2))
+        rig.submit(FIRST, stored_job())
+        rig.round()
+        task = f'{FIRST}.0.0.0'
+        worker = next(
+            each
+            for each in rig.workers_by_id.values()
+            if task in each.running_by_task
+        )
+        worker.end(task)
+        rig.hold(worker.entry.worker_id)
+        for number in range(20):
+            # More jobs change between two writes than a write takes.
+            for each in range(90):
+                rig.submit(job_id(number * 90 + each), stored_job())
+            for job in rig.scheduler.book.jobs_by_id.values():
+                rig.scheduler.book.touch(job)
+            rig.journal()
+        state = rig.scheduler.book.workers_by_id[worker.entry.worker_id]
+        self.assertEqual(1, state.acked_through)
+
+    def test_an_end_that_the_journal_does_not_hold(self) -> None:
+        """The end would be forgotten by all if the term ended now."""
+        rig = CellRig(ModelWorker('w1'))
+        rig.submit(FIRST, stored_job())
+        rig.round()
+        for number in range(90):
+            rig.submit(job_id(number), stored_job())
+            job = rig.scheduler.book.jobs_by_id[job_id(number)]
+            rig.scheduler.book.touch(job)
+        rig.workers_by_id['w1'].end(f'{FIRST}.0.0.0')
+        rig.hold('w1')
+        rig.journal()
+        state = rig.scheduler.book.workers_by_id['w1']
+        self.assertEqual(0, state.acked_through)
+        rig.journal()
+        self.assertEqual(1, state.acked_through)
