Bound the steps of a round for each service by itself

What callers saw: none has reported it. In a cell of several services, 61 steps that wait for a full service kept all steps of an idle one behind them from being tried.

Cause: the bound of a round's work, and the share of free processors that lifts it, were counted over the whole cell. A small idle service does not make half of a cell free.

Evidence: tests/test_cell_held_room.py TestServices: a step with an idle worker of its own did not start within a second before this change; it does after it.

Ruled out: no bound at all (a round in a full cell would weigh all that waits).

Why it works: a step is left only for others that want the same workers. The bound on a round's work grows with the number of services that are full, not with what waits.

--- a/src/apricotlead/coordination/cell/placement_round.py
+++ b/src/apricotlead/coordination/cell/placement_round.py
@@ -6,6 +6,7 @@
 for few workers, leaves what it cannot use to those behind it.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from math import ceil
 
@@ -28,10 +29,10 @@
 
     __slots__ = (
         '_best_rooms',
-        '_free_cpu',
+        '_free_cpu_by_service',
         '_soon_cpu_by_worker',
         '_soon_free_cpu',
-        '_whole_cpu',
+        '_whole_cpu_by_service',
         'absent',
         'askers',
         'calls',
@@ -64,18 +65,21 @@
             worker_id: max(0, room.cpu) + _soon_cpu(room.worker)
             for worker_id, room in self.rooms_by_worker.items()
         }
-        self._free_cpu = sum(max(0, room.cpu) for room in self.rooms)
-        self._whole_cpu = sum(
-            worker.entry.capacity.cpu_millis for worker in workers
-        )
+        self._free_cpu_by_service: Counter[str] = Counter()
+        self._whole_cpu_by_service: Counter[str] = Counter()
+        for room in self.rooms:
+            entry = room.worker.entry
+            self._free_cpu_by_service[entry.service] += max(0, room.cpu)
+            whole = entry.capacity.cpu_millis
+            self._whole_cpu_by_service[entry.service] += whole
         for worker in absent:
             self._soon_cpu_by_worker[worker.worker_id] = _soon_cpu(worker)
         self._soon_free_cpu = sum(self._soon_cpu_by_worker.values())
 
-    @property
-    def is_half_free(self) -> bool:
-        """Tell whether more than half of the processors are free."""
-        return self._free_cpu * 2 > self._whole_cpu
+    def is_half_free(self, service: str) -> bool:
+        """Tell whether more than half of a service's processors are free."""
+        free = self._free_cpu_by_service[service]
+        return free * 2 > self._whole_cpu_by_service[service]
 
     def rooms_of(self, worker_ids: Iterable[str]) -> list[Room]:
         """Return the rooms of some workers that take work."""
@@ -126,7 +130,8 @@
         """Note that a task was placed."""
         task, room = choice
         cpu_millis = task.step.demand().cpu_millis
-        self._free_cpu -= cpu_millis
+        service = room.worker.entry.service
+        self._free_cpu_by_service[service] -= cpu_millis
         self._take_soon(room.worker.worker_id, cpu_millis)
 
     def _soon_places(self, step: StepState, worker: WorkerState) -> int:
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -1,5 +1,7 @@
 """One round of placement over all waiting steps."""
 
+from collections import Counter
+
 from apricotlead.coordination.cell.advice_book import AdviceBook, AdviceCall
 from apricotlead.coordination.cell.advice_planning import AdvicePlanner
 from apricotlead.coordination.cell.gang_rooms import GangRooms
@@ -26,8 +28,8 @@
 _HELD_BACK = frozenset((WaitReason.MEMBERS, WaitReason.LIMIT))
 # Gangs that wait so keep workers until they fit.
 _WITHOUT_ROOM = frozenset((WaitReason.ROOM, WaitReason.TURN))
-# Steps that could not be placed in a round, before the rest is left. While
-# half of the cell is free all are tried: those in front may never fit.
+# Steps of a service that could not be placed in a round, before its others are
+# left. While half of it is free all are tried: those in front may never fit.
 _MOST_BLOCKED_STEPS = 60
 
 
@@ -61,18 +63,20 @@
             return []
         planning = self._begin_round(now, askers)
         self._gangs.begin(planning.rooms)
-        blocked = 0
+        blocked: Counter[str] = Counter()
         steps = sorted(
             self._book.ready_steps_by_name.values(),
             key=lambda step: order_key(step, now, self._book.estimate_errors),
         )
         for step in steps:
             reason: WaitReason | None = WaitReason.ORDER
-            if blocked <= _MOST_BLOCKED_STEPS or planning.is_half_free:
+            service = step.job.stored.service
+            is_tried = blocked[service] <= _MOST_BLOCKED_STEPS
+            if is_tried or planning.is_half_free(service):
                 before = step.waiting_count
                 reason = self._place_waiting(step, planning)
                 is_blocked = step.waiting_count == before
-                blocked += is_blocked and reason not in _HELD_BACK
+                blocked[service] += is_blocked and reason not in _HELD_BACK
             step.waits.note(reason, now)
         return planning.calls
 
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -5,9 +5,10 @@
 from testtools import TestCase
 
 from apricotlead.protocol.cell_config import AdvicePolicy
+from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.cell_workers import AdviceAnswer
 from apricotlead.protocol.resources import Resources
-from tests.cell_rig import CellRig, ModelWorker, stored_job
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 LATER = 'f' * 16
 FIRST = 'a' * 16
@@ -79,3 +80,20 @@
         self.assertEqual(0, state.acked_through)
         rig.journal()
         self.assertEqual(1, state.acked_through)
+
+
+class TestServices(TestCase):
+    """Steps of a full service do not keep those of an idle one waiting."""
+
+    def test_many_steps_that_wait_for_another_service(self) -> None:
+        full = [ModelWorker(f'full{each}') for each in range(4)]
+        idle = ModelWorker('idle', service='captions')
+        rig = CellRig(*full, idle)
+        filling = StepSpec(4, WHOLE, estimated_ms=60000)
+        rig.submit('e' * 16, stored_job(filling))
+        rig.round()
+        for number in range(70):
+            rig.submit(job_id(number), stored_job(StepSpec(1, SMALL)))
+        rig.submit(LATER, stored_job(service='captions', priority=1))
+        rig.pass_time(1)
+        self.assertEqual(1, len(idle.started))
