Let steps ask about free room that those before cannot use

A step with free workers that may run it did not ask for advice, for as long as gangs or wide tasks before it waited for runs of a minute.

Cause: each waiting step claims room by worker, up to what the worker has when idle. It claims that also where a long run keeps it from fitting, so two or three wide steps claim all room of a cell in which little runs.

Evidence: tests/test_cell_held_room.py TestClaims, both fail before this change: five gangs of whole workers beside one small run on each of 20 workers, and three steps of tasks that are just too wide.

Ruled out: clipping each worker's claims at its room (a trial mended the gangs, not the wide steps); counting only runs whose estimates end soon (estimates are far off).

Why it works: a step without a share of the room that becomes free may claim room that is free now. Steps before it took what they can use of that; in a full cell there is none.

--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -73,6 +73,9 @@
         reason = planning.claim_soon(step, len(tasks), workers)
         if step.job.stored.advice is None:
             return WaitReason.ROOM
+        if reason is WaitReason.TURN:
+            workers = self._possible_workers(step, planning)
+            reason = planning.claim_free(step, len(tasks), workers)
         if reason is not None:
             return reason
         advice = self._advice.advice(step.name)
--- a/src/apricotlead/coordination/cell/placement_round.py
+++ b/src/apricotlead/coordination/cell/placement_round.py
@@ -4,6 +4,10 @@
 room while their tickets are valid, in the order of the steps. Each one claims
 that room on workers that may run it, so one that cannot run there, or waits
 for few workers, leaves what it cannot use to those behind it.
+
+Pattern: wide tasks that wait for runs of minutes. They claim room that does
+not become free while their tickets are valid. A step for which nothing is
+left may therefore ask about room that is free now: none before it took that.
 """
 
 from collections import Counter
@@ -16,6 +20,7 @@
     Room,
     places_in,
 )
+from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import StepState
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.wait_times import WaitReason
@@ -29,7 +34,9 @@
 
     __slots__ = (
         '_best_rooms',
+        '_claimed_cpu_by_worker',
         '_free_cpu_by_service',
+        '_largest_free_cpu',
         '_soon_cpu_by_worker',
         '_soon_free_cpu',
         '_whole_cpu_by_service',
@@ -72,6 +79,11 @@
             self._free_cpu_by_service[entry.service] += max(0, room.cpu)
             whole = entry.capacity.cpu_millis
             self._whole_cpu_by_service[entry.service] += whole
+        # Of the room that is free now.
+        self._claimed_cpu_by_worker: dict[str, int] = {}
+        self._largest_free_cpu = max(
+            (each.cpu for each in self.rooms), default=0
+        )
         for worker in absent:
             self._soon_cpu_by_worker[worker.worker_id] = _soon_cpu(worker)
         self._soon_free_cpu = sum(self._soon_cpu_by_worker.values())
@@ -126,6 +138,37 @@
             self._take_soon(worker_id, count * step.demand().cpu_millis)
         return WaitReason.TURN if left == task_count else None
 
+    def claim_free(
+        self,
+        step: StepState,
+        task_count: int,
+        workers: Iterable[WorkerState],
+    ) -> WaitReason | None:
+        """Claim room that is free now, for a step whose turn has not come.
+
+        A gang claims all that it needs. Returns why there is none, ``None``
+        where there is some.
+        """
+        cpu_millis = step.demand().cpu_millis
+        if cpu_millis > self._largest_free_cpu:
+            return WaitReason.TURN
+        left = task_count
+        claims: list[tuple[str, int]] = []
+        for worker in workers:
+            count = min(left, self._free_places(step, worker.worker_id))
+            if count:
+                claims.append((worker.worker_id, count))
+                left -= count
+            if not left:
+                break
+        if not claims or (step.spec.gang and left):
+            return WaitReason.TURN
+        for worker_id, claimed in claims:
+            known = self._claimed_cpu_by_worker.get(worker_id, 0)
+            total = known + claimed * cpu_millis
+            self._claimed_cpu_by_worker[worker_id] = total
+        return None
+
     def take(self, choice: Choice) -> None:
         """Note that a task was placed."""
         task, room = choice
@@ -134,6 +177,18 @@
         self._free_cpu_by_service[service] -= cpu_millis
         self._take_soon(room.worker.worker_id, cpu_millis)
 
+    def _free_places(self, step: StepState, worker_id: str) -> int:
+        """Return how many tasks fit on a worker beside what is claimed."""
+        room = self.rooms_by_worker.get(worker_id)
+        if room is None:
+            return 0
+        cpu_millis = room.cpu - self._claimed_cpu_by_worker.get(worker_id, 0)
+        # Few workers of a busy cell pass this; the rest costs more.
+        if cpu_millis < step.demand().cpu_millis:
+            return 0
+        free = Resources(cpu_millis, room.memory, room.accelerators)
+        return places_in(step, free)
+
     def _soon_places(self, step: StepState, worker: WorkerState) -> int:
         """Return how many tasks find some room soon, the last one in part."""
         soon_cpu = self._soon_cpu_by_worker.get(worker.worker_id, 0)
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -97,3 +97,51 @@
         rig.submit(LATER, stored_job(service='captions', priority=1))
         rig.pass_time(1)
         self.assertEqual(1, len(idle.started))
+
+
+class TestClaims(TestCase):
+    """A step claims no room that stays taken while its ticket is valid."""
+
+    def test_gangs_that_wait_for_long_runs(self) -> None:
+        """Four of them claimed all, so a step with room never asked."""
+        rig = CellRig(*make_workers(20))
+        spread = StepSpec(20, SMALL, estimated_ms=60000, max_per_worker=1)
+        rig.submit('e' * 16, stored_job(spread))
+        rig.round()
+        for number in range(5):
+            gang = StepSpec(8, WHOLE, estimated_ms=9000, gang=True)
+            stored = stored_job(gang, accepted_ms=rig.store_ms)
+            rig.submit(job_id(number), stored)
+        restricted = stored_job(
+            advice=POLICY,
+            accepted_ms=rig.store_ms,
+            priority=1,
+        )
+        rig.submit(LATER, restricted)
+        good = tuple(rig.workers_by_id)
+        asked = [step for _ in range(8) for step in answer_all(rig, good)]
+        self.assertIn(f'{LATER}.0.0', asked)
+
+    def test_wide_steps_that_wait_for_long_runs(self) -> None:
+        """They claimed what is left beside these runs and cannot use it."""
+        rig = CellRig(*make_workers(10))
+        spread = StepSpec(8, SMALL, estimated_ms=60000, max_per_worker=1)
+        rig.submit('e' * 16, stored_job(spread))
+        rig.round()
+        busy = [
+            worker_id
+            for worker_id, worker in rig.workers_by_id.items()
+            if worker.started
+        ]
+        large = StepSpec(8, Resources(15500, 1024), estimated_ms=9000)
+        for number in range(3):
+            rig.submit(job_id(number), stored_job(large, advice=POLICY))
+        rig.submit(LATER, stored_job(StepSpec(1, SMALL), advice=POLICY))
+        for _ in range(8):
+            answer_all(rig, busy)
+        started = [
+            order.task
+            for worker in rig.workers_by_id.values()
+            for order in worker.started
+        ]
+        self.assertIn(f'{LATER}.0.0.0', started)
