Begin a lasting gang again after a member ends as done

What callers saw: none has reported it. A gang that lasts, one of whose members ended as done, never ran again (LOST for tasks that last).

Cause: such an end stands for the whole gang, so all members were called done; then only the one that had ended was made to wait again. The others stayed done for ever.

Evidence: tests/test_cell_held_room.py TestLastingGangs: no run after the ends before this change, both members in their second run after it.

Ruled out: that gangs never last: the protocol allows both for one step, and says that tasks which last are begun again however they end.

Why it works: the end of a task that lasts is treated like any other that leaves work to do: its run is freed, the other members are stopped, and the gang waits as a whole. It also no longer teaches how long work takes: such runs end by themselves at any time.

--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -33,7 +33,7 @@
         self._account(worker, task, ended.kind, now)
         if task.phase is TaskPhase.DONE:
             self._book.release_done(worker, task)
-        elif ended.kind is EndKind.DONE:
+        elif _is_final(task, ended.kind):
             self._done(worker, task, now)
         else:
             self._undone(worker, task, ended.kind, now)
@@ -121,8 +121,6 @@
         for member in members:
             if member.run == task.run:
                 self._mark_done(member)
-        if step.spec.long_running:
-            self._restart(task, now)
         self._step_done(step, now)
 
     def _step_done(self, step: StepState, now: float) -> None:
@@ -153,15 +151,6 @@
             step.longest_done_s = max(step.longest_done_s, taken_s)
             worker.speed.observe(taken_s, estimate_s)
 
-    def _restart(self, task: TaskState, now: float) -> None:
-        """Let a task that lasts wait again after it ended as done."""
-        step = task.step
-        step.done_count -= 1
-        task.phase = TaskPhase.WAITING
-        task.worker_id = ''
-        step.waiting_count += 1
-        self._book.open_steps(step.job, now)
-
     def _undone(
         self,
         worker: WorkerState,
@@ -175,8 +164,15 @@
             task.avoided_workers.add(worker.worker_id)
             task.failures += 1
             step.gang_failures += 1
+        elif kind is EndKind.DONE:
+            worker.failures_in_row = 0
         self._book.unplace(task, now)
         attempts = step.gang_failures if step.spec.gang else task.failures
         is_bounded = not step.spec.long_running
         if is_bounded and attempts >= step.job.stored.max_attempts:
             self._book.finish(step.job, JobState.FAILED, now)
+
+
+def _is_final(task: TaskState, kind: EndKind) -> bool:
+    """Tell whether a task need not run again after an end."""
+    return kind is EndKind.DONE and not task.step.spec.long_running
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -6,7 +6,7 @@
 
 from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_jobs import StepSpec
-from apricotlead.protocol.cell_workers import AdviceAnswer
+from apricotlead.protocol.cell_workers import AdviceAnswer, EndKind
 from apricotlead.protocol.resources import Resources
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
@@ -145,3 +145,24 @@
             for order in worker.started
         ]
         self.assertIn(f'{LATER}.0.0.0', started)
+
+
+class TestLastingGangs(TestCase):
+    """A gang that lasts begins again however it ends."""
+
+    def test_one_member_ends_as_done(self) -> None:
+        """The end stood for all members, and one of them waited again."""
+        rig = CellRig(*make_workers(2))
+        gang = StepSpec(2, SMALL, gang=True, long_running=True)
+        rig.submit(FIRST, stored_job(gang))
+        rig.round()
+        for worker in rig.workers_by_id.values():
+            for task in tuple(worker.running_by_task):
+                worker.end(task, EndKind.DONE)
+        rig.pass_time(2)
+        runs = [
+            run
+            for each in rig.workers_by_id.values()
+            for run in each.running_by_task.values()
+        ]
+        self.assertEqual([2, 2], runs)
