--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -166,3 +166,29 @@
             for run in each.running_by_task.values()
         ]
         self.assertEqual([2, 2], runs)
+
+
+class TestLoweredLimits(TestCase):
+    """An organisation under half of its limit may begin a task.
+
+    Tasks of more than what is left of it waited for ever (LOST); the platform
+    allows one task beyond the limit (QUOTA).
+    """
+
+    def started(self, limit: int, *demands: int) -> int:
+        """Return how many tasks begin of jobs of two."""
+        rig = CellRig(ModelWorker('w1'), limit=Resources(limit, 0))
+        for number, cpu_millis in enumerate(demands):
+            spec = StepSpec(2, Resources(cpu_millis, 1024))
+            rig.submit(job_id(number), stored_job(spec))
+        rig.round()
+        return len(rig.workers_by_id['w1'].started)
+
+    def test_task_of_more_than_the_limit(self) -> None:
+        self.assertEqual(1, self.started(500, 1000))
+
+    def test_task_of_more_than_what_is_left(self) -> None:
+        self.assertEqual(3, self.started(2100, 500, 1200))
+
+    def test_nothing_more_at_half_of_the_limit(self) -> None:
+        self.assertEqual(2, self.started(2000, 500, 1200))
