Keep no workers for gangs while half of their service is free

What callers saw: none has reported it.

Cause: a gang that cannot run keeps workers until it fits, however long the runs there last. A later step that may run only there gets nothing meanwhile, although most of these workers is free. The first gang may keep all that it needs, also the whole cell.

Ruled out: 'Keep no workers for gangs that those workers cannot hold' (this gang fits when the worker is idle); a longest time for what is kept (a gang may need a long run's end and then has to begin again); counting only runs that end soon by their estimates.

A restricted gang may wait longer in a cell that is half free.

Why it works: the rule of progress holds while half of the service is free, and a gang with room for it twice over is placed then without keeping anything.

--- a/src/apricotlead/coordination/cell/gang_rooms.py
+++ b/src/apricotlead/coordination/cell/gang_rooms.py
@@ -4,7 +4,9 @@
 at once by a step that needs less, so a wide gang never finds enough at one
 time. The first gangs in order therefore keep some of their workers: steps
 that come later get nothing on these, and those that come before use them
-last. What is kept at a time is bounded, since it stands idle in part.
+last. What is kept at a time is bounded, since it stands idle in part, and
+nothing is kept while half of the gang's service is free: steps that need the
+kept workers would wait beside them for as long as their runs last.
 
 All other gangs that wait, and may run on few workers, leave word what one of
 their tasks needs there, so that smaller tasks go where they break no such
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -143,7 +143,8 @@
             return
         rooms = self._asking.good_rooms(step, planning)
         self._gangs.want(step, rooms)
-        if reason in _WITHOUT_ROOM:
+        is_busy = not planning.is_half_free(step.job.stored.service)
+        if reason in _WITHOUT_ROOM and is_busy:
             self._gangs.keep(step, rooms)
 
     def _within_limit(
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -147,6 +147,36 @@
         self.assertIn(f'{LATER}.0.0.0', started)
 
 
+class TestKeptWorkers(TestCase):
+    """What a gang waits for is not kept for as long as other runs last."""
+
+    def test_gang_that_waits_for_long_runs(self) -> None:
+        rig = CellRig(*make_workers(4))
+        spread = StepSpec(
+            4,
+            Resources(7000, 1024),
+            estimated_ms=60000,
+            max_per_worker=1,
+        )
+        rig.submit('e' * 16, stored_job(spread))
+        rig.round()
+        gang = StepSpec(
+            4,
+            Resources(10000, 1024),
+            estimated_ms=20000,
+            gang=True,
+        )
+        rig.submit(job_id(1), stored_job(gang))
+        rig.submit(LATER, stored_job(StepSpec(1, SMALL)))
+        rig.pass_time(3)
+        started = [
+            order.task
+            for worker in rig.workers_by_id.values()
+            for order in worker.started
+        ]
+        self.assertIn(f'{LATER}.0.0.0', started)
+
+
 class TestLastingGangs(TestCase):
     """A gang that lasts begins again however it ends."""
 
--- a/tests/test_cell_progress.py
+++ b/tests/test_cell_progress.py
@@ -92,6 +92,8 @@
     *(14, 30, 124, 160),
     # A gang that memory does not let fit kept workers for itself.
     *(123, 147),
+    # A gang kept a worker, most of it free, for as long as its runs lasted.
+    40,
 )
 _FRESH_SEEDS = tuple(range(1001, 1009))
 
