--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -6,6 +6,8 @@
 carried out late fails.
 """
 
+from itertools import islice
+
 import msgspec
 from msgspec import Struct
 
@@ -20,6 +22,8 @@
 # The platform takes 100 entries in a transaction: the owner row takes two, the
 # rows of leases, speeds and expired jobs take up to 18.
 _MOST_JOBS = 76
+# It takes 1 MB, and a task 40 to 70 bytes of that.
+_MOST_TASKS = 8000
 
 
 class JournalBatch(Struct):
@@ -49,11 +53,10 @@
 
     ``expired_keys`` are the rows of final jobs that may go.
     """
-    job_ids = list(book.dirty_job_ids)[:_MOST_JOBS]
     puts = list(extra_puts)
     planned: list[tuple[TaskState, int]] = []
     final_jobs: list[JobRun] = []
-    for job_id in job_ids:
+    for job_id in _next_jobs(book):
         book.dirty_job_ids.pop(job_id)
         job = book.jobs_by_id.get(job_id)
         if job is None:
@@ -73,6 +76,20 @@
     )
 
 
+def _next_jobs(book: RunBook) -> list[str]:
+    """Return the jobs that changed first, as many as one write may hold."""
+    job_ids: list[str] = []
+    task_count = 0
+    for job_id in islice(book.dirty_job_ids, _MOST_JOBS):
+        job = book.jobs_by_id.get(job_id)
+        if job is not None:
+            task_count += job.task_count
+        if job_ids and task_count > _MOST_TASKS:
+            break
+        job_ids.append(job_id)
+    return job_ids
+
+
 def _progress_put(job: JobRun, store_ms: float) -> Put:
     record = job.progress()
     if job.state.is_final:
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -263,6 +263,11 @@
             self.steps_by_key[number, step.index] = step
         return steps
 
+    @property
+    def task_count(self) -> int:
+        """Return the number of tasks of all opened occurrences."""
+        return sum(len(step.tasks) for step in self.steps_by_key.values())
+
     def tasks(self) -> list[TaskState]:
         """Return the tasks of all opened occurrences."""
         return [
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import msgspec
 from testtools import TestCase
 
 from apricotlead.protocol.cell_config import AdvicePolicy
@@ -82,6 +83,30 @@
         self.assertEqual(1, state.acked_through)
 
 
+class TestSizeOfAWrite(TestCase):
+    """The platform's store refuses writes of more than 1 MB.
+
+    Such a write was repeated until the term ended, and again in the next one.
+    """
+
+    def test_many_large_jobs_that_begin_at_once(self) -> None:
+        capacity = Resources(100000, 100000)
+        worker = ModelWorker('i-0000000001', capacity=capacity)
+        rig = CellRig(worker)
+        wide = StepSpec(1500, Resources(1, 1))
+        for number in range(30):
+            rig.submit(job_id(number), stored_job(wide))
+        rig.scheduler.plan(rig.now, [])
+        batch, _ = rig.scheduler.take_batch(rig.now)
+        encoded = [
+            msgspec.json.encode(put.value) for put in batch.transaction.puts
+        ]
+        # Values travel in base64.
+        size = sum(len(value) for value in encoded) * 4 / 3
+        self.assertLess(size, 1000000)
+        self.assertLess(1, len(batch.planned))
+
+
 class TestServices(TestCase):
     """Steps of a full service do not keep those of an idle one waiting."""
 
