Play the rule of progress with lasting, long, parallel and wide work

What callers saw: nothing; the model had no lasting tasks, no labels, no steps side by side, no runs of more than 7 s, at most 24 workers, and limits that never changed.

Change: shapes tell of such work; the rule judges each task that lasts by itself, steps side by side, and labels. It leaves out gangs of which two members or more lie beyond the limit, which QUOTA forbids.

--- a/tests/faulty/cell.py
+++ b/tests/faulty/cell.py
@@ -81,11 +81,14 @@
         self._seed = seed
         self._gangs = Gangs()
         self._lives = 0
+        self.limit = shape.limit
         self.calm_s = self.now + shape.lasts_s
         for _ in range(shape.workers):
             self.add_worker()
         self.begin_term()
         self.timeline.spawn(self._arrivals())
+        if shape.later_limit is not None:
+            self.timeline.spawn(self._change_limit(shape.later_limit))
         self.timeline.spawn(self._heartbeats())
 
     @property
@@ -174,7 +177,7 @@
         self.store.write(transaction)
         scheduler = CellScheduler(
             self.surroundings.settings,
-            CellView(self.shape.config(), self.now),
+            CellView(self.shape.config(self.limit), self.now),
             owner,
             read_owner(former),
             self.now,
@@ -260,6 +263,13 @@
             yield self.random.expovariate(sum(rates))
             self.submit(self.random.choices(kinds, rates)[0])
 
+    def _change_limit(self, limit: Resources) -> Process:
+        yield self.shape.lasts_s / 2
+        self.limit = limit
+        if self.scheduler is not None:
+            view = CellView(self.shape.config(limit), self.now)
+            self.scheduler.set_view(view)
+
     def _spec(self, index: int, kind: JobKind) -> StepSpec:
         draw = self.random
         return StepSpec(
@@ -269,8 +279,11 @@
                 draw.randint(*kind.memory_mb),
             ),
             draw.uniform(*kind.work_s) * MS_PER_S,
-            after=(index - 1,) if index else (),
+            after=(index - 1,) if index and not kind.in_parallel else (),
             gang=kind.gang,
+            long_running=kind.lasting,
+            required_label=kind.label,
+            same_rack=kind.same_rack,
             max_per_worker=kind.most_per_worker,
         )
 
--- a/tests/faulty/progress_rule.py
+++ b/tests/faulty/progress_rule.py
@@ -3,11 +3,15 @@
 A job breaks it when for three seconds nothing of it runs while a task's turn
 has come, there is room for it twice over on workers that may run it, its
 organisation uses less than half of its limit, and less than half of the
-service's room is in use. What the scheduler believes does not count.
+service's room is in use. What the scheduler believes does not count. Each task
+that lasts is judged like a job, whether others of its job run or not.
 """
 
+from collections.abc import Iterator
+
 from msgspec import Struct
 
+from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.resources import Resources
 from tests.faulty.cell import FaultyCell
 from tests.faulty.timeline import Process
@@ -20,7 +24,7 @@
 class Breach(Struct):
     """A job that could run and did not."""
 
-    job_id: str
+    name: str
     since_s: float
     at_s: float
     why: str
@@ -33,8 +37,9 @@
         """Judge ``cell`` from ``begins_s`` on."""
         self._cell = cell
         self._begins_s = begins_s
-        self._since_s_by_job: dict[str, float] = {}
-        self.breaches_by_job: dict[str, Breach] = {}
+        self._since_s_by_name: dict[str, float] = {}
+        # By job, or by task where it lasts.
+        self.breaches_by_name: dict[str, Breach] = {}
         # The longest time for which any job could run and did not.
         self.longest_s = 0.0
 
@@ -47,32 +52,45 @@
 
     def _look(self) -> None:
         now = self._cell.now
-        could_run = set()
-        if self._is_half_free():
-            running = {
-                name.partition('.')[0]
-                for worker in self._cell.live_workers
-                for name in worker.runs_by_task
-            }
-            could_run = {
-                job_id
-                for job_id in self._cell.open_jobs()
-                if job_id not in running and self._could_run(job_id)
-            }
-        for job_id in tuple(self._since_s_by_job):
-            if job_id not in could_run:
-                self._since_s_by_job.pop(job_id)
-        for waiting_id in could_run:
-            since_s = self._since_s_by_job.setdefault(waiting_id, now)
+        could_run = set(self._idle_names()) if self._is_half_free() else set()
+        for name in tuple(self._since_s_by_name):
+            if name not in could_run:
+                self._since_s_by_name.pop(name)
+        for waiting in could_run:
+            since_s = self._since_s_by_name.setdefault(waiting, now)
             self.longest_s = max(self.longest_s, now - since_s)
             if now - since_s >= _LASTS_S:
-                self.breaches_by_job[waiting_id] = Breach(
-                    waiting_id,
+                self.breaches_by_name[waiting] = Breach(
+                    waiting,
                     since_s,
                     now,
-                    self._describe(waiting_id),
+                    self._describe(waiting.partition('.')[0]),
                 )
 
+    def _idle_names(self) -> Iterator[str]:
+        """Return the jobs, and the tasks that last, that could run."""
+        running = {
+            name
+            for worker in self._cell.live_workers
+            for name in worker.runs_by_task
+        }
+        busy_ids = {name.partition('.')[0] for name in running}
+        for job_id in self._cell.open_jobs():
+            idle_names = self._lasting_tasks(job_id) - running
+            if not idle_names and job_id not in busy_ids:
+                idle_names = {job_id}
+            if idle_names and self._could_run(job_id):
+                yield from idle_names
+
+    def _lasting_tasks(self, job_id: str) -> set[str]:
+        steps = self._cell.jobs_by_id[job_id].submission.steps
+        return {
+            f'{job_id}.0.{index}.{number}'
+            for index, spec in enumerate(steps)
+            if spec.long_running
+            for number in range(spec.task_count)
+        }
+
     def _is_half_free(self) -> bool:
         live = self._cell.live_workers
         used = sum(worker.used.cpu_millis for worker in live)
@@ -80,30 +98,57 @@
         return used * 2 < whole
 
     def _could_run(self, job_id: str) -> bool:
+        """Tell whether there is room for a step whose turn has come."""
         stored = self._cell.jobs_by_id[job_id]
+        done = self._done_steps(job_id)
+        return self._is_within_limit(stored.organisation) and any(
+            self._has_room(f'{job_id}.0.{index}', spec)
+            and self._may_exceed(stored.organisation, spec)
+            for index, spec in enumerate(stored.submission.steps)
+            if index not in done and done.issuperset(spec.after)
+        )
+
+    def _done_steps(self, job_id: str) -> set[int]:
         job = self._cell.scheduler.book.jobs_by_id.get(job_id)
-        for index, spec in enumerate(stored.submission.steps):
-            step = None if job is None else job.steps_by_key[0, index]
-            if step is not None and step.is_done:
-                continue
-            needed = spec.task_count if spec.gang else 1
-            places = sum(
-                self._places(worker, spec.demand, spec.max_per_worker)
-                for worker in self._cell.live_workers
-                if worker.is_sound
-                and self._cell.is_good(
-                    f'{job_id}.0.{index}',
-                    worker.entry.worker_id,
-                )
-            )
-            return places >= 2 * needed and self._is_within_limit(
-                stored.organisation,
+        steps = () if job is None else job.steps_by_key.values()
+        return {step.index for step in steps if step.is_done}
+
+    def _has_room(self, step: str, spec: StepSpec) -> bool:
+        """Tell whether a step has room twice over."""
+        places = 0
+        for worker in self._cell.live_workers:
+            entry = worker.entry
+            may_run = not spec.required_label or (
+                spec.required_label in entry.labels
             )
-        return False
+            is_good = self._cell.is_good(step, entry.worker_id)
+            if worker.is_sound and may_run and is_good:
+                most = spec.max_per_worker
+                places += self._places(worker, spec.demand, most)
+        needed = 2 * (spec.task_count if spec.gang else 1)
+        return places >= needed
 
     def _is_within_limit(self, organisation: str) -> bool:
-        limit = self._cell.shape.limit
-        used = sum(
+        """Tell whether an organisation uses less than half of its limit."""
+        limit = self._cell.limit
+        used = self._used_by(organisation)
+        return not limit.cpu_millis or used.cpu_millis * 2 < limit.cpu_millis
+
+    def _may_exceed(self, organisation: str, spec: StepSpec) -> bool:
+        """Tell whether all members of a gang but one fit under the limit.
+
+        The platform forbids more than one task beyond it.
+        """
+        limit = self._cell.limit
+        if not spec.gang or not limit.cpu_millis:
+            return True
+        whole = self._used_by(organisation)
+        for _ in range(spec.task_count - 1):
+            whole = whole + spec.demand
+        return whole.fits_in(limit)
+
+    def _used_by(self, organisation: str) -> Resources:
+        return sum(
             (
                 run.truth.demand
                 for worker in self._cell.live_workers
@@ -112,7 +157,6 @@
             ),
             Resources(),
         )
-        return not limit.cpu_millis or used.cpu_millis * 2 < limit.cpu_millis
 
     def _places(
         self,
--- a/tests/faulty/shape.py
+++ b/tests/faulty/shape.py
@@ -34,6 +34,11 @@
     gang: bool = False
     steps: int = 1
     most_per_worker: int = 0
+    # Steps after one another, or all at once.
+    in_parallel: bool = False
+    lasting: bool = False
+    label: str = ''
+    same_rack: bool = False
     stretch: float = 2.2
     aim_s: float = 1.0
     good: float = 1.0
@@ -63,16 +68,19 @@
     askers: int = 5
     organisations: int = 3
     limit: Resources = Resources()
+    # The limit of all organisations from the middle of the traffic on.
+    later_limit: Resources | None = None
     lasts_s: float = 20.0
 
-    def config(self) -> CellConfig:
-        """Return the configuration of the cell."""
+    def config(self, limit: Resources | None = None) -> CellConfig:
+        """Return the configuration of the cell, with another limit if given."""
+        limit = limit or self.limit
         names = (f'org{number}' for number in range(self.organisations))
         return CellConfig(
             1,
             tuple(kind.queue() for kind in self.kinds),
             tuple(
-                OrganisationConfig(name, (name,), _WEIGHT, self.limit)
+                OrganisationConfig(name, (name,), _WEIGHT, limit)
                 for name in names
             ),
         )
--- a/tests/test_cell_progress.py
+++ b/tests/test_cell_progress.py
@@ -100,7 +100,11 @@
 
 def play(seed: int) -> ProgressRule:
     """Play a seed's day."""
-    shape = SHAPES[seed % len(SHAPES)]
+    return play_shape(SHAPES[seed % len(SHAPES)], seed)
+
+
+def play_shape(shape: CellShape, seed: int) -> ProgressRule:
+    """Play a seed's day in a cell of a shape."""
     cell = FaultyCell(shape, seed)
     for name in draw_faults(seed):
         cell.timeline.spawn(inject(cell, name))
@@ -115,7 +119,7 @@
 
     def assert_progress(self, seed: int) -> None:
         rule = play(seed)
-        self.assertEqual([], list(rule.breaches_by_job.values()), seed)
+        self.assertEqual([], list(rule.breaches_by_name.values()), seed)
 
     def test_seeds_that_broke_the_rule(self) -> None:
         for seed in _FOUND_SEEDS:
--- /dev/null
+++ b/tests/test_cell_progress_shapes.py
@@ -0,0 +1,83 @@
+"""Work that could run does run, in cells of further kinds of work."""
+
+import msgspec
+from testtools import TestCase
+
+from apricotlead.protocol.resources import Resources
+from tests.faulty.progress_rule import Breach
+from tests.faulty.shape import CellShape, JobKind
+from tests.test_cell_progress import BATCHES, GANGS, LOOKUPS, play_shape
+
+LASTING = JobKind(
+    'lasting',
+    0.15,
+    (1, 5),
+    (1500, 6000),
+    (1000, 4000),
+    (2, 9),
+    lasting=True,
+)
+LASTING_GANGS = msgspec.structs.replace(
+    LASTING,
+    name='lasting gangs',
+    gang=True,
+    per_s=0.08,
+)
+LONG = msgspec.structs.replace(
+    BATCHES,
+    name='long',
+    per_s=0.4,
+    tasks=(1, 8),
+    work_s=(8, 25),
+    steps=1,
+)
+PARALLEL = msgspec.structs.replace(
+    BATCHES,
+    name='parallel',
+    steps=4,
+    in_parallel=True,
+)
+IN_A_RACK = msgspec.structs.replace(
+    GANGS,
+    name='in a rack',
+    same_rack=True,
+    label='rack1',
+    good=0.7,
+)
+WIDE = msgspec.structs.replace(
+    GANGS,
+    name='wide',
+    per_s=0.25,
+    tasks=(12, 36),
+    good=0.9,
+)
+LIMIT = Resources(90000, 400000)
+SHAPES = (
+    CellShape((LASTING, LASTING_GANGS, LOOKUPS, GANGS), workers=16),
+    CellShape((LONG, GANGS, LOOKUPS)),
+    CellShape((PARALLEL, IN_A_RACK, LONG), workers=16),
+    CellShape((WIDE, PARALLEL, LOOKUPS), workers=40),
+    CellShape(
+        (GANGS, BATCHES, LASTING),
+        limit=LIMIT,
+        later_limit=Resources(20000, 90000),
+    ),
+)
+
+
+def play_further(seed: int) -> list[Breach]:
+    """Play a seed's day in a cell of further work; return what broke."""
+    rule = play_shape(SHAPES[seed % len(SHAPES)], seed)
+    return list(rule.breaches_by_name.values())
+
+
+class TestProgressOfFurtherWork(TestCase):
+    """Lasting, long, parallel and wide work, labels and changed limits."""
+
+    def test_seeds(self) -> None:
+        for seed in range(1, 11):
+            self.assertEqual([], play_further(seed), seed)
+
+    def test_gang_of_a_task_more_than_its_limit(self) -> None:
+        """It waited until the end of the day in an idle cell."""
+        self.assertEqual([], play_further(19))
