Order the occurrences of a job by their own times

What callers saw: none has reported it. Work that is scheduled for later than three times its objective after its job's acceptance waited behind all other work, and its gangs kept no workers, however early it was.

Cause: order, slack and urgency counted from the job's acceptance, and steps that are done were looked up in the first occurrence only.

Evidence: tests/test_cell_held_room.py TestOccurrences: an occurrence counted as too late to be of use at the moment when it was due; before this change it fails.

Ruled out: counting from when a step became ready (a step after others would seem to have more time than it has).

Why it works: an occurrence counts from its own time, as the platform does. When it was due is not in the store; one that a term takes over counts from then.

--- a/src/apricotlead/coordination/cell/hold_pacing.py
+++ b/src/apricotlead/coordination/cell/hold_pacing.py
@@ -29,7 +29,7 @@
         task.step.name: task.step for task in worker.tasks_by_name.values()
     }
     return all(
-        step.spec.long_running or slack_s(step.job, now, errors) > _SPARE_S
+        step.spec.long_running or slack_s(step, now, errors) > _SPARE_S
         for step in steps.values()
     )
 
--- a/src/apricotlead/coordination/cell/job_intake.py
+++ b/src/apricotlead/coordination/cell/job_intake.py
@@ -127,7 +127,7 @@
             due_ms = submission.first_due_ms
             due_ms += job.next_occurrence * submission.interval_ms
             if due_ms <= unix_ms and not job.state.is_final:
-                job.open_occurrence()
+                job.open_occurrence(now - (unix_ms - due_ms) / _MS_PER_S)
                 self._book.open_steps(job, now)
 
     def pending_by_queue(self) -> dict[str, int]:
--- a/src/apricotlead/coordination/cell/order.py
+++ b/src/apricotlead/coordination/cell/order.py
@@ -66,18 +66,18 @@
                 yield name
 
 
-def chain_s(job: JobRun, pending_only: bool = False) -> float:
+def chain_s(job: JobRun, occurrence: int | None = None) -> float:
     """Return the longest chain of estimated work of a job, in seconds.
 
-    With ``pending_only`` steps that are done count nothing. The result is
-    kept with the job until another of its steps is done.
+    With ``occurrence`` steps of it that are done count nothing. The result is
+    kept with the job for each set of steps that are done.
     """
     done: frozenset[int] = frozenset()
-    if pending_only:
+    if occurrence is not None:
         done = frozenset(
             index
-            for (occurrence, index), step in job.steps_by_key.items()
-            if occurrence == 0 and step.is_done
+            for index in range(len(job.steps_spec))
+            if job.steps_by_key[occurrence, index].is_done
         )
     known_s = job.chains_s_by_done.get(done)
     if known_s is None:
@@ -130,7 +130,7 @@
         _is_surplus(step),
         step.job.stored.priority,
         _is_late(step, now, errors),
-        step.job.accepted_s,
+        step.job.due_s(step.occurrence),
     )
 
 
@@ -148,22 +148,24 @@
     job = step.job
     factor = errors.factor(job.stored.queue, WORTHLESS_DEVIATIONS)
     most_s = WORTHLESS_AFTER * objective_s(job, factor)
-    ends_s = now + chain_s(job, pending_only=True) * factor
-    return ends_s > job.accepted_s + most_s
+    ends_s = now + chain_s(job, step.occurrence) * factor
+    return ends_s > job.due_s(step.occurrence) + most_s
 
 
-def slack_s(job: JobRun, now: float, errors: EstimateErrors) -> float:
-    """Return the time that a job can lose and as likely as not be in time."""
+def slack_s(step: StepState, now: float, errors: EstimateErrors) -> float:
+    """Return the time that a step's job can lose and likely be in time."""
+    job = step.job
     factor = errors.factor(job.stored.queue)
-    rest_s = chain_s(job, pending_only=True) * factor
-    return job.accepted_s + objective_s(job, factor) - now - rest_s
+    rest_s = chain_s(job, step.occurrence) * factor
+    due_s = job.due_s(step.occurrence)
+    return due_s + objective_s(job, factor) - now - rest_s
 
 
 def is_urgent(step: StepState, now: float, errors: EstimateErrors) -> bool:
     """Tell whether a step has less slack than its own work takes."""
     factor = errors.factor(step.job.stored.queue)
-    rest_s = chain_s(step.job, pending_only=True) * factor
-    return slack_s(step.job, now, errors) < rest_s
+    rest_s = chain_s(step.job, step.occurrence) * factor
+    return slack_s(step, now, errors) < rest_s
 
 
 def _is_surplus(step: StepState) -> bool:
@@ -174,4 +176,4 @@
 def _is_late(step: StepState, now: float, errors: EstimateErrors) -> bool:
     """Tell whether a step's job can hardly meet its objective any more."""
     lasts = step.spec.long_running
-    return not lasts and slack_s(step.job, now, errors) < 0
+    return not lasts and slack_s(step, now, errors) < 0
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -203,6 +203,7 @@
     __slots__ = (
         'accepted_s',
         'chains_s_by_done',
+        'due_s_by_occurrence',
         'has_started',
         'is_within_weight',
         'job_id',
@@ -243,6 +244,8 @@
         self.has_started = False
         self.is_within_weight = True
         self.next_occurrence = 0
+        # Empty for a job without occurrences.
+        self.due_s_by_occurrence: dict[int, float] = {}
         # The longest chain of work left, by the steps that are done.
         self.chains_s_by_done: dict[frozenset[int], float] = {}
 
@@ -251,10 +254,19 @@
         """Return how many times the steps run."""
         return max(1, self.stored.submission.occurrences)
 
-    def open_occurrence(self) -> list[StepState]:
-        """Add the steps of the next occurrence and return them."""
+    def due_s(self, occurrence: int) -> float:
+        """Return when an occurrence's work was asked for."""
+        return self.due_s_by_occurrence.get(occurrence, self.accepted_s)
+
+    def open_occurrence(self, due_s: float | None = None) -> list[StepState]:
+        """Add the steps of the next occurrence and return them.
+
+        ``due_s`` is its time, where that is not when the job was accepted.
+        """
         number = self.next_occurrence
         self.next_occurrence += 1
+        if due_s is not None:
+            self.due_s_by_occurrence[number] = due_s
         steps = [
             StepState(self, number, index)
             for index in range(len(self.steps_spec))
@@ -302,9 +314,11 @@
 
     def restore(self, progress: JobProgress, now: float) -> None:
         """Take over what a former scheduler recorded."""
+        # When a restored occurrence was due is not kept; it counts as new.
+        due_s = now if self.stored.submission.occurrences else None
         for record in progress.steps:
             while self.next_occurrence <= record.occurrence:
-                self.open_occurrence()
+                self.open_occurrence(due_s)
             step = self.steps_by_key[record.occurrence, record.step]
             step.restore(record, now)
         self.has_started = progress.has_started
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -5,6 +5,7 @@
 import msgspec
 from testtools import TestCase
 
+from apricotlead.coordination.cell.order import order_key
 from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.cell_workers import AdviceAnswer, EndKind
@@ -223,6 +224,33 @@
         self.assertEqual([2, 2], runs)
 
 
+class TestOccurrences(TestCase):
+    """An occurrence is late by its own time, not by its job's acceptance."""
+
+    def test_order_of_a_late_occurrence(self) -> None:
+        """It waited behind all other work of its queue."""
+        rig = CellRig(ModelWorker('w1'))
+        stored = stored_job(StepSpec(1, SMALL, estimated_ms=1000))
+        submission = msgspec.structs.replace(
+            stored.submission,
+            first_due_ms=600000,
+            interval_ms=1000,
+            occurrences=2,
+        )
+        rig.submit(FIRST, stored_job(accepted_ms=rig.store_ms))
+        timed = msgspec.structs.replace(
+            stored,
+            submission=submission,
+            accepted_ms=rig.store_ms,
+        )
+        rig.submit(LATER, timed)
+        rig.now += 500
+        rig.scheduler.jobs.open_due(600000, rig.now)
+        step = rig.scheduler.book.ready_steps_by_name[f'{LATER}.0.0']
+        errors = rig.scheduler.book.estimate_errors
+        self.assertFalse(order_key(step, rig.now, errors)[0])
+
+
 class TestLoweredLimits(TestCase):
     """An organisation under half of its limit may begin a task.
 
