Put the claims of a round into a module of their own

Cause: the round of placement held rooms, two kinds of claims and the load of services. Ruled out: a change of what is claimed. A room that a gang keeps is called reserved.

--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -69,13 +69,9 @@
         Room that the answer can be relied on to allow is kept until then.
         Returns what the tasks wait for.
         """
-        workers = self._possible_workers(step, planning)
-        reason = planning.claim_soon(step, len(tasks), workers)
+        reason = self._claim_room(step, len(tasks), planning)
         if step.job.stored.advice is None:
             return WaitReason.ROOM
-        if reason is WaitReason.TURN:
-            workers = self._possible_workers(step, planning)
-            reason = planning.claim_free(step, len(tasks), workers)
         if reason is not None:
             return reason
         advice = self._advice.advice(step.name)
@@ -86,6 +82,24 @@
             return WaitReason.ASKER
         return self._ask_about_rooms(step, tasks, planning)
 
+    def _claim_room(
+        self,
+        step: StepState,
+        task_count: int,
+        planning: PlacementRound,
+    ) -> WaitReason | None:
+        """Claim the room that tasks may be asked about for.
+
+        Returns why there is none, ``None`` where there is some.
+        """
+        workers = self._possible_workers(step, planning)
+        reason = planning.soon.claim(step, task_count, workers)
+        if reason is not WaitReason.TURN or step.job.stored.advice is None:
+            return reason
+        workers = self._possible_workers(step, planning)
+        lasts_s = planning.lasts_s(step)
+        return planning.free.claim(step, task_count, workers, lasts_s)
+
     def _possible_workers(
         self,
         step: StepState,
@@ -165,7 +179,7 @@
         fitting = [
             room.worker.worker_id
             for room in planning.rooms_of(advice.good_workers())
-            if room.fits(step.demand()) and not room.is_taken_over
+            if room.fits(step.demand()) and not room.is_reserved
         ]
         spare = [name for name in fitting if name not in names]
         return spare[: len(names) // _CHOSEN_FOR_EACH_SPARE + 1]
--- a/src/apricotlead/coordination/cell/gang_rooms.py
+++ b/src/apricotlead/coordination/cell/gang_rooms.py
@@ -73,7 +73,7 @@
             if needed <= 0:
                 break
             count = places_in(step, room.worker.idle_room)
-            if count and not room.is_taken_over:
+            if count and not room.is_reserved:
                 needed -= count
                 kept.append(room)
         if needed > 0:
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -48,7 +48,7 @@
         self.accelerators = capacity.accelerators - used.accelerators
 
     @property
-    def is_taken_over(self) -> bool:
+    def is_reserved(self) -> bool:
         """Tell whether a gang keeps the room in this round."""
         return self.open_for_s < inf
 
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -72,7 +72,7 @@
             reason: WaitReason | None = WaitReason.ORDER
             service = step.job.stored.service
             is_tried = blocked[service] <= _MOST_BLOCKED_STEPS
-            if is_tried or planning.is_half_free(service):
+            if is_tried or planning.load.is_half_free(service):
                 before = step.waiting_count
                 reason = self._place_waiting(step, planning)
                 is_blocked = step.waiting_count == before
@@ -145,7 +145,7 @@
             return
         rooms = self._asking.good_rooms(step, planning)
         self._gangs.want(step, rooms)
-        is_busy = not planning.is_half_free(step.job.stored.service)
+        is_busy = not planning.load.is_half_free(step.job.stored.service)
         if reason in _WITHOUT_ROOM and is_busy:
             self._gangs.keep(step, rooms, planning.now)
 
--- a/tests/test_cell_gang_rooms.py
+++ b/tests/test_cell_gang_rooms.py
@@ -88,7 +88,7 @@
         self.steps = self.rig.scheduler.book.ready_steps_by_name.values()
 
     def kept(self) -> int:
-        return sum(room.is_taken_over for room in self.rooms)
+        return sum(room.is_reserved for room in self.rooms)
 
     def test_part_of_the_workers(self) -> None:
         gangs = GangRooms()
@@ -111,7 +111,7 @@
         gangs.begin(again)
         gangs.keep(next(iter(self.steps)), again, self.rig.now)
         first, second = (
-            {room.worker.worker_id for room in rooms if room.is_taken_over}
+            {room.worker.worker_id for room in rooms if room.is_reserved}
             for rooms in (self.rooms, again)
         )
         self.assertEqual(first, second)
