Let an answer rule a worker out that had a ticket before

What callers saw: none has reported it. A step whose only good worker an answer calls unfit, after a new life under its id, waited for an asker for ever and was asked about no other worker.

Cause: what the answer ruled out stayed among the workers with tickets. The step chose it, had nothing to ask about it, and did not look further.

Evidence: tests/test_cell_held_room.py TestAdviceThatChanges: no call about a worker that is new before this change.

Ruled out: that it cannot come: the protocol says that the answer for a step does not change, and also that a new life may be of another kind.

Why it works: a worker is either good or ruled out, by the answer that came last.

--- a/src/apricotlead/coordination/cell/advice_book.py
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -74,6 +74,12 @@
         """Return the workers that may run the step, also without a ticket."""
         return list(self.tickets_by_worker)
 
+    def rule_out(self, worker_id: str) -> None:
+        """Note that a worker may not run the step, or not in this life."""
+        self.bad.add(worker_id)
+        self.tickets_by_worker.pop(worker_id, None)
+        self.expires_s.pop(worker_id, None)
+
     def knows(self, worker_id: str) -> bool:
         """Tell whether an answer told if a worker may run the step."""
         return worker_id in self.tickets_by_worker or worker_id in self.bad
@@ -261,8 +267,9 @@
         for worker_id in call.worker_ids:
             ticket = answer.tickets_by_worker.get(worker_id)
             if ticket is None:
-                advice.bad.add(worker_id)
+                advice.rule_out(worker_id)
                 continue
+            advice.bad.discard(worker_id)
             advice.tickets_by_worker[worker_id] = ticket
             advice.expires_s[worker_id] = expires_s
 
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -10,7 +10,7 @@
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.cell_workers import AdviceAnswer, EndKind
 from apricotlead.protocol.resources import Resources
-from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
+from tests.cell_rig import CAPACITY, SMALL, CellRig, ModelWorker, stored_job
 
 LATER = 'f' * 16
 FIRST = 'a' * 16
@@ -275,3 +275,49 @@
 
     def test_nothing_more_at_half_of_the_limit(self) -> None:
         self.assertEqual(2, self.started(2000, 500, 1200))
+
+
+class TestAdviceThatChanges(TestCase):
+    """A worker that starts again under its id may be of another kind.
+
+    It counted as one that may run the step, which was asked about no other.
+    """
+
+    def test_good_worker_that_is_ruled_out_later(self) -> None:
+        rig = CellRig(ModelWorker('w0'))
+        rig.submit(FIRST, stored_job(advice=POLICY))
+        call = rig.scheduler.plan(rig.now, list(ASKERS))[0]
+        for good in ({'w0': 'expired'}, {}):
+            answer = AdviceAnswer(good, 0)
+            rig.scheduler.advice.answered(call, answer, rig.now, rig.now)
+        other = ModelWorker('w1')
+        rig.workers_by_id['w1'] = other
+        rig.scheduler.workers.update_worker(other.entry, rig.now)
+        rig.pass_time(1)
+        asked = rig.scheduler.plan(rig.now, list(ASKERS))
+        self.assertEqual([('w1',)], [each.worker_ids for each in asked])
+
+    def test_worker_that_may_run_the_step_later(self) -> None:
+        rig = CellRig(ModelWorker('w0'))
+        rig.submit(FIRST, stored_job(advice=POLICY))
+        call = rig.scheduler.plan(rig.now, list(ASKERS))[0]
+        for good in ({}, {'w0': 'ticket'}):
+            answer = AdviceAnswer(good, 2000)
+            rig.scheduler.advice.answered(call, answer, rig.now, rig.now)
+        rig.round()
+        self.assertEqual(1, len(rig.workers_by_id['w0'].started))
+
+
+class TestWideSteps(TestCase):
+    """A gang on nearly all workers of the cell is placed."""
+
+    def test_gang_that_takes_the_whole_cell(self) -> None:
+        rig = CellRig(*make_workers(40))
+        gang = StepSpec(40, CAPACITY, estimated_ms=4000, gang=True)
+        rig.submit(FIRST, stored_job(gang, advice=POLICY))
+        for _ in range(8):
+            answer_all(rig, rig.workers_by_id)
+        started = sum(
+            len(worker.started) for worker in rig.workers_by_id.values()
+        )
+        self.assertEqual(40, started)
