Let steps claim free room only when an asker is at hand

What callers saw: none has reported it. In a made-up cell of 300 workers and 500 waiting steps, nearly idle or half full, each step went through all workers for a claim even when all askers were taken, and then waited for one.

Cause: whether a call can be made was looked at last.

Ruled out: a bound on the steps that try (those in front may never be asked about).

Why it works: such a step claims nothing, so that one with cheaper calls may.

--- a/src/apricotlead/coordination/cell/advice_book.py
+++ b/src/apricotlead/coordination/cell/advice_book.py
@@ -132,6 +132,20 @@
         is_recent = now - advice.asked_s < self._times.retry_s
         return not (advice.is_asking or is_recent)
 
+    def has_asker(
+        self,
+        policy: AdvicePolicy,
+        askers: list[str],
+        now: float,
+    ) -> bool:
+        """Tell whether a call about one worker could be made now."""
+        if not askers:
+            return False
+        cost_s = self._cost_s(1, policy)
+        asker = self._askers.choose(askers, cost_s, now)
+        backlog_s = self._askers.backlog_s(asker, now)
+        return backlog_s <= self._longest_backlog_s(cost_s)
+
     def plan_calls(
         self,
         step: str,
--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -73,7 +73,11 @@
         reason = planning.claim_soon(step, len(tasks), workers)
         if step.job.stored.advice is None:
             return WaitReason.ROOM
-        if reason is WaitReason.TURN:
+        if reason is WaitReason.TURN and self._advice.has_asker(
+            step.job.stored.advice,
+            planning.askers,
+            planning.now,
+        ):
             workers = self._possible_workers(step, planning)
             reason = planning.claim_free(step, len(tasks), workers)
         if reason is not None:
