Let tasks beyond what is left of a limit wait again

Cause: tests/test_job_stories.py (test_limit_of_the_organisation) takes it as given that a task of more than its limit waits.

Ruled out: changing that test; which of the two holds is for the maintainers to say.

--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -166,10 +166,6 @@
                 limit.accelerators,
             ),
         )
-        if _is_under_half(usage, limit):
-            # The platform allows one task beyond the limit, and takes work
-            # that waits meanwhile for lost.
-            count = max(1, count)
         if step.spec.gang and count < len(tasks):
             return []
         return tasks[: int(min(count, len(tasks)))]
@@ -199,15 +195,3 @@
     if not limit or not demand:
         return float('inf')
     return max(0, (limit - used) // demand)
-
-
-def _is_under_half(used: Resources, limit: Resources) -> bool:
-    """Tell whether less than half of a limit is used; 0 is no limit."""
-    return all(
-        not most or taken * 2 < most
-        for taken, most in (
-            (used.cpu_millis, limit.cpu_millis),
-            (used.memory_mb, limit.memory_mb),
-            (used.accelerators, limit.accelerators),
-        )
-    )
