Look for stalled steps in each service by itself

What callers saw: none has reported it. Steps of an idle service that stood still left no line, and did not move the counter, while the rest of the cell was more than half full.

Cause: the look was made only while half of the whole cell was free.

Evidence: tests/test_cell_stalled_steps.py TestServices fails before this change.

Ruled out: looking at all steps at all times (a full service has many that wait rightly).

Why it works: the rule of progress counts each service's room by itself.

--- a/src/apricotlead/coordination/cell/stalled_steps.py
+++ b/src/apricotlead/coordination/cell/stalled_steps.py
@@ -1,6 +1,6 @@
 """Steps that could run and do not, and what keeps each of them.
 
-Pattern: a cell that is half empty while accepted work stands still. Nothing
+Pattern: a service that is half empty while accepted work stands still. Nothing
 fails then, so no other line tells of it. A step counts as stalled when nothing
 of it has run for a while, although its turn has come and it would fit on
 workers that advice does not rule out, or its tasks have been chosen and do not
@@ -8,7 +8,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import Any
 
 from apricotlead.coordination.cell.advice_book import AdviceBook, StepAdvice
@@ -28,7 +28,7 @@
 
 
 class StalledSteps:
-    """Looks for stalled steps while more than half of the cell is free."""
+    """Looks for stalled steps of services more than half of which is free."""
 
     __slots__ = (
         '_advice',
@@ -54,7 +54,8 @@
             for worker in self._book.workers_by_id.values()
             if worker.takes_work(now)
         ]
-        steps = self._idle_steps() if _is_half_free(workers) else []
+        services = _half_free_services(workers)
+        steps = self._idle_steps(services) if services else []
         self._forget_others(steps)
         told_count = 0
         for step in self._some(steps):
@@ -67,11 +68,12 @@
                 told_count += 1
                 self._tell(step, workers, since_s, now)
 
-    def _idle_steps(self) -> list[StepState]:
+    def _idle_steps(self, services: Container[str]) -> list[StepState]:
         """Return the steps whose turn has come and of which nothing runs."""
         return [
             step
             for job in self._book.jobs_by_id.values()
+            if job.stored.service in services
             for step in job.steps_by_key.values()
             if _is_idle(step)
         ]
@@ -175,10 +177,12 @@
     return not any(task.phase is TaskPhase.RUNNING for task in step.tasks)
 
 
-def _is_half_free(workers: Iterable[WorkerState]) -> bool:
-    whole = sum(worker.entry.capacity.cpu_millis for worker in workers)
-    used = sum(worker.used.cpu_millis for worker in workers)
-    return used * 2 < whole
+def _half_free_services(workers: Iterable[WorkerState]) -> set[str]:
+    surplus: Counter[str] = Counter()
+    for worker in workers:
+        whole = worker.entry.capacity.cpu_millis
+        surplus[worker.entry.service] += whole - 2 * worker.used.cpu_millis
+    return {service for service, cpu in surplus.items() if cpu > 0}
 
 
 def _places(step: StepState, worker: WorkerState) -> int:
--- a/tests/test_cell_stalled_steps.py
+++ b/tests/test_cell_stalled_steps.py
@@ -32,6 +32,21 @@
         ]
 
 
+class TestServices(StalledStepsCase):
+    """Each service is looked at by itself."""
+
+    def test_idle_service_beside_a_full_one(self) -> None:
+        """No line told of its steps, since the cell was more than half full."""
+        idle = ModelWorker('idle', service='captions')
+        self.rig = CellRig(*self.workers, idle)
+        filling = StepSpec(4, WHOLE, estimated_ms=60000)
+        self.rig.submit('e' * 16, stored_job(filling))
+        self.rig.round()
+        self.rig.submit(JOB, stored_job(service='captions', advice=ADVICE))
+        self.rig.pass_time(STALLED_AFTER_S + 2)
+        self.assertEqual(f'{JOB}.0.0', self.stalled()[0]['step'])
+
+
 class TestStalledSteps(StalledStepsCase):
     """The line tells what keeps a step."""
 
