--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -94,7 +94,11 @@
         """
         workers = self._possible_workers(step, planning)
         reason = planning.soon.claim(step, task_count, workers)
-        if reason is not WaitReason.TURN or step.job.stored.advice is None:
+        policy = step.job.stored.advice
+        if reason is not WaitReason.TURN or policy is None:
+            return reason
+        # A claim without a call would only take the room from others.
+        if not self._advice.has_asker(policy, planning.askers, planning.now):
             return reason
         workers = self._possible_workers(step, planning)
         lasts_s = planning.lasts_s(step)
