--- a/src/apricotlead/coordination/cell/gang_rooms.py
+++ b/src/apricotlead/coordination/cell/gang_rooms.py
@@ -9,9 +9,8 @@
 gang's service is free: steps that need the kept workers would wait beside them
 for as long as their runs last.
 
-All other gangs that wait, and may run on few workers, leave word what one of
-their tasks needs there, so that smaller tasks go where they break no such
-place.
+The other gangs that wait mark on their workers what one of their tasks needs,
+so that smaller tasks go where they leave such places whole.
 """
 
 from collections.abc import Iterable
@@ -47,8 +46,8 @@
         self._wanted_cpu_by_worker = {}
         self._most_count = count * _KEPT_SHARE
 
-    def want(self, step: StepState, rooms: Iterable[Room]) -> None:
-        """Note what a gang that comes in its turn needs of its workers."""
+    def mark_wanted(self, step: StepState, rooms: Iterable[Room]) -> None:
+        """Mark what one task of a gang needs on the workers that may run it."""
         cpu_millis = step.demand().cpu_millis
         for room in rooms:
             worker_id = room.worker.worker_id
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -3,9 +3,9 @@
 Pattern: tasks of very unlike sizes and urgency, on workers of unlike speed.
 Tasks of a step with little slack go to the fastest workers with room, the
 others leave those free. Small tasks spare the places, and then the workers,
-that gangs wait for, where others do as well. Among equals a task goes to the worker that it fills
-best, so that whole workers stay free for gangs. A gang gets all its workers
-at once or none.
+that gangs wait for, where others do as well. Among equals a task goes to the
+worker that it fills best, so that whole workers stay free for gangs. A gang
+gets all its workers at once or none.
 """
 
 from collections.abc import Iterable
@@ -128,7 +128,7 @@
     """Choose rooms for as many tasks as fit, and take them.
 
     Rooms that gangs keep are left to work that ends in time, by ``lasts_s``.
-    For a gang that does not fit whole, nothing is taken. The tasks of a
+    For a gang that does not fit whole, nothing is taken. The tasks of an
     urgent step go to fast workers first, those of others to slower ones.
     """
     candidates = [
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -24,10 +24,10 @@
 from apricotlead.state.wait_times import WaitReason
 
 _NO_LIMIT = Resources()
-# Steps that wait so cost a round nothing.
-_HELD_BACK = frozenset((WaitReason.MEMBERS, WaitReason.LIMIT))
-# Gangs that wait so keep workers until they fit.
-_WITHOUT_ROOM = frozenset((WaitReason.ROOM, WaitReason.TURN))
+# Steps that wait for these reasons cost a round little.
+_CHEAP_REASONS = frozenset((WaitReason.MEMBERS, WaitReason.LIMIT))
+# Gangs that wait for these reasons keep workers until they fit.
+_KEEPING_REASONS = frozenset((WaitReason.ROOM, WaitReason.TURN))
 # Steps of a service that could not be placed in a round, before its others are
 # left. While half of it is free all are tried: those in front may never fit.
 _MOST_BLOCKED_STEPS = 60
@@ -76,7 +76,7 @@
                 before = step.waiting_count
                 reason = self._place_waiting(step, planning)
                 is_blocked = step.waiting_count == before
-                blocked[service] += is_blocked and reason not in _HELD_BACK
+                blocked[service] += is_blocked and reason not in _CHEAP_REASONS
             step.waits.note(reason, now)
         return planning.calls
 
@@ -144,9 +144,9 @@
         if is_hopeless or not step.job.is_within_weight:
             return
         rooms = self._asking.good_rooms(step, planning)
-        self._gangs.want(step, rooms)
+        self._gangs.mark_wanted(step, rooms)
         is_busy = not planning.load.is_half_free(step.job.stored.service)
-        if reason in _WITHOUT_ROOM and is_busy:
+        if reason in _KEEPING_REASONS and is_busy:
             self._gangs.keep(step, rooms, planning.now)
 
     def _within_limit(
--- a/src/apricotlead/coordination/cell/run_book.py
+++ b/src/apricotlead/coordination/cell/run_book.py
@@ -1,8 +1,9 @@
 """The life of runs: placing, stops, and what is counted by the way.
 
 What their ends bring about is in
-:mod:`apricotlead.coordination.cell.run_ends`. A run takes room on its worker from the moment it is chosen until the worker
-lists its end, shows that it is not there, or has certainly lost its lease.
+:mod:`apricotlead.coordination.cell.run_ends`. A run takes room on its worker
+from the moment it is chosen until the worker lists its end, shows that it is
+not there, or has certainly lost its lease.
 """
 
 from typing import Any
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -48,7 +48,7 @@
         # Grows with each run placed here.
         self.placed_count = 0
         self.used = Resources()
-        # What is free once all has ended that ends by itself.
+        # What is free without its runs, but for those of lasting tasks.
         self.idle_room = entry.capacity
         # Tasks and runs that the worker must not have or keep, oldest first.
         self.runs_to_stop: dict[tuple[str, int], None] = {}
--- a/tests/test_cell_gang_rooms.py
+++ b/tests/test_cell_gang_rooms.py
@@ -217,7 +217,7 @@
         spec = StepSpec(9, Resources(cpu_millis, 1024, 0), gang=True)
         job = JobRun(GANG, stored_job(spec), 0, 1)
         gangs = GangRooms()
-        gangs.want(job.open_occurrence()[0], self.rooms[:count])
+        gangs.mark_wanted(job.open_occurrence()[0], self.rooms[:count])
         gangs.begin(self.rooms)
 
     def chosen(self, cpu_millis: int) -> list[int]:
