Follow changes of a table from the read whose rows were taken

Each read moved the place from which changes are followed, whichever answer was used: rows written between the two were in neither. And four reads of a large table held each other up.

Before and after: tests/test_table_follower.py TestRepeatedReads: changes are asked for after the second read's version, then after that of the rows in use.

Why it works: only the answer that is taken decides from where changes are followed; each part is read at most twice at a time.

--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -42,6 +42,8 @@
 # write before it, may have lost a packet.
 _LEAST_READ_S = 0.25
 _HEDGE_AFTER = 10
+# Scans of a large table share a link; more at once would hold each other up.
+_MOST_SCANS = 2
 # Most jobs are announced; this merges the reads that bring the others.
 _JOBS_PAUSE_S = 0.2
 # Merges the workers' heartbeats into one read.
@@ -215,27 +217,29 @@
 
     def _load(self, jobs: TableFollower, registry: TableFollower) -> bool:
         """Read all jobs, progress and registrations."""
-        store = self._links.store
         # One after another they take a second in a slow store.
         pages = run_together(
             partial(self._read_all, read)
             for read in (
-                jobs.read_all,
-                partial(store.scan_rows, PROGRESS_PREFIX),
-                registry.read_all,
-                partial(store.scan_rows, LEARNED_PREFIX),
-                partial(store.scan_rows, LEASES_PREFIX),
+                partial(jobs.read_all, self._scan),
+                partial(self._scan, PROGRESS_PREFIX),
+                partial(registry.read_all, self._scan),
+                partial(self._scan, LEARNED_PREFIX),
+                partial(self._scan, LEASES_PREFIX),
             )
         )
         if None in pages:
             return False
+        job_rows, progress, entries, speeds, leases = pages
+        jobs.follow_from(job_rows)
+        registry.follow_from(entries)
         now = boot_now()
-        self.scheduler.workers.load_leases(pages[4])
-        self.scheduler.jobs.load(pages[0], pages[1], now)
-        for row in pages[2]:
+        self.scheduler.workers.load_leases(leases.rows)
+        self.scheduler.jobs.load(job_rows.rows, progress.rows, now)
+        for row in entries.rows:
             self.take_registration(row)
-        for speeds in pages[3]:
-            self.scheduler.speeds.load(speeds)
+        for learned in speeds.rows:
+            self.scheduler.speeds.load(learned)
         self.scheduler.workers.restore_missing(now)
         self._state.is_loaded = True
         self._links.log(
@@ -250,16 +254,25 @@
     def _read_all(
         self,
         read: Callable[[], Rows | StoreFailed],
-    ) -> tuple[Row, ...] | None:
+    ) -> Rows | None:
         for _ in range(_LOAD_TRIES):
             if self.ended_why:
                 return None
-            answer = hedged(read, self._hedge_s, _has_failed)
+            answer = read()
             if not isinstance(answer, StoreFailed):
-                return answer.rows
+                return answer
             eventlet.sleep(STORE_RETRY_S)
         return None
 
+    def _scan(self, prefix: str) -> Rows | StoreFailed:
+        """Read a part of a table, twice if an answer may have been lost."""
+        return hedged(
+            partial(self._links.store.scan_rows, prefix),
+            self._hedge_s,
+            _has_failed,
+            _MOST_SCANS,
+        )
+
     def _plan(self) -> None:
         """Place waiting tasks and ask for advice, also during a write."""
         while not self.ended_why:
--- a/src/apricotlead/transport/hedging.py
+++ b/src/apricotlead/transport/hedging.py
@@ -19,8 +19,9 @@
     call: Callable[[], Any],
     after_s: float,
     is_failure: Callable[[Any], bool],
+    most_calls: int = _MOST_CALLS,
 ) -> Any:
-    """Return the first good answer of a few like calls.
+    """Return the first good answer of at most ``most_calls`` like calls.
 
     The second leaves ``after_s`` seconds after the first if that has not been
     answered, each further one after twice as long. A slow service then
@@ -33,10 +34,10 @@
     open_count = 0
     wait_s: float | None = after_s
     answer = None
-    for number in range(1, _MOST_CALLS + 1):
+    for number in range(1, most_calls + 1):
         eventlet.spawn_n(_run, call, answers)
         open_count += 1
-        if number == _MOST_CALLS:
+        if number == most_calls:
             wait_s = None
         with suppress(Empty):
             answer = _checked(answers.get(timeout=wait_s))
--- a/src/apricotlead/transport/table_follower.py
+++ b/src/apricotlead/transport/table_follower.py
@@ -108,24 +108,35 @@
         self._apply(answer, read_s)
         return None
 
-    def read_all(self) -> Rows | StoreFailed:
-        """Read all parts, and go on from there with the next step."""
+    def read_all(
+        self,
+        scan: Callable[[str], Rows | StoreFailed] | None = None,
+    ) -> Rows | StoreFailed:
+        """Read all parts, by ``scan`` if given.
+
+        Changes are followed from the answer that :meth:`follow_from` takes: a
+        read that was repeated may be answered twice.
+        """
         pile = GreenPile()
         for prefix in self._prefixes:
-            pile.spawn(self._reader.scan_rows, prefix)
+            pile.spawn(scan or self._reader.scan_rows, prefix)
         pages = list(pile)
         failures = [page for page in pages if isinstance(page, StoreFailed)]
         if failures:
             return failures[0]
-        self._version = min(page.version for page in pages)
         return Rows(
             tuple(chain.from_iterable(page.rows for page in pages)),
-            self._version,
+            min(page.version for page in pages),
             max(page.store_ms for page in pages),
         )
 
+    def follow_from(self, rows: Rows) -> None:
+        """Go on with the changes since a read of all parts."""
+        self._version = rows.version
+
     def _apply(self, answer: Rows | Changes, read_s: float) -> None:
         if isinstance(answer, Rows):
+            self.follow_from(answer)
             self._listener.on_snapshot(answer.rows, read_s)
         elif answer.history_lost:
             self._log('feed history lost', table=self._table)
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -11,10 +11,13 @@
 
     def __init__(self, *answers: Changes | StoreFailed) -> None:
         self.answers = list(answers)
+        self.version = 0
+        self.asked_after: list[int] = []
         self.waits_s: list[float] = []
 
     def scan_rows(self, prefix: str) -> Rows:
-        return Rows((), 1, 1)
+        self.version += 1
+        return Rows((), self.version, 1)
 
     def changes(
         self,
@@ -23,6 +26,7 @@
         wait_s: float,
     ) -> Changes | StoreFailed:
         self.waits_s.append(wait_s)
+        self.asked_after.append(after)
         return self.answers.pop(0)
 
 
@@ -58,3 +62,41 @@
         self.assertGreater(usual_s, 0)
         self.assertEqual([usual_s, usual_s, 0, usual_s], table.waits_s)
         self.assertEqual(4, listener.confirmed)
+
+
+class TestRepeatedReads(TestCase):
+    """Rows written between two reads of a table were never heard of.
+
+    A read that took long was repeated. Its rows were those of the first
+    answer, and changes were followed from the second: jobs that callers had
+    handed in meanwhile stood still until the next term (LOST).
+    """
+
+    def test_changes_since_the_answer_in_use(self) -> None:
+        table = ScriptedTable(Changes((), 9, 1))
+        follower = TableFollower(
+            table,
+            ('jobs/0/',),
+            QuietListener(),
+            lambda kind, **fields: None,
+        )
+        first = follower.read_all()
+        follower.read_all()
+        follower.follow_from(first)
+        follower.step()
+        self.assertEqual([first.version], table.asked_after)
+
+    def test_read_that_is_not_used(self) -> None:
+        """The repeat may be answered after the rows were taken over."""
+        table = ScriptedTable(Changes((), 9, 1))
+        follower = TableFollower(
+            table,
+            ('jobs/0/',),
+            QuietListener(),
+            lambda kind, **fields: None,
+        )
+        first = follower.read_all()
+        follower.follow_from(first)
+        follower.read_all()
+        follower.step()
+        self.assertEqual([first.version], table.asked_after)
