--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -65,38 +65,34 @@
 
 
 class TestRepeatedReads(TestCase):
-    """Rows written between two reads of a table were never heard of.
+    """Rows written between two reads of a table were never taken.
 
     A read that took long was repeated. Its rows were those of the first
     answer, and changes were followed from the second: jobs that callers had
     handed in meanwhile stood still until the next term (LOST).
     """
 
-    def test_changes_since_the_answer_in_use(self) -> None:
-        table = ScriptedTable(Changes((), 9, 1))
-        follower = TableFollower(
-            table,
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = ScriptedTable(Changes((), 9, 1))
+        self.follower = TableFollower(
+            self.table,
             ('jobs/0/',),
             QuietListener(),
             lambda kind, **fields: None,
         )
-        first = follower.read_all()
-        follower.read_all()
-        follower.follow_from(first)
-        follower.step()
-        self.assertEqual([first.version], table.asked_after)
+
+    def test_changes_since_the_answer_in_use(self) -> None:
+        first = self.follower.read_all()
+        self.follower.read_all()
+        self.follower.follow_from(first)
+        self.follower.step()
+        self.assertEqual([first.version], self.table.asked_after)
 
     def test_read_that_is_not_used(self) -> None:
         """The repeat may be answered after the rows were taken over."""
-        table = ScriptedTable(Changes((), 9, 1))
-        follower = TableFollower(
-            table,
-            ('jobs/0/',),
-            QuietListener(),
-            lambda kind, **fields: None,
-        )
-        first = follower.read_all()
-        follower.follow_from(first)
-        follower.read_all()
-        follower.step()
-        self.assertEqual([first.version], table.asked_after)
+        first = self.follower.read_all()
+        self.follower.follow_from(first)
+        self.follower.read_all()
+        self.follower.step()
+        self.assertEqual([first.version], self.table.asked_after)
