--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,9 @@
 JOBS = 12
 TASKS = 60
 TASK_CPU = 80
+SUBMIT_EVERY_S = 0.5
+# When the first tasks end, after the first submission.
+FIRST_END_S = 12.0
 OUTAGE_S = 4.5
 
 
@@ -24,31 +27,25 @@
         for number in (0x6a876a1f27, 0xc5f3720820, 0xeb5e43d719)
     ]
     await cell.start(executors, config())
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
     paths = []
     for number in range(JOBS):
         path = f'/lohu930/{chance.getrandbits(64):016x}'
-        spec = {'cpu': TASK_CPU, 'work_s': 9.0 + number * 0.1}
+        work_s = began_s + FIRST_END_S + number * 0.1 - loop.time()
         body = {
-            'Spec': json.dumps(spec),
+            'Spec': json.dumps({'cpu': TASK_CPU, 'work_s': round(work_s, 3)}),
             'Steps': [{
                 'Count': TASKS, 'Cpu': TASK_CPU, 'MemMb': 100,
-                'EstimatedMs': 9000,
+                'EstimatedMs': int(work_s * 1000),
             }],
         }
         status, _ = await cell.request('POST', path, body)
         if status == 200:
             paths.append(path)
+        await asyncio.sleep(SUBMIT_EVERY_S)
     # All tasks run by now, and none has ended.
-    started_s = cell.record.now()
-    while sum(len(each.runs) for each in executors) < len(paths) * TASKS:
-        if cell.record.now() - started_s > 8:
-            break
-        await asyncio.sleep(0.1)
-    first_end_s = 9.0 + min(
-        run.started_s for each in executors for run in each.runs
-    )
-    loop = asyncio.get_running_loop()
-    await asyncio.sleep(max(0, first_end_s - loop.time() - 0.3))
+    await asyncio.sleep(began_s + FIRST_END_S - 0.3 - loop.time())
     if trouble:
         cell.record.write('store down')
         cell.store.is_down = True
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -23,6 +23,7 @@
 ENDS_PER_ANSWER = 500
 MAX_HOLD_MS = 10000
 STOP_S = 0.2
+MAX_CHANNELS = 64
 SERVICE = 'tally'
 REASONS = {
     200: 'OK', 409: 'Conflict', 410: 'Gone', 412: 'Precondition Failed',
@@ -51,8 +52,16 @@
 
     def __init__(self):
         self.address = ''
+        # Counts the lives of the machine: channels of an earlier one are dead.
+        self._life = 0
         self._server = None
         self._writers = set()
+        self._has_power = asyncio.Event()
+        self._has_power.set()
+        self._full = []
+        # Further channels are reset.
+        self.max_channels = MAX_CHANNELS
+        self.refused_channels = 0
 
     async def listen(self, port=0):
         self._server = await asyncio.start_server(
@@ -68,14 +77,48 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def lose_power(self):
+        """Answer nothing more; channels and attempts to connect hang."""
+        port = self._server.sockets[0].getsockname()[1]
+        self._life += 1
+        self._has_power.clear()
+        self._server.close()
+        # A full queue of new channels drops the opening packets.
+        silent = socket.socket()
+        silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        silent.bind(('127.0.0.1', port))
+        silent.listen(0)
+        self._full = [silent]
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(('127.0.0.1', port))
+            self._full.append(filler)
+
+    def regain_power(self):
+        for each in self._full:
+            each.close()
+        self._full = []
+        self._has_power.set()
+
     async def answer(self, method, path, query, headers, body):
         raise NotImplementedError
 
     async def _serve(self, reader, writer):
+        if len(self._writers) >= self.max_channels:
+            writer.transport.abort()
+            self.refused_channels += 1
+            return
         self._writers.add(writer)
+        life = self._life
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
+                if life != self._life:
+                    # The machine that is back knows no such channel.
+                    await self._has_power.wait()
+                    writer.transport.abort()
+                    break
                 lines = head.decode('latin-1').split('\r\n')
                 method, target, _ = lines[0].split(' ', 2)
                 headers = {}
@@ -90,6 +133,9 @@
                 answer = await self.answer(
                     method, parts.path, query, headers, body
                 )
+                if life != self._life:
+                    # The answer of a lost life never arrives.
+                    continue
                 if answer is None:
                     break
                 status, content = answer
@@ -114,6 +160,7 @@
 
     def __init__(self, record):
         super().__init__()
+        self.max_channels = 10000
         self.rows = {}
         self.version = 0
         self.is_down = False
@@ -266,6 +313,8 @@
         self._lease_timer = None
         self._end_event = asyncio.Event()
         self.is_up = True
+        if not self._has_power.is_set():
+            self.regain_power()
         self._port = await self.listen(self._port)
         if register_after_s:
             await asyncio.sleep(register_after_s)
@@ -284,9 +333,11 @@
             cpu=self.capacity['Cpu'],
         )
 
-    async def crash(self):
+    async def crash(self, loses_power=False):
         """End this life at once; what runs here is gone."""
-        self._record.write('crash', worker=self.name)
+        self._record.write(
+            'crash', worker=self.name, power_loss=int(loses_power)
+        )
         self.is_up = False
         for run in tuple(self._running.values()):
             run.ended_s = time.monotonic()
@@ -296,7 +347,10 @@
         self._running = {}
         if self._lease_timer:
             self._lease_timer.cancel()
-        await self.close()
+        if loses_power:
+            self.lose_power()
+        else:
+            await self.close()
 
     async def answer(self, method, path, query, headers, body):
         if headers.get('x-expect-instance', self.name) != self.name:
