--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -71,6 +71,10 @@
         self.address = f'{host}:{port}'
         return port
 
+    @property
+    def channel_count(self):
+        return len(self._writers)
+
     async def close(self):
         """Stop listening and reset all connections, as a crash does."""
         self._server.close()
@@ -495,10 +499,68 @@
         return 200, self._stamp(Running=running, Ended=ended)
 
 
+_next_port = 15000 + os.getpid() * 41 % 15000
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a free port below those of outgoing channels, each only once."""
+    global _next_port
+    while True:
+        _next_port = _next_port + 1 if _next_port < 31000 else 15000
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', _next_port))
+            except OSError:
+                continue
+            return _next_port
+
+
+class StorePath:
+    """One machine's path to the store; it can be turned away."""
+
+    def __init__(self, store):
+        self._store = store
+        self._is_cut = False
+        self._writers = set()
+        self.address = ''
+
+    async def listen(self):
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    def turn_away(self):
+        """Reset this machine's channels, and each new one."""
+        self._is_cut = True
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def admit(self):
+        self._is_cut = False
+
+    async def _serve(self, reader, writer):
+        if self._is_cut:
+            writer.transport.abort()
+            return
+        host, port = self._store.address.split(':')
+        far_reader, far_writer = await asyncio.open_connection(host, port)
+        ends = {writer, far_writer}
+        self._writers |= ends
+        await asyncio.gather(
+            _pump(reader, far_writer), _pump(far_reader, writer)
+        )
+        self._writers -= ends
+
+
+async def _pump(reader, writer):
+    try:
+        while content := await reader.read(65536):
+            writer.write(content)
+            await writer.drain()
+    except OSError:
+        pass
+    finally:
+        writer.close()
 
 
 def render_settings(fields):
@@ -611,6 +673,7 @@
         self.store = Store(record)
         self.executors = []
         self.instances = []
+        self.paths_by_name = {}
         self._folder = folder
         self._turn = 0
 
@@ -622,11 +685,14 @@
         for executor in executors:
             await executor.start()
         for number in range(instance_count):
+            path = StorePath(self.store)
+            await path.listen()
             instance = Instance(
                 f'front-abdali-{number + 1}', 'abdali', self._folder,
-                self.store.address,
+                path.address,
             )
             self.instances.append(instance)
+            self.paths_by_name[instance.name] = path
             await instance.start()
         await wait_until(self._is_ready, 25)
         await asyncio.sleep(3)
