--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 SUBMIT_EVERY_S = 0.5
 # When the first tasks end, after the first submission.
 FIRST_END_S = 12.0
-OUTAGE_S = 4.5
+OUTAGE_S = 4.2
 
 
 async def play(cell, trouble):
