Limit an instance's connections to a worker, and close them with its term

Cause: a worker accepts 64 connections from all instances together. The daemon kept up to 16 idle ones to each address in one pool, closed none when a term ended, and opened one more for each order that a silent worker left unanswered. Four former schedulers took all 64; each hold and order of the next was reset.

Ruled out: other state that terms share.

Change: pools of their own for holds (one connection) and orders (three), whose limit counts those in use; further orders wait up to 1 s and count as not sent. The end of a term closes them. Idle connections between instances go from 16 to 4 for each pair, as all instances share the 2,000 that each accepts.

With the former pools the three tests of TestSuccessiveSchedulers fail (449 connections reset, 51 left open after three terms, 49 open to a silent worker).

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -46,7 +46,10 @@
 
 SETTINGS_VARIABLE = 'APRICOTLEAD_CONFIG'
 
-_IDLE_CONNECTIONS = 16
+# The store serves many calls of an instance at a time.
+_IDLE_STORE_CONNECTIONS = 16
+# All instances share the ``max_connections`` of each of them.
+_IDLE_PEER_CONNECTIONS = 4
 # The load balancer probes readiness once a second and removes an instance
 # after two failures.
 _DRAIN_NOTICE_S = 2.3
@@ -76,10 +79,12 @@
         os.set_blocking(output, False)
         self._log = CellLog({'instance': settings.instance_id}, output)
         self._metrics = CellMetrics()
-        pool = HttpPool(idle_per_host=_IDLE_CONNECTIONS)
-        self._store = PlatformStore(pool, settings.store_address)
-        self._workers = PlatformWorkers(pool, settings.advice_address)
-        peers = PeerClient(pool)
+        self._store = PlatformStore(
+            HttpPool(idle_per_host=_IDLE_STORE_CONNECTIONS),
+            settings.store_address,
+        )
+        self._workers = PlatformWorkers.from_config(settings.advice_address)
+        peers = PeerClient(HttpPool(idle_per_host=_IDLE_PEER_CONNECTIONS))
         self._candidate = CellCandidate(
             CellLinks(
                 self._store,
--- a/src/apricotlead/platform/workers.py
+++ b/src/apricotlead/platform/workers.py
@@ -1,6 +1,6 @@
 """The platform's workers: orders, registrations and placement advice."""
 
-from typing import Any
+from typing import Any, Self
 
 import msgspec
 from msgspec import Struct
@@ -25,6 +25,7 @@
     Answered,
     HttpCall,
     HttpCaller,
+    HttpPool,
     HttpResult,
     NeverSent,
 )
@@ -33,6 +34,13 @@
 # Most of the platform's names are the field names in Pascal case.
 _PASCAL = 'pascal'
 _ORDER_TIMEOUT_S = 0.8
+# A worker accepts 64 connections and resets further ones. Former schedulers
+# that lost power leave theirs open, so that each instance may have only a few:
+# one for holds and some for orders, which a silent worker leaves unanswered.
+_HOLD_CONNECTIONS = 1
+_ORDER_CONNECTIONS = 3
+# The advice service queues the calls of each instance.
+_IDLE_ADVICE_CONNECTIONS = 16
 _MS_PER_S = 1000
 # A worker in any other state is not used.
 _IS_DRAINING_BY_STATE = {'ready': False, 'draining': True}
@@ -154,12 +162,39 @@
 class PlatformWorkers:
     """Sends orders and requests for advice, each once without retries."""
 
-    __slots__ = ('_advice_address', '_pool')
+    __slots__ = ('_advice_address', '_advice_pool', '_hold_pool', '_order_pool')
 
-    def __init__(self, pool: HttpCaller, advice_address: str) -> None:
-        """Send through ``pool``; addresses are ``IP:port``."""
-        self._pool = pool
+    def __init__(
+        self,
+        advice_pool: HttpCaller,
+        advice_address: str,
+        hold_pool: HttpCaller,
+        order_pool: HttpCaller,
+    ) -> None:
+        """Send through these pools; ``advice_address`` is ``IP:port``."""
+        self._advice_pool = advice_pool
         self._advice_address = advice_address
+        self._hold_pool = hold_pool
+        self._order_pool = order_pool
+
+    @classmethod
+    def from_config(cls, advice_address: str) -> Self:
+        """Create a client within the workers' limit of connections."""
+        return cls(
+            HttpPool(idle_per_host=_IDLE_ADVICE_CONNECTIONS),
+            advice_address,
+            HttpPool(max_per_host=_HOLD_CONNECTIONS),
+            HttpPool(max_per_host=_ORDER_CONNECTIONS),
+        )
+
+    def close_connections(self) -> None:
+        """Close the connections to workers, which later calls open again.
+
+        Connections that an instance keeps after its term count against the
+        workers' limit for its successors.
+        """
+        self._hold_pool.close()
+        self._order_pool.close()
 
     def start(
         self,
@@ -177,18 +212,22 @@
             order.checkpoint,
             order.ticket,
         )
-        answer = self._send(worker, '/api/run-start', body, timeout_s)
+        answer = _send(
+            self._order_pool, worker, '/api/run-start', body, timeout_s
+        )
         return _decode_reply(answer)
 
     def stop(self, worker: WorkerEntry, order: StopOrder) -> OrderReply:
         """Order the stop of a run, or its refusal if the start comes later."""
         body = _OrderBody(order.task, order.run, order.epoch)
-        return _decode_reply(self._send(worker, '/api/run-stop', body))
+        return _decode_reply(
+            _send(self._order_pool, worker, '/api/run-stop', body)
+        )
 
     def pace(self, worker: WorkerEntry, order: PaceOrder) -> OrderReply:
         """Limit the speed of a running task."""
         body = _PaceBody(order.task, order.run, order.epoch, order.percent)
-        return _decode_reply(self._send(worker, '/api/pace', body))
+        return _decode_reply(_send(self._order_pool, worker, '/api/pace', body))
 
     def hold(
         self,
@@ -204,7 +243,7 @@
             None if deadline_ms is None else int(deadline_ms),
             order.wait_ms,
         )
-        answer = self._send(worker, '/api/hold', body, timeout_s)
+        answer = _send(self._hold_pool, worker, '/api/hold', body, timeout_s)
         if not isinstance(answer, Answered) or answer.status != 200:
             return _decode_reply(answer)
         try:
@@ -225,7 +264,7 @@
         timeout_s: float,
     ) -> AdviceAnswer | None:
         """Ask which workers may run a step; return ``None`` on failure."""
-        answer = self._pool.call(
+        answer = self._advice_pool.call(
             HttpCall(
                 'POST',
                 self._advice_address,
@@ -242,27 +281,28 @@
             return None
         return AdviceAnswer(dict(body.good), body.valid_ms)
 
-    def _send(
-        self,
-        worker: WorkerEntry,
-        path: str,
-        body: Any,
-        timeout_s: float = _ORDER_TIMEOUT_S,
-    ) -> HttpResult:
-        return self._pool.call(
-            HttpCall(
-                'POST',
-                worker.address,
-                path,
-                _encoder.encode(body),
-                headers={
-                    'Content-Type': 'application/json',
-                    # Another incarnation of the worker refuses the order.
-                    'X-Expect-Instance': worker.worker_id,
-                },
-                timeout_s=timeout_s,
-            ),
-        )
+
+def _send(
+    pool: HttpCaller,
+    worker: WorkerEntry,
+    path: str,
+    body: Any,
+    timeout_s: float = _ORDER_TIMEOUT_S,
+) -> HttpResult:
+    return pool.call(
+        HttpCall(
+            'POST',
+            worker.address,
+            path,
+            _encoder.encode(body),
+            headers={
+                'Content-Type': 'application/json',
+                # Another incarnation of the worker refuses the order.
+                'X-Expect-Instance': worker.worker_id,
+            },
+            timeout_s=timeout_s,
+        ),
+    )
 
 
 def _decode_reply(answer: HttpResult) -> OrderReply:
--- a/src/apricotlead/transport/cell_links.py
+++ b/src/apricotlead/transport/cell_links.py
@@ -22,7 +22,8 @@
     """The adapter's clients and the process's services that a term calls.
 
     ``store`` has ``transact``, ``scan_rows``, ``read_row`` and ``changes``;
-    ``workers`` has ``start``, ``stop``, ``hold`` and ``advise``.
+    ``workers`` has ``start``, ``stop``, ``hold``, ``advise`` and
+    ``close_connections``.
     ``decode_worker`` decodes a registration. ``ask_peer`` sends a question to
     another instance.
     """
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -215,6 +215,7 @@
         for green_thread in self._green_threads:
             green_thread.kill()
         self._holds.stop()
+        self._links.workers.close_connections()
         self.followers.wake()
         self._log_events()
 
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -7,6 +7,7 @@
 
 import eventlet
 from eventlet.green import socket
+from eventlet.semaphore import Semaphore
 from httptools import HttpParserError
 from msgspec import Struct
 
@@ -29,6 +30,8 @@
 # An executor accepts 64 connections from all entry instances together,
 # including idle ones.
 _IDLE_PER_HOST = 4
+# How long a call waits for one of the connections that a host may have.
+_MAX_PERMIT_WAIT_S = 1.0
 _READ_BYTES = 65536
 _ADDRESS_PARTS = 4
 
@@ -77,6 +80,61 @@
         """Send a request and wait for its answer."""
 
 
+class _Host:
+    """The connections to one address.
+
+    ``permits`` limits how many calls use a connection at a time, ``None``
+    without a limit. A call takes an idle connection first, so the limit also
+    holds for the connections that are open.
+    """
+
+    __slots__ = ('idle', 'is_closed', 'permits')
+
+    def __init__(self, max_connections: int | None) -> None:
+        """Start without connections."""
+        self.idle: list[Any] = []
+        self.is_closed = False
+        self.permits = Semaphore(max_connections) if max_connections else None
+
+    def acquire(self) -> bool:
+        """Wait for a permit; tell whether the call may use a connection."""
+        if self.permits is None:
+            return True
+        if not self.permits.acquire(timeout=_MAX_PERMIT_WAIT_S):
+            return False
+        if self.is_closed:
+            self.permits.release()
+        return not self.is_closed
+
+    def release(self) -> None:
+        """Return the permit."""
+        if self.permits is not None:
+            self.permits.release()
+
+    def take_idle(self) -> Any:
+        """Return an idle connection that is open and has no unread data."""
+        while self.idle:
+            connection = self.idle.pop()
+            if not _is_readable(connection):
+                return connection
+            _close(connection)
+        return None
+
+    def return_idle(self, connection: Any, max_idle: int) -> None:
+        """Keep a connection for later calls, or close it."""
+        if self.is_closed or len(self.idle) >= max_idle:
+            _close(connection)
+        else:
+            self.idle.append(connection)
+
+    def close(self) -> None:
+        """Close the connections: idle ones now, those in use after the call."""
+        self.is_closed = True
+        for connection in self.idle:
+            _close(connection)
+        self.idle.clear()
+
+
 class HttpPool:
     """Keeps connections open between calls.
 
@@ -85,25 +143,70 @@
     never taken for the answer to another request.
     """
 
-    __slots__ = ('_headers', '_idle_by_address', '_idle_per_host', '_max_hosts')
+    __slots__ = (
+        '_headers',
+        '_hosts_by_address',
+        '_idle_per_host',
+        '_max_hosts',
+        '_max_per_host',
+    )
 
     def __init__(
         self,
         datacentre: str = '',
         max_hosts: int = _MAX_HOSTS,
         idle_per_host: int = _IDLE_PER_HOST,
+        max_per_host: int | None = None,
     ) -> None:
-        """Start without connections; calls send ``datacentre`` as a header."""
+        """Start without connections; calls send ``datacentre`` as a header.
+
+        ``max_per_host`` limits the open connections to a host, both idle and
+        in use; further calls wait for one of them.
+        """
         self._headers = {DATACENTRE_HEADER: datacentre} if datacentre else {}
         self._max_hosts = max_hosts
         self._idle_per_host = idle_per_host
-        self._idle_by_address: OrderedDict[str, list[Any]] = OrderedDict()
+        self._max_per_host = max_per_host
+        self._hosts_by_address: OrderedDict[str, _Host] = OrderedDict()
 
     def call(self, request: HttpCall) -> HttpResult:
-        """Send a request and wait for its answer; errors are returned."""
+        """Send a request and wait for its answer; errors are returned.
+
+        ``timeout_s`` does not include the wait for a connection of the host.
+        """
+        host = self._host(request.address)
+        if not host.acquire():
+            return NeverSent(f'{request.address}: no connection is free')
+        try:
+            return self._call_in_time(request, host)
+        finally:
+            host.release()
+
+    def close(self) -> None:
+        """Close the connections: idle ones now, those in use after their call.
+
+        Calls that still wait for a connection are not sent. Later calls open
+        new connections.
+        """
+        for host in self._hosts_by_address.values():
+            host.close()
+        self._hosts_by_address.clear()
+
+    def _host(self, address: str) -> _Host:
+        host = self._hosts_by_address.get(address)
+        if host is None:
+            host = _Host(self._max_per_host)
+            self._hosts_by_address[address] = host
+        self._hosts_by_address.move_to_end(address)
+        if len(self._hosts_by_address) > self._max_hosts:
+            _, unused = self._hosts_by_address.popitem(last=False)
+            unused.close()
+        return host
+
+    def _call_in_time(self, request: HttpCall, host: _Host) -> HttpResult:
         timer = eventlet.Timeout(request.timeout_s)
         try:
-            return self._call(request)
+            return self._call(request, host)
         except eventlet.Timeout as timeout:
             if timeout is not timer:
                 raise
@@ -111,14 +214,7 @@
         finally:
             timer.cancel()
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        for connections in self._idle_by_address.values():
-            for connection in connections:
-                _close(connection)
-        self._idle_by_address.clear()
-
-    def _call(self, request: HttpCall) -> HttpResult:
+    def _call(self, request: HttpCall, host: _Host) -> HttpResult:
         try:
             encoded = encode_request(
                 request.method,
@@ -129,17 +225,18 @@
             )
         except InvalidHeader as error:
             return NoAnswer(str(error))
-        connection = self._take_idle(request.address)
+        connection = host.take_idle()
         if connection is None:
             try:
                 connection = _connect(request)
             except (OSError, ValueError) as error:
                 return NeverSent(f'{request.address}: {error}')
-        return self._exchange(request, connection, encoded)
+        return self._exchange(request, host, connection, encoded)
 
     def _exchange(
         self,
         request: HttpCall,
+        host: _Host,
         connection: Any,
         encoded: bytes,
     ) -> HttpResult:
@@ -151,33 +248,11 @@
             return NoAnswer(f'{request.address}: {error!r}')
         finally:
             if may_reuse:
-                self._return_idle(request.address, connection)
+                host.return_idle(connection, self._idle_per_host)
             else:
                 _close(connection)
         return Answered(reader.status, reader.body, reader.headers_by_name)
 
-    def _take_idle(self, address: str) -> Any:
-        """Return an idle connection that is open and has no unread data."""
-        connections = self._idle_by_address.get(address)
-        while connections:
-            connection = connections.pop()
-            if not _is_readable(connection):
-                return connection
-            _close(connection)
-        return None
-
-    def _return_idle(self, address: str, connection: Any) -> None:
-        connections = self._idle_by_address.setdefault(address, [])
-        self._idle_by_address.move_to_end(address)
-        if len(connections) < self._idle_per_host:
-            connections.append(connection)
-        else:
-            _close(connection)
-        if len(self._idle_by_address) > self._max_hosts:
-            _, unused = self._idle_by_address.popitem(last=False)
-            for each in unused:
-                _close(each)
-
 
 def _send_and_receive(
     connection: Any,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -196,3 +196,14 @@
             self.effects.append(effect)
             return []
         return [reply]
+
+
+class UncalledWorkers:
+    """Client of the platform's workers in a cell without any."""
+
+    def __init__(self):
+        self.is_connected = True
+
+    def close_connections(self):
+        """Record that the connections were closed."""
+        self.is_connected = False
--- a/tests/test_cell_candidate.py
+++ b/tests/test_cell_candidate.py
@@ -22,6 +22,7 @@
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.serving import pause, run_in_background
 from tests.cell_rig import cell_config, stored_job
+from tests.fakes import UncalledWorkers
 
 _LIST_S = 0.3
 _JOB = msgspec.to_builtins(stored_job())
@@ -80,7 +81,7 @@
     """Start an instance that follows the scheduler or claims the term."""
     links = CellLinks(
         store,
-        None,
+        UncalledWorkers(),
         'registry//',
         lambda row: None,
         lambda address, question: None,
--- a/tests/test_cell_term.py
+++ b/tests/test_cell_term.py
@@ -11,6 +11,7 @@
 from apricotlead.transport.cell_scheduling import SchedulingTerm
 from apricotlead.transport.serving import pause
 from tests.cell_rig import CellRig, ModelWorker, stored_job
+from tests.fakes import UncalledWorkers
 
 PREFIX = 'registry//'
 JOB = '00000000000000aa'
@@ -55,7 +56,7 @@
         self.assertEqual([row], self.taken)
 
 
-class FailingWorkers:
+class FailingWorkers(UncalledWorkers):
     """Worker client whose holds raise an unexpected error."""
 
     def hold(self, *call: object) -> None:
@@ -91,9 +92,10 @@
     def test_term_ends(self) -> None:
         rig = CellRig()
         logged: list[str] = []
+        workers = UncalledWorkers()
         links = CellLinks(
             EmptyStore(),
-            None,
+            workers,
             PREFIX,
             lambda row: None,
             lambda address, question: None,
@@ -111,3 +113,5 @@
         term.run()
         self.assertIn('an unexpected answer', term.ended_why)
         self.assertIn('term ended', logged)
+        # They count against the workers' limit for the next scheduler.
+        self.assertFalse(workers.is_connected)
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -26,6 +26,7 @@
         """Listen on a free port."""
         self.release = eventlet.Event()
         self.connections = 0
+        self.open_connections = 0
         self.waiting = 0
         self.socket = eventlet.listen(('127.0.0.1', 0))
         self.address = '127.0.0.1:{1}'.format(*self.socket.getsockname())
@@ -40,6 +41,14 @@
 
     def serve(self, client, number):
         """Answer the requests of one connection."""
+        self.open_connections += 1
+        try:
+            self.answer_all(client, number)
+        finally:
+            self.open_connections -= 1
+
+    def answer_all(self, client, number):
+        """Answer requests until the client closes the connection."""
         for line in iter(client.makefile('rb').readline, b''):
             if line.startswith(b'GET /'):
                 path = line.split()[1][1:].decode()
@@ -179,3 +188,85 @@
         self.addCleanup(outer.cancel)
         raised = self.assertRaises(eventlet.Timeout, self.get, '/late')
         self.assertIs(outer, raised)
+
+
+class TestConnectionLimit(TestCase):
+    """Connections to a worker are limited, and closed after a term.
+
+    A worker accepts 64 connections from all instances together. Those that
+    former schedulers kept open left none for their successor, so accepted
+    jobs never began (LOST).
+    """
+
+    def setUp(self):
+        """Start a server."""
+        super().setUp()
+        self.server = ScriptedServer()
+        self.addCleanup(self.server.thread.kill)
+        self.pool = HttpPool(max_per_host=2)
+        self.addCleanup(self.pool.close)
+
+    def spawn(self, path, timeout_s=_TIMEOUT_S):
+        """Call the server in a green thread."""
+        call = HttpCall('GET', self.server.address, path, timeout_s=timeout_s)
+        return eventlet.spawn(self.pool.call, call)
+
+    def spawn_several(self, path, count):
+        """Call the server concurrently."""
+        threads = [self.spawn(path) for _ in range(count)]
+        eventlet.sleep(0.05)
+        return threads
+
+    def test_calls_beyond_the_limit_wait_for_a_connection(self):
+        """Guards against a connection for each of many unanswered orders."""
+        calls = self.spawn_several('/late', 10)
+        self.assertEqual(2, self.server.open_connections)
+        self.server.release.send()
+        answers = {type(each.wait()) for each in calls}
+        self.assertEqual({Answered}, answers)
+        self.assertEqual(2, self.server.connections)
+
+    def test_call_that_gets_no_connection_is_not_sent(self):
+        """Guards against orders that wait forever for a silent worker."""
+        self.spawn_several('/late', 2)
+        call = self.spawn('/fast')
+        self.assertIsInstance(call.wait(), NeverSent)
+
+    def test_wait_for_a_connection_does_not_use_up_the_timeout(self):
+        """Guards against reporting a call as lost that was just queued."""
+        held = self.spawn_several('/late', 2)
+        queued = self.spawn('/fast', timeout_s=0.2)
+        eventlet.sleep(0.4)
+        self.server.release.send()
+        self.assertIsInstance(queued.wait(), Answered)
+        self.assertEqual({b'late'}, {each.wait().body for each in held})
+
+    def test_connection_of_a_failed_call_is_replaced(self):
+        """Guards against a limit that timeouts and errors use up."""
+        for path, timeout_s in (('/late', 0.1), ('/closing', 1)) * 3:
+            failed = self.spawn(path, timeout_s)
+            self.assertIsInstance(failed.wait(), NoAnswer)
+        call = self.spawn('/fast')
+        self.assertIsInstance(call.wait(), Answered)
+
+    def test_idle_connections_are_closed(self):
+        """Guards against former schedulers that keep connections."""
+        for call in self.spawn_several('/fast', 2):
+            call.wait()
+        self.pool.close()
+        eventlet.sleep(0.05)
+        self.assertEqual(0, self.server.open_connections)
+
+    def test_connections_in_use_are_closed_after_the_call(self):
+        """Guards against keeping the connections of the last orders."""
+        calls = self.spawn_several('/late', 2)
+        queued = self.spawn('/fast')
+        eventlet.sleep(0)
+        self.pool.close()
+        self.server.release.send()
+        self.assertEqual({b'late'}, {each.wait().body for each in calls})
+        self.assertIsInstance(queued.wait(), NeverSent)
+        eventlet.sleep(0.05)
+        self.assertEqual(0, self.server.open_connections)
+        later = self.spawn('/fast')
+        self.assertIsInstance(later.wait(), Answered)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -198,7 +198,7 @@
 
     def test_start(self) -> None:
         pool = ScriptedPool(answered(409, {'ClockMs': 3, 'Reason': 'ticket'}))
-        workers = PlatformWorkers(pool, 'a:1')
+        workers = PlatformWorkers(pool, 'a:1', pool, pool)
         order = StartOrder(f'{JOB}.0.0.0', 2, 'text', 7, 4860.0, '', 't1')
         reply = workers.start(self.worker, order)
         self.assertEqual(Refusal.BAD_TICKET, reply.refusal)
@@ -215,7 +215,8 @@
             'Ended': [[58, 'u', 1, 'done', '']],
             'born': 5,
         }
-        workers = PlatformWorkers(ScriptedPool(answered(200, report)), 'a:1')
+        pool = ScriptedPool(answered(200, report))
+        workers = PlatformWorkers(pool, 'a:1', pool, pool)
         reply = workers.hold(self.worker, HoldOrder(1, 0, 0), 1)
         self.assertIsInstance(reply, HoldReport)
         self.assertEqual(41, reply.running[0].progress)
@@ -232,7 +233,8 @@
             (answered(409, {'Reason': 'fence'}), Refusal.FENCED),
         )
         for answer, refusal in cases:
-            workers = PlatformWorkers(ScriptedPool(answer), 'a:1')
+            pool = ScriptedPool(answer)
+            workers = PlatformWorkers(pool, 'a:1', pool, pool)
             reply = workers.hold(self.worker, HoldOrder(1, 0, 0), 1)
             self.assertEqual(refusal, reply.refusal)
 
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -64,7 +64,8 @@
 
     @given(BODIES, st.sampled_from((200, 400, 409, 412, 421, 503)))
     def test_workers(self, body: bytes, status: int) -> None:
-        workers = PlatformWorkers(OneAnswer(status, body), '127.0.0.1:1')
+        pool = OneAnswer(status, body)
+        workers = PlatformWorkers(pool, '127.0.0.1:1', pool, pool)
         workers.hold(WORKER, HoldOrder(1, 0, 0), 1)
         workers.start(WORKER, StartOrder(f'{JOB}.0.0.0', 1, '', 1, 1))
         workers.advise('step', ('w1',), 1)
--- /dev/null
+++ b/tests/test_worker_connections.py
@@ -0,0 +1,103 @@
+"""Connections of successive schedulers to a worker that limits them."""
+
+import eventlet
+from testtools import TestCase
+
+from apricotlead.platform.workers import PlatformWorkers
+from apricotlead.protocol.cell_workers import HoldOrder, StopOrder, WorkerEntry
+from apricotlead.protocol.resources import Resources
+
+# A worker resets further connections, whichever instance opens them.
+WORKER_LIMIT = 64
+# As many schedulers lose power one after another, without a recovery between.
+FORMER_SCHEDULERS = 12
+ORDERS = 48
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{"ClockMs":1}'
+
+
+class LimitedWorker:
+    """A worker that answers each call after a moment."""
+
+    def __init__(self) -> None:
+        self.open_count = 0
+        self.most_open = 0
+        self.reset_count = 0
+        self.is_silent = False
+        listener = eventlet.listen(('127.0.0.1', 0))
+        host, port = listener.getsockname()
+        self.entry = WorkerEntry(
+            'w1', 'transcripts', f'{host}:{port}', 'north', Resources()
+        )
+        self.thread = eventlet.spawn(self._accept, listener)
+
+    def _accept(self, listener: object) -> None:
+        while True:
+            client, _ = listener.accept()
+            eventlet.spawn(self._serve, client)
+
+    def _serve(self, client: object) -> None:
+        if self.open_count >= WORKER_LIMIT:
+            self.reset_count += 1
+            client.close()
+            return
+        self.open_count += 1
+        self.most_open = max(self.most_open, self.open_count)
+        while client.recv(65536):
+            eventlet.sleep(0.01)
+            if not self.is_silent:
+                client.sendall(ANSWER)
+        client.close()
+        self.open_count -= 1
+
+
+class TestSuccessiveSchedulers(TestCase):
+    """Each former scheduler kept up to 16 idle connections to each worker.
+
+    After a few moves of the role a worker reset all connections of the next
+    scheduler, so accepted jobs never began in an empty cell (LOST).
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = LimitedWorker()
+        self.addCleanup(self.worker.thread.kill)
+
+    def schedule(self) -> PlatformWorkers:
+        """Send a hold and many orders at once, as a scheduler does."""
+        workers = PlatformWorkers.from_config('127.0.0.1:1')
+        hold = eventlet.spawn(
+            workers.hold, self.worker.entry, HoldOrder(1, 0, 0), 1
+        )
+        orders = [
+            eventlet.spawn(
+                workers.stop, self.worker.entry, StopOrder(f't{each}', 1, 1)
+            )
+            for each in range(ORDERS)
+        ]
+        replies = [each.wait() for each in orders]
+        hold.wait()
+        self.refusals = {each.refusal for each in replies}
+        return workers
+
+    def test_schedulers_that_lose_power(self) -> None:
+        """Their connections stay open at the worker."""
+        terms = [self.schedule() for _ in range(FORMER_SCHEDULERS)]
+        self.assertEqual(0, self.worker.reset_count)
+        self.assertEqual({None}, self.refusals)
+        for workers in terms:
+            workers.close_connections()
+
+    def test_schedulers_whose_term_ends(self) -> None:
+        terms = [self.schedule() for _ in range(3)]
+        for workers in terms:
+            workers.close_connections()
+        eventlet.sleep(0.05)
+        self.assertEqual(0, self.worker.open_count)
+
+    def test_silent_worker(self) -> None:
+        """Unanswered orders were repeated over further connections."""
+        self.worker.is_silent = True
+        self.schedule().close_connections()
+        self.assertGreater(
+            WORKER_LIMIT / FORMER_SCHEDULERS, self.worker.most_open
+        )
