Keep runs that a cut list of ends may hide

Cause: a worker lists at most 500 unacknowledged ends at a time, and nothing is acknowledged while the store is down. A run beyond those was in neither list of the report, was taken for vanished and went back to waiting. The same held for the first report to a successor, and for runs whose stop was acknowledged after their end.

Ruled out: a lost or late report.

Change: a report says whether it lists all ends; without them nothing is concluded from a missing run. The adapter, which knows the limit, also resumes the store's feed after the last row of a page that is cut.

--- a/src/apricotlead/coordination/cell/reconciliation.py
+++ b/src/apricotlead/coordination/cell/reconciliation.py
@@ -18,7 +18,8 @@
 
     ``sent_s`` is when the call was sent: a run that started later may be
     missing from the list. Progress is dated by when the list was made, which
-    may be long before ``now``.
+    may be long before ``now``. While the list of ends is cut short, a run that
+    is not listed is kept, as it may have ended successfully.
     """
     reported_s = worker.lease.reported_s(report.clock_ms, now)
     running = {(listed.task, listed.run) for listed in report.running}
@@ -27,6 +28,8 @@
     for name, run in tuple(worker.strays_by_run):
         if (name, run) not in running:
             worker.drop_stray(name, run)
+    if not report.has_all_ends:
+        return
     for task in tuple(worker.tasks_by_name.values()):
         if (task.name, task.run) not in running:
             _reconcile_unlisted(tracker, worker, task, sent_s, now)
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -180,8 +180,9 @@
         worker.lease.record_answer(report.clock_ms, sent_s, now)
         self._apply_ends(worker, report, now)
         reconcile(self._tracker, worker, report, sent_s, now)
-        if not worker.lease.has_contact:
-            worker.lease.has_contact = True
+        worker.lease.has_contact = True
+        if report.has_all_ends and not worker.is_reconciled:
+            worker.is_reconciled = True
             self._requeue_unlisted_restored(worker, report, now)
         self._pause_failing(worker, now)
 
@@ -296,7 +297,7 @@
         report: HoldReport,
         now: float,
     ) -> None:
-        """Requeue restored runs that are not in the worker's first list.
+        """Requeue restored runs that are not in the worker's first full report.
 
         The worker has seen this epoch, so it refuses late starts of previous
         terms. Starts of this term may still arrive, so their runs are kept.
@@ -342,6 +343,7 @@
             self._tracker.forget_worker(worker, now)
             return
         lease.has_contact = False
+        worker.is_reconciled = False
         for task in tuple(worker.tasks_by_name.values()):
             self._tracker.note(
                 'run lapsed',
--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -170,7 +170,11 @@
         if isinstance(decoded, StoreFailed):
             return decoded
         rows = tuple(_decode_rows(decoded.rows))
-        return Changes(rows, decoded.version, decoded.store_ms)
+        version = decoded.version
+        if decoded.has_more or len(rows) >= _PAGE_ROWS:
+            # The other changes follow the last one of this answer.
+            version = decoded.rows[-1].version if rows else after
+        return Changes(rows, version, decoded.store_ms)
 
     def _read_range(
         self,
--- a/src/apricotlead/platform/workers.py
+++ b/src/apricotlead/platform/workers.py
@@ -36,6 +36,8 @@
 # Most of the platform's names are the field names in Pascal case.
 _PASCAL = 'pascal'
 _ORDER_TIMEOUT_S = 0.8
+# A worker lists further ends once these are acknowledged.
+_MAX_ENDS_PER_REPORT = 500
 # A worker accepts 64 connections and resets further ones. Former schedulers
 # that lost power leave theirs open, so that each instance may have only a few:
 # one for holds and some for orders, which a silent worker leaves unanswered.
@@ -263,6 +265,7 @@
             report.running,
             report.ended,
             report.born,
+            len(report.ended) < _MAX_ENDS_PER_REPORT,
         )
 
     def advise(
--- a/src/apricotlead/protocol/cell_workers.py
+++ b/src/apricotlead/protocol/cell_workers.py
@@ -116,12 +116,18 @@
 
 
 class HoldReport(Struct, frozen=True):
-    """A worker's answer to a hold order."""
+    """A worker's answer to a hold order.
+
+    A worker lists a limited number of unacknowledged ends, oldest first.
+    Without ``has_all_ends`` there may be more, so a run that is in neither
+    list may have ended.
+    """
 
     clock_ms: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     born_ms: float = 0
+    has_all_ends: bool = True
 
 
 class Refusal(StrEnum):
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -26,6 +26,7 @@
         'entry',
         'idle_capacity',
         'is_listed',
+        'is_reconciled',
         'lease',
         'may_grant_lease',
         'not_before_s',
@@ -45,6 +46,8 @@
         self.entry = entry
         self.lease = lease
         self.is_listed = True
+        # Whether a report with all ends has shown which restored runs exist.
+        self.is_reconciled = False
         # Leases are granted only while the journal does not record the worker
         # as silent.
         self.may_grant_lease = False
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -86,6 +86,7 @@
         self.started: list[StartOrder] = []
         self.ended: list[EndedTask] = []
         self.is_reachable = True
+        self.ends_per_report = 500
 
     def start(self, order: StartOrder) -> None:
         """Start a run."""
@@ -100,13 +101,15 @@
 
     def report(self, now: float, acked_through: int = 0) -> HoldReport:
         """Return the lists of running and unacknowledged ended runs."""
+        unacked = [end for end in self.ended if end.number > acked_through]
         return HoldReport(
             now * 1000,
             tuple(
                 RunningTask(task, run)
                 for task, run in self.running_by_task.items()
             ),
-            tuple(end for end in self.ended if end.number > acked_through),
+            tuple(unacked[: self.ends_per_report]),
+            has_all_ends=len(unacked) < self.ends_per_report,
         )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -188,6 +188,20 @@
         store = PlatformStore(ScriptedPool(answered(410, {})), 'a:1')
         self.assertTrue(store.changes('t', 1, 1).history_lost)
 
+    def test_changes_that_are_cut_short(self) -> None:
+        """Guards against skipping the changes after the last one listed."""
+        row = {'Table': 't', 'part': '', 'Value': 'Nw==', 'Deleted': True}
+        rows = [{**row, 'Key': f'k{each}', 'Ver': each} for each in range(501)]
+        cases = (
+            ({'rows': rows[3:5], 'Ver': 900}, 900),
+            ({'rows': rows[3:5], 'Ver': 900, 'HasMore': True}, 4),
+            ({'rows': rows[1:], 'Ver': 900}, 500),
+            ({'rows': [], 'Ver': 900, 'HasMore': True}, 1),
+        )
+        for body, version in cases:
+            store = PlatformStore(ScriptedPool(answered(200, body)), 'a:1')
+            self.assertEqual(version, store.changes('t', 1, 1).version)
+
 
 class TestWorkers(TestCase):
     """Orders are encoded; replies and reports are decoded."""
@@ -223,6 +237,17 @@
         self.assertEqual(EndKind.DONE, reply.ended[0].kind)
         self.assertEqual(5, reply.born_ms)
 
+    def test_report_that_may_lack_ends(self) -> None:
+        """Guards against taking runs that ended for vanished (TWICE)."""
+        for count, has_all_ends in ((0, True), (499, True), (500, False)):
+            ended = [
+                [number + 1, 'u', 1, 'done', ''] for number in range(count)
+            ]
+            pool = ScriptedPool(answered(200, {'ClockMs': 1, 'Ended': ended}))
+            workers = PlatformWorkers(pool, 'a:1', pool, pool)
+            reply = workers.hold(self.worker, HoldOrder(1, 0, 0), 1)
+            self.assertEqual(has_all_ends, reply.has_all_ends)
+
     def test_refusals(self) -> None:
         cases = (
             (answered(421, {}), Refusal.OTHER_LIFE),
