Let work larger than a lowered limit begin below half of it

Cause: a task began only within what was left of the limit.

Ruled out: a gang may begin as such.

Change: limits.py. While less than half of the limit is used, work begins whose tasks fit but for one.

--- /dev/null
+++ b/src/apricotlead/coordination/cell/limits.py
@@ -0,0 +1,123 @@
+"""Limits on what an organisation may have running at a time.
+
+Pattern: a limit that is lowered while accepted work waits, so that a task, or
+all members of a gang but one, is more than the limit allows. While less than
+half of the limit is used, such work may exceed it by one task; otherwise it
+would wait forever in an idle cell.
+"""
+
+from collections.abc import Iterator
+
+from msgspec.structs import astuple
+
+from apricotlead.coordination.cell.run_tracker import RunTracker
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.cell_config_view import CellConfigView
+from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
+from apricotlead.state.cell_workers import WorkerState
+
+_NO_LIMIT = Resources()
+
+
+class OrganisationLimits:
+    """Tells which waiting tasks may start within the limits."""
+
+    __slots__ = ('_limits_by_organisation', '_tracker')
+
+    def __init__(self, tracker: RunTracker) -> None:
+        """Start without limits."""
+        self._tracker = tracker
+        self._limits_by_organisation: dict[str, Resources] = {}
+
+    def set_view(self, view: CellConfigView) -> None:
+        """Apply the limits of a new configuration."""
+        for organisation in view.config.organisations:
+            self._limits_by_organisation[organisation.name] = organisation.limit
+
+    def within_limit(
+        self,
+        step: StepState,
+        tasks: list[TaskState],
+    ) -> list[TaskState]:
+        """Return the tasks that may start; all or none of a gang."""
+        organisation = step.job.stored.organisation
+        amounts = list(
+            zip(
+                astuple(step.demand()),
+                astuple(self._tracker.usage(organisation)),
+                astuple(self._limit(organisation)),
+                strict=True,
+            )
+        )
+        count = min(_count_within_limit(*each) for each in amounts)
+        needed = len(tasks) if step.spec.gang else 1
+        if count >= needed:
+            return tasks[: int(min(count, len(tasks)))]
+        may_exceed = all(_may_exceed(*each, needed) for each in amounts)
+        if not (may_exceed and self._starts_stay_allowed(step, needed)):
+            return []
+        return tasks[:needed]
+
+    def _limit(self, organisation: str) -> Resources:
+        return self._limits_by_organisation.get(organisation, _NO_LIMIT)
+
+    def _starts_stay_allowed(self, step: StepState, needed: int) -> bool:
+        """Tell whether no other start would exceed the limit by more.
+
+        A start may bring an organisation one task of its own size beyond the
+        limit. Orders overtake each other, so this has to hold for each run
+        that may not have begun yet.
+        """
+        organisation = step.job.stored.organisation
+        usage = self._tracker.usage(organisation)
+        for _ in range(needed):
+            usage = usage + step.demand()
+        excess = usage - self._limit(organisation)
+        return all(
+            not limit or demand >= beyond
+            for run_demand in self._unconfirmed_demands(organisation)
+            for demand, beyond, limit in zip(
+                astuple(run_demand),
+                astuple(excess),
+                astuple(self._limit(organisation)),
+                strict=True,
+            )
+        )
+
+    def _unconfirmed_demands(self, organisation: str) -> Iterator[Resources]:
+        """Yield the demands of runs that may begin, or run unaccounted."""
+        for worker in self._tracker.workers_by_id.values():
+            for task in worker.tasks_by_name.values():
+                is_own = task.step.job.stored.organisation == organisation
+                if is_own and not _is_confirmed(task):
+                    yield task.step.demand()
+            if self._has_stray(worker, organisation):
+                yield Resources()
+
+    def _has_stray(self, worker: WorkerState, organisation: str) -> bool:
+        """Tell whether a stray run may be of an organisation."""
+        tasks = (self._tracker.task(name) for name, _ in worker.strays_by_run)
+        return any(
+            task is None or task.step.job.stored.organisation == organisation
+            for task in tasks
+        )
+
+
+def _is_confirmed(task: TaskState) -> bool:
+    """Tell whether a worker has confirmed that a run has begun."""
+    is_listed = task.first_progress is not None
+    return is_listed or task.phase is TaskPhase.RUNNING
+
+
+def _count_within_limit(demand: int, used: int, limit: int) -> float:
+    """Return how many more tasks a limit allows; 0 means unlimited."""
+    if not limit or not demand:
+        return float('inf')
+    return max(0, (limit - used) // demand)
+
+
+def _may_exceed(demand: int, used: int, limit: int, needed: int) -> bool:
+    """Tell whether ``needed`` tasks may start, one of them beyond a limit."""
+    if not limit or used + needed * demand <= limit:
+        return True
+    return 2 * used < limit and used + (needed - 1) * demand <= limit
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -5,6 +5,7 @@
 from apricotlead.coordination.cell.advice_cache import AdviceCache, AdviceCall
 from apricotlead.coordination.cell.advice_planning import AdvicePlanner
 from apricotlead.coordination.cell.gang_reservations import GangReservations
+from apricotlead.coordination.cell.limits import OrganisationLimits
 from apricotlead.coordination.cell.order import (
     is_urgent,
     misses_cutoff,
@@ -17,13 +18,11 @@
 )
 from apricotlead.coordination.cell.placement_round import PlacementRound
 from apricotlead.coordination.cell.run_tracker import RunTracker
-from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_config_view import CellConfigView
 from apricotlead.state.cell_jobs import StepState, TaskState
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.wait_times import WaitReason
 
-_NO_LIMIT = Resources()
 # Steps that wait for these reasons were cheap to try.
 _CHEAP_REASONS = frozenset(
     (WaitReason.GANG_STOPPING, WaitReason.ORGANISATION_LIMIT)
@@ -44,7 +43,7 @@
     __slots__ = (
         '_advice',
         '_advice_planner',
-        '_limits_by_organisation',
+        '_limits',
         '_reservations',
         '_tracker',
     )
@@ -55,12 +54,11 @@
         self._advice = advice
         self._advice_planner = AdvicePlanner(advice)
         self._reservations = GangReservations()
-        self._limits_by_organisation: dict[str, Resources] = {}
+        self._limits = OrganisationLimits(tracker)
 
     def set_view(self, view: CellConfigView) -> None:
         """Apply the limits of a new configuration."""
-        for organisation in view.config.organisations:
-            self._limits_by_organisation[organisation.name] = organisation.limit
+        self._limits.set_view(view)
 
     def plan(self, now: float, askers: list[str]) -> list[AdviceCall]:
         """Assign waiting tasks to workers; return the advice calls to send."""
@@ -107,7 +105,7 @@
         waiting = waiting_tasks(step, current_round.now)
         if not waiting:
             return WaitReason.GANG_STOPPING
-        tasks = self._within_limit(step, waiting)
+        tasks = self._limits.within_limit(step, waiting)
         if not tasks:
             return WaitReason.ORGANISATION_LIMIT
         return self._place_step(step, tasks, current_round)
@@ -162,33 +160,6 @@
         if reason in _RESERVING_REASONS and is_busy:
             self._reservations.reserve(step, headrooms, current_round.now)
 
-    def _within_limit(
-        self,
-        step: StepState,
-        tasks: list[TaskState],
-    ) -> list[TaskState]:
-        organisation = step.job.stored.organisation
-        limit = self._limits_by_organisation.get(organisation, _NO_LIMIT)
-        usage = self._tracker.usage(organisation)
-        demand = step.demand()
-        count = _count_within_limit(
-            demand.cpu_millis, usage.cpu_millis, limit.cpu_millis
-        )
-        count = min(
-            count,
-            _count_within_limit(
-                demand.memory_mb, usage.memory_mb, limit.memory_mb
-            ),
-            _count_within_limit(
-                demand.accelerators,
-                usage.accelerators,
-                limit.accelerators,
-            ),
-        )
-        if step.spec.gang and count < len(tasks):
-            return []
-        return tasks[: int(min(count, len(tasks)))]
-
     def _place(
         self, assignment: Assignment, current_round: PlacementRound
     ) -> None:
@@ -209,10 +180,3 @@
             waited_s=round(now - (task.step.ready_s or now), 3),
             contact_age_s=round(now - headroom.worker.lease.last_contact_s, 3),
         )
-
-
-def _count_within_limit(demand: int, used: int, limit: int) -> float:
-    """Return how many more tasks a limit allows; 0 means unlimited."""
-    if not limit or not demand:
-        return float('inf')
-    return max(0, (limit - used) // demand)
