--- a/src/apricotlead/coordination/dispatcher.py
+++ b/src/apricotlead/coordination/dispatcher.py
@@ -247,6 +247,9 @@
         job = self._table.jobs_by_id.get(signal.job_id)
         if job is None:
             return ()
+        # Restoring sets the units in use, so it precedes taking any: a journal
+        # that is adopted queues tasks before its attempts are adopted.
+        self._restore_units(job.journal_id)
         self._queue.add(job, signal.tasks)
         is_only_work = len(self._queue) == len(signal.tasks)
         if not is_only_work or not self._view.is_valid(now):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -17,6 +17,7 @@
     ReserveCapacity,
 )
 from apricotlead.protocol.signals import (
+    AttemptAdopted,
     AttemptEnded,
     JournalClosed,
     TaskQueued,
@@ -241,6 +242,25 @@
         self.limits.try_take = take
         self.assertEqual(2, len(self.tick(0.5)[0]))
 
+    def test_adopted_journal_queues_tasks_before_its_attempts(self):
+        """Restored units replaced those just taken, and were freed twice.
+
+        The count of the limit then fell below what was running, and a job
+        was lost.
+        """
+        self.table.replay(accepted(1))
+        self.table.replay(assigned(1))
+        self.queue(2, tasks=2, kind='gang')
+        adopted = AttemptAdopted(JOURNAL, 'j.1.0.1-1')
+        self.dispatcher.adopt(adopted, 0)
+        self.assertEqual(3, self.limits.in_use['team', JOURNAL])
+        wanted = self.tick()[0]
+        self.grant(*wanted)
+        for attempt_id in (*wanted, 'j.1.0.1-1'):
+            ending = AttemptEnded(JOURNAL, attempt_id, 'succeeded')
+            self.dispatcher.release(ending, 1)
+        self.assertEqual(0, self.limits.in_use['team', JOURNAL])
+
     def test_started_attempt_is_not_released_with_its_journal(self):
         """The attempt keeps running under the session that adopts it."""
         self.queue(1)
