Bound how long stops wait for a connection to a silent worker

A stop is repeated every 0.4 s; with a wait of 1 s for a connection and a call of 0.8 s, four or five calls for each unanswered stop would be open at a time. At 2,000 open calls the planning of all other work waits for them.

Change: a call names how long it waits for a connection: starts 1 s, stops 0.4 s.

Before and after: with 1 s for stops, test_stops_that_wait_for_a_silent_worker fails, as waiting stops take the connections of those that timed out; with 0.4 s 3 of 48 are unanswered and the others not sent.

--- a/src/apricotlead/platform/workers.py
+++ b/src/apricotlead/platform/workers.py
@@ -43,6 +43,11 @@
 # one for holds and some for orders, which a silent worker leaves unanswered.
 _HOLD_CONNECTIONS = 1
 _ORDER_CONNECTIONS = 3
+# A burst of starts for one worker; beyond it, other workers are sooner free.
+_START_QUEUE_S = 1.0
+# Stops are repeated after about this long, so a longer wait for a connection to
+# a silent worker would only pile them up.
+_STOP_QUEUE_S = 0.4
 # The advice service queues the calls of each instance.
 _IDLE_ADVICE_CONNECTIONS = 16
 _MS_PER_S = 1000
@@ -230,9 +235,14 @@
     def stop(self, worker: WorkerEntry, order: StopOrder) -> OrderReply:
         """Order the stop of a run, or its refusal if the start comes later."""
         body = _OrderBody(order.task, order.run, order.epoch)
-        return _decode_reply(
-            _send(self._order_pool, worker, '/api/run-stop', body)
+        answer = _send(
+            self._order_pool,
+            worker,
+            '/api/run-stop',
+            body,
+            queue_s=_STOP_QUEUE_S,
         )
+        return _decode_reply(answer)
 
     def pace(self, worker: WorkerEntry, order: PaceOrder) -> OrderReply:
         """Limit the speed of a running task."""
@@ -299,6 +309,7 @@
     path: str,
     body: Any,
     timeout_s: float = _ORDER_TIMEOUT_S,
+    queue_s: float = _START_QUEUE_S,
 ) -> HttpResult:
     return pool.call(
         HttpCall(
@@ -312,6 +323,7 @@
                 'X-Expect-Instance': worker.worker_id,
             },
             timeout_s=timeout_s,
+            queue_s=queue_s,
         ),
     )
 
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -31,8 +31,6 @@
 # An executor accepts 64 connections from all entry instances together,
 # including idle ones.
 _IDLE_PER_HOST = 4
-# How long a call waits for one of the connections that a host may have.
-_MAX_PERMIT_WAIT_S = 1.0
 _READ_BYTES = 65536
 _RETRY_HEADER = 'retry-after'
 _MAX_RETRY_AFTER_S = 600.0
@@ -41,7 +39,8 @@
 class HttpCall(Struct, frozen=True):
     """A request; ``address`` is ``IP:port``, ``timeout_s`` covers all of it.
 
-    ``path`` is percent-encoded by the caller.
+    ``path`` is percent-encoded by the caller. Where the connections of a host
+    are limited, the call first waits up to ``queue_s`` for one of them.
     """
 
     method: str
@@ -50,6 +49,7 @@
     body: bytes = b''
     headers: dict[str, str] = {}
     timeout_s: float = 2.0
+    queue_s: float = 1.0
 
 
 class NeverSent(Struct, frozen=True):
@@ -110,11 +110,11 @@
         self.is_closed = False
         self.permits = Semaphore(max_connections) if max_connections else None
 
-    def acquire(self) -> bool:
+    def acquire(self, wait_s: float) -> bool:
         """Wait for a permit; tell whether the call may use a connection."""
         if self.permits is None:
             return True
-        if not self.permits.acquire(timeout=_MAX_PERMIT_WAIT_S):
+        if not self.permits.acquire(timeout=wait_s):
             return False
         if self.is_closed:
             self.permits.release()
@@ -184,12 +184,9 @@
         self._hosts_by_address: OrderedDict[str, _Host] = OrderedDict()
 
     def call(self, request: HttpCall) -> HttpResult:
-        """Send a request and wait for its answer; errors are returned.
-
-        ``timeout_s`` does not include the wait for a connection of the host.
-        """
+        """Send a request and wait for its answer; errors are returned."""
         host = self._host(request.address)
-        if not host.acquire():
+        if not host.acquire(request.queue_s):
             return NeverSent(f'{request.address}: no connection is free')
         try:
             return self._call_in_time(request, host)
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -1,10 +1,17 @@
 """Connections of successive schedulers to a worker that limits them."""
 
+from collections import Counter
+
 import eventlet
 from testtools import TestCase
 
 from apricotlead.platform.workers import PlatformWorkers
-from apricotlead.protocol.cell_workers import HoldOrder, StopOrder, WorkerEntry
+from apricotlead.protocol.cell_workers import (
+    HoldOrder,
+    Refusal,
+    StopOrder,
+    WorkerEntry,
+)
 from apricotlead.protocol.resources import Resources
 
 # A worker resets further connections, whichever instance opens them.
@@ -94,6 +101,24 @@
         eventlet.sleep(0.05)
         self.assertEqual(0, self.worker.open_count)
 
+    def test_stops_that_wait_for_a_silent_worker(self) -> None:
+        """Guards against piling up stops, which are repeated each 0.4 s.
+
+        Many calls in flight would block the planning of all other work.
+        """
+        self.worker.is_silent = True
+        workers = PlatformWorkers.from_config('127.0.0.1:1')
+        stops = [
+            eventlet.spawn(
+                workers.stop, self.worker.entry, StopOrder(f't{each}', 1, 1)
+            )
+            for each in range(ORDERS)
+        ]
+        refusals = Counter(each.wait().refusal for each in stops)
+        # The others do not wait until the first ones have timed out.
+        self.assertEqual(3, refusals[Refusal.UNANSWERED])
+        self.assertEqual(ORDERS - 3, refusals[Refusal.NOT_SENT])
+
     def test_silent_worker(self) -> None:
         """Unanswered orders were repeated over further connections."""
         self.worker.is_silent = True
