Count and log the entries that the instance list leaves out

Cause: found while reading the change again. Entries that cannot be used were dropped without a line in the log.

Change: the list carries their number, and the engine logs it when it changes.

Conclusion: own interface only; the cell on the users' platform reads no such list.

--- a/src/apricotlead/protocol/instances.py
+++ b/src/apricotlead/protocol/instances.py
@@ -27,6 +27,11 @@
 
 
 class InstanceList(Struct, frozen=True):
-    """The complete list of instances."""
+    """The complete list of instances.
+
+    ``unusable_count`` is the number of entries that were left out, as they
+    could not be decoded or have an address or amount out of range.
+    """
 
     instances: tuple[Instance, ...]
+    unusable_count: int = 0
--- a/src/apricotlead/transport/engine.py
+++ b/src/apricotlead/transport/engine.py
@@ -154,9 +154,15 @@
             sleep(TICK_S)
 
     def _list_forever(self) -> None:
+        unusable_count = 0
         while True:
             reply = self.links.platform.list_instances()
             if isinstance(reply, InstanceList):
+                if reply.unusable_count != unusable_count:
+                    unusable_count = reply.unusable_count
+                    self.links.log(
+                        'instance entries unusable', count=unusable_count
+                    )
                 self.deliver(InstancesListed(reply.instances))
             self.links.close_unused_links()
             sleep(_LIST_INTERVAL_S)
--- a/src/apricotlead/transport/platform_client.py
+++ b/src/apricotlead/transport/platform_client.py
@@ -116,9 +116,8 @@
         if isinstance(decoded, StoreFailed):
             return decoded
         entries = map(_decode_instance, decoded.instances)
-        return InstanceList(
-            tuple(entry for entry in entries if entry is not None)
-        )
+        usable = tuple(entry for entry in entries if entry is not None)
+        return InstanceList(usable, len(decoded.instances) - len(usable))
 
     def _post(self, path: str, message: Struct) -> HttpResult:
         return self._send('POST', path, encode(message))
--- a/tests/test_platform_odd_values.py
+++ b/tests/test_platform_odd_values.py
@@ -347,6 +347,8 @@
         answer = PlatformClient(pool, '127.0.0.1:1').list_instances()
         if isinstance(answer, StoreFailed):
             return 'failed'
+        # Left out entries are counted, for a log line.
+        self.assertEqual(1, answer.unusable_count)
         return [each.instance_id for each in answer.instances]
 
     def test_odd_entry(self) -> None:
