Bound the amounts in heartbeat answers of the own interface

A worker's answer may hold a capacity beyond the range of a float, and a fraction of it raises in each handler that computes one.

Change: an answer with amounts out of range counts as failed, as one that cannot be decoded does. Resources.is_in_range is shared with the instance list.

Before and after: test_amounts_in_the_answer_of_a_worker fails before the change and passes after it.

Conclusion: own interface only.

--- a/src/apricotlead/protocol/resources.py
+++ b/src/apricotlead/protocol/resources.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from apricotlead.protocol.value_types import MAX_MAGNITUDE
+
 
 class Resources(Struct, frozen=True, omit_defaults=True):
     """Amounts of the three resources of a worker.
@@ -38,6 +40,11 @@
             and self.accelerators <= free.accelerators
         )
 
+    def is_in_range(self) -> bool:
+        """Return whether all amounts are whole numbers that a float holds."""
+        amounts = (self.cpu_millis, self.memory_mb, self.accelerators)
+        return min(amounts) >= 0 and max(amounts) <= MAX_MAGNITUDE
+
     def is_valid_demand(self) -> bool:
         """Return whether no resource is negative and at least one positive."""
         amounts = (self.cpu_millis, self.memory_mb, self.accelerators)
--- a/src/apricotlead/transport/platform_client.py
+++ b/src/apricotlead/transport/platform_client.py
@@ -152,15 +152,10 @@
         instance = _INSTANCE_DECODER.decode(encoded)
     except DECODE_ERRORS:
         return None
-    capacity = instance.capacity
-    amounts = (
-        capacity.cpu_millis,
-        capacity.memory_mb,
-        capacity.accelerators,
-        instance.slots,
+    has_amounts = (
+        instance.capacity.is_in_range() and 0 <= instance.slots <= MAX_MAGNITUDE
     )
-    is_in_range = all(0 <= amount <= MAX_MAGNITUDE for amount in amounts)
-    is_usable = is_in_range and is_callable_address(instance.address)
+    is_usable = has_amounts and is_callable_address(instance.address)
     return instance if is_usable else None
 
 
--- a/src/apricotlead/transport/worker_client.py
+++ b/src/apricotlead/transport/worker_client.py
@@ -78,9 +78,17 @@
     elif answer.status != _OK:
         return CallFailed(sent=not _proves_not_run(answer))
     try:
-        return decoder.decode(answer.body)
+        reply = decoder.decode(answer.body)
     except DECODE_ERRORS:
         return CallFailed(sent=True)
+    return reply if _has_amounts_in_range(reply) else CallFailed(sent=True)
+
+
+def _has_amounts_in_range(reply: WorkerReply) -> bool:
+    """Tell whether fractions of the amounts in a reply can be computed."""
+    if not isinstance(reply, HeartbeatReply):
+        return True
+    return reply.capacity.is_in_range() and reply.used.is_in_range()
 
 
 def _proves_not_run(answer: Answered) -> bool:
--- a/tests/test_platform_odd_values.py
+++ b/tests/test_platform_odd_values.py
@@ -25,6 +25,7 @@
 from apricotlead.protocol.errors import BadInput
 from apricotlead.protocol.peers import ReleaseGrants
 from apricotlead.protocol.table import Row, StoreFailed
+from apricotlead.protocol.workers import CallFailed, Heartbeat
 from apricotlead.state.cell_config_view import CellConfigView
 from apricotlead.transport.cell_peers import PeerClient
 from apricotlead.transport.executor_client import decode_result
@@ -38,6 +39,7 @@
 )
 from apricotlead.transport.peer_links import PeerLinks
 from apricotlead.transport.platform_client import PlatformClient
+from apricotlead.transport.worker_client import WorkerClient
 from tests.cell_rig import CellRig, ModelWorker, cell_config, stored_job
 from tests.test_platform_adapter import CONFIG as PLATFORM_CONFIG
 
@@ -381,6 +383,23 @@
         call = FollowerCall('127.0.0.1:1', 1)
         self.assertIsNone(PeerClient(pool).watch('127.0.0.1:1', call, 1))
 
+    def test_amounts_in_the_answer_of_a_worker(self) -> None:
+        heartbeat = Heartbeat('session', 1)
+        refused = {10**400: True, 2**53: True, -1: True, 4000: False}
+        for amount, is_refused in refused.items():
+            for name in ('capacity', 'used'):
+                reply = {
+                    'type': 'heartbeat_reply',
+                    'clock_s': 1,
+                    'boot_id': 'boot',
+                    'capacity': {'cpu_millis': 4000},
+                    name: {'cpu_millis': amount},
+                }
+                client = WorkerClient(FixedAnswer(reply))
+                answer = client.call('127.0.0.1:1', heartbeat)
+                is_failed = answer == CallFailed(sent=True)
+                self.assertEqual(is_refused, is_failed, amount)
+
     def test_peer_that_cannot_be_dialled(self) -> None:
         links = PeerLinks(lambda: 'sender', lambda envelope: None)
         self.addCleanup(links.close)
