--- a/tests/test_platform_odd_values.py
+++ b/tests/test_platform_odd_values.py
@@ -1,7 +1,7 @@
 """Values from outside that their types admit and that no component expects.
 
-Each of them used to end every term of the scheduler, or none may: one odd row,
-answer or call must not affect any other.
+One odd row, answer or call must not affect any other. Some of these values used
+to end every term of the scheduler.
 """
 
 import json
