Log which runs a crashed worker had, and how old they were

Cause: the timeline of the incident could not tell whose crash it was. 'run lost' named a run and nothing else, and no line said what showed that the worker had ended, when contact was lost, or how long its runs had executed.

Change: 'worker crashed' (counted as a metric like every event) gives the evidence, the time without contact, the number of runs and of young ones, and the eight youngest with their ages. A refused connection is now told apart from a call that found no free connection ('no_listener').

Result: no decision changes; tests of the cell and the adapter pass.

--- /dev/null
+++ b/src/apricotlead/coordination/cell/crash_evidence.py
@@ -0,0 +1,115 @@
+"""What the runs of a crashed worker show about the cause of the crash.
+
+A task that crashes its worker is among the runs that the worker had at that
+moment. All of them are lost, and most of them are innocent. What tells them
+apart is how long each had been executing: a run that began long before is less
+likely to be the cause than one that had only just begun.
+"""
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import Any
+
+from msgspec import Struct
+
+from apricotlead.state.cell_jobs import TaskPhase, TaskState
+from apricotlead.state.cell_workers import WorkerState
+
+# A run that had been executing for less than this is the first to be suspected.
+YOUNG_S = 0.3
+_MAX_RUNS_PER_NOTE = 8
+
+
+class Evidence(StrEnum):
+    """What shows that the runs of a worker have ended.
+
+    ``OTHER_LIFE``: another incarnation answered at its address. ``REBORN``: it
+    registered, or answered, with a later start time. ``GONE``: it is no longer
+    registered and its lease has expired, so it may only have been cut off.
+    """
+
+    OTHER_LIFE = 'other life'
+    REBORN = 'reborn'
+    GONE = 'gone'
+
+    @property
+    def is_proof(self) -> bool:
+        """Return whether the worker's process has certainly ended."""
+        return self is not Evidence.GONE
+
+
+class LostRun(Struct, frozen=True):
+    """A run that was lost with its worker.
+
+    ``age_s`` is how long it had been executing when the worker was lost, as far
+    as this term knows; a run of a former term counts from its first listing.
+    Without ``is_confirmed`` the worker never confirmed the run, so it may not
+    have begun.
+    """
+
+    task: TaskState
+    run: int
+    age_s: float
+    is_confirmed: bool
+
+    @property
+    def is_young(self) -> bool:
+        """Return whether the run had only just begun."""
+        return self.age_s < YOUNG_S
+
+
+def lost_runs(worker: WorkerState, now: float) -> list[LostRun]:
+    """Return the runs that were lost with a worker, youngest first."""
+    lost_s = worker.contact_lost_s
+    if lost_s is None:
+        lost_s = now
+    runs = [
+        LostRun(
+            task,
+            task.run,
+            _age_s(task, lost_s),
+            _is_confirmed(task),
+        )
+        for task in worker.tasks_by_name.values()
+        if task.is_placed and task.phase is not TaskPhase.PLANNED
+    ]
+    return sorted(runs, key=lambda lost: (lost.age_s, lost.task.name))
+
+
+def crash_fields(
+    worker: WorkerState,
+    evidence: Evidence,
+    runs: Iterable[LostRun],
+    now: float,
+) -> dict[str, Any]:
+    """Return the fields of the log line about a crash."""
+    runs = list(runs)
+    lost_s = worker.contact_lost_s
+    return {
+        'worker': worker.worker_id,
+        'evidence': str(evidence),
+        'silent_s': round(now - worker.lease.last_contact_s, 3),
+        'down_s': None if lost_s is None else round(now - lost_s, 3),
+        'run_count': len(runs),
+        'young_count': sum(each.is_young for each in runs),
+        'youngest': [
+            {
+                'task': each.task.name,
+                'run': each.run,
+                'age_s': round(each.age_s, 3),
+                'is_confirmed': each.is_confirmed,
+            }
+            for each in runs[:_MAX_RUNS_PER_NOTE]
+        ],
+    }
+
+
+def _is_confirmed(task: TaskState) -> bool:
+    return task.phase is not TaskPhase.SENT or task.first_progress is not None
+
+
+def _age_s(task: TaskState, lost_s: float) -> float:
+    """Return the age of a run, 0 for one of a former term that was not listed."""
+    if not task.is_start_known and task.first_progress is None:
+        return 0
+    return max(0, lost_s - task.started_s)
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -15,6 +15,10 @@
 from apricotlead.state.cell_jobs import TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
 
+# After these, a start whose outcome is unknown is sent again.
+_LOST_REFUSALS = frozenset(
+    (Refusal.UNANSWERED, Refusal.NOT_SENT, Refusal.NO_LISTENER)
+)
 # A start that a worker rejects as malformed is retried after this delay.
 _MALFORMED_PAUSE_S = 2.0
 
@@ -178,8 +182,7 @@
         if refusal is Refusal.UNANSWERED:
             start.is_outcome_unknown = True
             worker.suspected_s = now
-        is_lost = refusal in {Refusal.UNANSWERED, Refusal.NOT_SENT}
-        if start.is_outcome_unknown and is_lost:
+        if start.is_outcome_unknown and refusal in _LOST_REFUSALS:
             # start_order ends the retries once their deadline is near.
             return True
         if refusal is Refusal.MALFORMED:
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+from apricotlead.coordination.cell.crash_evidence import (
+    Evidence,
+    crash_fields,
+    lost_runs,
+)
 from apricotlead.coordination.cell.election import OwnerRow
 from apricotlead.coordination.cell.evacuation import runs_to_evacuate
 from apricotlead.coordination.cell.lease_records import LeaseRecords
@@ -196,8 +201,10 @@
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None:
             return
+        worker.note_failed_call(now)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._tracker.note('worker life over', worker=worker_id)
+            self._note_crash(worker, Evidence.OTHER_LIFE, now)
             self._tracker.forget_worker(worker, now)
         elif reply.refusal is Refusal.UNANSWERED:
             worker.unanswered_s = now
@@ -281,6 +288,7 @@
         """
         self._tracker.note('worker reborn', worker=entry.worker_id)
         self._leases.forget(entry.worker_id)
+        self._note_crash(former, Evidence.REBORN, now)
         unlisted = self._tracker.detach_unlisted_runs(former)
         self._tracker.forget_worker(former, now)
         self._add(entry, now)
@@ -334,12 +342,24 @@
             worker.not_before_s = now + _FAILING_PAUSE_S
             self._tracker.note('worker paused', worker=worker.worker_id)
 
+    def _note_crash(
+        self, worker: WorkerState, evidence: Evidence, now: float
+    ) -> None:
+        """Log which runs a worker had when it ended without notice."""
+        if worker.entry.draining:
+            return
+        runs = lost_runs(worker, now)
+        self._tracker.note(
+            'worker crashed', **crash_fields(worker, evidence, runs, now)
+        )
+
     def _check_worker(self, worker: WorkerState, now: float) -> None:
         lease = worker.lease
         if now <= lease.latest_expiry_s or lease.is_usable(now):
             return
         if not worker.is_listed:
             self._tracker.note('worker gone', worker=worker.worker_id)
+            self._note_crash(worker, Evidence.GONE, now)
             self._tracker.forget_worker(worker, now)
             return
         lease.has_contact = False
--- a/src/apricotlead/platform/workers.py
+++ b/src/apricotlead/platform/workers.py
@@ -330,7 +330,8 @@
 
 def _decode_reply(answer: HttpResult) -> OrderReply:
     if isinstance(answer, NeverSent):
-        return OrderReply(Refusal.NOT_SENT, detail=answer.reason)
+        refusal = Refusal.NO_LISTENER if answer.is_refused else Refusal.NOT_SENT
+        return OrderReply(refusal, detail=answer.reason)
     if not isinstance(answer, Answered):
         return OrderReply(Refusal.UNANSWERED, detail=answer.reason)
     try:
--- a/src/apricotlead/protocol/cell_workers.py
+++ b/src/apricotlead/protocol/cell_workers.py
@@ -134,8 +134,9 @@
     """The reason why an order was not carried out.
 
     ``LATE``: its deadline had passed. ``OTHER_LIFE``: it reached another
-    incarnation of the worker. After ``UNANSWERED`` it is unknown whether the
-    order was carried out.
+    incarnation of the worker. ``NO_LISTENER``: its address refused the
+    connection, as that of a crashed worker does. After ``UNANSWERED`` it is
+    unknown whether the order was carried out.
     """
 
     FENCED = 'fenced'
@@ -147,6 +148,7 @@
     UNHEALTHY = 'unhealthy'
     OTHER_LIFE = 'other_life'
     NOT_SENT = 'not_sent'
+    NO_LISTENER = 'no_listener'
     UNANSWERED = 'unanswered'
 
 
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -19,6 +19,7 @@
     """
 
     __slots__ = (
+        '_failed_call_s',
         '_unacked_ends',
         'acked_through',
         'consecutive_failures',
@@ -71,6 +72,8 @@
         self.suspected_s = float('-inf')
         # When the latest call timed out; reset by an answer that follows.
         self.unanswered_s = float('-inf')
+        # When the first call failed since the latest answer.
+        self._failed_call_s = float('-inf')
         self.consecutive_failures = 0
         self.drain_ends_s: float | None = None
 
@@ -118,6 +121,18 @@
         """
         return self.suspected_s > self.lease.last_contact_s
 
+    @property
+    def contact_lost_s(self) -> float | None:
+        """Return when the first call failed since the latest answer, if any."""
+        if self._failed_call_s <= self.lease.last_contact_s:
+            return None
+        return self._failed_call_s
+
+    def note_failed_call(self, now: float) -> None:
+        """Record that a call to the worker has failed."""
+        if self.contact_lost_s is None:
+            self._failed_call_s = now
+
     def place(self, task: TaskState) -> None:
         """Reserve resources for a task."""
         self.tasks_by_name[task.name] = task
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -53,9 +53,13 @@
 
 
 class NeverSent(Struct, frozen=True):
-    """No byte of the request was sent, so it was not carried out."""
+    """No byte of the request was sent, so it was not carried out.
+
+    With ``is_refused`` nothing listened at the address.
+    """
 
     reason: str
+    is_refused: bool = False
 
 
 class Answered(Struct, frozen=True):
@@ -241,7 +245,10 @@
             try:
                 connection = _connect(request)
             except (OSError, InvalidAddress) as error:
-                return NeverSent(f'{request.address}: {error}')
+                return NeverSent(
+                    f'{request.address}: {error}',
+                    isinstance(error, ConnectionRefusedError),
+                )
         return self._exchange(request, host, connection, encoded)
 
     def _exchange(
--- a/tests/faulty/links.py
+++ b/tests/faulty/links.py
@@ -54,7 +54,7 @@
         if worker is None or worker.is_disconnected:
             return Refusal.UNANSWERED
         if worker.has_ended:
-            return Refusal.NOT_SENT
+            return Refusal.NO_LISTENER
         if worker.entry.address != entry.address:
             return Refusal.OTHER_LIFE
         return worker
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -254,7 +254,8 @@
             (answered(503, {}), Refusal.UNHEALTHY),
             (answered(500, {}), Refusal.UNANSWERED),
             (NoAnswer('reset'), Refusal.UNANSWERED),
-            (NeverSent('refused'), Refusal.NOT_SENT),
+            (NeverSent('no connection is free'), Refusal.NOT_SENT),
+            (NeverSent('refused', is_refused=True), Refusal.NO_LISTENER),
             (answered(409, {'Reason': 'fence'}), Refusal.FENCED),
         )
         for answer, refusal in cases:
