--- a/tests/faulty/cell.py
+++ b/tests/faulty/cell.py
@@ -18,6 +18,7 @@
 from apricotlead.coordination.cell.speed_rows import STATISTICS_PREFIX
 from apricotlead.protocol.cell_jobs import (
     JobProgress,
+    JobState,
     JobSubmission,
     StepSpec,
     StoredJob,
@@ -46,6 +47,7 @@
 _CANCEL_PROBABILITY = 0.04
 _MAX_CANCEL_DELAY_S = 6.0
 _ESTIMATE_SPREAD = 0.2
+_RESTART_S = (3.0, 3.6)
 _CLOCK_RATES = (0.98, 1.02)
 _RACKS = 3
 
@@ -64,6 +66,10 @@
         self.workers_by_id: dict[str, FaultyWorker] = {}
         self.jobs_by_id: dict[str, StoredJob] = {}
         self.cancelled_ids: set[str] = set()
+        # When a task crashed its worker, and which; when runs were lost so.
+        self.crashes: list[tuple[float, str]] = []
+        self.lost_runs: list[tuple[float, str]] = []
+        self.processes: list[FaultyWorker] = []
         self.store = ModelStore()
         self.links = Links(self.timeline, self.random, self.workers_by_id)
         self.advice = AdviceService(self.is_permitted)
@@ -131,15 +137,15 @@
             if job_id not in self.cancelled_ids and not self._is_final(job_id):
                 yield job_id
 
-    def add_worker(self, worker_id: str = '') -> None:
-        """Start a worker process, reusing ``worker_id`` if it is given."""
+    def add_worker(self, worker_id: str = '', address: str = '') -> None:
+        """Start a worker process, with a new id and address if not given."""
         self._started_workers += 1
         worker_id = worker_id or f'w{self._started_workers}'
         rack = self._started_workers % _RACKS
         entry = WorkerEntry(
             worker_id,
             SERVICE,
-            f'{worker_id}:{self._started_workers}',
+            address or f'{worker_id}:{self._started_workers}',
             'north',
             self.shape.capacity,
             ('kind', f'rack{rack}'),
@@ -153,6 +159,7 @@
             self.random.uniform(*_CLOCK_RATES),
         )
         self.workers_by_id[worker_id] = worker
+        self.processes.append(worker)
         self.register(worker)
         self.timeline.spawn(self._run_worker(worker))
 
@@ -211,10 +218,17 @@
             submission=JobSubmission('payload', specs),
         )
         self.jobs_by_id[job_id] = stored
+        is_deadly = self.random.random() < kind.deadly_share
         for index, spec in enumerate(specs):
             self._draw_profiles(
                 f'{job_id}.0.{index}', spec, stored.organisation
             )
+        if is_deadly:
+            first = f'{job_id}.0.0.0'
+            self._profiles_by_task[first] = msgspec.structs.replace(
+                self._profiles_by_task[first],
+                crashes_after_s=kind.deadly_after_s,
+            )
         row = self.store.put(job_key(job_id), msgspec.to_builtins(stored))
         if self.scheduler is not None:
             self.scheduler.jobs.apply_job_row(row, self.now)
@@ -222,17 +236,37 @@
         if self.random.random() < _CANCEL_PROBABILITY:
             self.timeline.spawn(self._cancel_later(job_id))
 
-    def _is_final(self, job_id: str) -> bool:
+    def state(self, job_id: str) -> JobState:
+        """Return the stored state of a job."""
         row = self.store.progress(job_id)
         if row is None:
-            return False
-        return msgspec.convert(row.value, JobProgress).state.is_final
+            return JobState.QUEUED
+        return msgspec.convert(row.value, JobProgress).state
+
+    def _is_final(self, job_id: str) -> bool:
+        return self.state(job_id).is_final
 
     def _run_worker(self, worker: FaultyWorker) -> Process:
         while not worker.has_ended:
             worker.advance()
+            crashing_task = worker.crashing_task()
+            if crashing_task:
+                self.crashes.append((self.now, crashing_task))
+                yield from self.crash_worker(worker)
             yield _POLL_S
 
+    def crash_worker(self, worker: FaultyWorker) -> Process:
+        """End a worker process, and start it again after some seconds."""
+        tasks = tuple(worker.runs_by_task)
+        worker.terminate()
+        self.lost_runs.extend((self.now, task) for task in tasks)
+        yield self.random.uniform(*_RESTART_S)
+        entry = worker.entry
+        if self.random.random() < 0.5:
+            self.add_worker(entry.worker_id)
+        else:
+            self.add_worker(address=entry.address)
+
     def _heartbeats(self) -> Process:
         """Renew registrations and expire those without heartbeats."""
         while True:
--- a/tests/faulty/faults.py
+++ b/tests/faulty/faults.py
@@ -70,6 +70,13 @@
         cell.add_worker(ended_worker.entry.worker_id if keeps_id else '')
 
 
+@_fault('workers crash')
+def _crash_workers(cell: FaultyCell) -> Process:
+    for worker in _sample_workers(cell, 0.15):
+        cell.timeline.spawn(cell.crash_worker(worker))
+    yield 0
+
+
 @_fault('workers leave')
 def _drain_workers(cell: FaultyCell) -> Process:
     workers = _sample_workers(cell, 0.15)
--- a/tests/faulty/links.py
+++ b/tests/faulty/links.py
@@ -48,13 +48,18 @@
     def reach(self, entry: WorkerEntry) -> FaultyWorker | Refusal:
         """Return the worker process a call reaches, or why it fails.
 
-        A process that was restarted under the same id has another address.
+        A process that was restarted under the same id has another address;
+        one that took the address over has another id.
         """
         worker = self._workers_by_id.get(entry.worker_id)
         if worker is None or worker.is_disconnected:
             return Refusal.UNANSWERED
         if worker.has_ended:
-            return Refusal.NO_LISTENER
+            is_taken_over = any(
+                other.entry.address == entry.address and not other.has_ended
+                for other in self._workers_by_id.values()
+            )
+            return Refusal.OTHER_LIFE if is_taken_over else Refusal.NO_LISTENER
         if worker.entry.address != entry.address:
             return Refusal.OTHER_LIFE
         return worker
--- a/tests/faulty/shape.py
+++ b/tests/faulty/shape.py
@@ -37,6 +37,10 @@
     # Whether the steps run all at once instead of one after another.
     in_parallel: bool = False
     is_long_running: bool = False
+    # The probability that the first task of a job crashes each worker.
+    deadly_share: float = 0.0
+    # How long such a task runs before the crash.
+    deadly_after_s: float = 0.01
     label: str = ''
     same_rack: bool = False
     stretch: float = 2.2
--- a/tests/faulty/workers.py
+++ b/tests/faulty/workers.py
@@ -41,6 +41,8 @@
     work_s: float
     # The number of gang members that start together, 0 outside a gang.
     gang_size: int = 0
+    # The run crashes its worker after this time; never by default.
+    crashes_after_s: float = float('inf')
 
     @property
     def job_id(self) -> str:
@@ -57,6 +59,11 @@
     ends_s: float = float('inf')
     stop_due_s: float = float('inf')
 
+    @property
+    def crash_s(self) -> float:
+        """Return when the run crashes its worker."""
+        return self.began_s + self.profile.crashes_after_s
+
 
 class Gangs:
     """Tracks the members of gang runs across all workers."""
@@ -110,6 +117,8 @@
         self.is_disconnected = False
         self.has_ended = False
         self.fails_all_tasks = False
+        # The starts of this process: when, and of which task.
+        self.starts: list[tuple[float, str]] = []
         self._timeline = timeline
         self._gangs = gangs
         self._profile_of = profile_of
@@ -203,6 +212,17 @@
             self.entry.born_ms,
         )
 
+    def crashing_task(self) -> str:
+        """Return the task that crashes this process now, if there is one."""
+        for run in self.runs_by_task.values():
+            if run.crash_s <= self._timeline.now:
+                return run.profile.name
+        return ''
+
+    def change_capacity(self, capacity: Resources) -> None:
+        """Change the capacity that the next registration gives."""
+        self.entry = msgspec.structs.replace(self.entry, capacity=capacity)
+
     def advance(self) -> None:
         """End the runs whose lease, stop or work is due by now."""
         if self.runs_by_task and self._deadline_ms <= self.clock_ms:
@@ -243,6 +263,7 @@
         now = self._timeline.now
         run = Run(profile, number, now)
         self.runs_by_task[profile.name] = run
+        self.starts.append((now, profile.name))
         if profile.gang_size:
             self._gangs.join(self, run, now)
         else:
