Bound the crashes of workers that a task may cause

Cause: each way in which a run is lost with its worker put the task back in its queue; only an end listed as failed was counted, and nothing was stored.

Change: crashes are counted in the stored progress of the job for all runs of a worker whose process has certainly ended (421, a later start time, another id answering at its address). Silence counts as a doubtful crash, and only once the process is known to have ended. A run that had only just begun makes its task a suspect; a suspect next runs alone on a worker until it has outlived the age at which it crashed. A task is given up after two crashes with no other job to blame, later where others were near. Callers of the state get the reason. Doubtful crashes cover what a former scheduler saw or sent last.

--- a/src/apricotlead/coordination/cell/crash_evidence.py
+++ b/src/apricotlead/coordination/cell/crash_evidence.py
@@ -16,7 +16,7 @@
 from apricotlead.state.cell_workers import WorkerState
 
 # A run that had been executing for less than this is the first to be suspected.
-YOUNG_S = 0.3
+YOUNG_S = 0.2
 _MAX_RUNS_PER_NOTE = 8
 
 
@@ -58,20 +58,17 @@
         return self.age_s < YOUNG_S
 
 
-def lost_runs(worker: WorkerState, now: float) -> list[LostRun]:
+def lost_runs(worker: WorkerState) -> list[LostRun]:
     """Return the runs that were lost with a worker, youngest first."""
-    lost_s = worker.contact_lost_s
-    if lost_s is None:
-        lost_s = now
     runs = [
         LostRun(
             task,
             task.run,
-            _age_s(task, lost_s),
+            _age_s(task, worker.lost_s),
             _is_confirmed(task),
         )
         for task in worker.tasks_by_name.values()
-        if task.is_placed and task.phase is not TaskPhase.PLANNED
+        if task.is_placed and not _is_unsent(task, worker)
     ]
     return sorted(runs, key=lambda lost: (lost.age_s, lost.task.name))
 
@@ -84,12 +81,11 @@
 ) -> dict[str, Any]:
     """Return the fields of the log line about a crash."""
     runs = list(runs)
-    lost_s = worker.contact_lost_s
     return {
         'worker': worker.worker_id,
         'evidence': str(evidence),
         'silent_s': round(now - worker.lease.last_contact_s, 3),
-        'down_s': None if lost_s is None else round(now - lost_s, 3),
+        'down_s': round(now - worker.lost_s, 3),
         'run_count': len(runs),
         'young_count': sum(each.is_young for each in runs),
         'youngest': [
@@ -104,8 +100,17 @@
     }
 
 
+def _is_unsent(task: TaskState, worker: WorkerState) -> bool:
+    """Return whether no order for a run can have reached the worker."""
+    if task.phase is TaskPhase.PLANNED:
+        return True
+    # The first call had failed by then.
+    is_later = task.started_s > worker.lost_s and worker.is_contact_lost
+    return task.is_start_known and is_later and not _is_confirmed(task)
+
+
 def _is_confirmed(task: TaskState) -> bool:
-    return task.phase is not TaskPhase.SENT or task.first_progress is not None
+    return task.phase is TaskPhase.RUNNING or task.first_progress is not None
 
 
 def _age_s(task: TaskState, lost_s: float) -> float:
--- /dev/null
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -0,0 +1,221 @@
+"""Workers that are kept apart for tasks that may crash them.
+
+Pattern: a few tasks that crash every worker that starts them. Beside other
+work, each such start destroys that work too, and all that was lost beside it
+waits with it. A suspect therefore runs on a worker that has no other run, and
+nothing is placed beside it until it has outlived the age at which it crashed
+before. Only a few workers are kept for such trials while the cell is busy. A
+suspect that finds none in time shares the worker with the fewest runs, where
+nothing more is placed, so that it does not wait for ever.
+"""
+
+from collections.abc import Collection, Iterable
+
+from apricotlead.coordination.cell.advice_cache import AdviceCache
+from apricotlead.coordination.cell.capacity_claims import ServiceLoad
+from apricotlead.coordination.cell.placement import (
+    WorkerHeadroom,
+    can_execute,
+    fitting_task_count,
+    has_trial,
+)
+from apricotlead.coordination.cell.run_tracker import RunTracker
+from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
+from apricotlead.state.cell_workers import TRIAL, TRIAL_S, WorkerState
+
+# A suspect that has run for longer than before its crashes by this factor has
+# been cleared.
+_TRIAL_AGE_FACTOR = 1.5
+# A service's workers that are kept for trials at a time, while it is busy, or
+# half free.
+_MAX_BUSY_SHARE = 0.125
+_MAX_IDLE_SHARE = 0.25
+# A suspect waits for a worker of its own for at most this long while the
+# service is busy, or half free.
+_MAX_BUSY_WAIT_S = 8.0
+_MAX_IDLE_WAIT_S = 1.5
+
+
+class Isolation:
+    """Decides in each placement round which workers are kept apart."""
+
+    __slots__ = (
+        '_advice',
+        '_apart_workers_by_id',
+        '_tracker',
+        '_waiting_since_s_by_step',
+    )
+
+    def __init__(self, tracker: RunTracker, advice: AdviceCache) -> None:
+        """Keep no worker apart."""
+        self._tracker = tracker
+        self._advice = advice
+        self._apart_workers_by_id: dict[str, WorkerState] = {}
+        self._waiting_since_s_by_step: dict[str, float] = {}
+
+    def update(
+        self,
+        headrooms: Collection[WorkerHeadroom],
+        load: ServiceLoad,
+        now: float,
+    ) -> None:
+        """Choose the workers for the trials of this round.
+
+        ``headrooms`` are those of the workers that accept work.
+        """
+        if not (self._tracker.suspects_by_name or self._apart_workers_by_id):
+            return
+        self._clear_suspects()
+        kept_by_id = self._workers_on_trial()
+        workers = [headroom.worker for headroom in headrooms]
+        for step in self._untried_steps(now):
+            is_half_free = load.is_half_free(step.job.stored.service)
+            step.may_share_trial = self._has_waited(
+                step, now, is_half_free=is_half_free
+            )
+            step.apart_for = TRIAL
+            chosen = self._choose_workers(
+                step, workers, kept_by_id, is_half_free=is_half_free
+            )
+            kept_by_id.update({each.worker_id: each for each in chosen})
+        self._apply(kept_by_id)
+
+    def _apply(self, kept_by_id: dict[str, WorkerState]) -> None:
+        """Keep these workers apart, and return the others to other work."""
+        for worker_id, former in self._apart_workers_by_id.items():
+            if worker_id not in kept_by_id:
+                former.apart_for = None
+        for kept in kept_by_id.values():
+            kept.apart_for = TRIAL
+        self._apart_workers_by_id = kept_by_id
+
+    def _clear_suspects(self) -> None:
+        """Clear the suspects that have outlived their earlier crashes."""
+        for task in tuple(self._tracker.suspects_by_name.values()):
+            worker = self._tracker.workers_by_id.get(task.worker_id)
+            if task.phase is TaskPhase.DONE or task.step.job.state.is_final:
+                self._tracker.clear_suspect(task)
+            elif worker is not None and _has_outlived(task, worker):
+                self._tracker.note(
+                    'suspect cleared',
+                    task=task.name,
+                    run=task.run,
+                    worker=worker.worker_id,
+                )
+                self._tracker.clear_suspect(task)
+
+    def _workers_on_trial(self) -> dict[str, WorkerState]:
+        """Return the workers that execute suspects."""
+        workers = (
+            self._tracker.workers_by_id.get(task.worker_id)
+            for task in self._tracker.suspects_by_name.values()
+            if task.is_placed
+        )
+        return {
+            worker.worker_id: worker for worker in workers if worker is not None
+        }
+
+    def _untried_steps(self, now: float) -> list[StepState]:
+        """Return the ready steps whose suspects wait for a trial."""
+        steps = (
+            task.step
+            for task in self._tracker.suspects_by_name.values()
+            if task.phase is TaskPhase.WAITING and task.not_before_s <= now
+        )
+        steps_by_name = {
+            step.name: step
+            for step in steps
+            if step.name in self._tracker.ready_steps_by_name
+            and not has_trial(step)
+        }
+        for name in self._waiting_since_s_by_step.keys() - steps_by_name:
+            self._waiting_since_s_by_step.pop(name)
+        return list(steps_by_name.values())
+
+    def _has_waited(
+        self, step: StepState, now: float, *, is_half_free: bool
+    ) -> bool:
+        """Return whether a step has waited for a trial long enough."""
+        since_s = self._waiting_since_s_by_step.setdefault(step.name, now)
+        limit_s = _MAX_IDLE_WAIT_S if is_half_free else _MAX_BUSY_WAIT_S
+        return now - since_s > limit_s
+
+    def _choose_workers(
+        self,
+        step: StepState,
+        workers: Iterable[WorkerState],
+        kept_by_id: dict[str, WorkerState],
+        *,
+        is_half_free: bool,
+    ) -> list[WorkerState]:
+        """Choose workers for the next trial of a step, idle ones first.
+
+        Any other is left to become idle, or shared if the step has waited for
+        too long. A gang needs as many as it fits on; it gets none if it does
+        not fit on those that may be kept.
+        """
+        own = [worker for worker in workers if can_execute(step, worker)]
+        limit = _max_trials(step, len(own), is_half_free=is_half_free)
+        limit -= sum(worker.worker_id in kept_by_id for worker in own)
+        order = _sharing_order if step.may_share_trial else _trial_order
+        possible = [
+            worker
+            for worker in sorted(own, key=order)
+            if worker.worker_id not in kept_by_id
+        ]
+        needed = len(step.tasks) if step.spec.gang else 1
+        chosen: list[WorkerState] = []
+        for worker in possible:
+            if needed <= 0 or len(chosen) + 1 > limit:
+                break
+            count = self._trial_count(step, worker)
+            needed -= count
+            if count:
+                chosen.append(worker)
+        return [] if needed > 0 else chosen
+
+    def _trial_count(self, step: StepState, worker: WorkerState) -> int:
+        """Return how many tasks of a step fit on a worker once it is idle."""
+        if worker.apart_for not in {None, TRIAL}:
+            return 0
+        advice = self._advice.steps_by_name.get(step.name)
+        if advice and worker.worker_id in advice.ineligible_ids:
+            return 0
+        room = worker.idle_capacity
+        if step.may_share_trial:
+            room = worker.entry.capacity - worker.used
+        return fitting_task_count(step, room)
+
+
+def _max_trials(
+    step: StepState, worker_count: int, *, is_half_free: bool
+) -> float:
+    """Return how many workers may be kept for trials at a time."""
+    if not is_half_free:
+        return max(1, worker_count * _MAX_BUSY_SHARE)
+    if step.may_share_trial:
+        return worker_count
+    return max(1, worker_count * _MAX_IDLE_SHARE)
+
+
+def _trial_order(worker: WorkerState) -> tuple[bool, bool, int]:
+    """Return a sort key: idle workers, those kept before, the least used."""
+    return (
+        bool(worker.tasks_by_name),
+        worker.apart_for != TRIAL,
+        worker.used.cpu_millis,
+    )
+
+
+def _sharing_order(worker: WorkerState) -> tuple[int, int]:
+    """Return a sort key: the workers with the fewest runs to lose."""
+    return len(worker.tasks_by_name), worker.used.cpu_millis
+
+
+def _has_outlived(task: TaskState, worker: WorkerState) -> bool:
+    """Return whether a suspect has run for longer than before its crashes."""
+    if task.phase is not TaskPhase.RUNNING or worker.is_contact_lost:
+        return False
+    trial_s = max(TRIAL_S, task.crashes.longest_age_s * _TRIAL_AGE_FACTOR)
+    # The worker has to have answered since.
+    return worker.lease.last_contact_s - task.started_s > trial_s
--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -94,7 +94,7 @@
 def _progress_put(job: JobRun, store_ms: float) -> Put:
     record = job.progress()
     if job.state.is_final:
-        record = JobProgress([], job.state, store_ms)
+        record = JobProgress([], job.state, store_ms, why=job.why_failed)
     return Put(f'{PROGRESS_PREFIX}{job.job_id}', msgspec.to_builtins(record))
 
 
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -5,6 +5,7 @@
 from apricotlead.coordination.cell.advice_cache import AdviceCache, AdviceCall
 from apricotlead.coordination.cell.advice_planning import AdvicePlanner
 from apricotlead.coordination.cell.gang_reservations import GangReservations
+from apricotlead.coordination.cell.isolation import Isolation
 from apricotlead.coordination.cell.limits import OrganisationLimits
 from apricotlead.coordination.cell.order import (
     is_urgent,
@@ -25,7 +26,11 @@
 
 # Steps that wait for these reasons were cheap to try.
 _CHEAP_REASONS = frozenset(
-    (WaitReason.GANG_STOPPING, WaitReason.ORGANISATION_LIMIT)
+    (
+        WaitReason.GANG_STOPPING,
+        WaitReason.ORGANISATION_LIMIT,
+        WaitReason.TRIAL,
+    )
 )
 # Gangs that wait for these reasons reserve workers until they fit.
 _RESERVING_REASONS = frozenset(
@@ -43,6 +48,7 @@
     __slots__ = (
         '_advice',
         '_advice_planner',
+        '_isolation',
         '_limits',
         '_reservations',
         '_tracker',
@@ -53,6 +59,7 @@
         self._tracker = tracker
         self._advice = advice
         self._advice_planner = AdvicePlanner(advice)
+        self._isolation = Isolation(tracker, advice)
         self._reservations = GangReservations()
         self._limits = OrganisationLimits(tracker)
 
@@ -65,6 +72,7 @@
         if not self._tracker.ready_steps_by_name:
             return []
         current_round = self._begin_round(now, askers)
+        self._isolation.update(current_round.headrooms, current_round.load, now)
         self._reservations.begin(current_round.headrooms)
         blocked: Counter[str] = Counter()
         steps = sorted(
@@ -104,7 +112,11 @@
         """Place the tasks that fit; return what the others wait for."""
         waiting = waiting_tasks(step, current_round.now)
         if not waiting:
-            return WaitReason.GANG_STOPPING
+            return (
+                WaitReason.TRIAL
+                if step.has_suspects
+                else WaitReason.GANG_STOPPING
+            )
         tasks = self._limits.within_limit(step, waiting)
         if not tasks:
             return WaitReason.ORGANISATION_LIMIT
@@ -139,6 +151,8 @@
         reason = self._advice_planner.ask(
             step, tasks[len(assignments) :], current_round
         )
+        if step.apart_for is not None and reason is WaitReason.NO_CAPACITY:
+            return WaitReason.TRIAL
         if step.spec.gang:
             self._reserve_for_gang(step, current_round, reason)
         return reason
--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -27,6 +27,7 @@
         'ready_steps_by_name',
         'restored_by_worker',
         'stop_acked_s_by_run',
+        'suspects_by_name',
         'usage_by_organisation',
         'workers_by_id',
     )
@@ -41,6 +42,8 @@
         self.ready_steps_by_name: dict[str, StepState] = {}
         self.usage_by_organisation: dict[str, Resources] = {}
         self.dirty_job_ids: dict[str, None] = {}
+        # Tasks that may have crashed a worker, until they have been cleared.
+        self.suspects_by_name: dict[str, TaskState] = {}
         self.stop_acked_s_by_run: dict[tuple[str, str, int], float] = {}
         # Events to be logged: kind and fields.
         self.notes: list[tuple[str, dict[str, Any]]] = []
@@ -115,12 +118,33 @@
             self.stop(task)
 
     def track_restored_runs(self, job: JobRun) -> None:
-        """Index the placed runs of a restored job by worker."""
+        """Index the placed runs of a restored job by worker, and suspects."""
         for task in job.tasks():
+            if task.crashes.is_suspect:
+                self.suspects_by_name[task.name] = task
             if task.is_placed:
                 tasks = self.restored_by_worker.setdefault(task.worker_id, [])
                 tasks.append(task)
 
+    def suspect(self, task: TaskState) -> None:
+        """Suspect a task of crashing its workers."""
+        task.crashes.is_suspect = True
+        task.step.is_suspected = True
+        self.suspects_by_name[task.name] = task
+        self.mark_dirty(task.step.job)
+
+    def clear_suspect(self, task: TaskState) -> None:
+        """Stop suspecting a task; its crashes still count."""
+        self.suspects_by_name.pop(task.name, None)
+        task.crashes.is_suspect = False
+        task.step.is_suspected = any(
+            other.crashes.is_suspect for other in task.step.tasks
+        )
+        task.step.apart_for = None
+        task.step.may_share_trial = False
+        if not task.step.job.state.is_final:
+            self.mark_dirty(task.step.job)
+
     def restore_placements(self, worker: WorkerState) -> None:
         """Account for the runs that a previous term placed on a worker."""
         for task in self.restored_by_worker.pop(worker.worker_id, ()):
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -4,11 +4,8 @@
 
 import msgspec
 
-from apricotlead.coordination.cell.crash_evidence import (
-    Evidence,
-    crash_fields,
-    lost_runs,
-)
+from apricotlead.coordination.cell.crash_attribution import CrashAttribution
+from apricotlead.coordination.cell.crash_evidence import Evidence
 from apricotlead.coordination.cell.election import OwnerRow
 from apricotlead.coordination.cell.evacuation import runs_to_evacuate
 from apricotlead.coordination.cell.lease_records import LeaseRecords
@@ -26,7 +23,7 @@
 )
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Put, Row
-from apricotlead.state.cell_workers import WorkerState
+from apricotlead.state.cell_workers import TRIAL, TRIAL_S, WorkerState
 
 _MS_PER_S = 1000.0
 # A worker gets no new runs for a while after this many failures in a row.
@@ -38,8 +35,11 @@
     """Tracks which workers are alive and until when their runs may continue."""
 
     __slots__ = (
+        '_answering_id_by_address',
         '_clock',
+        '_crashes',
         '_ends',
+        '_former_renewed_s',
         '_leases',
         '_lossy_until_s',
         '_settings',
@@ -65,8 +65,16 @@
         self._tracker = tracker
         self._clock = clock
         self._ends = RunEndHandler(tracker)
+        self._crashes = CrashAttribution(tracker)
         self._leases = LeaseRecords(settings, clock, former, now)
         self._lossy_until_s = now
+        # When the previous scheduler last wrote, so that all runs that it
+        # placed are older.
+        self._former_renewed_s: float | None = None
+        if former is not None:
+            self._former_renewed_s = clock.to_local_s(former.renewed_ms, now)
+        # The worker that was the last to answer at each address.
+        self._answering_id_by_address: dict[str, str] = {}
         self.epoch = epoch
         # When the last confirmed write of the owner row was prepared.
         self.renewed_s = now
@@ -156,6 +164,9 @@
         is_answer_lost = worker.unanswered_s > worker.lease.last_contact_s
         if has_unacked or is_answer_lost or not worker.may_grant_lease:
             return 0
+        if worker.apart_for == TRIAL:
+            # Whether the suspect lives is to be known soon.
+            return min(TRIAL_S, holds.lossy_wait_s)
         if now < self._lossy_until_s:
             return holds.lossy_wait_s
         return holds.wait_s
@@ -183,6 +194,8 @@
             self._handle_restart(worker, report, now)
             return
         worker.lease.record_answer(report.clock_ms, sent_s, now)
+        worker.forget_lapsed_runs()
+        self._end_former_at_address(worker, now)
         self._apply_ends(worker, report, now)
         reconcile(self._tracker, worker, report, sent_s, now)
         worker.lease.has_contact = True
@@ -201,11 +214,11 @@
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None:
             return
-        worker.note_failed_call(now)
+        is_prompt = reply.is_broken or reply.refusal is Refusal.NO_LISTENER
+        worker.note_failed_call(now, is_prompt=is_prompt)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._tracker.note('worker life over', worker=worker_id)
-            self._note_crash(worker, Evidence.OTHER_LIFE, now)
-            self._tracker.forget_worker(worker, now)
+            self._forget(worker, Evidence.OTHER_LIFE, now)
         elif reply.refusal is Refusal.UNANSWERED:
             worker.unanswered_s = now
 
@@ -288,7 +301,7 @@
         """
         self._tracker.note('worker reborn', worker=entry.worker_id)
         self._leases.forget(entry.worker_id)
-        self._note_crash(former, Evidence.REBORN, now)
+        guilty = self._crashes.worker_ended(former, Evidence.REBORN, now)
         unlisted = self._tracker.detach_unlisted_runs(former)
         self._tracker.forget_worker(former, now)
         self._add(entry, now)
@@ -298,6 +311,7 @@
             lease.latest_expiry_s, former.lease.latest_expiry_s
         )
         self._tracker.stop_after_restart(unlisted, worker)
+        self._crashes.give_up(guilty, now)
 
     def _requeue_unlisted_restored(
         self,
@@ -311,10 +325,19 @@
         terms. Starts of this term may still arrive, so their runs are kept.
         """
         listed = {(each.task, each.run) for each in report.running}
-        for task in tuple(worker.tasks_by_name.values()):
-            is_listed = (task.name, task.run) in listed
-            if not is_listed and not task.is_start_known:
-                self._tracker.requeue(task, now)
+        missing = [
+            task
+            for task in worker.tasks_by_name.values()
+            if (task.name, task.run) not in listed and not task.is_start_known
+        ]
+        born_s = now - report.clock_ms / _MS_PER_S
+        if self._former_renewed_s is not None and (
+            born_s > self._former_renewed_s
+        ):
+            # The runs were placed before it started.
+            self._crashes.restarted_between_terms(worker, missing, now)
+        for lost in missing:
+            self._tracker.requeue(lost, now)
 
     def _handle_restart(
         self,
@@ -342,16 +365,30 @@
             worker.not_before_s = now + _FAILING_PAUSE_S
             self._tracker.note('worker paused', worker=worker.worker_id)
 
-    def _note_crash(
+    def _end_former_at_address(self, worker: WorkerState, now: float) -> None:
+        """Forget the worker that another one has replaced at its address.
+
+        Only one process can listen there, and ``worker`` has answered.
+        """
+        address = worker.entry.address
+        former_id = self._answering_id_by_address.get(address)
+        self._answering_id_by_address[address] = worker.worker_id
+        if former_id is None or former_id == worker.worker_id:
+            return
+        former = self._tracker.workers_by_id.get(former_id)
+        if former is not None and former.entry.address == address:
+            self._forget(former, Evidence.OTHER_LIFE, now)
+
+    def _forget(
         self, worker: WorkerState, evidence: Evidence, now: float
     ) -> None:
-        """Log which runs a worker had when it ended without notice."""
-        if worker.entry.draining:
-            return
-        runs = lost_runs(worker, now)
-        self._tracker.note(
-            'worker crashed', **crash_fields(worker, evidence, runs, now)
-        )
+        """Forget a worker that has ended; give up the jobs that crashed it."""
+        guilty = self._crashes.worker_ended(worker, evidence, now)
+        address = worker.entry.address
+        if self._answering_id_by_address.get(address) == worker.worker_id:
+            self._answering_id_by_address.pop(address)
+        self._tracker.forget_worker(worker, now)
+        self._crashes.give_up(guilty, now)
 
     def _check_worker(self, worker: WorkerState, now: float) -> None:
         lease = worker.lease
@@ -359,8 +396,7 @@
             return
         if not worker.is_listed:
             self._tracker.note('worker gone', worker=worker.worker_id)
-            self._note_crash(worker, Evidence.GONE, now)
-            self._tracker.forget_worker(worker, now)
+            self._forget(worker, Evidence.GONE, now)
             return
         lease.has_contact = False
         worker.is_reconciled = False
@@ -371,6 +407,8 @@
                 run=task.run,
                 worker=worker.worker_id,
             )
+            if task.is_placed:
+                worker.note_lapsed_run(task)
             self._tracker.release_done(worker, task)
             self._tracker.requeue(task, now)
 
--- a/src/apricotlead/platform/workers.py
+++ b/src/apricotlead/platform/workers.py
@@ -333,7 +333,11 @@
         refusal = Refusal.NO_LISTENER if answer.is_refused else Refusal.NOT_SENT
         return OrderReply(refusal, detail=answer.reason)
     if not isinstance(answer, Answered):
-        return OrderReply(Refusal.UNANSWERED, detail=answer.reason)
+        return OrderReply(
+            Refusal.UNANSWERED,
+            detail=answer.reason,
+            is_broken=answer.is_broken,
+        )
     try:
         body = _reply_decoder.decode(answer.body or b'{}')
     except DECODE_ERRORS:
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -111,23 +111,40 @@
     checkpoint: str = ''
 
 
+class CrashRecord(Struct, array_like=True, frozen=True):
+    """The crashes of workers under the task with this index of a step."""
+
+    index: int
+    crashes: int
+    doubtful_crashes: int = 0
+    sole_crashes: int = 0
+    is_suspect: bool = False
+
+
 class StepRecord(Struct, array_like=True):
-    """The tasks of one step of one occurrence in a progress row."""
+    """The tasks of one step of one occurrence in a progress row.
+
+    ``crashes`` holds only the tasks under which workers have crashed.
+    """
 
     occurrence: int
     step: int
     tasks: list[TaskRecord]
     gang_failures: int = 0
+    crashes: tuple[CrashRecord, ...] = ()
 
 
 class JobProgress(Struct, array_like=True):
     """The progress row of a job that has started or is final.
 
     A final job has no ``steps``; ``ended_ms`` is on the store's clock.
-    ``has_started`` is set once a worker has started one of its tasks.
+    ``has_started`` is set once a worker has started one of its tasks. ``why``
+    tells callers the reason of a failure, if there is more to say than that
+    the attempts are used up.
     """
 
     steps: list[StepRecord]
     state: JobState = JobState.RUNNING
     ended_ms: float = 0
     has_started: bool = False
+    why: str = ''
--- a/src/apricotlead/protocol/cell_workers.py
+++ b/src/apricotlead/protocol/cell_workers.py
@@ -153,11 +153,15 @@
 
 
 class OrderReply(Struct, frozen=True):
-    """The result of an order; ``refusal`` is ``None`` if it was accepted."""
+    """The result of an order; ``refusal`` is ``None`` if it was accepted.
+
+    With ``is_broken`` the connection ended instead of an answer.
+    """
 
     refusal: Refusal | None = None
     clock_ms: float = 0
     detail: str = ''
+    is_broken: bool = False
 
 
 class AdviceAnswer(Struct, frozen=True):
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -12,6 +12,7 @@
     TaskRecord,
 )
 from apricotlead.protocol.resources import Resources
+from apricotlead.state.crash_history import CrashHistory
 from apricotlead.state.wait_times import WaitTimes
 
 # A task is named ``{job_id}.{occurrence}.{step}.{index}``.
@@ -50,6 +51,7 @@
     __slots__ = (
         'avoided_workers',
         'checkpoint',
+        'crashes',
         'failures',
         'first_progress',
         'index',
@@ -90,6 +92,7 @@
         self.percent = 100
         self.not_before_s = 0.0
         self.avoided_workers: set[str] = set()
+        self.crashes = CrashHistory()
 
     @property
     def is_placed(self) -> bool:
@@ -112,13 +115,16 @@
     """The state of one step of one occurrence of a job."""
 
     __slots__ = (
+        'apart_for',
         'done_count',
         'gang_failures',
         'index',
+        'is_suspected',
         'job',
         'longest_full_run_s',
         'longest_run_s',
         'lost_core_s_by_kind',
+        'may_share_trial',
         'name',
         'occurrence',
         'ready_s',
@@ -147,11 +153,25 @@
         # The same including resumed runs and gangs; logged when the job ends.
         self.longest_run_s = 0.0
         self.lost_core_s_by_kind: Counter[str] = Counter()
+        # Whether any of its tasks ever was; a cheap check for most steps.
+        self.is_suspected = False
+        # Whether its suspects need not wait for an idle worker any longer.
+        self.may_share_trial = False
+        # The workers kept apart that alone may run it, by their name.
+        self.apart_for: str | None = None
         # Workers on which a run was replaced because it was slow.
         self.slow_worker_ids: set[str] = set()
         self.ready_s: float | None = None
         self.waits = WaitTimes()
 
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether a task that is not done is suspected of crashes."""
+        return self.is_suspected and any(
+            task.crashes.is_suspect and task.phase is not TaskPhase.DONE
+            for task in self.tasks
+        )
+
     @property
     def is_done(self) -> bool:
         """Return whether all tasks are done."""
@@ -178,6 +198,11 @@
             self.index,
             tasks,
             self.gang_failures,
+            tuple(
+                task.crashes.record(task.index)
+                for task in self.tasks
+                if task.crashes.total
+            ),
         )
 
     def restore(self, record: StepRecord, now: float) -> None:
@@ -194,6 +219,9 @@
                 task.phase = TaskPhase.DONE
             elif stored_task.worker_id:
                 task.phase = TaskPhase.SENT
+        for crashes in record.crashes:
+            self.tasks[crashes.index].crashes.restore(crashes)
+            self.is_suspected |= crashes.is_suspect
         self.recount()
 
 
@@ -214,6 +242,7 @@
         'step_specs',
         'steps_by_key',
         'stored',
+        'why_failed',
     )
 
     def __init__(
@@ -247,6 +276,8 @@
         self.state = JobState.QUEUED
         self.has_started = False
         self.is_within_weight = True
+        # What callers are told about a failure, beside the state.
+        self.why_failed = ''
         self.next_occurrence = 0
         # Empty for a job without occurrences.
         self.due_s_by_occurrence: dict[int, float] = {}
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -1,15 +1,19 @@
 """In-memory state of the cell's workers in the elected scheduler."""
 
 from collections import deque
-from collections.abc import Container
+from collections.abc import Callable, Container
 
 from apricotlead.protocol.cell_workers import EndedTask, WorkerEntry
 from apricotlead.protocol.resources import Resources
-from apricotlead.state.cell_jobs import TaskState
+from apricotlead.state.cell_jobs import TaskPhase, TaskState
 from apricotlead.state.worker_lease import WorkerLease
 from apricotlead.state.worker_speed import WorkerSpeed
 
 _MS_PER_S = 1000.0
+# Name of the workers that are kept for one suspect each.
+TRIAL = 'trial'
+# A suspect that has run for this long does not crash its worker at its start.
+TRIAL_S = 0.5
 
 
 class WorkerState:
@@ -20,8 +24,11 @@
 
     __slots__ = (
         '_failed_call_s',
+        '_is_loss_prompt',
+        '_lapsed_runs',
         '_unacked_ends',
         'acked_through',
+        'apart_for',
         'consecutive_failures',
         'drain_ends_s',
         'entry',
@@ -62,6 +69,8 @@
         self.runs_to_stop: dict[tuple[str, int], None] = {}
         self.strays_by_run: dict[tuple[str, int], Resources] = {}
         self.speed = WorkerSpeed()
+        # What alone may be placed here; ``None`` if all other work may.
+        self.apart_for: str | None = None
         self.acked_through = 0
         self.reported_through = 0
         # (number, job id) of the ends between these two, oldest first.
@@ -72,8 +81,12 @@
         self.suspected_s = float('-inf')
         # When the latest call timed out; reset by an answer that follows.
         self.unanswered_s = float('-inf')
+        # (task name, run) of the runs that ended with the lease while nothing
+        # showed whether the worker had crashed.
+        self._lapsed_runs: list[tuple[str, int]] = []
         # When the first call failed since the latest answer.
         self._failed_call_s = float('-inf')
+        self._is_loss_prompt = False
         self.consecutive_failures = 0
         self.drain_ends_s: float | None = None
 
@@ -122,16 +135,45 @@
         return self.suspected_s > self.lease.last_contact_s
 
     @property
-    def contact_lost_s(self) -> float | None:
-        """Return when the first call failed since the latest answer, if any."""
-        if self._failed_call_s <= self.lease.last_contact_s:
-            return None
-        return self._failed_call_s
-
-    def note_failed_call(self, now: float) -> None:
-        """Record that a call to the worker has failed."""
-        if self.contact_lost_s is None:
+    def is_contact_lost(self) -> bool:
+        """Return whether a call has failed since the latest answer."""
+        return self._failed_call_s > self.lease.last_contact_s
+
+    @property
+    def lost_s(self) -> float:
+        """Return when the worker may have ended, at the earliest.
+
+        A connection that ends tells at once. A call that gets no answer does
+        not, so the worker may have ended right after its latest answer.
+        """
+        if self.is_contact_lost and self._is_loss_prompt:
+            return self._failed_call_s
+        return self.lease.last_contact_s
+
+    def note_failed_call(self, now: float, *, is_prompt: bool) -> None:
+        """Record a failed call; ``is_prompt`` if it told at once."""
+        if not self.is_contact_lost:
             self._failed_call_s = now
+            self._is_loss_prompt = is_prompt
+
+    def note_lapsed_run(self, task: TaskState) -> None:
+        """Record a run that ended with the lease of a silent worker."""
+        self._lapsed_runs.append((task.name, task.run))
+
+    def forget_lapsed_runs(self) -> None:
+        """Discard the record, as the worker has answered: it lives."""
+        self._lapsed_runs.clear()
+
+    def lapsed_runs(
+        self, task_of: Callable[[str], TaskState | None]
+    ) -> list[tuple[TaskState, int]]:
+        """Return the runs that lapsed here whose tasks are not done since."""
+        runs = ((task_of(name), run) for name, run in self._lapsed_runs)
+        return [
+            (task, run)
+            for task, run in runs
+            if task is not None and task.phase is not TaskPhase.DONE
+        ]
 
     def place(self, task: TaskState) -> None:
         """Reserve resources for a task."""
--- a/src/apricotlead/state/wait_times.py
+++ b/src/apricotlead/state/wait_times.py
@@ -14,6 +14,8 @@
     ``EARLIER_STEPS``: steps ahead of it may take all the capacity for which
     tickets could be used. ``NO_CAPACITY``: all workers that may run it are
     full. ``GANG_STOPPING``: other members of its gang are still stopping.
+    ``TRIAL``: a task of it may have crashed a worker, and waits for a worker of
+    its own, or runs there for a moment before the others follow.
     """
 
     ROUND_ENDED = 'order'
@@ -23,6 +25,7 @@
     EARLIER_STEPS = 'turn'
     NO_CAPACITY = 'room'
     GANG_STOPPING = 'members'
+    TRIAL = 'trial'
 
 
 class WaitTimes:
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -71,9 +71,13 @@
 
 
 class NoAnswer(Struct, frozen=True):
-    """The request may have been carried out."""
+    """The request may have been carried out.
+
+    With ``is_broken`` the connection ended instead of an answer.
+    """
 
     reason: str
+    is_broken: bool = False
 
 
 HttpResult = NeverSent | Answered | NoAnswer
@@ -263,7 +267,10 @@
         try:
             may_reuse = _send_and_receive(connection, encoded, reader)
         except (OSError, EOFError, HttpParserError) as error:
-            return NoAnswer(f'{request.address}: {error!r}')
+            return NoAnswer(
+                f'{request.address}: {error!r}',
+                isinstance(error, (OSError, EOFError)),
+            )
         finally:
             if may_reuse:
                 host.return_idle(connection, self._idle_per_host)
--- a/tests/faulty/budget_rule.py
+++ b/tests/faulty/budget_rule.py
@@ -4,7 +4,7 @@
 """
 
 from bisect import bisect_right
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from apricotlead.protocol.cell_jobs import JobState
 from tests.faulty.cell import FaultyCell
@@ -46,7 +46,7 @@
     def innocent_jobs_failed(self) -> list[str]:
         """Return the failed jobs without a task that crashed its workers."""
         deadly_jobs = {
-            task.partition('.')[0] for task in self.crashes_s_by_task
+            task.partition('.')[0] for task in self._cell.deadly_tasks
         }
         return [
             job_id
@@ -56,11 +56,12 @@
         ]
 
     def jobs_given_up_early(self) -> list[str]:
-        """Return the failed jobs none of whose tasks crashed two workers."""
+        """Return the failed jobs under none of whose tasks two workers crashed."""
+        counts = Counter(task for _, task in self._cell.lost_runs)
         allowed = {
             task.partition('.')[0]
-            for task, crashes_s in self.crashes_s_by_task.items()
-            if len(crashes_s) >= _CRASHES_TO_GIVE_UP
+            for task, count in counts.items()
+            if count >= _CRASHES_TO_GIVE_UP
         }
         return [
             job_id
--- a/tests/faulty/cell.py
+++ b/tests/faulty/cell.py
@@ -66,6 +66,7 @@
         self.workers_by_id: dict[str, FaultyWorker] = {}
         self.jobs_by_id: dict[str, StoredJob] = {}
         self.cancelled_ids: set[str] = set()
+        self.deadly_tasks: set[str] = set()
         # When a task crashed its worker, and which; when runs were lost so.
         self.crashes: list[tuple[float, str]] = []
         self.lost_runs: list[tuple[float, str]] = []
@@ -225,6 +226,7 @@
             )
         if is_deadly:
             first = f'{job_id}.0.0.0'
+            self.deadly_tasks.add(first)
             self._profiles_by_task[first] = msgspec.structs.replace(
                 self._profiles_by_task[first],
                 crashes_after_s=kind.deadly_after_s,
@@ -258,6 +260,7 @@
     def crash_worker(self, worker: FaultyWorker) -> Process:
         """End a worker process, and start it again after some seconds."""
         tasks = tuple(worker.runs_by_task)
+        worker.closes_connections = self.random.random() < 0.8
         worker.terminate()
         self.lost_runs.extend((self.now, task) for task in tasks)
         yield self.random.uniform(*_RESTART_S)
--- a/tests/faulty/links.py
+++ b/tests/faulty/links.py
@@ -64,6 +64,11 @@
             return Refusal.OTHER_LIFE
         return worker
 
+    def is_broken(self, entry: WorkerEntry) -> bool:
+        """Return whether a call to a worker ends with its connection."""
+        worker = self._workers_by_id.get(entry.worker_id)
+        return bool(worker and worker.has_ended and worker.closes_connections)
+
     def order(self, entry: WorkerEntry, handle: OrderHandler) -> OrderReply:
         """Send an order; the request or response may be lost or delayed."""
         worker = self.reach(entry)
--- a/tests/faulty/term.py
+++ b/tests/faulty/term.py
@@ -209,7 +209,9 @@
                 is_granted = planned[1].deadline_ms is not None
                 yield _POLL_S if is_granted else times.retry_pause_s
             else:
-                workers.hold_refused(worker_id, OrderReply(answer), self.now)
+                is_broken = self._environment.links.is_broken(planned[0])
+                reply = OrderReply(answer, is_broken=is_broken)
+                workers.hold_refused(worker_id, reply, self.now)
                 pauses = min(missed_count, times.most_pauses)
                 yield max(_POLL_S, pauses * times.retry_pause_s)
                 missed_count += 1
@@ -235,7 +237,7 @@
         if refusal is not None:
             return refusal
         ends_s = self.now + wait_s
-        while self.now < ends_s and not worker.has_unacked_ends:
+        while self.now < ends_s and not _returns_early(worker):
             yield _POLL_S
         if worker.is_disconnected or worker.has_ended or links.is_lost():
             return Refusal.UNANSWERED
@@ -256,3 +258,9 @@
         if self._is_active:
             self.scheduler.advice.answered(call, answer, asked_s, self.now)
             self.request_planning()
+
+
+def _returns_early(worker: FaultyWorker) -> bool:
+    """Return whether a worker ends a long poll, or its connection ends."""
+    is_broken = worker.has_ended and worker.closes_connections
+    return worker.has_unacked_ends or is_broken
--- a/tests/faulty/workers.py
+++ b/tests/faulty/workers.py
@@ -117,6 +117,8 @@
         self.is_disconnected = False
         self.has_ended = False
         self.fails_all_tasks = False
+        # Whether callers see at once that the process has ended.
+        self.closes_connections = False
         # The starts of this process: when, and of which task.
         self.starts: list[tuple[float, str]] = []
         self._timeline = timeline
