Suspect fewer innocent tasks, and hold back queues that crash workers

What callers saw: after a hand-over all work that had been beside a crash waited for a trial of its own, 7 s and more; with all jobs of a queue deadly the whole cell was taken down again and again.

Cause: a successor does not know when the runs of a crashed worker began, so all of them looked young; suspects of one step were tried one after another; nothing bounded how many workers the jobs of one queue take down before they are known.

The suspects of a step are tried together. Crashes that cannot be dated blame no job alone. Nothing is sent to a worker whose address refuses connections. Once five of a queue's latest twelve first starts crashed a worker, its steps wait while a third of the workers is down, and new jobs are rejected that would wait too long (held_s_by_queue of the backlog).

--- a/src/apricotlead/coordination/cell/admission.py
+++ b/src/apricotlead/coordination/cell/admission.py
@@ -11,6 +11,7 @@
 
 from msgspec import Struct
 
+from apricotlead.coordination.cell.crash_limits import held_s_by_queue
 from apricotlead.coordination.cell.order import (
     CUTOFF_DEVIATIONS,
     CUTOFF_FACTOR,
@@ -102,6 +103,7 @@
             queue: round(error.factor(CUTOFF_DEVIATIONS), 2)
             for queue, error in tracker.estimate_errors.by_queue.items()
         },
+        held_s_by_queue(tracker),
     )
 
 
@@ -115,7 +117,10 @@
     is_long_running = any(step.long_running for step in submission.steps)
     if submission.occurrences or is_long_running:
         return None
-    wait_s = _wait_s(queue, organisation, backlog)
+    wait_s = max(
+        _wait_s(queue, organisation, backlog),
+        backlog.held_s_by_queue.get(queue.name, 0),
+    )
     useful_s = _max_useful_wait_s(submission, queue, backlog)
     if wait_s <= useful_s:
         return None
--- a/src/apricotlead/coordination/cell/capacity_claims.py
+++ b/src/apricotlead/coordination/cell/capacity_claims.py
@@ -166,10 +166,22 @@
 class ServiceLoad:
     """The free and total CPU of each service."""
 
-    __slots__ = ('_free_cpu_by_service', '_total_cpu_by_service')
+    __slots__ = (
+        '_absent_cpu_by_service',
+        '_free_cpu_by_service',
+        '_total_cpu_by_service',
+    )
 
-    def __init__(self, headrooms: Iterable[WorkerHeadroom]) -> None:
-        """Start a round."""
+    def __init__(
+        self,
+        headrooms: Iterable[WorkerHeadroom],
+        absent: Iterable[WorkerState] = (),
+    ) -> None:
+        """Start a round; ``absent`` workers may soon accept work again."""
+        self._absent_cpu_by_service: Counter[str] = Counter()
+        for worker in absent:
+            cpu_millis = worker.entry.capacity.cpu_millis
+            self._absent_cpu_by_service[worker.entry.service] += cpu_millis
         self._free_cpu_by_service: Counter[str] = Counter()
         self._total_cpu_by_service: Counter[str] = Counter()
         for headroom in headrooms:
@@ -183,6 +195,15 @@
         free = self._free_cpu_by_service[service]
         return free * 2 > self._total_cpu_by_service[service]
 
+    def is_half_idle(self, service: str) -> bool:
+        """Return whether more than half is free, absent workers included.
+
+        When many workers have crashed, the few that are left may be idle.
+        """
+        total = self._total_cpu_by_service[service]
+        total += self._absent_cpu_by_service[service]
+        return self._free_cpu_by_service[service] * 2 > total
+
     def take(self, service: str, cpu_millis: int) -> None:
         """Record that a task was placed."""
         self._free_cpu_by_service[service] -= cpu_millis
--- a/src/apricotlead/coordination/cell/crash_attribution.py
+++ b/src/apricotlead/coordination/cell/crash_attribution.py
@@ -16,13 +16,14 @@
 only once something shows that its process has ended.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from apricotlead.coordination.cell.crash_evidence import (
     Evidence,
     LostRun,
     crash_fields,
     lost_runs,
+    unseen_runs,
 )
 from apricotlead.coordination.cell.run_tracker import RunTracker
 from apricotlead.protocol.cell_jobs import JobState
@@ -64,18 +65,30 @@
         self._tracker.note(
             'worker crashed', **crash_fields(worker, evidence, runs, now)
         )
-        suspects_before = {
-            lost.task for lost in runs if lost.task.crashes.is_suspect
-        }
-        blamed_job = _blamed_job(runs)
+        if evidence.is_proof:
+            _note_steps(runs)
+        tried_alone = _tried_alone(runs)
+        blamed_job = _blamed_job(runs) if worker.is_loss_dated else None
         for lost in runs:
             self._count(
-                lost, evidence, is_sole=lost.task.step.job is blamed_job
+                lost,
+                evidence,
+                is_sole=lost.task.step.job is blamed_job,
+                is_alone=lost.task in tried_alone,
             )
         for task, run in worker.lapsed_runs(self._tracker.task):
-            self._count(LostRun(task, run, 0, is_confirmed=False), evidence)
+            lapsed = LostRun(task, run, 0, is_confirmed=False, is_young=False)
+            self._count(lapsed, evidence)
         self._suspect(runs, evidence, now)
-        return self._guilty_jobs(runs, suspects_before)
+        return _guilty_jobs(runs, tried_alone)
+
+    def worker_down(self, worker: WorkerState) -> None:
+        """Note which steps seem to have taken a worker down.
+
+        Nothing else is decided until the end of its process is proved.
+        """
+        if not worker.entry.draining:
+            _note_steps(lost_runs(worker))
 
     def restarted_between_terms(
         self, worker: WorkerState, tasks: Iterable[TaskState], now: float
@@ -85,9 +98,7 @@
         It did so while there was no scheduler, which had started them there
         before; whether the worker ever began them is not known.
         """
-        runs = [
-            LostRun(task, task.run, 0, is_confirmed=False) for task in tasks
-        ]
+        runs = _uncounted(unseen_runs(tasks))
         if not runs or worker.entry.draining:
             return
         self._tracker.note(
@@ -122,19 +133,27 @@
             self._tracker.finish(job, JobState.FAILED, now)
 
     def _count(
-        self, lost: LostRun, evidence: Evidence, *, is_sole: bool = False
+        self,
+        lost: LostRun,
+        evidence: Evidence,
+        *,
+        is_sole: bool = False,
+        is_alone: bool = False,
     ) -> None:
         history = lost.task.crashes
         if lost.run <= history.counted_run:
             return
         history.counted_run = lost.run
-        if evidence.is_proof and lost.is_confirmed:
-            history.crashes += 1
-            history.sole_crashes += is_sole and lost.age_s < TRIAL_S
-            history.longest_age_s = max(history.longest_age_s, lost.age_s)
-        else:
-            history.doubtful_crashes += 1
         self._tracker.mark_dirty(lost.task.step.job)
+        if not (evidence.is_proof and lost.is_confirmed):
+            history.doubtful_crashes += 1
+            return
+        history.crashes += 1
+        history.longest_age_s = max(history.longest_age_s, lost.age_s)
+        if is_sole and lost.age_s < TRIAL_S:
+            history.sole_crashes += 1
+        elif is_alone:
+            history.alone_crashes += 1
 
     def _suspect(
         self, runs: list[LostRun], evidence: Evidence, now: float
@@ -159,19 +178,30 @@
                 age_s=round(lost.age_s, 3),
             )
 
-    def _guilty_jobs(
-        self, runs: list[LostRun], suspects_before: set[TaskState]
-    ) -> list[JobRun]:
-        is_alone = len({lost.task.step.job for lost in runs}) == 1
-        guilty_by_id = {
-            lost.task.step.job.job_id: lost.task.step.job
-            for lost in runs
-            if _is_guilty(
-                lost.task.crashes,
-                was_tried=is_alone and lost.task in suspects_before,
-            )
-        }
-        return list(guilty_by_id.values())
+
+def _note_steps(runs: Iterable[LostRun]) -> None:
+    """Note the steps of the runs that had only just begun."""
+    for lost in runs:
+        lost.task.step.has_crashed |= lost.is_young
+        lost.task.step.has_lived |= not lost.is_young
+
+
+def _tried_alone(runs: list[LostRun]) -> set[TaskState]:
+    """Return the suspects of a worker that had runs of one job only."""
+    if len({lost.task.step.job for lost in runs}) > 1:
+        return set()
+    return {lost.task for lost in runs if lost.task.crashes.is_suspect}
+
+
+def _guilty_jobs(
+    runs: Iterable[LostRun], tried_alone: Collection[TaskState]
+) -> list[JobRun]:
+    jobs_by_id = {
+        lost.task.step.job.job_id: lost.task.step.job
+        for lost in runs
+        if _is_guilty(lost.task.crashes, was_tried=lost.task in tried_alone)
+    }
+    return list(jobs_by_id.values())
 
 
 def _uncounted(runs: Iterable[LostRun]) -> list[LostRun]:
@@ -196,9 +226,8 @@
     """
     if history.sole_crashes >= _FEWEST_CRASHES:
         return True
-    unexplained = history.sole_crashes + history.doubtful_crashes
     if was_tried and history.total >= _CRASHES_TRIED:
-        is_clear = unexplained >= _FEWEST_CRASHES
+        is_clear = history.unexplained >= _FEWEST_CRASHES
         return is_clear or history.total > _CRASHES_TRIED
     is_used_up = history.total >= _MOST_CRASHES
     return is_used_up and history.crashes >= _FEWEST_CRASHES
--- a/src/apricotlead/coordination/cell/crash_evidence.py
+++ b/src/apricotlead/coordination/cell/crash_evidence.py
@@ -15,8 +15,11 @@
 from apricotlead.state.cell_jobs import TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
 
-# A run that had been executing for less than this is the first to be suspected.
+# A run that had been executing for less than this may be suspected at once.
 YOUNG_S = 0.2
+# A task that crashes its worker at its start is the last to begin there. The
+# runs that began this long before the latest confirmed one are not suspected.
+_YOUNGER_BY_S = 0.05
 _MAX_RUNS_PER_NOTE = 8
 
 
@@ -42,35 +45,59 @@
     """A run that was lost with its worker.
 
     ``age_s`` is how long it had been executing when the worker was lost, as far
-    as this term knows; a run of a former term counts from its first listing.
+    as this term knows.
     Without ``is_confirmed`` the worker never confirmed the run, so it may not
-    have begun.
+    have begun. ``is_young`` if it had only just begun, and not much earlier than
+    any other run there.
     """
 
     task: TaskState
     run: int
     age_s: float
     is_confirmed: bool
-
-    @property
-    def is_young(self) -> bool:
-        """Return whether the run had only just begun."""
-        return self.age_s < YOUNG_S
+    is_young: bool
 
 
 def lost_runs(worker: WorkerState) -> list[LostRun]:
     """Return the runs that were lost with a worker, youngest first."""
+    tasks = [
+        task
+        for task in worker.tasks_by_name.values()
+        if task.is_placed and not _is_unsent(task, worker)
+    ]
+    lost_s = _crash_s(tasks, worker)
+    ages_s = [_age_s(task, lost_s) for task in tasks]
+    confirmed_ages_s = [
+        age_s
+        for age_s, task in zip(ages_s, tasks, strict=True)
+        if _is_confirmed(task)
+    ]
+    limit_s = min(YOUNG_S, min(confirmed_ages_s, default=0) + _YOUNGER_BY_S)
+    if not confirmed_ages_s:
+        limit_s = YOUNG_S
     runs = [
+        LostRun(
+            task, task.run, age_s, _is_confirmed(task), is_young=age_s < limit_s
+        )
+        for age_s, task in zip(ages_s, tasks, strict=True)
+    ]
+    return sorted(runs, key=lambda lost: (lost.age_s, lost.task.name))
+
+
+def unseen_runs(tasks: Iterable[TaskState]) -> list[LostRun]:
+    """Return runs that were lost while there was no scheduler."""
+    tasks = list(tasks)
+    latest_s = max((task.placed_s for task in tasks), default=0)
+    return [
         LostRun(
             task,
             task.run,
-            _age_s(task, worker.lost_s),
-            _is_confirmed(task),
+            latest_s - task.placed_s,
+            is_confirmed=False,
+            is_young=latest_s - task.placed_s < YOUNG_S,
         )
-        for task in worker.tasks_by_name.values()
-        if task.is_placed and not _is_unsent(task, worker)
+        for task in tasks
     ]
-    return sorted(runs, key=lambda lost: (lost.age_s, lost.task.name))
 
 
 def crash_fields(
@@ -113,8 +140,19 @@
     return task.phase is TaskPhase.RUNNING or task.first_progress is not None
 
 
+def _crash_s(tasks: Iterable[TaskState], worker: WorkerState) -> float:
+    """Return when a worker crashed, as far as this term knows.
+
+    A worker that has never answered in this term crashed before it, or at its
+    beginning. A task that crashes its worker is the last to begin there, so the
+    crash is dated by the latest run.
+    """
+    if worker.lease.has_ever_answered:
+        return worker.lost_s
+    return max((task.placed_s for task in tasks), default=worker.lost_s)
+
+
 def _age_s(task: TaskState, lost_s: float) -> float:
-    """Return the age of a run, 0 for one of a former term that was not listed."""
-    if not task.is_start_known and task.first_progress is None:
-        return 0
-    return max(0, lost_s - task.started_s)
+    """Return how long a run had been executing, at most."""
+    began_s = task.started_s if task.is_start_known else task.placed_s
+    return max(0, lost_s - began_s)
--- /dev/null
+++ b/src/apricotlead/coordination/cell/crash_limits.py
@@ -0,0 +1,126 @@
+"""Limits on how many workers the work of one queue may take down at a time.
+
+Pattern: one queue brings many jobs that crash every worker that starts them.
+Each is only known once it has taken a worker down, so that without a limit they
+take down the whole cell. Once a good part of a queue's latest starts crashed a
+worker, its steps start a few at a time, so that most workers are likely to stay
+up. A step of which a run has lived for a moment is not limited.
+
+A step that is held back starts once workers are back. New jobs of the queue are
+rejected while the steps in front would keep them waiting for too long
+(:mod:`.admission`).
+"""
+
+from collections import Counter
+from math import inf
+
+from apricotlead.coordination.cell.crash_evidence import YOUNG_S
+from apricotlead.coordination.cell.run_tracker import RunTracker
+from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
+from apricotlead.state.queue_risk import QueueRisk
+from apricotlead.state.wait_times import WaitReason
+
+# While fewer of the starts crash a worker, holding back the others costs callers
+# more than the crashes do.
+_MIN_PROBABILITY = 0.4
+# The share of a service's workers that may be down before starts are held back.
+_MAX_DOWN_SHARE = 0.33
+# How long a crashed worker is away.
+_DOWN_S = 4.0
+
+
+class CrashLimits:
+    """Applies the limits in the rounds of placement."""
+
+    __slots__ = ('_down_counts', '_tracker', '_worker_counts')
+
+    def __init__(self, tracker: RunTracker) -> None:
+        """Limit the queues of which ``tracker`` knows such starts."""
+        self._tracker = tracker
+        self._worker_counts: Counter[str] = Counter()
+        self._down_counts: Counter[str] = Counter()
+
+    def begin(self) -> None:
+        """Begin a round: find the queues to limit, and count the workers."""
+        is_any_high = False
+        for queue, risk in self._tracker.risks_by_queue.items():
+            is_high = risk.probability() >= _MIN_PROBABILITY
+            if is_high != risk.is_high:
+                risk.is_high = is_high
+                kind = 'queue limited' if is_high else 'queue released'
+                self._tracker.note(kind, queue=queue)
+            is_any_high |= is_high
+        self._worker_counts = Counter()
+        self._down_counts = Counter()
+        if is_any_high:
+            for worker in self._tracker.workers_by_id.values():
+                service = worker.entry.service
+                self._worker_counts[service] += 1
+                self._down_counts[service] += worker.is_suspected
+
+    def is_held_back(self, step: StepState, now: float) -> bool:
+        """Return whether a step has to wait until workers are back."""
+        stored = step.job.stored
+        risk = self._tracker.risks_by_queue.get(stored.queue)
+        if risk is None or not risk.is_high:
+            return False
+        if step.has_suspects or _has_lived(step, now):
+            return False
+        return self._free_starts(risk, stored.service, now) < 1
+
+    def note_start(self, step: StepState, now: float) -> None:
+        """Record that tasks of a step were placed."""
+        if step.has_suspects or _has_lived(step, now):
+            return
+        risk = self._tracker.risks_by_queue.setdefault(
+            step.job.stored.queue, QueueRisk()
+        )
+        risk.note_start(step, now)
+
+    def _free_starts(self, risk: QueueRisk, service: str, now: float) -> float:
+        """Return how many steps may start now, besides those just started."""
+        left = _max_down(self._worker_counts[service])
+        left -= self._down_counts[service]
+        if left < 1:
+            return 0
+        probability = risk.probability()
+        likely = left / probability if probability else inf
+        return likely - risk.starts_since(now - YOUNG_S)
+
+
+def held_s_by_queue(tracker: RunTracker) -> dict[str, float]:
+    """Return how long the steps take that are held back, by queue."""
+    held_counts: Counter[tuple[str, str]] = Counter(
+        (step.job.stored.queue, step.job.stored.service)
+        for step in tracker.ready_steps_by_name.values()
+        if step.waits.reason is WaitReason.CRASHES
+    )
+    held_s: dict[str, float] = {}
+    for (queue, service), count in held_counts.items():
+        worker_count = sum(
+            worker.entry.service == service
+            for worker in tracker.workers_by_id.values()
+        )
+        crash_count = count * tracker.risks_by_queue[queue].probability()
+        wait_s = crash_count / _max_down(worker_count) * _DOWN_S
+        held_s[queue] = round(wait_s, 2)
+    return held_s
+
+
+def _max_down(worker_count: int) -> float:
+    """Return how many workers of a service may be down."""
+    return max(1, worker_count * _MAX_DOWN_SHARE)
+
+
+def _has_lived(step: StepState, now: float) -> bool:
+    """Return whether a run of a step has lived for a moment."""
+    if not step.has_lived:
+        step.has_lived = bool(step.done_count) or any(
+            _is_old(task, now) for task in step.tasks
+        )
+    return step.has_lived
+
+
+def _is_old(task: TaskState, now: float) -> bool:
+    is_running = task.phase is TaskPhase.RUNNING
+    return is_running and now - task.started_s > YOUNG_S
--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -2,14 +2,15 @@
 
 Pattern: a few tasks that crash every worker that starts them. Beside other
 work, each such start destroys that work too, and all that was lost beside it
-waits with it. A suspect therefore runs on a worker that has no other run, and
-nothing is placed beside it until it has outlived the age at which it crashed
-before. Only a few workers are kept for such trials while the cell is busy. A
+waits with it. The suspects of a step therefore run on a worker that has no other run,
+and nothing is placed beside them until they have outlived the age at which they
+crashed before. Only a few workers are kept for such trials while the cell is busy. A
 suspect that finds none in time shares the worker with the fewest runs, where
 nothing more is placed, so that it does not wait for ever.
 """
 
 from collections.abc import Collection, Iterable
+from functools import partial
 
 from apricotlead.coordination.cell.advice_cache import AdviceCache
 from apricotlead.coordination.cell.capacity_claims import ServiceLoad
@@ -21,17 +22,19 @@
 )
 from apricotlead.coordination.cell.run_tracker import RunTracker
 from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
-from apricotlead.state.cell_workers import TRIAL, TRIAL_S, WorkerState
+from apricotlead.state.cell_workers import TRIAL_S, WorkerState
 
+# A worker that executes a suspect is kept apart from all steps.
+_IN_TRIAL = 'in trial'
 # A suspect that has run for longer than before its crashes by this factor has
 # been cleared.
 _TRIAL_AGE_FACTOR = 1.5
 # A service's workers that are kept for trials at a time, while it is busy, or
-# half free.
+# half idle.
 _MAX_BUSY_SHARE = 0.125
 _MAX_IDLE_SHARE = 0.25
 # A suspect waits for a worker of its own for at most this long while the
-# service is busy, or half free.
+# service is busy, or half idle.
 _MAX_BUSY_WAIT_S = 8.0
 _MAX_IDLE_WAIT_S = 1.5
 
@@ -67,17 +70,21 @@
             return
         self._clear_suspects()
         kept_by_id = self._workers_on_trial()
+        for busy in kept_by_id.values():
+            busy.apart_for = _IN_TRIAL
         workers = [headroom.worker for headroom in headrooms]
         for step in self._untried_steps(now):
-            is_half_free = load.is_half_free(step.job.stored.service)
+            is_half_idle = load.is_half_idle(step.job.stored.service)
             step.may_share_trial = self._has_waited(
-                step, now, is_half_free=is_half_free
+                step, now, is_half_idle=is_half_idle
             )
-            step.apart_for = TRIAL
+            step.apart_for = f'trial of {step.name}'
             chosen = self._choose_workers(
-                step, workers, kept_by_id, is_half_free=is_half_free
+                step, workers, kept_by_id, is_half_idle=is_half_idle
             )
-            kept_by_id.update({each.worker_id: each for each in chosen})
+            for worker in chosen:
+                worker.apart_for = step.apart_for
+                kept_by_id[worker.worker_id] = worker
         self._apply(kept_by_id)
 
     def _apply(self, kept_by_id: dict[str, WorkerState]) -> None:
@@ -85,8 +92,6 @@
         for worker_id, former in self._apart_workers_by_id.items():
             if worker_id not in kept_by_id:
                 former.apart_for = None
-        for kept in kept_by_id.values():
-            kept.apart_for = TRIAL
         self._apart_workers_by_id = kept_by_id
 
     def _clear_suspects(self) -> None:
@@ -133,11 +138,11 @@
         return list(steps_by_name.values())
 
     def _has_waited(
-        self, step: StepState, now: float, *, is_half_free: bool
+        self, step: StepState, now: float, *, is_half_idle: bool
     ) -> bool:
         """Return whether a step has waited for a trial long enough."""
         since_s = self._waiting_since_s_by_step.setdefault(step.name, now)
-        limit_s = _MAX_IDLE_WAIT_S if is_half_free else _MAX_BUSY_WAIT_S
+        limit_s = _MAX_IDLE_WAIT_S if is_half_idle else _MAX_BUSY_WAIT_S
         return now - since_s > limit_s
 
     def _choose_workers(
@@ -146,7 +151,7 @@
         workers: Iterable[WorkerState],
         kept_by_id: dict[str, WorkerState],
         *,
-        is_half_free: bool,
+        is_half_idle: bool,
     ) -> list[WorkerState]:
         """Choose workers for the next trial of a step, idle ones first.
 
@@ -155,12 +160,12 @@
         not fit on those that may be kept.
         """
         own = [worker for worker in workers if can_execute(step, worker)]
-        limit = _max_trials(step, len(own), is_half_free=is_half_free)
+        limit = _max_trials(step, len(own), is_half_idle=is_half_idle)
         limit -= sum(worker.worker_id in kept_by_id for worker in own)
         order = _sharing_order if step.may_share_trial else _trial_order
         possible = [
             worker
-            for worker in sorted(own, key=order)
+            for worker in sorted(own, key=partial(order, step))
             if worker.worker_id not in kept_by_id
         ]
         needed = len(step.tasks) if step.spec.gang else 1
@@ -176,8 +181,6 @@
 
     def _trial_count(self, step: StepState, worker: WorkerState) -> int:
         """Return how many tasks of a step fit on a worker once it is idle."""
-        if worker.apart_for not in {None, TRIAL}:
-            return 0
         advice = self._advice.steps_by_name.get(step.name)
         if advice and worker.worker_id in advice.ineligible_ids:
             return 0
@@ -188,26 +191,28 @@
 
 
 def _max_trials(
-    step: StepState, worker_count: int, *, is_half_free: bool
+    step: StepState, worker_count: int, *, is_half_idle: bool
 ) -> float:
     """Return how many workers may be kept for trials at a time."""
-    if not is_half_free:
+    if not is_half_idle:
         return max(1, worker_count * _MAX_BUSY_SHARE)
     if step.may_share_trial:
         return worker_count
     return max(1, worker_count * _MAX_IDLE_SHARE)
 
 
-def _trial_order(worker: WorkerState) -> tuple[bool, bool, int]:
+def _trial_order(
+    step: StepState, worker: WorkerState
+) -> tuple[bool, bool, int]:
     """Return a sort key: idle workers, those kept before, the least used."""
     return (
         bool(worker.tasks_by_name),
-        worker.apart_for != TRIAL,
+        worker.apart_for != step.apart_for,
         worker.used.cpu_millis,
     )
 
 
-def _sharing_order(worker: WorkerState) -> tuple[int, int]:
+def _sharing_order(_step: StepState, worker: WorkerState) -> tuple[int, int]:
     """Return a sort key: the workers with the fewest runs to lose."""
     return len(worker.tasks_by_name), worker.used.cpu_millis
 
--- a/src/apricotlead/coordination/cell/job_intake.py
+++ b/src/apricotlead/coordination/cell/job_intake.py
@@ -241,7 +241,8 @@
         if not stored.submission.occurrences:
             job.open_occurrence()
         if progress is not None:
-            job.restore(progress, now)
+            offset_s = self._clock.read_ms(now) / _MS_PER_S - now
+            job.restore(progress, now, offset_s)
             self._tracker.track_restored_runs(job)
         self._tracker.update_ready_steps(job, now)
 
--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -22,6 +22,7 @@
 # The platform allows 100 entries in a transaction: the owner row takes two, and
 # the rows of leases, speeds and expired jobs take up to 18.
 _MAX_JOBS_PER_WRITE = 76
+_MS_PER_S = 1000.0
 # The platform allows 1 MB in a transaction, and a task takes 40 to 70 bytes.
 _MAX_TASKS_PER_WRITE = 8000
 
@@ -66,7 +67,7 @@
             final_jobs.append(job)
         else:
             planned.extend(_planned(job))
-        puts.append(_progress_put(job, owner.renewed_ms))
+        puts.append(_progress_put(job, owner.renewed_ms, now))
     return JournalBatch(
         owner_transaction(owner, owner_version, tuple(puts), expired_keys),
         owner,
@@ -91,8 +92,8 @@
     return job_ids
 
 
-def _progress_put(job: JobRun, store_ms: float) -> Put:
-    record = job.progress()
+def _progress_put(job: JobRun, store_ms: float, now: float) -> Put:
+    record = job.progress(store_ms / _MS_PER_S - now)
     if job.state.is_final:
         record = JobProgress([], job.state, store_ms, why=job.why_failed)
     return Put(f'{PROGRESS_PREFIX}{job.job_id}', msgspec.to_builtins(record))
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -14,7 +14,7 @@
 
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
-from apricotlead.state.cell_workers import TRIAL, WorkerState
+from apricotlead.state.cell_workers import WorkerState
 
 
 class WorkerHeadroom:
@@ -90,9 +90,8 @@
 def waiting_tasks(step: StepState, now: float) -> list[TaskState]:
     """Return the tasks that may be placed now; for a gang, all or none.
 
-    Of a step with suspects only one task is placed at a time, and no other
-    task until all of its suspects have been cleared: tasks of a step run the
-    same program.
+    Of a step with suspects only these are placed, and no other task until they
+    have been cleared: tasks of a step run the same program.
     """
     tasks = [
         task
@@ -105,8 +104,7 @@
         return tasks
     if has_trial(step):
         return []
-    suspects = [task for task in tasks if task.crashes.is_suspect]
-    return suspects[:1]
+    return [task for task in tasks if task.crashes.is_suspect]
 
 
 def has_trial(step: StepState) -> bool:
@@ -120,19 +118,13 @@
     """Return whether a worker may run a step, as far as it is kept apart."""
     if worker.apart_for != step.apart_for:
         return False
-    if worker.apart_for == TRIAL and not _is_open_to_trial(step, worker):
-        return False
+    if worker.apart_for is not None and not step.may_share_trial:
+        # A trial begins once the worker is idle.
+        if worker.tasks_by_name or worker.strays_by_run:
+            return False
     return can_execute(step, worker)
 
 
-def _is_open_to_trial(step: StepState, worker: WorkerState) -> bool:
-    """Return whether a suspect may start on a worker that is kept for one."""
-    if step.may_share_trial:
-        runs = worker.tasks_by_name.values()
-        return not any(task.crashes.is_suspect for task in runs)
-    return not (worker.tasks_by_name or worker.strays_by_run)
-
-
 def can_execute(step: StepState, worker: WorkerState) -> bool:
     """Return whether a worker has the service and label a step requires."""
     label = step.spec.required_label
--- a/src/apricotlead/coordination/cell/placement_round.py
+++ b/src/apricotlead/coordination/cell/placement_round.py
@@ -60,7 +60,7 @@
         self.calls: list[AdviceCall] = []
         self.upcoming = UpcomingCapacity(self.headrooms, absent)
         self.unclaimed = UnclaimedCapacity(self.headrooms_by_worker)
-        self.load = ServiceLoad(self.headrooms)
+        self.load = ServiceLoad(self.headrooms, absent)
 
     def max_duration_s(self, step: StepState) -> float:
         """Return the likely upper bound of the duration of a step's runs."""
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -4,6 +4,7 @@
 
 from apricotlead.coordination.cell.advice_cache import AdviceCache, AdviceCall
 from apricotlead.coordination.cell.advice_planning import AdvicePlanner
+from apricotlead.coordination.cell.crash_limits import CrashLimits
 from apricotlead.coordination.cell.gang_reservations import GangReservations
 from apricotlead.coordination.cell.isolation import Isolation
 from apricotlead.coordination.cell.limits import OrganisationLimits
@@ -30,6 +31,7 @@
         WaitReason.GANG_STOPPING,
         WaitReason.ORGANISATION_LIMIT,
         WaitReason.TRIAL,
+        WaitReason.CRASHES,
     )
 )
 # Gangs that wait for these reasons reserve workers until they fit.
@@ -48,6 +50,7 @@
     __slots__ = (
         '_advice',
         '_advice_planner',
+        '_crash_limits',
         '_isolation',
         '_limits',
         '_reservations',
@@ -60,6 +63,7 @@
         self._advice = advice
         self._advice_planner = AdvicePlanner(advice)
         self._isolation = Isolation(tracker, advice)
+        self._crash_limits = CrashLimits(tracker)
         self._reservations = GangReservations()
         self._limits = OrganisationLimits(tracker)
 
@@ -73,6 +77,7 @@
             return []
         current_round = self._begin_round(now, askers)
         self._isolation.update(current_round.headrooms, current_round.load, now)
+        self._crash_limits.begin()
         self._reservations.begin(current_round.headrooms)
         blocked: Counter[str] = Counter()
         steps = sorted(
@@ -117,6 +122,8 @@
                 if step.has_suspects
                 else WaitReason.GANG_STOPPING
             )
+        if self._crash_limits.is_held_back(step, current_round.now):
+            return WaitReason.CRASHES
         tasks = self._limits.within_limit(step, waiting)
         if not tasks:
             return WaitReason.ORGANISATION_LIMIT
@@ -140,6 +147,8 @@
                 self._tracker.estimate_errors,
             ),
         )
+        if assignments:
+            self._crash_limits.note_start(step, current_round.now)
         for assignment in assignments:
             self._place(assignment, current_round)
         if len(assignments) == len(tasks):
--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -14,6 +14,7 @@
 from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.estimate_errors import EstimateErrors
+from apricotlead.state.queue_risk import QueueRisk
 
 
 class RunTracker:
@@ -26,6 +27,7 @@
         'notes',
         'ready_steps_by_name',
         'restored_by_worker',
+        'risks_by_queue',
         'stop_acked_s_by_run',
         'suspects_by_name',
         'usage_by_organisation',
@@ -44,6 +46,8 @@
         self.dirty_job_ids: dict[str, None] = {}
         # Tasks that may have crashed a worker, until they have been cleared.
         self.suspects_by_name: dict[str, TaskState] = {}
+        # How likely the work of each queue is to crash workers.
+        self.risks_by_queue: dict[str, QueueRisk] = {}
         self.stop_acked_s_by_run: dict[tuple[str, str, int], float] = {}
         # Events to be logged: kind and fields.
         self.notes: list[tuple[str, dict[str, Any]]] = []
@@ -92,6 +96,7 @@
         task.run += 1
         task.worker_id = worker.worker_id
         task.ticket = ticket
+        task.placed_s = now
         task.started_s = now
         task.is_start_known = True
         task.first_progress = None
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -23,7 +23,7 @@
 )
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Put, Row
-from apricotlead.state.cell_workers import TRIAL, TRIAL_S, WorkerState
+from apricotlead.state.cell_workers import TRIAL_S, WorkerState
 
 _MS_PER_S = 1000.0
 # A worker gets no new runs for a while after this many failures in a row.
@@ -164,7 +164,7 @@
         is_answer_lost = worker.unanswered_s > worker.lease.last_contact_s
         if has_unacked or is_answer_lost or not worker.may_grant_lease:
             return 0
-        if worker.apart_for == TRIAL:
+        if worker.apart_for is not None:
             # Whether the suspect lives is to be known soon.
             return min(TRIAL_S, holds.lossy_wait_s)
         if now < self._lossy_until_s:
@@ -221,6 +221,11 @@
             self._forget(worker, Evidence.OTHER_LIFE, now)
         elif reply.refusal is Refusal.UNANSWERED:
             worker.unanswered_s = now
+        elif reply.refusal is Refusal.NO_LISTENER:
+            if not worker.is_suspected:
+                self._crashes.worker_down(worker)
+            # Until it answers again, nothing is sent there.
+            worker.suspected_s = now
 
     def tick(self, now: float) -> None:
         """Free runs of expired leases, and stop runs on draining workers."""
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -102,13 +102,17 @@
 
 
 class TaskRecord(Struct, array_like=True):
-    """A task in a progress row; ``worker_id`` is empty while it waits."""
+    """A task in a progress row; ``worker_id`` is empty while it waits.
+
+    ``placed_ms`` is when its run was placed, on the store's clock.
+    """
 
     is_done: bool = False
     run: int = 0
     worker_id: str = ''
     failures: int = 0
     checkpoint: str = ''
+    placed_ms: int = 0
 
 
 class CrashRecord(Struct, array_like=True, frozen=True):
@@ -118,6 +122,7 @@
     crashes: int
     doubtful_crashes: int = 0
     sole_crashes: int = 0
+    alone_crashes: int = 0
     is_suspect: bool = False
 
 
--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -14,7 +14,9 @@
     runs last; ``over_weight`` are the organisations whose next job would be
     beyond it. ``load`` is the fraction of the workers that newly accepted jobs
     within the weights use. ``longest_by_queue`` is a pessimistic ratio of
-    actual to estimated duration for the jobs of each queue.
+    actual to estimated duration for the jobs of each queue. ``held_s_by_queue``
+    is how long the steps take that are held back because the work of their
+    queue crashes workers.
     """
 
     wait_s_by_priority: dict[int, float] = {}
@@ -22,6 +24,7 @@
     over_weight: tuple[str, ...] = ()
     load: float = 0
     longest_by_queue: dict[str, float] = {}
+    held_s_by_queue: dict[str, float] = {}
 
 
 class SchedulerStatus(Struct, frozen=True, omit_defaults=True):
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -17,6 +17,7 @@
 
 # A task is named ``{job_id}.{occurrence}.{step}.{index}``.
 _TASK_NAME_NUMBERS = 3
+_MS_PER_S = 1000.0
 
 
 class TaskPhase(Enum):
@@ -61,6 +62,7 @@
         'not_before_s',
         'percent',
         'phase',
+        'placed_s',
         'progress',
         'progress_s',
         'run',
@@ -81,6 +83,8 @@
         self.failures = 0
         self.checkpoint = ''
         self.ticket = ''
+        # When the run was placed, maybe by a former scheduler.
+        self.placed_s = 0.0
         self.started_s = 0.0
         # Whether the run began during this scheduler's term.
         self.is_start_known = False
@@ -99,8 +103,14 @@
         """Return whether the task may occupy resources on a worker."""
         return self.phase in PLACED_PHASES
 
-    def record(self) -> TaskRecord:
-        """Return the record for the progress row."""
+    def record(self, store_offset_s: float) -> TaskRecord:
+        """Return the record for the progress row.
+
+        ``store_offset_s`` is the store's clock minus the local one.
+        """
+        placed_ms = 0
+        if self.is_placed:
+            placed_ms = round((self.placed_s + store_offset_s) * _MS_PER_S)
         is_waiting = self.phase is TaskPhase.WAITING
         return TaskRecord(
             self.phase is TaskPhase.DONE,
@@ -108,6 +118,7 @@
             self.worker_id if self.is_placed else '',
             self.failures,
             self.checkpoint if is_waiting else '',
+            placed_ms,
         )
 
 
@@ -118,6 +129,8 @@
         'apart_for',
         'done_count',
         'gang_failures',
+        'has_crashed',
+        'has_lived',
         'index',
         'is_suspected',
         'job',
@@ -155,6 +168,10 @@
         self.lost_core_s_by_kind: Counter[str] = Counter()
         # Whether any of its tasks ever was; a cheap check for most steps.
         self.is_suspected = False
+        # Whether a run of it seems to have crashed its worker, and whether one
+        # has lived for a moment.
+        self.has_crashed = False
+        self.has_lived = False
         # Whether its suspects need not wait for an idle worker any longer.
         self.may_share_trial = False
         # The workers kept apart that alone may run it, by their name.
@@ -190,9 +207,9 @@
         self.done_count = phases.count(TaskPhase.DONE)
         self.waiting_count = phases.count(TaskPhase.WAITING)
 
-    def record(self) -> StepRecord:
+    def record(self, store_offset_s: float) -> StepRecord:
         """Return the record for the progress row."""
-        tasks = [task.record() for task in self.tasks]
+        tasks = [task.record(store_offset_s) for task in self.tasks]
         return StepRecord(
             self.occurrence,
             self.index,
@@ -205,11 +222,17 @@
             ),
         )
 
-    def restore(self, record: StepRecord, now: float) -> None:
+    def restore(
+        self, record: StepRecord, now: float, store_offset_s: float
+    ) -> None:
         """Restore the state that a former scheduler recorded."""
         self.gang_failures = record.gang_failures
         for task, stored_task in zip(self.tasks, record.tasks, strict=True):
             task.run = stored_task.run
+            task.placed_s = now
+            if stored_task.placed_ms:
+                placed_s = stored_task.placed_ms / _MS_PER_S
+                task.placed_s = placed_s - store_offset_s
             task.started_s = now
             task.progress_s = now
             task.failures = stored_task.failures
@@ -341,15 +364,20 @@
             return False
         return all(step.is_done for step in self.steps_by_key.values())
 
-    def progress(self) -> JobProgress:
-        """Return the progress row."""
+    def progress(self, store_offset_s: float = 0.0) -> JobProgress:
+        """Return the progress row.
+
+        ``store_offset_s`` is the store's clock minus the local one.
+        """
         steps = self.steps_by_key.values()
         return JobProgress(
-            [step.record() for step in steps],
+            [step.record(store_offset_s) for step in steps],
             has_started=self.has_started,
         )
 
-    def restore(self, progress: JobProgress, now: float) -> None:
+    def restore(
+        self, progress: JobProgress, now: float, store_offset_s: float = 0.0
+    ) -> None:
         """Restore the state that a former scheduler recorded."""
         # The due time of a restored occurrence is not stored; use the current time.
         due_s = now if self.stored.submission.occurrences else None
@@ -357,5 +385,5 @@
             while self.next_occurrence <= record.occurrence:
                 self.open_occurrence(due_s)
             step = self.steps_by_key[record.occurrence, record.step]
-            step.restore(record, now)
+            step.restore(record, now, store_offset_s)
         self.has_started = progress.has_started
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -10,8 +10,6 @@
 from apricotlead.state.worker_speed import WorkerSpeed
 
 _MS_PER_S = 1000.0
-# Name of the workers that are kept for one suspect each.
-TRIAL = 'trial'
 # A suspect that has run for this long does not crash its worker at its start.
 TRIAL_S = 0.5
 
@@ -139,6 +137,11 @@
         """Return whether a call has failed since the latest answer."""
         return self._failed_call_s > self.lease.last_contact_s
 
+    @property
+    def is_loss_dated(self) -> bool:
+        """Return whether it is known when contact was lost."""
+        return self.is_contact_lost and self._is_loss_prompt
+
     @property
     def lost_s(self) -> float:
         """Return when the worker may have ended, at the earliest.
@@ -146,7 +149,7 @@
         A connection that ends tells at once. A call that gets no answer does
         not, so the worker may have ended right after its latest answer.
         """
-        if self.is_contact_lost and self._is_loss_prompt:
+        if self.is_loss_dated:
             return self._failed_call_s
         return self.lease.last_contact_s
 
--- a/src/apricotlead/state/crash_history.py
+++ b/src/apricotlead/state/crash_history.py
@@ -10,8 +10,9 @@
 
     ``crashes`` counts workers that certainly crashed while they executed the
     task, ``doubtful_crashes`` those that may not have crashed, or may not have
-    begun it. ``sole_crashes`` of the certain ones left no other job to blame. A
-    suspect is run apart from other work until it has outlived
+    begun it. Of the certain ones, ``sole_crashes`` came soon after its start and
+    left no other job to blame, and ``alone_crashes`` came at another time while
+    it was tried alone. A suspect is run apart from other work until it has outlived
     ``longest_age_s``, the age in seconds of its oldest run at a crash.
     ``counted_run`` is the latest run that was counted.
     """
@@ -19,6 +20,7 @@
     crashes: int = 0
     doubtful_crashes: int = 0
     sole_crashes: int = 0
+    alone_crashes: int = 0
     is_suspect: bool = False
     longest_age_s: float = 0.0
     counted_run: int = 0
@@ -28,6 +30,12 @@
         """Return the number of certain and doubtful crashes."""
         return self.crashes + self.doubtful_crashes
 
+    @property
+    def unexplained(self) -> int:
+        """Return the crashes for which nothing else is known to blame."""
+        certain = self.sole_crashes + self.alone_crashes
+        return certain + self.doubtful_crashes
+
     def record(self, index: int) -> CrashRecord:
         """Return the record of the task with this index."""
         return CrashRecord(
@@ -35,6 +43,7 @@
             self.crashes,
             self.doubtful_crashes,
             self.sole_crashes,
+            self.alone_crashes,
             self.is_suspect,
         )
 
@@ -43,6 +52,7 @@
         self.crashes = record.crashes
         self.doubtful_crashes = record.doubtful_crashes
         self.sole_crashes = record.sole_crashes
+        self.alone_crashes = record.alone_crashes
         self.is_suspect = record.is_suspect
 
     def clear(self) -> None:
@@ -50,5 +60,6 @@
         self.crashes = 0
         self.doubtful_crashes = 0
         self.sole_crashes = 0
+        self.alone_crashes = 0
         self.is_suspect = False
         self.longest_age_s = 0.0
--- a/src/apricotlead/state/wait_times.py
+++ b/src/apricotlead/state/wait_times.py
@@ -15,7 +15,8 @@
     tickets could be used. ``NO_CAPACITY``: all workers that may run it are
     full. ``GANG_STOPPING``: other members of its gang are still stopping.
     ``TRIAL``: a task of it may have crashed a worker, and waits for a worker of
-    its own, or runs there for a moment before the others follow.
+    its own, or runs there for a moment before the others follow. ``CRASHES``:
+    work of its queue has crashed too many workers that are not back yet.
     """
 
     ROUND_ENDED = 'order'
@@ -26,6 +27,7 @@
     NO_CAPACITY = 'room'
     GANG_STOPPING = 'members'
     TRIAL = 'trial'
+    CRASHES = 'crashes'
 
 
 class WaitTimes:
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -88,6 +88,11 @@
         self.last_contact_s = now
         self.latest_expiry_s = inherited_until_s
 
+    @property
+    def has_ever_answered(self) -> bool:
+        """Return whether any call of this term was answered."""
+        return self._clock_ms is not None
+
     def is_usable(self, now: float) -> bool:
         """Return whether the worker answered recently under this epoch."""
         return (
