Give up a lookup that ends the connections of two executors

What callers saw: an idempotent request that crashes its executor was sent to two further ones at once, and each try of its caller did the same.

Cause: the same as for tasks of the cell: a result that is unknown because the connection ended counted like one that is only late.

Change: a lookup that has ended two connections is answered as one that may have run, and is not sent again.

Evidence: test_lookup_that_breaks_two_connections_is_given_up fails before and passes now.

--- a/src/apricotlead/coordination/lookups.py
+++ b/src/apricotlead/coordination/lookups.py
@@ -35,6 +35,12 @@
 _OWN_JOURNAL_EPOCH = 1
 _RETRY_AFTER_S = 0.1
 _LIMIT_RETRY_AFTER_S = 0.5
+_CRASHES = (
+    'The connections to two executors ended while they worked on the request;'
+    ' it may crash them.'
+)
+# A request that has broken this many connections may crash its executors.
+_MAX_BROKEN_TRIES = 2
 
 
 class LookupSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -99,13 +105,15 @@
 
     :meth:`next_step` returns where to send it, or its final outcome. A
     request is sent again only if the last try is proven not to have run or
-    the request is idempotent, and only within the retry budget. A request
+    the request is idempotent, and only within the retry budget. It is not sent
+    again once the connections to two executors have ended under it. A request
     that counts against a limit is sent with an end time on the executor's
     clock if the executor has one, so that it cannot run after its unit was
     returned.
     """
 
     __slots__ = (
+        '_broken_tries',
         '_chosen',
         '_ends_s',
         '_manager',
@@ -133,6 +141,7 @@
         self._ends_s = ends_s
         self._tried_ids: list[str] = []
         self._may_have_run = False
+        self._broken_tries = 0
         self._chosen: Instance | None = None
         self.team = team
         self.journal_id = journal_id
@@ -181,6 +190,9 @@
                 return None
             case ExecutorResultUnknown():
                 self._may_have_run = True
+                self._broken_tries += result.is_broken
+                if self._broken_tries >= _MAX_BROKEN_TRIES:
+                    return MayHaveRun(OutcomeUnknown(_CRASHES))
                 if self._request.idempotent:
                     return None
                 return MayHaveRun(OutcomeUnknown(result.reason))
--- a/src/apricotlead/protocol/executors.py
+++ b/src/apricotlead/protocol/executors.py
@@ -46,9 +46,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecutorResultUnknown:
-    """The request may have run: no answer, or the answer to another one."""
+    """The request may have run: no answer, or the answer to another one.
+
+    With ``is_broken`` the connection ended instead of an answer, as it does
+    when the executor crashes.
+    """
 
     reason: str
+    is_broken: bool = False
 
 
 ExecutorResult = ExecutorAnswered | ExecutorRefused | ExecutorResultUnknown
--- a/src/apricotlead/transport/executor_client.py
+++ b/src/apricotlead/transport/executor_client.py
@@ -72,7 +72,7 @@
         if isinstance(answer, NeverSent):
             return ExecutorRefused(reachable=False)
         if not isinstance(answer, Answered):
-            return ExecutorResultUnknown(answer.reason)
+            return ExecutorResultUnknown(answer.reason, answer.is_broken)
         return decode_result(answer, request_id)
 
     def read_clock(self, step: ReadClock) -> ExecutorResult:
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -34,6 +34,7 @@
 SERVICE = 'stenograf'
 ANSWER = ExecutorAnswered(200, b'phrase')
 SILENT = ExecutorResultUnknown('no answer')
+BROKEN = ExecutorResultUnknown('the connection ended', is_broken=True)
 REFUSED = ExecutorRefused()
 UNREACHABLE = ExecutorRefused(reachable=False)
 
@@ -140,6 +141,19 @@
             self.assertIsNone(lookup.handle_result(result, 0.1))
         self.assertThat(lookup.next_step(0.1), IsInstance(MayHaveRun))
 
+    def test_lookup_that_breaks_two_connections_is_given_up(self):
+        """Guards against a request that crashes executor after executor.
+
+        An idempotent one was sent to a third executor, which crashed too.
+        """
+        lookup = self.open()
+        lookup.next_step(0)
+        self.assertIsNone(lookup.handle_result(BROKEN, 0.1))
+        lookup.next_step(0.1)
+        outcome = lookup.handle_result(BROKEN, 0.2)
+        self.assertThat(outcome, IsInstance(MayHaveRun))
+        self.assertIn('connection', str(outcome.error))
+
     def test_refusals_only_are_not_run(self):
         """The caller may retry, and is told after which delay."""
         lookup = self.open(idempotent=False)
