--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -87,6 +87,12 @@
                 kept_by_id[worker.worker_id] = worker
         self._apply(kept_by_id)
 
+    def end_trials(self) -> None:
+        """Clear the suspects that have lived, while no step waits."""
+        if self._apart_workers_by_id:
+            self._clear_suspects()
+            self._apply(self._workers_on_trial())
+
     def _apply(self, kept_by_id: dict[str, WorkerState]) -> None:
         """Keep these workers apart, and return the others to other work."""
         for worker_id, former in self._apart_workers_by_id.items():
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -74,6 +74,7 @@
     def plan(self, now: float, askers: list[str]) -> list[AdviceCall]:
         """Assign waiting tasks to workers; return the advice calls to send."""
         if not self._tracker.ready_steps_by_name:
+            self._isolation.end_trials()
             return []
         current_round = self._begin_round(now, askers)
         self._isolation.update(current_round.headrooms, current_round.load, now)
--- a/src/apricotlead/platform/callers.py
+++ b/src/apricotlead/platform/callers.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Struct
 
-from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
+from apricotlead.protocol.cell_jobs import JobReport, JobSubmission, StepSpec
 from apricotlead.protocol.decoding import DECODE_ERRORS
 from apricotlead.protocol.errors import (
     ApricotleadError,
@@ -173,7 +173,7 @@
             return _outcome_response(outcome)
         if call.method == 'GET':
             outcome = self._request_handler.status(queue, job_id, call.wait_s)
-            return _outcome_response(outcome, lambda state: {'State': state})
+            return _outcome_response(outcome, _render_report)
         if call.method == 'DELETE':
             outcome = self._request_handler.cancel(queue, job_id, call.wait_s)
             return _outcome_response(outcome)
@@ -285,6 +285,14 @@
     return _outcome_response(outcome, lambda count: {'Pending': count})
 
 
+def _render_report(report: JobReport) -> dict[str, str]:
+    """Return the body for a job's state, with the reason of a failure."""
+    body = {'State': str(report.state)}
+    if report.why:
+        body['Error'] = report.why
+    return body
+
+
 def _outcome_response(
     outcome: Outcome,
     render: Callable[[Any], Any] | None = None,
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -153,3 +153,10 @@
     ended_ms: float = 0
     has_started: bool = False
     why: str = ''
+
+
+class JobReport(Struct, frozen=True):
+    """What a caller is told about a job; ``why`` explains a failure."""
+
+    state: JobState
+    why: str = ''
--- a/src/apricotlead/transport/cell_request_handler.py
+++ b/src/apricotlead/transport/cell_request_handler.py
@@ -13,6 +13,7 @@
 from apricotlead.protocol.cell_config import QueueConfig
 from apricotlead.protocol.cell_jobs import (
     JobProgress,
+    JobReport,
     JobSubmission,
     StoredJob,
 )
@@ -199,16 +200,16 @@
         job_id: str,
         wait_s: float,
     ) -> Outcome:
-        """Return the :class:`JobState` of a job."""
+        """Return the :class:`JobReport` of a job."""
         ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
         progress = self._store.read(f'{PROGRESS_PREFIX}{job_id}', ends_s)
         if isinstance(progress, StoreFailed):
             return _store_unreachable(progress)
         if progress is not None:
             record = msgspec.convert(progress.value, JobProgress)
-            return Done(str(record.state))
+            return Done(JobReport(record.state, record.why))
         job = self._read_job(job_id, ends_s)
-        return Done(str(job.state)) if isinstance(job, StoredJob) else job
+        return Done(JobReport(job.state)) if isinstance(job, StoredJob) else job
 
     def cancel(
         self,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,7 +13,7 @@
 from apricotlead.platform.configuration import ConfigError, decode_config
 from apricotlead.platform.store import PlatformStore
 from apricotlead.platform.workers import PlatformWorkers, decode_worker
-from apricotlead.protocol.cell_jobs import JobState, StoredJob
+from apricotlead.protocol.cell_jobs import JobReport, JobState, StoredJob
 from apricotlead.protocol.cell_peers import Backlog, SchedulerStatus
 from apricotlead.protocol.cell_workers import (
     EndKind,
@@ -323,9 +323,17 @@
         )
 
     def test_state(self) -> None:
-        status, _, body = self.request('GET', Done(str(JobState.RUNNING)))
+        status, _, body = self.request('GET', Done(JobReport(JobState.RUNNING)))
         self.assertEqual((200, b'{"State": "running"}'), (status, body))
 
+    def test_reason_of_a_failure(self) -> None:
+        """A caller could not tell why a job was given up."""
+        report = JobReport(JobState.FAILED, 'workers crashed')
+        body = self.request('GET', Done(report))[2]
+        self.assertEqual(
+            b'{"State": "failed", "Error": "workers crashed"}', body
+        )
+
     def test_malformed_body(self) -> None:
         for body in (b'{', b'[]', b'{"Spec":"x","Steps":[{"Count":"many"}]}'):
             self.assertEqual(400, self.request('POST', Done(), body)[0])
