Forget crashes under a task whose runs live for long

What callers would see: a service given up after five crashes of its workers in as many weeks.

Cause: crashes under a task added up for as long as its job lives.

Change: a run that had been executing for over a minute clears its task.

Evidence: test_service_that_lives_long_between_crashes fails before and passes.

--- a/src/apricotlead/coordination/cell/crash_attribution.py
+++ b/src/apricotlead/coordination/cell/crash_attribution.py
@@ -12,6 +12,9 @@
   and at two of them nothing else was to blame; at its fourth, if it was tried;
 - when it may have crashed ``_MOST_CRASHES`` workers, two of them for certain.
 
+A run that had been executing for long clears its task, so that the crashes under
+a service do not add up over its life.
+
 A worker that was only silent has not crashed: its runs count as doubtful, and
 only once something shows that its process has ended.
 """
@@ -36,6 +39,9 @@
 _CRASHES_TRIED = 3
 # Certain and doubtful ones. Some starts may have escaped every scheduler.
 _MOST_CRASHES = 5
+# A run that had been executing for longer is not what crashed its worker; it
+# clears the task of earlier crashes.
+_CHANCE_AGE_S = 60.0
 # Suspects are tried with growing pauses, as each trial may cost a worker.
 _FIRST_PAUSE_S = 0.1
 _PAUSE_FACTOR = 4.0
@@ -145,6 +151,9 @@
             return
         history.counted_run = lost.run
         self._tracker.mark_dirty(lost.task.step.job)
+        if lost.age_s > _CHANCE_AGE_S:
+            history.clear()
+            return
         if not (evidence.is_proof and lost.is_confirmed):
             history.doubtful_crashes += 1
             return
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -198,6 +198,17 @@
         history = self.task(OTHER_ID).crashes
         self.assertEqual((0, 1), (history.crashes, history.doubtful_crashes))
 
+    def test_service_that_lives_long_between_crashes(self) -> None:
+        """Guards against crashes that add up over the life of a service."""
+        self.submit(OTHER_ID, StepSpec(1, SMALL, long_running=True))
+        for _ in range(6):
+            worker_id = self.start(OTHER_ID)
+            self.rig.pass_time(70)
+            self.crash(worker_id)
+            self.start(OTHER_ID)
+        self.assertTrue(self.task(OTHER_ID).is_placed)
+        self.assertEqual(0, self.task(OTHER_ID).crashes.total)
+
     def test_planned_leaving_is_no_crash(self) -> None:
         self.submit(OTHER_ID)
         worker_id = self.start(OTHER_ID)
