Try suspects last that are likely to take their worker down

Cause: while the cell is busy, three workers at a time were kept for trials, most of which ended in a crash; suspects that may be innocent waited among them.

Change: suspects without a crash for which only they are to blame are tried first. The others have one worker at a time until half of the service is idle.

--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -2,11 +2,14 @@
 
 Pattern: a few tasks that crash every worker that starts them. Beside other
 work, each such start destroys that work too, and all that was lost beside it
-waits with it. The suspects of a step therefore run on a worker that has no other run,
-and nothing is placed beside them until they have outlived the age at which they
-crashed before. Only a few workers are kept for such trials while the cell is busy. A
-suspect that finds none in time shares the worker with the fewest runs, where
-nothing more is placed, so that it does not wait for ever.
+waits with it. The suspects of a step therefore run on a worker that has no
+other run, and nothing is placed beside them until they have outlived the age at
+which they crashed before.
+
+Only a few workers are kept for such trials while the cell is busy, and only one
+for suspects that are likely to take it down. Suspects that find none in time
+share the worker with the fewest runs, where nothing more is placed, so that
+they do not wait for ever.
 """
 
 from collections.abc import Collection, Iterable
@@ -141,7 +144,7 @@
         }
         for name in self._waiting_since_s_by_step.keys() - steps_by_name:
             self._waiting_since_s_by_step.pop(name)
-        return list(steps_by_name.values())
+        return sorted(steps_by_name.values(), key=_is_likely_guilty)
 
     def _has_waited(
         self, step: StepState, now: float, *, is_half_idle: bool
@@ -196,11 +199,21 @@
         return fitting_task_count(step, room)
 
 
+def _is_likely_guilty(step: StepState) -> bool:
+    """Return whether nothing else was to blame for a crash under a step."""
+    return any(
+        task.crashes.is_suspect and task.crashes.sole_crashes
+        for task in step.tasks
+    )
+
+
 def _max_trials(
     step: StepState, worker_count: int, *, is_half_idle: bool
 ) -> float:
     """Return how many workers may be kept for trials at a time."""
     if not is_half_idle:
+        if _is_likely_guilty(step):
+            return 1
         return max(1, worker_count * _MAX_BUSY_SHARE)
     if step.may_share_trial:
         return worker_count
