Start the steps of a limited queue one after another

Cause: when the limit on a queue ended, all its waiting steps began in one round and on one worker. Several of them crashed it together, so that no crash could be held against one of them, and each job took down a third worker.

Change: while a queue is limited, its steps start 60 ms apart (as many at a time as fits the workers left in a large cell), and the limit ends at a fifth of crashing starts instead of below two fifths.

--- a/src/apricotlead/coordination/cell/crash_limits.py
+++ b/src/apricotlead/coordination/cell/crash_limits.py
@@ -3,8 +3,9 @@
 Pattern: one queue brings many jobs that crash every worker that starts them.
 Each is only known once it has taken a worker down, so that without a limit they
 take down the whole cell. Once a good part of a queue's latest starts crashed a
-worker, its steps start a few at a time, so that most workers are likely to stay
-up. A step of which a run has lived for a moment is not limited.
+worker, its steps start one after another, so that it shows which of them did,
+and only while most workers are up. A step of which a run has lived for a moment
+is not limited.
 
 A step that is held back starts once workers are back. New jobs of the queue are
 rejected while the steps in front would keep them waiting for too long
@@ -12,7 +13,6 @@
 """
 
 from collections import Counter
-from math import inf
 
 from apricotlead.coordination.cell.crash_evidence import YOUNG_S
 from apricotlead.coordination.cell.run_tracker import RunTracker
@@ -20,9 +20,15 @@
 from apricotlead.state.queue_risk import QueueRisk
 from apricotlead.state.wait_times import WaitReason
 
-# While fewer of the starts crash a worker, holding back the others costs callers
-# more than the crashes do.
-_MIN_PROBABILITY = 0.4
+# A queue is limited once this share of its latest starts crashed a worker, and
+# until it is lower. Holding back the others would cost callers more than fewer
+# crashes do.
+_LIMIT_SHARE = 0.4
+_RELEASE_SHARE = 0.2
+# A crash shows within this time, so that one start has to follow the other by it.
+# In a large cell, one start for so many workers that may yet go down.
+_START_INTERVAL_S = 0.06
+_WORKERS_PER_START = 8
 # The share of a service's workers that may be down before starts are held back.
 _MAX_DOWN_SHARE = 0.33
 # How long a crashed worker is away.
@@ -44,7 +50,8 @@
         """Begin a round: find the queues to limit, and count the workers."""
         is_any_high = False
         for queue, risk in self._tracker.risks_by_queue.items():
-            is_high = risk.probability() >= _MIN_PROBABILITY
+            share = _RELEASE_SHARE if risk.is_high else _LIMIT_SHARE
+            is_high = risk.crashed_share() >= share
             if is_high != risk.is_high:
                 risk.is_high = is_high
                 kind = 'queue limited' if is_high else 'queue released'
@@ -66,7 +73,7 @@
             return False
         if step.has_suspects or _has_lived(step, now):
             return False
-        return self._free_starts(risk, stored.service, now) < 1
+        return not self._may_start(risk, stored.service, now)
 
     def note_start(self, step: StepState, now: float) -> None:
         """Record that tasks of a step were placed."""
@@ -77,15 +84,13 @@
         )
         risk.note_start(step, now)
 
-    def _free_starts(self, risk: QueueRisk, service: str, now: float) -> float:
-        """Return how many steps may start now, besides those just started."""
+    def _may_start(self, risk: QueueRisk, service: str, now: float) -> bool:
+        """Return whether one more step of a limited queue may start now."""
         left = _max_down(self._worker_counts[service])
         left -= self._down_counts[service]
-        if left < 1:
-            return 0
-        probability = risk.probability()
-        likely = left / probability if probability else inf
-        return likely - risk.starts_since(now - YOUNG_S)
+        most = max(1, left / _WORKERS_PER_START)
+        is_turn = risk.starts_since(now - _START_INTERVAL_S) < most
+        return left >= 1 and is_turn
 
 
 def held_s_by_queue(tracker: RunTracker) -> dict[str, float]:
@@ -101,9 +106,9 @@
             worker.entry.service == service
             for worker in tracker.workers_by_id.values()
         )
-        crash_count = count * tracker.risks_by_queue[queue].probability()
-        wait_s = crash_count / _max_down(worker_count) * _DOWN_S
-        held_s[queue] = round(wait_s, 2)
+        crash_count = count * tracker.risks_by_queue[queue].crashed_share()
+        down_s = crash_count / _max_down(worker_count) * _DOWN_S
+        held_s[queue] = round(max(down_s, count * _START_INTERVAL_S), 2)
     return held_s
 
 
--- a/src/apricotlead/state/queue_risk.py
+++ b/src/apricotlead/state/queue_risk.py
@@ -23,7 +23,7 @@
         """Record the first start of a step."""
         self._starts.append((now, step))
 
-    def probability(self) -> float:
+    def crashed_share(self) -> float:
         """Return the share of the latest starts that crashed a worker.
 
         Starts that are not known count as if they had not.
