Wait for the connections in a test of the connection limit

It slept 50 ms and then counted connections. When the process does not run for that long, the hub fires the timer of the sleep before it handles the connections that are ready.

Evidence: with a green thread that blocks the process for 80 ms the test fails with fewer connections than the limit, as it did.

Change: the test waits until the connections are open, in bounded steps, and then as long as before; it still fails on any connection beyond the limit.

--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -214,6 +214,11 @@
     def spawn_several(self, path, count):
         """Call the server concurrently."""
         threads = [self.spawn(path) for _ in range(count)]
+        for _ in range(100):
+            if self.server.open_connections == min(count, 2):
+                break
+            eventlet.sleep(0.02)
+        # Time for calls beyond the limit to connect, if they wrongly did.
         eventlet.sleep(0.05)
         return threads
 
