Count the workers that trials have taken down

Cause: the limit on trials counted only workers that accept work, so the next trial began as soon as one had taken its worker down.

Change: a worker counts until it is replaced. Tests of the limits on a queue, in virtual time: without them all or most of 16 workers go down at a time.

--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -169,8 +169,14 @@
         not fit on those that may be kept.
         """
         own = [worker for worker in workers if can_execute(step, worker)]
-        limit = _max_trials(step, len(own), is_half_idle=is_half_idle)
-        limit -= sum(worker.worker_id in kept_by_id for worker in own)
+        # Workers that a trial has taken down count until they are replaced.
+        in_trial = sum(
+            can_execute(step, worker) for worker in kept_by_id.values()
+        )
+        limit = _max_trials(
+            step, len(own) + in_trial, is_half_idle=is_half_idle
+        )
+        limit -= in_trial
         order = _sharing_order if step.may_share_trial else _trial_order
         possible = [
             worker
--- /dev/null
+++ b/tests/test_cell_crash_limits.py
@@ -0,0 +1,136 @@
+"""Tests of the limits on a queue whose jobs crash the workers that start them.
+
+Pattern: all jobs of one queue crash workers, beside a queue that does not and
+keeps most of the cell busy.
+"""
+
+import msgspec
+from testtools import TestCase
+
+from apricotlead.coordination.cell.admission import check_admission
+from apricotlead.coordination.cell.crash_limits import (
+    CrashLimits,
+    held_s_by_queue,
+)
+from apricotlead.protocol.cell_config import QueueConfig
+from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
+from apricotlead.protocol.cell_peers import Backlog
+from apricotlead.state.cell_jobs import StepState
+from apricotlead.state.wait_times import WaitReason
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
+from tests.faulty.shape import CellShape
+from tests.test_cell_crashing_tasks import LONG_WORK, LOOKUPS, DeadlyDay
+
+BUSY_WORK = msgspec.structs.replace(LONG_WORK, per_s=2.2)
+ALL_DEADLY = msgspec.structs.replace(LOOKUPS, deadly_share=1.0)
+_SEEDS = (1, 2, 3)
+_WORKERS = 16
+_LEAST_DOWN_S = 3.0
+QUEUE = QueueConfig('lookups', 'host', '/lookups/', 'transcripts')
+
+
+class TestDeadlyQueue(TestCase):
+    """The whole cell was down again and again, with all other work in it."""
+
+    def most_down(self, day: DeadlyDay) -> int:
+        """Return how many workers were down at a time during the traffic."""
+        ends_s = day.cell.traffic_end_s
+        crashes_s = [at_s for at_s, _ in day.cell.crashes if at_s < ends_s]
+        return max(
+            sum(0 <= at_s - other_s < _LEAST_DOWN_S for other_s in crashes_s)
+            for at_s in crashes_s
+        )
+
+    def test_most_workers_stay_up(self) -> None:
+        shape = CellShape((BUSY_WORK, ALL_DEADLY), workers=_WORKERS)
+        for seed in _SEEDS:
+            day = DeadlyDay(shape, seed)
+            self.assertLessEqual(self.most_down(day), _WORKERS * 0.6, seed)
+            self.assertEqual([], day.budget.tasks_over_budget(), seed)
+            self.assertEqual([], day.budget.innocent_jobs_failed(), seed)
+
+
+class LimitCase(TestCase):
+    """A cell of 24 workers, and the steps of one queue."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(*(ModelWorker(f'w{each}') for each in range(24)))
+        self.tracker = self.rig.scheduler.tracker
+        self.limits = CrashLimits(self.tracker)
+
+    def step(self, number: int) -> StepState:
+        job_id = format(number, '016x')
+        self.rig.submit(job_id, stored_job(StepSpec(1, SMALL)))
+        return self.tracker.jobs_by_id[job_id].steps_by_key[0, 0]
+
+    def start(self, count: int, *, has_crashed: bool) -> None:
+        """Start some steps, one each 0.1 s."""
+        for _ in range(count):
+            step = self.step(len(self.tracker.jobs_by_id))
+            self.limits.note_start(step, self.rig.now)
+            step.has_crashed = has_crashed
+            self.rig.now += 0.1
+        self.limits.begin()
+
+    def is_held_back(self) -> bool:
+        step = self.step(len(self.tracker.jobs_by_id))
+        return self.limits.is_held_back(step, self.rig.now)
+
+
+class TestLimits(LimitCase):
+    """Steps of a queue start one by one once many of them crash workers."""
+
+    def test_few_crashes_hold_nothing_back(self) -> None:
+        self.start(12, has_crashed=False)
+        self.start(4, has_crashed=True)
+        self.assertFalse(self.is_held_back())
+
+    def test_one_start_at_a_time(self) -> None:
+        self.start(5, has_crashed=True)
+        self.assertFalse(self.is_held_back())
+        self.limits.note_start(self.step(99), self.rig.now)
+        self.assertTrue(self.is_held_back())
+        self.rig.now += 0.1
+        self.assertFalse(self.is_held_back())
+
+    def test_nothing_starts_while_a_third_is_down(self) -> None:
+        self.start(5, has_crashed=True)
+        for number in range(8):
+            worker = self.tracker.workers_by_id[f'w{number}']
+            worker.suspected_s = self.rig.now
+        self.limits.begin()
+        self.assertTrue(self.is_held_back())
+
+    def test_limit_ends_once_starts_live(self) -> None:
+        self.start(12, has_crashed=True)
+        self.start(9, has_crashed=False)
+        self.assertTrue(self.tracker.risks_by_queue['lookups'].is_high)
+        self.start(1, has_crashed=False)
+        self.assertFalse(self.tracker.risks_by_queue['lookups'].is_high)
+
+    def test_step_that_has_lived_is_not_held_back(self) -> None:
+        self.start(12, has_crashed=True)
+        step = self.step(99)
+        step.has_lived = True
+        self.limits.note_start(self.step(98), self.rig.now)
+        self.assertFalse(self.limits.is_held_back(step, self.rig.now))
+
+
+class TestAdmission(LimitCase):
+    """A job is rejected at once if the steps in front take too long."""
+
+    def test_held_steps_count(self) -> None:
+        self.start(12, has_crashed=True)
+        for number in range(100, 140):
+            waiting = self.step(number)
+            waiting.waits.note(WaitReason.CRASHES, self.rig.now)
+        held_s = held_s_by_queue(self.tracker)
+        submission = JobSubmission('payload', (StepSpec(1, SMALL, 500),))
+        backlog = Backlog(held_s_by_queue=held_s)
+        self.assertIsNotNone(
+            check_admission(submission, QUEUE, 'clerks', backlog)
+        )
+        self.assertIsNone(
+            check_admission(submission, QUEUE, 'clerks', Backlog())
+        )
