Reject crash records that do not fit their step

The index of a stored crash was used unchecked, and an IndexError would end the term; a task cleared by a long run stayed among the suspects until the next round; tasks that are done could be noted as lost with a worker that restarted between terms.

Change: a record for a task that the step does not have makes the job unreadable, which is logged; such tasks are cleared and left out at once.

Evidence: test_record_of_an_unknown_task fails before (IndexError) and passes.

--- a/src/apricotlead/coordination/cell/crash_attribution.py
+++ b/src/apricotlead/coordination/cell/crash_attribution.py
@@ -123,9 +123,9 @@
             worst = max(job.tasks(), key=lambda task: task.crashes.crashes)
             count = worst.crashes.crashes
             job.why_failed = (
-                f'task {worst.name} was given up, as {count} workers crashed'
-                ' while they executed it; correct the task and submit it as a'
-                ' new job'
+                f'task {worst.name} was given up: workers crashed {count}'
+                ' times while they executed it; correct the task and submit it'
+                ' as a new job'
             )
             self._tracker.note(
                 'task given up',
@@ -153,6 +153,7 @@
         self._tracker.mark_dirty(lost.task.step.job)
         if lost.age_s > _CHANCE_AGE_S:
             history.clear()
+            self._tracker.clear_suspect(lost.task)
             return
         if not (evidence.is_proof and lost.is_confirmed):
             history.doubtful_crashes += 1
--- a/src/apricotlead/coordination/cell/crash_evidence.py
+++ b/src/apricotlead/coordination/cell/crash_evidence.py
@@ -45,10 +45,9 @@
     """A run that was lost with its worker.
 
     ``age_s`` is how long it had been executing when the worker was lost, as far
-    as this term knows.
-    Without ``is_confirmed`` the worker never confirmed the run, so it may not
-    have begun. ``is_young`` if it had only just begun, and not much earlier than
-    any other run there.
+    as this term knows. Without ``is_confirmed`` the worker never confirmed the
+    run, so it may not have begun. ``is_young`` if it had only just begun, and
+    not much earlier than any other run there.
     """
 
     task: TaskState
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -333,7 +333,9 @@
         missing = [
             task
             for task in worker.tasks_by_name.values()
-            if (task.name, task.run) not in listed and not task.is_start_known
+            if task.is_placed
+            and not task.is_start_known
+            and (task.name, task.run) not in listed
         ]
         born_s = now - report.clock_ms / _MS_PER_S
         if self._former_renewed_s is not None and (
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -225,7 +225,10 @@
     def restore(
         self, record: StepRecord, now: float, store_offset_s: float
     ) -> None:
-        """Restore the state that a former scheduler recorded."""
+        """Restore the state that a former scheduler recorded.
+
+        Raises :class:`ValueError` for the record of another step.
+        """
         self.gang_failures = record.gang_failures
         for task, stored_task in zip(self.tasks, record.tasks, strict=True):
             task.run = stored_task.run
@@ -243,6 +246,10 @@
             elif stored_task.worker_id:
                 task.phase = TaskPhase.SENT
         for crashes in record.crashes:
+            if not 0 <= crashes.index < len(self.tasks):
+                raise ValueError(
+                    f'step {self.name} has no task {crashes.index}',
+                )
             self.tasks[crashes.index].crashes.restore(crashes)
             self.is_suspected |= crashes.is_suspect
         self.recount()
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
-from apricotlead.protocol.cell_jobs import JobProgress, StepSpec
+from apricotlead.protocol.cell_jobs import CrashRecord, JobProgress, StepSpec
 from apricotlead.protocol.cell_workers import EndKind, OrderReply, Refusal
 from apricotlead.state.cell_jobs import TaskState
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
@@ -163,6 +163,24 @@
         self.assertFalse(self.task(OTHER_ID).crashes.is_suspect)
 
 
+class TestStoredCrashes(CrashCase):
+    """A record that does not fit its step must not end the term."""
+
+    def test_record_of_an_unknown_task(self) -> None:
+        self.submit(GUILTY_ID)
+        self.crash(self.start(GUILTY_ID))
+        self.rig.journal()
+        key = f'{PROGRESS_PREFIX}{GUILTY_ID}'
+        row = self.rig.rows_by_key[key]
+        progress = msgspec.convert(row.value, JobProgress)
+        progress.steps[0].crashes = (CrashRecord(7, 1),)
+        self.rig.rows_by_key[key] = msgspec.structs.replace(
+            row, value=msgspec.to_builtins(progress)
+        )
+        self.rig.take_over()
+        self.assertEqual(1, len(self.notes('row unreadable')))
+
+
 class TestInnocentWork(CrashCase):
     """What only ran on a crashed worker is not given up."""
 
