Test that a suspected gang does not wait for ever

Evidence: the guess that a suspected gang waits for idle workers without end is not shown: in virtual time, in a cell where none is idle, it is placed within 3 s, before this commit too.

--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -6,11 +6,13 @@
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.protocol.cell_jobs import CrashRecord, JobProgress, StepSpec
 from apricotlead.protocol.cell_workers import EndKind, OrderReply, Refusal
+from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import TaskState
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 GUILTY_ID = '00000000000000aa'
 OTHER_ID = '00000000000000bb'
+WHOLE = Resources(14000, 16384, 0)
 _BROKEN = OrderReply(Refusal.UNANSWERED, is_broken=True)
 _REFUSED = OrderReply(Refusal.NO_LISTENER)
 _OTHER_LIFE = OrderReply(Refusal.OTHER_LIFE)
@@ -286,3 +288,17 @@
         self.rig.round()
         self.rig.pass_time(4)
         self.assertTrue(self.task(GUILTY_ID).is_placed)
+
+    def test_gang_does_not_wait_for_ever(self) -> None:
+        """A suspected gang needs more idle workers than there are."""
+        self.submit(GUILTY_ID, StepSpec(4, WHOLE, gang=True))
+        worker_id = self.start(GUILTY_ID)
+        self.break_gang_elsewhere(worker_id)
+        self.crash(worker_id)
+        self.submit(
+            OTHER_ID,
+            StepSpec(4, SMALL, long_running=True, max_per_worker=1),
+        )
+        self.rig.round()
+        self.rig.pass_time(3)
+        self.assertTrue(self.task(GUILTY_ID).is_placed)
