Keep no workers apart for gangs

A gang may ask only about the workers that are kept for it.

A suspected gang is placed like any other; while its suspects run, nothing more is placed on their workers, and its crashes count.

Evidence: test_suspected_gang_asks_about_all_workers fails before and passes now.

--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -9,10 +9,12 @@
 Only a few workers are kept for such trials while the cell is busy, and only one
 for suspects that are likely to take it down. Suspects that find none in time
 share the worker with the fewest runs, where nothing more is placed, so that
-they do not wait for ever.
+they do not wait for ever. A gang is not kept apart, as it may need more workers
+than are ever idle at a time; while a suspect of it runs, nothing more is placed
+on that worker.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from functools import partial
 
 from apricotlead.coordination.cell.advice_cache import AdviceCache
@@ -82,12 +84,12 @@
                 step, now, is_half_idle=is_half_idle
             )
             step.apart_for = f'trial of {step.name}'
-            chosen = self._choose_workers(
+            chosen = self._choose_worker(
                 step, workers, kept_by_id, is_half_idle=is_half_idle
             )
-            for worker in chosen:
-                worker.apart_for = step.apart_for
-                kept_by_id[worker.worker_id] = worker
+            if chosen is not None:
+                chosen.apart_for = step.apart_for
+                kept_by_id[chosen.worker_id] = chosen
         self._apply(kept_by_id)
 
     def end_trials(self) -> None:
@@ -140,6 +142,7 @@
             step.name: step
             for step in steps
             if step.name in self._tracker.ready_steps_by_name
+            and not step.spec.gang
             and not has_trial(step)
         }
         for name in self._waiting_since_s_by_step.keys() - steps_by_name:
@@ -154,45 +157,35 @@
         limit_s = _MAX_IDLE_WAIT_S if is_half_idle else _MAX_BUSY_WAIT_S
         return now - since_s > limit_s
 
-    def _choose_workers(
+    def _choose_worker(
         self,
         step: StepState,
         workers: Iterable[WorkerState],
-        kept_by_id: dict[str, WorkerState],
+        kept_by_id: Mapping[str, WorkerState],
         *,
         is_half_idle: bool,
-    ) -> list[WorkerState]:
-        """Choose workers for the next trial of a step, idle ones first.
+    ) -> WorkerState | None:
+        """Choose a worker for the next trial of a step, an idle one first.
 
         Any other is left to become idle, or shared if the step has waited for
-        too long. A gang needs as many as it fits on; it gets none if it does
-        not fit on those that may be kept.
+        too long.
         """
         own = [worker for worker in workers if can_execute(step, worker)]
         # Workers that a trial has taken down count until they are replaced.
         in_trial = sum(
             can_execute(step, worker) for worker in kept_by_id.values()
         )
-        limit = _max_trials(
-            step, len(own) + in_trial, is_half_idle=is_half_idle
-        )
-        limit -= in_trial
-        order = _sharing_order if step.may_share_trial else _trial_order
-        possible = [
+        most = _max_trials(step, len(own) + in_trial, is_half_idle=is_half_idle)
+        if in_trial + 1 > most:
+            return None
+        possible = (
             worker
-            for worker in sorted(own, key=partial(order, step))
+            for worker in own
             if worker.worker_id not in kept_by_id
-        ]
-        needed = len(step.tasks) if step.spec.gang else 1
-        chosen: list[WorkerState] = []
-        for worker in possible:
-            if needed <= 0 or len(chosen) + 1 > limit:
-                break
-            count = self._trial_count(step, worker)
-            needed -= count
-            if count:
-                chosen.append(worker)
-        return [] if needed > 0 else chosen
+            and self._trial_count(step, worker)
+        )
+        order = _sharing_order if step.may_share_trial else _trial_order
+        return min(possible, key=partial(order, step), default=None)
 
     def _trial_count(self, step: StepState, worker: WorkerState) -> int:
         """Return how many tasks of a step fit on a worker once it is idle."""
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_jobs import CrashRecord, JobProgress, StepSpec
 from apricotlead.protocol.cell_workers import EndKind, OrderReply, Refusal
 from apricotlead.protocol.resources import Resources
@@ -289,6 +290,27 @@
         self.rig.pass_time(4)
         self.assertTrue(self.task(GUILTY_ID).is_placed)
 
+    def test_suspected_gang_asks_about_all_workers(self) -> None:
+        """Guards against a gang that asks for advice worker by worker.
+
+        It asked only about the few workers that were kept for its trial, each
+        call took a second, and most of them might not run it (LOST).
+        """
+        self.submit(
+            GUILTY_ID,
+            StepSpec(4, WHOLE, gang=True),
+            advice=AdvicePolicy(500, 7, 2000),
+        )
+        task = self.task(GUILTY_ID)
+        self.rig.scheduler.tracker.suspect(task)
+        self.submit(
+            OTHER_ID,
+            StepSpec(4, SMALL, long_running=True, max_per_worker=1),
+        )
+        self.rig.round()
+        calls = self.rig.scheduler.plan(self.rig.now, ['peer1', 'peer2'])
+        self.assertEqual(4, sum(len(each.worker_ids) for each in calls))
+
     def test_gang_does_not_wait_for_ever(self) -> None:
         """A suspected gang needs more idle workers than there are."""
         self.submit(GUILTY_ID, StepSpec(4, WHOLE, gang=True))
