List the trials that come too late as a known failing case

Cause: a suspect asks for advice only about the worker that is kept for its trial, and the kept worker changes.

No code of the product changes.

--- a/tests/test_cell_crash_limits.py
+++ b/tests/test_cell_crash_limits.py
@@ -12,7 +12,7 @@
     CrashLimits,
     held_s_by_queue,
 )
-from apricotlead.protocol.cell_config import QueueConfig
+from apricotlead.protocol.cell_config import AdvicePolicy, QueueConfig
 from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
 from apricotlead.protocol.cell_peers import Backlog
 from apricotlead.state.cell_jobs import StepState
@@ -50,6 +50,25 @@
             self.assertEqual([], day.budget.innocent_jobs_failed(), seed)
 
 
+class TestTrialsWithAdvice(TestCase):
+    """A suspect asks for advice only about the worker that is kept for it.
+
+    Most workers may not run it, and the kept one changes, so that it waited from
+    its crash to the end of the day, in an idle cell (LOST).
+    """
+
+    def test_suspects_are_tried_in_time(self) -> None:
+        deadly = msgspec.structs.replace(
+            ALL_DEADLY,
+            advice=AdvicePolicy(66, 0.94, 2000),
+            permitted_share=0.45,
+        )
+        for seed in _SEEDS:
+            day = DeadlyDay(CellShape((BUSY_WORK, deadly), _WORKERS), seed)
+            violations = list(day.progress.violations_by_name.values())
+            self.assertEqual([], violations, seed)
+
+
 class LimitCase(TestCase):
     """A cell of 24 workers, and the steps of one queue."""
 
