Log which life of a worker a call was meant for, and which one answered

Cause: the logs showed that a worker was reborn, but not what had shown it or what the call that reached the new life carried, so the hypotheses of docs/incidents/restarted-workers.md could not be told apart.

Change: 'worker reborn' has seen_by, both start times, the acknowledgement that the former life was entitled to, and the acknowledgement and deadline of the call that the new life answered.

--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -91,6 +91,7 @@
         ):
             return False
         if worker is not None and entry.born_ms > worker.entry.born_ms:
+            self._note_restart(worker, entry.born_ms, 'registration', None)
             self._replace_worker(worker, entry, now)
             return True
         if worker is None:
@@ -182,8 +183,12 @@
         report: HoldReport,
         sent_s: float,
         now: float,
+        order: HoldOrder | None = None,
     ) -> None:
-        """Apply the lists of running and ended runs in a worker's answer."""
+        """Apply the lists of running and ended runs in a worker's answer.
+
+        ``order`` is what it answers, by default the latest one.
+        """
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None or _is_from_earlier_incarnation(
             worker, report.born_ms
@@ -191,6 +196,7 @@
             return
         self._detect_lost_answers(worker, now)
         if report.born_ms > worker.entry.born_ms:
+            self._note_restart(worker, report.born_ms, 'hold', order)
             self._handle_restart(worker, report, now)
             return
         worker.lease.record_answer(report.clock_ms, sent_s, now)
@@ -304,7 +310,6 @@
         The new incarnation has no state of the old one. Orders contain only
         the id, so it may have accepted starts that were sent to the old one.
         """
-        self._tracker.note('worker reborn', worker=entry.worker_id)
         self._leases.forget(entry.worker_id)
         guilty = self._crashes.worker_ended(former, Evidence.REBORN, now)
         unlisted = self._tracker.detach_unlisted_runs(former)
@@ -353,7 +358,29 @@
         now: float,
     ) -> None:
         entry = msgspec.structs.replace(worker.entry, born_ms=report.born_ms)
-        self.update_worker(entry, now)
+        self._replace_worker(worker, entry, now)
+
+    def _note_restart(
+        self,
+        worker: WorkerState,
+        born_ms: float,
+        seen_by: str,
+        order: HoldOrder | None,
+    ) -> None:
+        """Log a restart, and what a call to the former incarnation carried.
+
+        The new incarnation may have applied the acknowledgement and deadline.
+        """
+        self._tracker.note(
+            'worker reborn',
+            worker=worker.worker_id,
+            seen_by=seen_by,
+            born_ms=born_ms,
+            former_born_ms=worker.entry.born_ms,
+            former_acked_through=worker.acked_through,
+            call_acked_through=order.acked_through if order else None,
+            call_deadline_ms=order.deadline_ms if order else None,
+        )
 
     def _apply_ends(
         self,
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -94,6 +94,7 @@
                     answer,
                     sent_s,
                     now,
+                    order,
                 )
                 self._state.changed.set()
                 self._wait_before_next(worker_id, order, answer)
