Acknowledge ends only on the connection on which their life answered

What callers saw: a task that had ended done was started again (TWICE).

Cause: ends are numbered from 1 in each life of a worker, and a hold names only the worker's id. A hold with the acknowledgement of the former life removed ends of the new one that no scheduler had seen; the scheduler found nothing there and started the task again.

Change: a life is proven by its answer, and the acknowledgement and deadline of a hold go only to the connection that the answer came on, which ends with the process. After a failed call, and at the first contact, a hold asks only for the lists.

Evidence: TestAcknowledgementsAtARestart; two of its tests fail without the binding and two with acknowledgements in the hold after a failed one, as on the former code. The worker of these tests takes each call that reaches it, while those of other tests ignored acknowledgements meant for another life.

--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -132,9 +132,11 @@
     ) -> tuple[WorkerEntry, HoldOrder] | None:
         """Return the next hold for a worker, ``None`` if it is gone.
 
-        A hold is a long-poll call that extends the lease. Until the worker's
-        lists are known in this term, and after a period without answers, it
-        neither extends the lease nor waits.
+        A hold is a long-poll call that extends the lease and acknowledges
+        ends. A worker that has restarted under its id would apply both to other
+        runs than they are meant for. They are sent only on the connection on
+        which this incarnation has answered; until it has, and after a failed
+        call, the next hold only asks for the lists.
         """
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None or not worker.entry.address:
@@ -144,8 +146,8 @@
         is_silent = (
             now - lease.last_contact_s > self._settings.leases.lease_s / 2
         )
-        if not lease.has_contact or is_silent:
-            return worker.entry, HoldOrder(epoch, worker.acked_through, 0)
+        if not (worker.is_proven and lease.has_contact) or is_silent:
+            return worker.entry, HoldOrder(epoch, 0, 0)
         deadline_ms = None
         if worker.may_grant_lease:
             deadline_ms = lease.deadline(now, self.renewed_s)
@@ -154,6 +156,7 @@
             worker.acked_through,
             int(self._wait_s(worker, now) * _MS_PER_S),
             deadline_ms,
+            worker.connection,
         )
         return worker.entry, order
 
@@ -177,6 +180,11 @@
         worker = self._tracker.workers_by_id.get(worker_id)
         return worker is not None and worker.lease.has_contact
 
+    def waits_for_grant(self, worker_id: str) -> bool:
+        """Tell whether a worker may get no lease before the next write."""
+        worker = self._tracker.workers_by_id.get(worker_id)
+        return worker is not None and not worker.may_grant_lease
+
     def hold_answered(
         self,
         worker_id: str,
@@ -200,6 +208,7 @@
             self._handle_restart(worker, report, now)
             return
         worker.lease.record_answer(report.clock_ms, sent_s, now)
+        worker.note_answer(report.connection)
         worker.forget_lapsed_runs()
         self._end_former_at_address(worker, now)
         self._apply_ends(worker, report, now)
@@ -220,6 +229,10 @@
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None:
             return
+        if reply.refusal is Refusal.CONNECTION_GONE:
+            # Nothing was sent, so nothing is known about the worker.
+            worker.forget_connection()
+            return
         is_prompt = reply.is_broken or reply.refusal is Refusal.NO_LISTENER
         worker.note_failed_call(now, is_prompt=is_prompt)
         if reply.refusal is Refusal.OTHER_LIFE:
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -27,11 +27,13 @@
         '_unacked_ends',
         'acked_through',
         'apart_for',
+        'connection',
         'consecutive_failures',
         'drain_ends_s',
         'entry',
         'idle_capacity',
         'is_listed',
+        'is_proven',
         'is_reconciled',
         'lease',
         'may_grant_lease',
@@ -52,6 +54,10 @@
         self.entry = entry
         self.lease = lease
         self.is_listed = True
+        # Whether this incarnation has answered since the latest failed call,
+        # and the connection that it answered on.
+        self.is_proven = False
+        self.connection: int | None = None
         # Whether a report with all ends has shown which restored runs exist.
         self.is_reconciled = False
         # Leases are granted only while the journal does not record the worker
@@ -155,10 +161,21 @@
 
     def note_failed_call(self, now: float, *, is_prompt: bool) -> None:
         """Record a failed call; ``is_prompt`` if it told at once."""
+        self.forget_connection()
         if not self.is_contact_lost:
             self._failed_call_s = now
             self._is_loss_prompt = is_prompt
 
+    def note_answer(self, connection: int | None) -> None:
+        """Record that this incarnation has answered on a connection."""
+        self.is_proven = True
+        self.connection = connection
+
+    def forget_connection(self) -> None:
+        """Record that the next call may reach another incarnation."""
+        self.is_proven = False
+        self.connection = None
+
     def note_lapsed_run(self, task: TaskState) -> None:
         """Record a run that ended with the lease of a silent worker."""
         self._lapsed_runs.append((task.name, task.run))
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -98,6 +98,10 @@
                 )
                 self._state.changed.set()
                 self._wait_before_next(worker_id, order, answer)
+            elif answer.refusal is Refusal.CONNECTION_GONE:
+                self._state.scheduler.workers.hold_refused(
+                    worker_id, answer, now
+                )
             else:
                 self._handle_hold_failure(worker_id, answer, now)
                 eventlet.sleep(
@@ -135,11 +139,14 @@
         """Wait until the next hold of a worker is useful."""
         pause_s = self._times.retry_pause_s
         self._wait_for_journal(worker_id)
-        if report.ended:
+        is_granted = order.deadline_ms is not None
+        if report.ended and is_granted:
             self._delay_next(worker_id)
         if not self._state.scheduler.workers.has_contact(worker_id):
             eventlet.sleep(pause_s)
-        elif order.deadline_ms is None:
+        elif not is_granted and self._state.scheduler.workers.waits_for_grant(
+            worker_id
+        ):
             # Leases can be granted after the next write of the journal.
             self._state.journaled.wait(pause_s)
 
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -29,6 +29,7 @@
 from apricotlead.protocol.cell_workers import (
     EndedTask,
     EndKind,
+    HoldOrder,
     HoldReport,
     OrderReply,
     RunningTask,
@@ -99,6 +100,15 @@
         number = len(self.ended) + 1
         self.ended.append(EndedTask(number, task, run, kind))
 
+    def answer_start(self, order: StartOrder, now: float) -> OrderReply:
+        """Carry out a start and return the reply."""
+        self.start(order)
+        return OrderReply(None, now * 1000)
+
+    def answer_hold(self, order: HoldOrder, now: float) -> HoldReport:
+        """Carry out a hold and return the lists."""
+        return self.report(now, order.acked_through)
+
     def report(self, now: float, acked_through: int = 0) -> HoldReport:
         """Return the lists of running and unacknowledged ended runs."""
         unacked = [end for end in self.ended if end.number > acked_through]
@@ -225,12 +235,12 @@
         if planned is None or not worker.is_reachable:
             return
         order = planned[1]
-        report = worker.report(self.now, order.acked_through)
         self.scheduler.workers.hold_answered(
             worker_id,
-            report,
+            worker.answer_hold(order, self.now),
             self.now,
             self.now,
+            order,
         )
 
     def round(self) -> None:
@@ -257,9 +267,8 @@
         if order is None:
             return
         worker = self.workers_by_id[start.worker.worker_id]
-        worker.start(order)
+        reply = worker.answer_start(order, self.now)
         if worker.is_reachable:
-            reply = OrderReply(None, self.now * 1000)
             self.scheduler.starts.start_answered(
                 start, reply, self.now, self.now
             )
--- /dev/null
+++ b/tests/test_cell_worker_lives.py
@@ -0,0 +1,85 @@
+"""Tests of workers that restart under their ids and take late calls."""
+
+from testtools import TestCase
+
+from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.state.cell_jobs import TaskState
+from tests.cell_rig import stored_job
+from tests.restarting_worker import RestartingWorker, RestartRig
+
+FIRST_JOB = '00000000000000aa'
+JOB = '00000000000000bb'
+TASK = f'{JOB}.0.0.0'
+
+
+class RestartCase(TestCase):
+    """A worker with an acknowledged end, and another start on its way."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = RestartingWorker('w1')
+        self.rig = RestartRig(self.worker)
+        self.rig.submit(FIRST_JOB, stored_job())
+        self.rig.round()
+        self.worker.end(f'{FIRST_JOB}.0.0.0')
+        self.rig.pass_time(1)
+        self.rig.hold('w1')
+        self.assertEqual(1, self.worker.removed_ends[-1].number)
+
+    @property
+    def task(self) -> TaskState:
+        return self.rig.scheduler.tracker.task(TASK)
+
+    def plan(self) -> PlannedStart:
+        """Journal the start of the only task without sending it."""
+        self.rig.submit(JOB, stored_job())
+        self.rig.scheduler.plan(self.rig.now, [])
+        return self.rig.journal()[0]
+
+    def restart(self) -> None:
+        self.rig.now += 0.1
+        self.worker.restart(self.rig.now)
+
+
+class TestAcknowledgementsAtARestart(RestartCase):
+    """An acknowledgement removes only ends of the life that reported them."""
+
+    def test_end_of_a_run_that_the_new_life_took_is_seen(self) -> None:
+        """Its end was removed unseen, and the task ran again (TWICE)."""
+        start = self.plan()
+        self.restart()
+        self.rig.send(start)
+        self.worker.end(TASK)
+        self.rig.pass_time(2)
+        self.assertEqual([], self.worker.removed_ends[1:])
+        self.assertEqual('completed', self.rig.state(JOB))
+        self.assertEqual([1], [order.run for order in self.worker.started[1:]])
+
+    def test_later_end_of_the_new_life_is_seen(self) -> None:
+        """The same where an acknowledgement applies to later ends as well."""
+        self.worker.applies_acks_later = True
+        start = self.plan()
+        self.restart()
+        self.rig.hold('w1')
+        self.rig.send(start)
+        self.worker.running_by_task[TASK] = 1
+        self.worker.end(TASK)
+        self.assertEqual([1], [end.number for end in self.worker.ended])
+
+    def test_hold_after_a_failed_one_acknowledges_nothing(self) -> None:
+        """The worker may have restarted while it did not answer."""
+        self.worker.is_reachable = False
+        self.rig.hold('w1')
+        _, order = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+        self.assertEqual((0, None), (order.acked_through, order.deadline_ms))
+
+    def test_ends_are_acknowledged_after_a_failed_hold(self) -> None:
+        """Otherwise the worker would list them for ever."""
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        self.worker.end(TASK)
+        self.worker.is_reachable = False
+        self.rig.hold('w1')
+        self.worker.is_reachable = True
+        self.rig.pass_time(2)
+        self.assertEqual([], self.worker.ended)
