Give each life of a worker a fencing number of its own

What callers saw: the fault of TWICE; a late call to the former life of a worker could act on the new one at any time.

Cause: all calls of a term carried one fencing number, so a restarted worker could not refuse a start, or an acknowledgement, that had been sent before its restart was known.

Change: the number is made of the epoch and of the restarts of the worker that the term has seen. The first call that a new life answers makes it refuse all that was meant for former ones. A refusal of a former number does not end the term.

Evidence: TestFencesOfLives; four of its five tests fail with one number for the whole term.

--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -90,7 +90,6 @@
             settings,
             self.tracker,
             self.advice,
-            owner.epoch,
         )
         self.planner = Planner(self.tracker, self.advice)
         self.speeds = SpeedRows(self.tracker, now)
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -41,20 +41,18 @@
 class StartTracker:
     """Turns journaled starts into orders and applies the replies."""
 
-    __slots__ = ('_advice', '_epoch', '_settings', '_stop_sent_s', '_tracker')
+    __slots__ = ('_advice', '_settings', '_stop_sent_s', '_tracker')
 
     def __init__(
         self,
         settings: CellSettings,
         tracker: RunTracker,
         advice: AdviceCache,
-        epoch: int,
     ) -> None:
-        """Send orders under ``epoch``."""
+        """Create a tracker without orders."""
         self._settings = settings
         self._tracker = tracker
         self._advice = advice
-        self._epoch = epoch
         self._stop_sent_s: dict[tuple[str, str, int], float] = {}
 
     def prepare(
@@ -120,7 +118,7 @@
             task.name,
             task.run,
             task.step.job.stored.submission.payload,
-            self._epoch,
+            start.worker.fence,
             start.deadline_ms,
             self._checkpoint(task),
             task.ticket,
@@ -162,7 +160,7 @@
                 key = (worker.worker_id, name, run)
                 if now - self._stop_sent_s.get(key, float('-inf')) >= retry_s:
                     self._stop_sent_s[key] = now
-                    order = StopOrder(name, run, self._epoch)
+                    order = StopOrder(name, run, worker.fence)
                     due.append((worker.entry, order))
         return due
 
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -1,5 +1,6 @@
 """Worker tracking: registrations, holds, leases and expired leases."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -26,6 +27,8 @@
 from apricotlead.state.cell_workers import TRIAL_S, WorkerState
 
 _MS_PER_S = 1000.0
+# A worker may restart this often in one term before its lives share a fence.
+_FENCES_PER_EPOCH = 1000
 # A worker gets no new runs for a while after this many failures in a row.
 _FAILURES_TO_PAUSE = 3
 _FAILING_PAUSE_S = 4.0
@@ -41,6 +44,7 @@
         '_ends',
         '_former_renewed_s',
         '_leases',
+        '_lives_by_id',
         '_lossy_until_s',
         '_settings',
         '_tracker',
@@ -75,6 +79,8 @@
             self._former_renewed_s = clock.to_local_s(former.renewed_ms, now)
         # The worker that was the last to answer at each address.
         self._answering_id_by_address: dict[str, str] = {}
+        # How many restarts of each worker this term has seen.
+        self._lives_by_id: Counter[str] = Counter()
         self.epoch = epoch
         # When the last confirmed write of the owner row was prepared.
         self.renewed_s = now
@@ -114,6 +120,7 @@
         for worker_id in tuple(self._tracker.restored_by_worker):
             entry = WorkerEntry(worker_id, '', '', '', Resources())
             worker = WorkerState(entry, self._leases.new_lease(worker_id, now))
+            worker.fence = self._fence(worker_id)
             worker.is_listed = False
             self._tracker.workers_by_id[worker_id] = worker
             self._tracker.restore_placements(worker)
@@ -142,17 +149,16 @@
         if worker is None or not worker.entry.address:
             return None
         lease = worker.lease
-        epoch = self.epoch
         is_silent = (
             now - lease.last_contact_s > self._settings.leases.lease_s / 2
         )
         if not (worker.is_proven and lease.has_contact) or is_silent:
-            return worker.entry, HoldOrder(epoch, 0, 0)
+            return worker.entry, HoldOrder(worker.fence, 0, 0)
         deadline_ms = None
         if worker.may_grant_lease:
             deadline_ms = lease.deadline(now, self.renewed_s)
         order = HoldOrder(
-            epoch,
+            worker.fence,
             worker.acked_through,
             int(self._wait_s(worker, now) * _MS_PER_S),
             deadline_ms,
@@ -291,6 +297,23 @@
             for worker in self._tracker.workers_by_id.values()
         )
 
+    def is_current_fence(self, worker_id: str, fence: int) -> bool:
+        """Tell whether a worker that refuses ``fence`` has seen a later term.
+
+        A call to its former incarnation may arrive after the first call to
+        the present one, which refuses it.
+        """
+        return fence >= self._fence(worker_id)
+
+    def _fence(self, worker_id: str) -> int:
+        """Return the fencing number for calls to a worker's present life.
+
+        It is higher than those of its former lives. Once a life has answered
+        a call, it refuses the calls that were meant for them.
+        """
+        lives = min(self._lives_by_id[worker_id], _FENCES_PER_EPOCH - 1)
+        return self.epoch * _FENCES_PER_EPOCH + lives
+
     def _detect_lost_answers(self, worker: WorkerState, now: float) -> None:
         """Switch to short holds for a while if answers were lost.
 
@@ -306,6 +329,7 @@
         worker = WorkerState(
             entry, self._leases.new_lease(entry.worker_id, now)
         )
+        worker.fence = self._fence(entry.worker_id)
         worker.update_entry(entry, now)
         worker.may_grant_lease = self._leases.may_grant(entry.worker_id)
         self._tracker.workers_by_id[entry.worker_id] = worker
@@ -324,6 +348,7 @@
         the id, so it may have accepted starts that were sent to the old one.
         """
         self._leases.forget(entry.worker_id)
+        self._lives_by_id[entry.worker_id] += 1
         guilty = self._crashes.worker_ended(former, Evidence.REBORN, now)
         unlisted = self._tracker.detach_unlisted_runs(former)
         self._tracker.forget_worker(former, now)
--- a/src/apricotlead/protocol/cell_workers.py
+++ b/src/apricotlead/protocol/cell_workers.py
@@ -32,7 +32,12 @@
 
 
 class StartOrder(Struct, frozen=True):
-    """Starts ``run`` of a task; ``deadline_ms`` is on the worker's clock."""
+    """Starts ``run`` of a task; ``deadline_ms`` is on the worker's clock.
+
+    ``epoch`` in all orders is the fencing number of the term and of the
+    incarnation that the order is meant for; workers refuse lower ones than the
+    highest that they have seen.
+    """
 
     task: str
     run: int
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -31,6 +31,7 @@
         'consecutive_failures',
         'drain_ends_s',
         'entry',
+        'fence',
         'idle_capacity',
         'is_listed',
         'is_proven',
@@ -53,6 +54,8 @@
         """Start without tasks, with the registered capacity."""
         self.entry = entry
         self.lease = lease
+        # The fencing number of calls to this incarnation.
+        self.fence = 0
         self.is_listed = True
         # Whether this incarnation has answered since the latest failed call,
         # and the connection that it answered on.
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -103,7 +103,7 @@
                     worker_id, answer, now
                 )
             else:
-                self._handle_hold_failure(worker_id, answer, now)
+                self._handle_hold_failure(worker_id, order, answer, now)
                 eventlet.sleep(
                     self._retry_pause_s(answer, consecutive_failures)
                 )
@@ -195,6 +195,7 @@
     def _handle_hold_failure(
         self,
         worker_id: str,
+        order: HoldOrder,
         reply: OrderReply,
         now: float,
     ) -> None:
@@ -206,9 +207,11 @@
                 why=str(reply.refusal),
                 detail=reply.detail,
             )
-        if reply.refusal is Refusal.FENCED:
+        workers = self._state.scheduler.workers
+        is_fenced = reply.refusal is Refusal.FENCED
+        if is_fenced and workers.is_current_fence(worker_id, order.epoch):
             self._state.end(LATER_EPOCH)
             return
-        self._state.scheduler.workers.hold_refused(worker_id, reply, now)
+        workers.hold_refused(worker_id, reply, now)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._state.changed.set()
--- a/src/apricotlead/transport/cell_orders.py
+++ b/src/apricotlead/transport/cell_orders.py
@@ -81,7 +81,7 @@
                 timeout_s,
             )
             if reply.refusal is Refusal.FENCED:
-                self._state.end(LATER_EPOCH)
+                self._fenced(start.worker.worker_id, order.epoch)
             must_retry = self._state.scheduler.starts.start_answered(
                 start,
                 reply,
@@ -93,6 +93,11 @@
             eventlet.sleep(_START_RETRY_S)
         self._state.changed.set()
 
+    def _fenced(self, worker_id: str, fence: int) -> None:
+        """End the term if a refused fence shows that a later one has begun."""
+        if self._state.scheduler.workers.is_current_fence(worker_id, fence):
+            self._state.end(LATER_EPOCH)
+
     def _ask(self, call: AdviceCall) -> None:
         question = AdviceQuestion(
             call.step,
--- a/tests/test_cell_worker_lives.py
+++ b/tests/test_cell_worker_lives.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.protocol.cell_workers import Refusal
 from apricotlead.state.cell_jobs import TaskState
 from tests.cell_rig import stored_job
 from tests.restarting_worker import RestartingWorker, RestartRig
@@ -40,6 +41,13 @@
         self.rig.now += 0.1
         self.worker.restart(self.rig.now)
 
+    def restart_seen(self) -> None:
+        """Restart, and let the new life answer a call that is meant for it."""
+        self.restart()
+        # The first finds the connection gone, the second finds the new life.
+        for _ in range(3):
+            self.rig.hold('w1')
+
 
 class TestAcknowledgementsAtARestart(RestartCase):
     """An acknowledgement removes only ends of the life that reported them."""
@@ -83,3 +91,55 @@
         self.worker.is_reachable = True
         self.rig.pass_time(2)
         self.assertEqual([], self.worker.ended)
+
+
+class TestFencesOfLives(RestartCase):
+    """A life that has answered takes no more calls meant for another one."""
+
+    def test_late_start_for_the_former_life_is_refused(self) -> None:
+        """It ran beside a later run of its task (TWICE)."""
+        start = self.plan()
+        order = self.rig.scheduler.starts.start_order(start, self.rig.now)
+        self.restart_seen()
+        reply = self.worker.answer_start(order, self.rig.now)
+        self.assertIs(Refusal.FENCED, reply.refusal)
+
+    def test_late_hold_for_the_former_life_is_refused(self) -> None:
+        """It removed ends of the new life, which nobody had seen (TWICE)."""
+        _, late = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+        self.assertEqual(1, late.acked_through)
+        self.restart_seen()
+        self.rig.pass_time(1)
+        self.rig.submit(JOB, stored_job())
+        self.rig.round()
+        self.worker.end(TASK)
+        reply = self.worker.answer_hold(late, self.rig.now)
+        self.assertIs(Refusal.FENCED, reply.refusal)
+        self.assertEqual([TASK], [end.task for end in self.worker.ended])
+
+    def test_each_life_has_a_fence_of_its_own(self) -> None:
+        """Two restarts in a row are told apart like one."""
+        fences = []
+        for _ in range(3):
+            _, order = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+            fences.append(order.epoch)
+            self.restart_seen()
+        self.assertEqual(sorted(set(fences)), fences)
+
+    def test_successor_fences_all_lives_of_the_former_term(self) -> None:
+        """A late call of the former scheduler must not act any more."""
+        for _ in range(3):
+            self.restart_seen()
+        _, former = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+        self.rig.take_over()
+        reply = self.worker.answer_hold(former, self.rig.now)
+        self.assertIs(Refusal.FENCED, reply.refusal)
+
+    def test_refusal_of_a_former_fence_does_not_end_the_term(self) -> None:
+        """Only a later term may end this one."""
+        workers = self.rig.scheduler.workers
+        _, former = workers.hold_order('w1', self.rig.now)
+        self.restart_seen()
+        _, present = workers.hold_order('w1', self.rig.now)
+        self.assertFalse(workers.is_current_fence('w1', former.epoch))
+        self.assertTrue(workers.is_current_fence('w1', present.epoch))
