Apply an answer only to the life of a worker that it is from

Cause: the first answer of a new life was used only to learn of the restart; the ends that it listed were dropped. If the call carried an acknowledgement, the worker never lists them again. The other way round, an answer or a failure of a call to the former life was applied to the new one: lists that are older than a late start freed its run, an acknowledged stop counted, and a refusal at the former address ended the new life's state.

Change: ends in that first answer are applied. Holds pass their order along with the answer, so lists, failures and stops of former fences are told apart.

Evidence: TestAnswersAtARestart; each of its three tests fails without its part of the change.

--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -213,6 +213,10 @@
             self._note_restart(worker, report.born_ms, 'hold', order)
             self._handle_restart(worker, report, now)
             return
+        if _is_for_former(worker, order):
+            # The lists may be older than a late call to the former life.
+            self._apply_ends(worker, report, now)
+            return
         worker.lease.record_answer(report.clock_ms, sent_s, now)
         worker.note_answer(report.connection)
         worker.forget_lapsed_runs()
@@ -230,10 +234,15 @@
         worker_id: str,
         reply: OrderReply,
         now: float,
+        order: HoldOrder | None = None,
     ) -> None:
-        """Handle a hold that was refused or got no answer."""
+        """Handle a hold that was refused or got no answer.
+
+        ``order`` is the hold, by default the latest one. The failure of a hold
+        of a former incarnation says nothing about the present one.
+        """
         worker = self._tracker.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or _is_for_former(worker, order):
             return
         if reply.refusal is Refusal.CONNECTION_GONE:
             # Nothing was sent, so nothing is known about the worker.
@@ -397,6 +406,10 @@
     ) -> None:
         entry = msgspec.structs.replace(worker.entry, born_ms=report.born_ms)
         self._replace_worker(worker, entry, now)
+        # These ends may be listed only once, as the call that the new life
+        # answers may have acknowledged them.
+        worker = self._tracker.workers_by_id[entry.worker_id]
+        self._apply_ends(worker, report, now)
 
     def _note_restart(
         self,
@@ -488,3 +501,8 @@
 def _is_from_earlier_incarnation(worker: WorkerState, born_ms: float) -> bool:
     """Tell whether a late message is from an earlier incarnation."""
     return 0 < born_ms < worker.entry.born_ms
+
+
+def _is_for_former(worker: WorkerState, order: HoldOrder | None) -> bool:
+    """Tell whether a hold was meant for a former incarnation."""
+    return order is not None and order.epoch < worker.fence
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -100,7 +100,7 @@
                 self._wait_before_next(worker_id, order, answer)
             elif answer.refusal is Refusal.CONNECTION_GONE:
                 self._state.scheduler.workers.hold_refused(
-                    worker_id, answer, now
+                    worker_id, answer, now, order
                 )
             else:
                 self._handle_hold_failure(worker_id, order, answer, now)
@@ -212,6 +212,6 @@
         if is_fenced and workers.is_current_fence(worker_id, order.epoch):
             self._state.end(LATER_EPOCH)
             return
-        workers.hold_refused(worker_id, reply, now)
+        workers.hold_refused(worker_id, reply, now, order)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._state.changed.set()
--- a/src/apricotlead/transport/cell_orders.py
+++ b/src/apricotlead/transport/cell_orders.py
@@ -59,7 +59,10 @@
 
     def _stop(self, entry: WorkerEntry, order: Any) -> None:
         reply = self._links.workers.stop(entry, order)
-        if reply.refusal is None:
+        workers = self._state.scheduler.workers
+        # A former life may have acknowledged it.
+        is_current = workers.is_current_fence(entry.worker_id, order.epoch)
+        if reply.refusal is None and is_current:
             self._state.scheduler.tracker.stop_acked(
                 entry.worker_id,
                 order.task,
--- a/tests/restarting_worker.py
+++ b/tests/restarting_worker.py
@@ -130,4 +130,4 @@
         if isinstance(answer, HoldReport):
             workers.hold_answered(worker_id, answer, self.now, self.now, order)
         else:
-            workers.hold_refused(worker_id, answer, self.now)
+            workers.hold_refused(worker_id, answer, self.now, order)
--- a/tests/test_cell_worker_lives.py
+++ b/tests/test_cell_worker_lives.py
@@ -1,9 +1,10 @@
 """Tests of workers that restart under their ids and take late calls."""
 
+import msgspec
 from testtools import TestCase
 
 from apricotlead.coordination.cell.starts import PlannedStart
-from apricotlead.protocol.cell_workers import Refusal
+from apricotlead.protocol.cell_workers import OrderReply, Refusal
 from apricotlead.state.cell_jobs import TaskState
 from tests.cell_rig import stored_job
 from tests.restarting_worker import RestartingWorker, RestartRig
@@ -143,3 +144,51 @@
         _, present = workers.hold_order('w1', self.rig.now)
         self.assertFalse(workers.is_current_fence('w1', former.epoch))
         self.assertTrue(workers.is_current_fence('w1', present.epoch))
+
+
+class TestAnswersAtARestart(RestartCase):
+    """An answer counts for the life that it is from."""
+
+    def test_ends_in_the_answer_that_shows_the_new_life_count(self) -> None:
+        """They were dropped, and may be listed only once (TWICE)."""
+        start = self.plan()
+        _, order = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+        self.restart()
+        self.rig.send(start)
+        self.worker.end(TASK)
+        # A worker whose connections outlive it; it forgets what it has listed.
+        unbound = msgspec.structs.replace(
+            order, connection=None, acked_through=0
+        )
+        self.rig.deliver_hold('w1', unbound)
+        self.worker.ended.clear()
+        self.rig.pass_time(2)
+        self.assertEqual('completed', self.rig.state(JOB))
+        self.assertEqual(2, len(self.worker.started))
+
+    def test_failed_call_to_the_former_life_leaves_the_new_one(self) -> None:
+        """A refusal at its former address ended the new life's state."""
+        workers = self.rig.scheduler.workers
+        _, former = workers.hold_order('w1', self.rig.now)
+        self.restart_seen()
+        workers.hold_refused(
+            'w1', OrderReply(Refusal.OTHER_LIFE), self.rig.now, former
+        )
+        self.assertTrue(workers.has_contact('w1'))
+
+    def test_lists_in_the_answer_to_a_former_call_free_nothing(self) -> None:
+        """A start on its way to the former life may still be taken."""
+        start = self.plan()
+        order = self.rig.scheduler.starts.start_order(start, self.rig.now)
+        _, former = self.rig.scheduler.workers.hold_order('w1', self.rig.now)
+        former = msgspec.structs.replace(former, connection=None)
+        self.restart()
+        self.rig.scheduler.workers.update_worker(
+            self.worker.entry, self.rig.now
+        )
+        self.rig.scheduler.tracker.stop_acked('w1', TASK, 1, self.rig.now)
+        self.rig.now += 0.1
+        self.rig.deliver_hold('w1', former)
+        self.worker.answer_start(order, self.rig.now)
+        self.assertEqual(1, self.task.run)
+        self.assertTrue(self.task.is_placed)
