Bind calls to the connection on which a worker's life has answered

This commit is the transport part; no caller binds a hold yet, so nothing that is sent changes.

Cause: the pool took any idle connection of an address or opened one, and told no caller which one it was.

Change: each connection of a pool has a number that is used once. An answer gives the number if the connection is kept, and a call that names one is sent on that one or returns NeverSent at once, with is_connection_gone if it has ended; it opens nothing and closes no other connection. A connection ends with its process, so such a call cannot reach a later one. Nothing switches green threads between the check that the peer has not closed it and the sending. Where connections are limited, a bound call waits for a permit as others do, unless its connection is known to have ended. HoldOrder and HoldReport carry the number, a refused hold is CONNECTION_GONE, and a reply to any order gives the born of the life that answered.

--- a/src/apricotlead/platform/workers.py
+++ b/src/apricotlead/platform/workers.py
@@ -128,6 +128,7 @@
 class _ReplyBody(Struct, rename=_PASCAL):
     clock_ms: Number = 0
     reason: str = ''
+    born: Number = msgspec.field(name='born', default=0)
 
 
 class _AdviceRequestBody(Struct, rename=_PASCAL):
@@ -263,7 +264,14 @@
             None if deadline_ms is None else int(deadline_ms),
             order.wait_ms,
         )
-        answer = _send(self._hold_pool, worker, '/api/hold', body, timeout_s)
+        answer = _send(
+            self._hold_pool,
+            worker,
+            '/api/hold',
+            body,
+            timeout_s,
+            connection=order.connection,
+        )
         if not isinstance(answer, Answered) or answer.status != 200:
             return _decode_reply(answer)
         try:
@@ -276,6 +284,7 @@
             report.ended,
             report.born,
             len(report.ended) < _MAX_ENDS_PER_REPORT,
+            answer.connection,
         )
 
     def advise(
@@ -310,6 +319,7 @@
     body: Any,
     timeout_s: float = _ORDER_TIMEOUT_S,
     queue_s: float = _START_QUEUE_S,
+    connection: int | None = None,
 ) -> HttpResult:
     return pool.call(
         HttpCall(
@@ -324,14 +334,14 @@
             },
             timeout_s=timeout_s,
             queue_s=queue_s,
+            connection=connection,
         ),
     )
 
 
 def _decode_reply(answer: HttpResult) -> OrderReply:
     if isinstance(answer, NeverSent):
-        refusal = Refusal.NO_LISTENER if answer.is_refused else Refusal.NOT_SENT
-        return OrderReply(refusal, detail=answer.reason)
+        return OrderReply(_classify_never_sent(answer), detail=answer.reason)
     if not isinstance(answer, Answered):
         return OrderReply(
             Refusal.UNANSWERED,
@@ -343,7 +353,18 @@
     except DECODE_ERRORS:
         body = _ReplyBody()
     refusal = _classify_refusal(answer.status, body.reason)
-    return OrderReply(refusal, body.clock_ms, f'{answer.status} {body.reason}')
+    return OrderReply(
+        refusal,
+        body.clock_ms,
+        f'{answer.status} {body.reason}',
+        born_ms=body.born,
+    )
+
+
+def _classify_never_sent(answer: NeverSent) -> Refusal:
+    if answer.is_connection_gone:
+        return Refusal.CONNECTION_GONE
+    return Refusal.NO_LISTENER if answer.is_refused else Refusal.NOT_SENT
 
 
 def _classify_refusal(status: int, reason: str) -> Refusal | None:
--- a/src/apricotlead/protocol/cell_workers.py
+++ b/src/apricotlead/protocol/cell_workers.py
@@ -63,13 +63,16 @@
 class HoldOrder(Struct, frozen=True):
     """Long-poll call: extends the lease, acknowledges ends, awaits changes.
 
-    Without ``deadline_ms`` the lease is not extended.
+    Without ``deadline_ms`` the lease is not extended. With ``connection`` the
+    order is sent only on that connection, which ends with the incarnation of
+    the worker that answered on it.
     """
 
     epoch: int
     acked_through: int
     wait_ms: int
     deadline_ms: float | None = None
+    connection: int | None = None
 
 
 class EndKind(StrEnum):
@@ -120,7 +123,8 @@
 
     A worker lists a limited number of unacknowledged ends, oldest first.
     Without ``has_all_ends`` there may be more, so a run that is in neither
-    list may have ended.
+    list may have ended. ``connection`` is the number of the connection that it
+    came on, ``None`` if that was not kept open.
     """
 
     clock_ms: float
@@ -128,6 +132,7 @@
     ended: tuple[EndedTask, ...]
     born_ms: float = 0
     has_all_ends: bool = True
+    connection: int | None = None
 
 
 class Refusal(StrEnum):
@@ -135,8 +140,9 @@
 
     ``LATE``: its deadline had passed. ``OTHER_LIFE``: it reached another
     incarnation of the worker. ``NO_LISTENER``: its address refused the
-    connection, as that of a crashed worker does. After ``UNANSWERED`` it is
-    unknown whether the order was carried out.
+    connection, as that of a crashed worker does. ``CONNECTION_GONE``: it was
+    bound to a connection that has ended; nothing was sent. After ``UNANSWERED``
+    it is unknown whether the order was carried out.
     """
 
     FENCED = 'fenced'
@@ -149,19 +155,22 @@
     OTHER_LIFE = 'other_life'
     NOT_SENT = 'not_sent'
     NO_LISTENER = 'no_listener'
+    CONNECTION_GONE = 'connection_gone'
     UNANSWERED = 'unanswered'
 
 
 class OrderReply(Struct, frozen=True):
     """The result of an order; ``refusal`` is ``None`` if it was accepted.
 
-    With ``is_broken`` the connection ended instead of an answer.
+    With ``is_broken`` the connection ended instead of an answer. ``born_ms``
+    is the start time of the incarnation that answered, 0 if it gave none.
     """
 
     refusal: Refusal | None = None
     clock_ms: float = 0
     detail: str = ''
     is_broken: bool = False
+    born_ms: float = 0
 
 
 class AdviceAnswer(Struct, frozen=True):
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -3,6 +3,7 @@
 import select
 from collections import OrderedDict
 from contextlib import suppress
+from itertools import count
 from typing import Any, Protocol
 
 import eventlet
@@ -41,6 +42,10 @@
 
     ``path`` is percent-encoded by the caller. Where the connections of a host
     are limited, the call first waits up to ``queue_s`` for one of them.
+
+    With ``connection`` the call is sent on the open connection of that number
+    or not at all. A connection ends with the process at its other end, so such
+    a call reaches no later process at the same address.
     """
 
     method: str
@@ -50,24 +55,32 @@
     headers: dict[str, str] = {}
     timeout_s: float = 2.0
     queue_s: float = 1.0
+    connection: int | None = None
 
 
 class NeverSent(Struct, frozen=True):
     """No byte of the request was sent, so it was not carried out.
 
-    With ``is_refused`` nothing listened at the address.
+    With ``is_refused`` nothing listened at the address. With
+    ``is_connection_gone`` the connection that the call names has ended.
     """
 
     reason: str
     is_refused: bool = False
+    is_connection_gone: bool = False
 
 
 class Answered(Struct, frozen=True):
-    """A complete answer; names in ``headers`` are in lower case."""
+    """A complete answer; names in ``headers`` are in lower case.
+
+    ``connection`` is the number of the connection that it came on, ``None`` if
+    that was not kept open. A pool uses each number once.
+    """
 
     status: int
     body: bytes
     headers: dict[str, str]
+    connection: int | None = None
 
 
 class NoAnswer(Struct, frozen=True):
@@ -102,19 +115,45 @@
         """Send a request and wait for its answer."""
 
 
+class _Connection:
+    """An open connection; ``number`` tells it from all others of the pool."""
+
+    __slots__ = ('number', 'socket')
+
+    def __init__(self, number: int, connected: Any) -> None:
+        """Use a connected socket."""
+        self.number = number
+        self.socket = connected
+
+    def is_readable(self) -> bool:
+        """Return whether it was closed or has unread data while idle."""
+        poll = select.poll()
+        poll.register(self.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def send_and_receive(self, encoded: bytes, reader: ResponseReader) -> bool:
+        """Send a request and read its response; return whether to reuse."""
+        self.socket.sendall(encoded)
+        while not reader.is_complete:
+            reader.feed(self.socket.recv(_READ_BYTES))
+        return reader.is_reusable
+
+
 class _Host:
     """The connections to one address.
 
     ``permits`` limits how many calls use a connection at a time, ``None``
     without a limit. A call takes an idle connection first, so the limit also
-    holds for the connections that are open.
+    holds for the connections that are open. ``open_numbers`` has those that
+    are idle and those in use.
     """
 
-    __slots__ = ('idle', 'is_closed', 'permits')
+    __slots__ = ('idle_by_number', 'is_closed', 'open_numbers', 'permits')
 
     def __init__(self, max_connections: int | None) -> None:
         """Start without connections."""
-        self.idle: list[Any] = []
+        self.idle_by_number: dict[int, _Connection] = {}
+        self.open_numbers: set[int] = set()
         self.is_closed = False
         self.permits = Semaphore(max_connections) if max_connections else None
 
@@ -133,28 +172,52 @@
         if self.permits is not None:
             self.permits.release()
 
-    def take_idle(self) -> Any:
-        """Return an idle connection that is open and has no unread data."""
-        while self.idle:
-            connection = self.idle.pop()
-            if not _is_readable(connection):
+    def is_gone(self, number: int | None) -> bool:
+        """Return whether ``number`` names a connection that has ended.
+
+        Those in use of a closed host are closed after their call.
+        """
+        if number is None:
+            return False
+        return self.is_closed or number not in self.open_numbers
+
+    def take_idle(self, number: int | None) -> _Connection | None:
+        """Return an idle connection that is open and has no unread data.
+
+        With ``number`` only that one, otherwise the one used last.
+        """
+        while self.idle_by_number:
+            last = next(reversed(self.idle_by_number))
+            connection = self.idle_by_number.pop(
+                last if number is None else number, None
+            )
+            if connection is None or not connection.is_readable():
                 return connection
-            _close(connection)
+            self.discard(connection)
         return None
 
-    def return_idle(self, connection: Any, max_idle: int) -> None:
-        """Keep a connection for later calls, or close it."""
-        if self.is_closed or len(self.idle) >= max_idle:
-            _close(connection)
-        else:
-            self.idle.append(connection)
+    def add(self, connection: _Connection) -> None:
+        """Count a new connection as open; it is in use."""
+        self.open_numbers.add(connection.number)
+
+    def discard(self, connection: _Connection) -> None:
+        """Close a connection that is not idle."""
+        self.open_numbers.discard(connection.number)
+        _close(connection.socket)
+
+    def return_idle(self, connection: _Connection, max_idle: int) -> bool:
+        """Keep a connection for later calls if there is room for it."""
+        if self.is_closed or len(self.idle_by_number) >= max_idle:
+            return False
+        self.idle_by_number[connection.number] = connection
+        return True
 
     def close(self) -> None:
         """Close the connections: idle ones now, those in use after the call."""
         self.is_closed = True
-        for connection in self.idle:
-            _close(connection)
-        self.idle.clear()
+        for connection in self.idle_by_number.values():
+            self.discard(connection)
+        self.idle_by_number.clear()
 
 
 class HttpPool:
@@ -171,6 +234,7 @@
         '_idle_per_host',
         '_max_hosts',
         '_max_per_host',
+        '_numbers',
     )
 
     def __init__(
@@ -190,11 +254,16 @@
         self._idle_per_host = idle_per_host
         self._max_per_host = max_per_host
         self._hosts_by_address: OrderedDict[str, _Host] = OrderedDict()
+        self._numbers = count(1)
 
     def call(self, request: HttpCall) -> HttpResult:
         """Send a request and wait for its answer; errors are returned."""
+        if self._is_gone(request):
+            return _connection_gone(request)
         host = self._host(request.address)
         if not host.acquire(request.queue_s):
+            if host.is_gone(request.connection):
+                return _connection_gone(request)
             return NeverSent(f'{request.address}: no connection is free')
         try:
             return self._call_in_time(request, host)
@@ -211,6 +280,17 @@
             host.close()
         self._hosts_by_address.clear()
 
+    def _is_gone(self, request: HttpCall) -> bool:
+        """Return whether a call names a connection that has ended.
+
+        A host that is not known has no connections; it is not added for such
+        a call, since that could close the connections of another one.
+        """
+        if request.connection is None:
+            return False
+        host = self._hosts_by_address.get(request.address)
+        return host is None or host.is_gone(request.connection)
+
     def _host(self, address: str) -> _Host:
         host = self._hosts_by_address.get(address)
         if host is None:
@@ -244,51 +324,66 @@
             )
         except InvalidHeader as error:
             return NoAnswer(str(error))
-        connection = host.take_idle()
+        # Nothing switches green threads between the check that the connection
+        # is open and the sending.
+        connection = host.take_idle(request.connection)
         if connection is None:
+            if request.connection is not None:
+                return _unavailable(request, host)
             try:
-                connection = _connect(request)
+                connection = _Connection(next(self._numbers), _connect(request))
             except (OSError, InvalidAddress) as error:
                 return NeverSent(
                     f'{request.address}: {error}',
                     isinstance(error, ConnectionRefusedError),
                 )
+            host.add(connection)
         return self._exchange(request, host, connection, encoded)
 
     def _exchange(
         self,
         request: HttpCall,
         host: _Host,
-        connection: Any,
+        connection: _Connection,
         encoded: bytes,
     ) -> HttpResult:
         reader = ResponseReader()
         may_reuse = False
         try:
-            may_reuse = _send_and_receive(connection, encoded, reader)
+            may_reuse = connection.send_and_receive(encoded, reader)
         except (OSError, EOFError, HttpParserError) as error:
             return NoAnswer(
                 f'{request.address}: {error!r}',
                 isinstance(error, (OSError, EOFError)),
             )
         finally:
-            if may_reuse:
-                host.return_idle(connection, self._idle_per_host)
-            else:
-                _close(connection)
-        return Answered(reader.status, reader.body, reader.headers_by_name)
+            is_kept = may_reuse and host.return_idle(
+                connection, self._idle_per_host
+            )
+            if not is_kept:
+                host.discard(connection)
+        return Answered(
+            reader.status,
+            reader.body,
+            reader.headers_by_name,
+            connection.number if is_kept else None,
+        )
+
+
+def _connection_gone(request: HttpCall) -> NeverSent:
+    return NeverSent(
+        f'{request.address}: connection {request.connection} has ended',
+        is_connection_gone=True,
+    )
 
 
-def _send_and_receive(
-    connection: Any,
-    encoded: bytes,
-    reader: ResponseReader,
-) -> bool:
-    """Send a request and read its response; return whether to reuse."""
-    connection.sendall(encoded)
-    while not reader.is_complete:
-        reader.feed(connection.recv(_READ_BYTES))
-    return reader.is_reusable
+def _unavailable(request: HttpCall, host: _Host) -> NeverSent:
+    """Return why the connection that a call names was not idle."""
+    if host.is_gone(request.connection):
+        return _connection_gone(request)
+    return NeverSent(
+        f'{request.address}: connection {request.connection} is in use',
+    )
 
 
 def _connect(request: HttpCall) -> Any:
@@ -306,13 +401,6 @@
     return connection
 
 
-def _is_readable(connection: Any) -> bool:
-    """Return whether an idle connection was closed or has unread data."""
-    poll = select.poll()
-    poll.register(connection.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _close(connection: Any) -> None:
     # Errors while closing a broken connection carry no information.
     with suppress(OSError):
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -13,6 +13,7 @@
     NeverSent,
     NoAnswer,
 )
+from tests.restartable_server import RestartableServer
 
 _RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n%s'
 _TRUNCATED_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha'
@@ -275,3 +276,179 @@
         self.assertEqual(0, self.server.open_connections)
         later = self.spawn('/fast')
         self.assertIsInstance(later.wait(), Answered)
+
+
+class TestBoundCalls(TestCase):
+    """A call that names a connection reaches only the process at its end.
+
+    A worker may restart at its address under the same id. A hold meant for
+    the former process then wiped out ends of the new one unseen (TWICE).
+    """
+
+    def setUp(self):
+        """Start a server."""
+        super().setUp()
+        self.server = RestartableServer()
+        self.addCleanup(self.server.stop)
+        self.use_pool()
+
+    def use_pool(self, **limits):
+        """Replace the pool."""
+        self.pool = HttpPool(**limits)
+        self.addCleanup(self.pool.close)
+
+    def call(self, connection=None, path='/', address=''):
+        """Call the server; a call that waits too long raises an error."""
+        request = HttpCall(
+            'GET',
+            address or self.server.address,
+            path,
+            timeout_s=_TIMEOUT_S,
+            queue_s=_TIMEOUT_S,
+            connection=connection,
+        )
+        with eventlet.Timeout(2 * _TIMEOUT_S):
+            return self.pool.call(request)
+
+    def spawn(self, connection=None, path='/'):
+        """Call the server in a green thread, and let it send or wait."""
+        thread = eventlet.spawn(self.call, connection, path)
+        eventlet.sleep(0.02)
+        return thread
+
+    def open_two(self):
+        """Return the numbers of two idle connections."""
+        calls = [self.spawn(path='/held') for _ in range(2)]
+        self.server.release()
+        return [each.wait().connection for each in calls]
+
+    def assert_gone(self, answer):
+        """Check that a call was not sent since its connection has ended."""
+        self.assertIsInstance(answer, NeverSent)
+        self.assertTrue(answer.is_connection_gone)
+
+    def test_each_call_uses_its_connection(self):
+        """Guards against a bound call on the connection that was used last."""
+        first, second = self.open_two()
+        bound = (first, second, first, second)
+        answers = [self.call(each) for each in bound]
+        self.assertEqual(bound, tuple(each.connection for each in answers))
+        used = [each.connection for each in self.server.requests[2:]]
+        self.assertEqual(used[:2], used[2:])
+        self.assertNotEqual(used[0], used[1])
+        self.assertEqual(2, self.server.connections)
+
+    def test_server_that_restarts(self):
+        """Guards against a bound call on a new connection to a new process."""
+        bound = self.call().connection
+        self.server.restart()
+        self.assert_gone(self.call(bound))
+        self.assertEqual(1, self.server.connections)
+        unbound = self.call()
+        self.assertNotEqual(bound, unbound.connection)
+        # Now there is an idle connection to the new process.
+        self.assert_gone(self.call(bound))
+        self.assertEqual([1, 2], [each.life for each in self.server.requests])
+
+    def test_idle_connection_that_the_server_closes(self):
+        """Guards against sending on a connection whose end can be seen.
+
+        The outcome would be unknown (NoAnswer) instead of not sent.
+        """
+        closed, kept = self.open_two()
+        self.call(closed, '/')
+        self.server.end_connection(self.server.requests[-1].connection)
+        self.assert_gone(self.call(closed))
+        self.assert_gone(self.call(closed))
+        self.assertEqual(kept, self.call(kept).connection)
+        self.assertEqual(kept, self.call().connection)
+        self.assertEqual(2, self.server.connections)
+
+    def test_unbound_calls(self):
+        """Guards against unbound calls that leave the idle connection."""
+        numbers = {self.call().connection for _ in range(3)}
+        self.assertEqual(1, len(numbers))
+        self.assertEqual(1, self.server.connections)
+
+    def test_connection_that_the_server_will_close(self):
+        """Guards against the number of a connection that was not kept."""
+        answer = self.call(path='/last')
+        self.assertIsInstance(answer, Answered)
+        self.assertIsNone(answer.connection)
+        # Numbers start at 1.
+        self.assert_gone(self.call(1))
+
+    def test_connection_beyond_the_idle_limit(self):
+        """Guards against the number of a connection that was evicted."""
+        self.use_pool(idle_per_host=1)
+        numbers = self.open_two()
+        self.assertIn(None, numbers)
+        kept = next(each for each in numbers if each is not None)
+        self.assertEqual(kept, self.call(kept).connection)
+
+    def test_closed_pool(self):
+        """Guards against a bound call after close(), and a reused number."""
+        bound = self.call().connection
+        self.pool.close()
+        self.assert_gone(self.call(bound))
+        self.assertNotEqual(bound, self.call().connection)
+        self.assert_gone(self.call(bound))
+        self.assertEqual(2, self.server.connections)
+
+    def test_pool_that_is_closed_during_calls(self):
+        """Guards against a bound call that waits for a closed connection."""
+        self.use_pool(max_per_host=1)
+        bound = self.call().connection
+        held = self.spawn(path='/held')
+        waiting = self.spawn(bound)
+        self.pool.close()
+        self.server.release()
+        self.assertIsNone(held.wait().connection)
+        self.assert_gone(waiting.wait())
+        self.assertEqual(2, len(self.server.requests))
+
+    def test_host_that_is_evicted(self):
+        """Guards against a bound call that opens a new connection."""
+        self.use_pool(max_hosts=1)
+        other = RestartableServer()
+        self.addCleanup(other.stop)
+        bound = self.call().connection
+        kept = self.call(address=other.address).connection
+        self.assert_gone(self.call(bound))
+        # A call that is not sent evicts no other host.
+        self.assertEqual(kept, self.call(kept, '/', other.address).connection)
+
+    def test_connection_in_use_at_the_limit(self):
+        """Guards against a bound call lost while another one is under way."""
+        self.use_pool(max_per_host=1)
+        bound = self.call().connection
+        held = self.spawn(path='/held')
+        waiting = self.spawn(bound)
+        self.assertEqual(2, len(self.server.requests))
+        self.server.release()
+        self.assertEqual(bound, held.wait().connection)
+        self.assertEqual(bound, waiting.wait().connection)
+        self.assertEqual(1, self.server.connections)
+
+    def test_gone_connection_at_the_limit(self):
+        """Guards against waiting for a connection that has ended."""
+        self.use_pool(max_per_host=1)
+        bound = self.call().connection
+        self.server.restart()
+        held = self.spawn(path='/held')
+        # Returns before the other call ends.
+        self.assert_gone(self.call(bound))
+        self.server.release()
+        self.assertIsInstance(held.wait(), Answered)
+
+    def test_connection_in_use(self):
+        """Guards against a second connection, and against calling it gone."""
+        bound = self.call().connection
+        held = self.spawn(path='/held')
+        answer = self.call(bound)
+        self.assertIsInstance(answer, NeverSent)
+        self.assertFalse(answer.is_connection_gone)
+        self.assertEqual(1, self.server.connections)
+        self.server.release()
+        self.assertEqual(bound, held.wait().connection)
+        self.assertEqual(2, len(self.server.requests))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -256,6 +256,10 @@
             (NoAnswer('reset'), Refusal.UNANSWERED),
             (NeverSent('no connection is free'), Refusal.NOT_SENT),
             (NeverSent('refused', is_refused=True), Refusal.NO_LISTENER),
+            (
+                NeverSent('ended', is_connection_gone=True),
+                Refusal.CONNECTION_GONE,
+            ),
             (answered(409, {'Reason': 'fence'}), Refusal.FENCED),
         )
         for answer, refusal in cases:
@@ -264,6 +268,13 @@
             reply = workers.hold(self.worker, HoldOrder(1, 0, 0), 1)
             self.assertEqual(refusal, reply.refusal)
 
+    def test_life_that_refuses(self) -> None:
+        """Guards against a refusal whose sender is taken for the old life."""
+        pool = ScriptedPool(answered(409, {'Reason': 'old', 'born': 5}))
+        workers = PlatformWorkers(pool, 'a:1', pool, pool)
+        reply = workers.hold(self.worker, HoldOrder(1, 0, 0), 1)
+        self.assertEqual((Refusal.OLD_RUN, 5), (reply.refusal, reply.born_ms))
+
 
 class ScriptedRequestHandler:
     """A request handler that returns the same outcome for each request."""
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -1,5 +1,6 @@
 """Connections of successive schedulers to a worker that limits them."""
 
+import json
 from collections import Counter
 
 import eventlet
@@ -8,11 +9,14 @@
 from apricotlead.platform.workers import PlatformWorkers
 from apricotlead.protocol.cell_workers import (
     HoldOrder,
+    HoldReport,
+    OrderReply,
     Refusal,
     StopOrder,
     WorkerEntry,
 )
 from apricotlead.protocol.resources import Resources
+from tests.restartable_server import RestartableServer
 
 # A worker resets further connections, whichever instance opens them.
 WORKER_LIMIT = 64
@@ -126,3 +130,87 @@
         self.assertGreater(
             WORKER_LIMIT / FORMER_SCHEDULERS, self.worker.most_open
         )
+
+
+class TestBoundHolds(TestCase):
+    """A hold that is bound to a connection reaches one life of a worker.
+
+    A worker that restarted under the same id and address forgot its own ends
+    up to the former life's ``AckedThrough``, so a task that had ended there
+    was started again (TWICE).
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.server = RestartableServer()
+        self.addCleanup(self.server.stop)
+        self.entry = WorkerEntry(
+            'w1', 'transcripts', self.server.address, 'north', Resources()
+        )
+        self.workers = PlatformWorkers.from_config('127.0.0.1:1')
+        self.addCleanup(self.workers.close_connections)
+
+    def hold(
+        self, acked_through: int = 0, connection: int | None = None
+    ) -> HoldReport | OrderReply:
+        order = HoldOrder(1, acked_through, 0, connection=connection)
+        return self.workers.hold(self.entry, order, 5)
+
+    def acknowledged(self) -> list[tuple[int, int]]:
+        """Return the life and ``AckedThrough`` of each hold received."""
+        return [
+            (each.life, json.loads(each.body)['AckedThrough'])
+            for each in self.server.requests
+        ]
+
+    def test_life_that_answered(self) -> None:
+        """Guards against a bound hold that does not reach a living worker."""
+        bound = self.hold().connection
+        self.assertIsNotNone(bound)
+        report = self.hold(57, bound)
+        self.assertEqual((bound, 1), (report.connection, report.born_ms))
+        self.assertEqual([(1, 0), (1, 57)], self.acknowledged())
+        self.assertEqual(1, self.server.connections)
+
+    def test_next_life(self) -> None:
+        """Guards against an acknowledgement that reaches the next life."""
+        bound = self.hold().connection
+        self.server.restart()
+        refused = self.hold(57, bound)
+        self.assertEqual(Refusal.CONNECTION_GONE, refused.refusal)
+        self.assertEqual([(1, 0)], self.acknowledged())
+        report = self.hold()
+        self.assertEqual(2, report.born_ms)
+        self.assertNotIn(report.connection, (bound, None))
+        # The hold pool now has a connection to the next life.
+        self.assertEqual(Refusal.CONNECTION_GONE, self.hold(57, bound).refusal)
+        self.assertEqual([(1, 0), (2, 0)], self.acknowledged())
+
+    def test_idle_connection_that_the_worker_closes(self) -> None:
+        """Guards against an unknown outcome of a hold that was never sent."""
+        bound = self.hold().connection
+        self.server.end_connection(1)
+        refused = self.hold(57, bound)
+        self.assertEqual(Refusal.CONNECTION_GONE, refused.refusal)
+        self.assertEqual([(1, 0)], self.acknowledged())
+
+    def test_worker_that_keeps_no_connection(self) -> None:
+        """Guards against binding to a connection that was not kept."""
+        self.server.says_close = True
+        report = self.hold()
+        self.assertEqual((1, None), (report.born_ms, report.connection))
+
+    def test_closed_connections(self) -> None:
+        """Guards against a bound hold on a new connection after a term."""
+        bound = self.hold().connection
+        self.workers.close_connections()
+        refused = self.hold(57, bound)
+        self.assertEqual(Refusal.CONNECTION_GONE, refused.refusal)
+        self.assertNotEqual(bound, self.hold().connection)
+        self.assertEqual([(1, 0), (1, 0)], self.acknowledged())
+
+    def test_life_that_answers_an_order(self) -> None:
+        """Guards against a new life that only its next hold makes known."""
+        self.server.restart()
+        reply = self.workers.stop(self.entry, StopOrder('t', 1, 1))
+        self.assertEqual((None, 2), (reply.refusal, reply.born_ms))
