Count a failed run of a gang once

What callers saw: a gang of three with three attempts was shown as failed after its first run, though two attempts were left (LOST).

Cause: each member whose end is listed as failed added one to the failures of the gang. The first of them stops the others, but their own failed ends of the same run still arrive, in the same report, from other workers, or at a successor, which reads ends that were not acknowledged again.

Change: the latest failed run of a gang is kept and stored with its failures, and only a later run counts. The members of a gang share their run numbers, and the next run starts only once all of them have ended, so no failed run is left out: a gang is still given up after as many failed runs as it has attempts. The field of the row has a default and comes last, so that former rows load and a former version reads new ones.

--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -169,7 +169,8 @@
             worker.consecutive_failures += 1
             task.avoided_workers.add(worker.worker_id)
             task.failures += 1
-            step.gang_failures += 1
+            if step.spec.gang:
+                step.count_gang_failure(task.run)
         elif kind is EndKind.DONE:
             worker.consecutive_failures = 0
         self._tracker.requeue(task, now)
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -130,6 +130,8 @@
     """The tasks of one step of one occurrence in a progress row.
 
     ``crashes`` holds only the tasks under which workers have crashed.
+    ``gang_failed_run`` is the latest run counted in ``gang_failures``; members
+    of that run may still end. It is 0 in rows of older versions.
     """
 
     occurrence: int
@@ -137,6 +139,7 @@
     tasks: list[TaskRecord]
     gang_failures: int = 0
     crashes: tuple[CrashRecord, ...] = ()
+    gang_failed_run: int = 0
 
 
 class JobProgress(Struct, array_like=True):
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -128,6 +128,7 @@
     __slots__ = (
         'apart_for',
         'done_count',
+        'gang_failed_run',
         'gang_failures',
         'has_crashed',
         'has_lived',
@@ -160,7 +161,9 @@
         ]
         self.done_count = 0
         self.waiting_count = len(self.tasks)
+        # Runs of a gang in which a member has failed, and the latest of them.
         self.gang_failures = 0
+        self.gang_failed_run = 0
         # Longest run observed from start to end, 0 before the first.
         self.longest_full_run_s = 0.0
         # The same including resumed runs and gangs; logged when the job ends.
@@ -201,6 +204,12 @@
             return Resources(0, requested.memory_mb, requested.accelerators)
         return requested
 
+    def count_gang_failure(self, run: int) -> None:
+        """Count a failed run of the gang, once for all of its members."""
+        if run > self.gang_failed_run:
+            self.gang_failed_run = run
+            self.gang_failures += 1
+
     def recount(self) -> None:
         """Recompute the counts of phases after a task has changed."""
         phases = [task.phase for task in self.tasks]
@@ -220,6 +229,7 @@
                 for task in self.tasks
                 if task.crashes.total
             ),
+            self.gang_failed_run,
         )
 
     def restore(
@@ -230,6 +240,7 @@
         Raises :class:`ValueError` for the record of another step.
         """
         self.gang_failures = record.gang_failures
+        self.gang_failed_run = record.gang_failed_run
         for task, stored_task in zip(self.tasks, record.tasks, strict=True):
             task.run = stored_task.run
             task.placed_s = now
