Never count more failures of a gang than it had runs

What callers saw: nothing yet; shown by a test. During a rolling update a gang's last member to end could end a job as failed that had attempts left.

Cause: the former version counted by member, so its rows may contain two failures after one run, and they do not say which run was counted last.

Change: the failures of a gang are at most the number of its latest run when one more is counted. A row that was counted too high is corrected by that, and runs that were counted before still count.

Evidence: test_failures_that_the_former_version_counted_by_member and test_runs_that_the_former_version_counted fail before and pass now.

--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -205,10 +205,14 @@
         return requested
 
     def count_gang_failure(self, run: int) -> None:
-        """Count a failed run of the gang, once for all of its members."""
+        """Count a failed run of the gang, once for all of its members.
+
+        Former versions counted by member and did not store the run, so their
+        rows may contain more failures than runs, and this run already.
+        """
         if run > self.gang_failed_run:
             self.gang_failed_run = run
-            self.gang_failures += 1
+            self.gang_failures = min(self.gang_failures + 1, run)
 
     def recount(self) -> None:
         """Recompute the counts of phases after a task has changed."""
--- a/tests/test_cell_gang_attempts.py
+++ b/tests/test_cell_gang_attempts.py
@@ -222,22 +222,49 @@
         self.assertEqual(1, record.gang_failures)
         self.assertEqual([1, 1, 1], [task.run for task in record.tasks])
 
+    def store_former_row(self, **changes: object) -> None:
+        """Replace the row by one of the former version."""
+        step = msgspec.structs.replace(
+            self.rows_of(FormerStepRecord)[0], **changes
+        )
+        key = f'{PROGRESS_PREFIX}{JOB}'
+        row = self.rig.rows_by_key[key]
+        progress = [[msgspec.to_builtins(step)], *row.value[1:]]
+        self.rig.rows_by_key[key] = msgspec.structs.replace(row, value=progress)
+
     def test_rows_of_the_former_version(self) -> None:
         """A row without the latest failed run must not be lost."""
         self.submit(TOGETHER)
         self.fail_together()
         self.restart()
-        former = msgspec.to_builtins(self.rows_of(FormerStepRecord))
-        key = f'{PROGRESS_PREFIX}{JOB}'
-        row = self.rig.rows_by_key[key]
-        progress = [former, *msgspec.to_builtins(row.value)[1:]]
-        self.rig.rows_by_key[key] = msgspec.structs.replace(row, value=progress)
+        self.store_former_row()
         self.rig.take_over()
         self.assertEqual(1, self.step.gang_failures)
         self.assertEqual(0, self.step.gang_failed_run)
         self.fail_together()
         self.assertEqual(2, self.step.gang_failures)
 
+    def test_failures_that_the_former_version_counted_by_member(self) -> None:
+        """The last member's end ended a job that had two attempts left."""
+        self.submit(APART)
+        self.end_all(EndKind.FAILED, EndKind.FAILED)
+        self.rig.journal()
+        self.store_former_row(gang_failures=2)
+        self.rig.take_over()
+        self.rig.hold(self.end(2).entry.worker_id)
+        self.assertEqual(1, self.step.gang_failures)
+        self.restart()
+
+    def test_runs_that_the_former_version_counted(self) -> None:
+        """Runs before the latest one must still count after the update."""
+        self.submit(TOGETHER)
+        self.fail_together()
+        self.restart()
+        self.store_former_row(gang_failures=2)
+        self.rig.take_over()
+        self.fail_together()
+        self.assertEqual(2, self.step.gang_failures)
+
 
 class TestRandomOrders(GangCase):
     """Any order of ends, reports, writes and hand-overs counts a run once."""
