Count a gang's failed run once for each worker

What callers saw: a worker took no new work for 4 s after one failed run of a gang with three members there.

Cause: each member that ended as failed was one more failure of its worker in a row, and a worker is paused at three.

Change: the workers that reported a failed member of the latest failed run are kept, and a further member there counts nothing. The count of a worker belongs to one term, and so do they. Runs that follow each other count as before.

Evidence: test_members_fail_in_one_report, test_members_fail_in_several_reports and test_members_fail_after_a_handover of TestWorkers fail before and pass now.

--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -166,11 +166,7 @@
     ) -> None:
         step = task.step
         if kind is EndKind.FAILED:
-            worker.consecutive_failures += 1
-            task.avoided_workers.add(worker.worker_id)
-            task.failures += 1
-            if step.spec.gang:
-                step.count_gang_failure(task.run)
+            _count_failure(worker, task)
         elif kind is EndKind.DONE:
             worker.consecutive_failures = 0
         self._tracker.requeue(task, now)
@@ -180,6 +176,21 @@
             self._tracker.finish(step.job, JobState.FAILED, now)
 
 
+def _count_failure(worker: WorkerState, task: TaskState) -> None:
+    """Count a failed run for its task, its gang and its worker.
+
+    Members of a gang that fail together are one failure of their worker.
+    """
+    step = task.step
+    task.avoided_workers.add(worker.worker_id)
+    task.failures += 1
+    is_repeated = step.spec.gang and not step.count_gang_failure(
+        task.run, worker.worker_id
+    )
+    if not is_repeated:
+        worker.consecutive_failures += 1
+
+
 def _is_final(task: TaskState, kind: EndKind) -> bool:
     """Tell whether an end completes a task."""
     return kind is EndKind.DONE and not task.step.spec.long_running
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -129,6 +129,7 @@
         'apart_for',
         'done_count',
         'gang_failed_run',
+        'gang_failed_worker_ids',
         'gang_failures',
         'has_crashed',
         'has_lived',
@@ -164,6 +165,8 @@
         # Runs of a gang in which a member has failed, and the latest of them.
         self.gang_failures = 0
         self.gang_failed_run = 0
+        # The workers that reported a failed member of that run to this term.
+        self.gang_failed_worker_ids: set[str] = set()
         # Longest run observed from start to end, 0 before the first.
         self.longest_full_run_s = 0.0
         # The same including resumed runs and gangs; logged when the job ends.
@@ -204,15 +207,21 @@
             return Resources(0, requested.memory_mb, requested.accelerators)
         return requested
 
-    def count_gang_failure(self, run: int) -> None:
+    def count_gang_failure(self, run: int, worker_id: str) -> bool:
         """Count a failed run of the gang, once for all of its members.
 
+        Returns whether it is the first failed member of that run on the worker.
+
         Former versions counted by member and did not store the run, so their
         rows may contain more failures than runs, and this run already.
         """
         if run > self.gang_failed_run:
             self.gang_failed_run = run
             self.gang_failures = min(self.gang_failures + 1, run)
+            self.gang_failed_worker_ids.clear()
+        is_first = worker_id not in self.gang_failed_worker_ids
+        self.gang_failed_worker_ids.add(worker_id)
+        return is_first
 
     def recount(self) -> None:
         """Recompute the counts of phases after a task has changed."""
--- a/tests/test_cell_gang_attempts.py
+++ b/tests/test_cell_gang_attempts.py
@@ -266,6 +266,62 @@
         self.assertEqual(2, self.step.gang_failures)
 
 
+class TestWorkers(GangCase):
+    """A failed run of a gang is one failure of each worker that reports it."""
+
+    def failures(self, worker_id: str) -> int:
+        workers_by_id = self.rig.scheduler.tracker.workers_by_id
+        return workers_by_id[worker_id].consecutive_failures
+
+    def test_members_fail_in_one_report(self) -> None:
+        """A worker was paused for 4 s after one failed run of a gang."""
+        self.submit(TOGETHER)
+        worker_id = self.task(0).worker_id
+        self.fail_together()
+        worker = self.rig.scheduler.tracker.workers_by_id[worker_id]
+        self.assertTrue(worker.takes_work(self.rig.now))
+        self.assertEqual(1, self.failures(worker_id))
+
+    def test_members_fail_in_several_reports(self) -> None:
+        """Reports that follow each other counted as failures in a row."""
+        self.submit(TOGETHER)
+        worker_id = self.task(0).worker_id
+        self.end_all(EndKind.FAILED, EndKind.FAILED, EndKind.FAILED)
+        self.assertEqual(1, self.failures(worker_id))
+
+    def test_members_fail_on_several_workers(self) -> None:
+        """A worker must not go uncounted because another one came first."""
+        self.submit(APART)
+        worker_ids = [task.worker_id for task in self.step.tasks]
+        self.end_all(EndKind.FAILED, EndKind.FAILED, EndKind.FAILED)
+        counts = [self.failures(worker_id) for worker_id in worker_ids]
+        self.assertEqual([1, 1, 1], counts)
+
+    def test_members_fail_after_a_handover(self) -> None:
+        """A successor counted each member that was being stopped."""
+        self.submit(TOGETHER)
+        worker_id = self.task(0).worker_id
+        self.end_all(EndKind.FAILED)
+        self.rig.journal()
+        self.rig.take_over()
+        self.end(1)
+        self.end(2)
+        self.rig.hold_all()
+        self.assertEqual(1, self.failures(worker_id))
+
+    def test_further_runs_count(self) -> None:
+        """A worker on which one run after the other fails is paused."""
+        self.rig = CellRig(ModelWorker('w0'))
+        self.submit(TOGETHER)
+        for _ in range(2):
+            self.fail_together()
+            self.restart()
+        self.assertEqual(2, self.failures('w0'))
+        self.fail_together()
+        worker = self.rig.scheduler.tracker.workers_by_id['w0']
+        self.assertFalse(worker.takes_work(self.rig.now))
+
+
 class TestRandomOrders(GangCase):
     """Any order of ends, reports, writes and hand-overs counts a run once."""
 
