End a worker's row of failures with any successful member

A worker could be paused for 4 s for three failures in a row although members of gangs had ended well in between.

Cause: the first member that ends as done completes its whole gang. The ends of the others then only free their capacity, so that the failures of their workers were not forgotten.

Change: every run that ends as done and is still the task's latest ends the row of its worker, in one place instead of two.

Evidence: test_successful_members fails before and passes now; test_runs_that_last keeps what was so before.

--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -31,6 +31,9 @@
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         self._record_run_time(worker, task, ended.kind, now)
+        if ended.kind is EndKind.DONE:
+            # Also of a gang that another member's end has completed.
+            worker.consecutive_failures = 0
         if task.phase is TaskPhase.DONE:
             self._tracker.release_done(worker, task)
         elif _is_final(task, ended.kind):
@@ -113,7 +116,6 @@
     def _handle_success(
         self, worker: WorkerState, task: TaskState, now: float
     ) -> None:
-        worker.consecutive_failures = 0
         step = task.step
         if task.is_start_known and not task.checkpoint:
             self._update_estimates(worker, task, now - task.started_s)
@@ -167,8 +169,6 @@
         step = task.step
         if kind is EndKind.FAILED:
             _count_failure(worker, task)
-        elif kind is EndKind.DONE:
-            worker.consecutive_failures = 0
         self._tracker.requeue(task, now)
         attempts = step.gang_failures if step.spec.gang else task.failures
         is_bounded = not step.spec.long_running
--- a/tests/test_cell_gang_attempts.py
+++ b/tests/test_cell_gang_attempts.py
@@ -16,6 +16,7 @@
 )
 from apricotlead.protocol.cell_workers import EndKind
 from apricotlead.state.cell_jobs import StepState, TaskState
+from apricotlead.state.cell_workers import WorkerState
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
@@ -269,16 +270,18 @@
 class TestWorkers(GangCase):
     """A failed run of a gang is one failure of each worker that reports it."""
 
+    def worker(self, worker_id: str) -> WorkerState:
+        return self.rig.scheduler.tracker.workers_by_id[worker_id]
+
     def failures(self, worker_id: str) -> int:
-        workers_by_id = self.rig.scheduler.tracker.workers_by_id
-        return workers_by_id[worker_id].consecutive_failures
+        return self.worker(worker_id).consecutive_failures
 
     def test_members_fail_in_one_report(self) -> None:
         """A worker was paused for 4 s after one failed run of a gang."""
         self.submit(TOGETHER)
         worker_id = self.task(0).worker_id
         self.fail_together()
-        worker = self.rig.scheduler.tracker.workers_by_id[worker_id]
+        worker = self.worker(worker_id)
         self.assertTrue(worker.takes_work(self.rig.now))
         self.assertEqual(1, self.failures(worker_id))
 
@@ -309,6 +312,24 @@
         self.rig.hold_all()
         self.assertEqual(1, self.failures(worker_id))
 
+    def test_successful_members(self) -> None:
+        """Only the worker whose end came first had its failures forgotten."""
+        self.submit(APART)
+        worker_ids = [task.worker_id for task in self.step.tasks]
+        for worker in map(self.worker, worker_ids):
+            worker.consecutive_failures = 2
+        self.end_all(EndKind.DONE, EndKind.DONE, EndKind.DONE)
+        counts = [self.failures(worker_id) for worker_id in worker_ids]
+        self.assertEqual([0, 0, 0], counts)
+
+    def test_runs_that_last(self) -> None:
+        """A run that lasts may end as done; its worker is no failing one."""
+        self.submit(StepSpec(1, SMALL, long_running=True))
+        worker_id = self.task(0).worker_id
+        self.worker(worker_id).consecutive_failures = 2
+        self.end_all(EndKind.DONE)
+        self.assertEqual(0, self.failures(worker_id))
+
     def test_further_runs_count(self) -> None:
         """A worker on which one run after the other fails is paused."""
         self.rig = CellRig(ModelWorker('w0'))
@@ -318,8 +339,7 @@
             self.restart()
         self.assertEqual(2, self.failures('w0'))
         self.fail_together()
-        worker = self.rig.scheduler.tracker.workers_by_id['w0']
-        self.assertFalse(worker.takes_work(self.rig.now))
+        self.assertFalse(self.worker('w0').takes_work(self.rig.now))
 
 
 class TestRandomOrders(GangCase):
