Keep all members of a gang off a worker on which one has failed

What callers saw: shown by a test. A gang with attempts left lost one after the other on the same failing worker.

Cause: only the member that had failed there avoided the worker, and another member, which runs the same program and ends the runs of all, took its place.

Change: all members avoid it, as gangs of the own interface do. It is still used if the gang fits nowhere else. Workers on which a gang was stopped for being slow are left as they were: when all members are stuck, nothing tells which worker is to blame.

Evidence: test_failing_worker_gets_no_other_member and test_gang_on_a_failing_worker_is_done fail before and pass now.

--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -182,7 +182,9 @@
     Members of a gang that fail together are one failure of their worker.
     """
     step = task.step
-    task.avoided_workers.add(worker.worker_id)
+    # Any member of a gang fails on a failing worker, and ends the others' runs.
+    for member in step.tasks if step.spec.gang else [task]:
+        member.avoided_workers.add(worker.worker_id)
     task.failures += 1
     is_repeated = step.spec.gang and not step.count_gang_failure(
         task.run, worker.worker_id
--- a/tests/test_cell_gang_attempts.py
+++ b/tests/test_cell_gang_attempts.py
@@ -342,6 +342,60 @@
         self.assertFalse(self.worker('w0').takes_work(self.rig.now))
 
 
+class TestAvoidedWorkers(GangCase):
+    """A gang leaves a worker on which one of its members has failed."""
+
+    def fail_member(self, index: int) -> str:
+        """Let a member fail; return its worker."""
+        worker_id = self.task(index).worker_id
+        self.end_all(*_ends_of_a_run(index))
+        return worker_id
+
+    def test_failing_worker_gets_no_other_member(self) -> None:
+        """Another member went to the failing worker, and the run failed again."""
+        self.submit(APART)
+        failing_id = self.fail_member(0)
+        self.restart()
+        worker_ids = {task.worker_id for task in self.step.tasks}
+        self.assertEqual(3, len(worker_ids))
+        self.assertNotIn(failing_id, worker_ids)
+
+    def test_gang_on_a_failing_worker_is_done(self) -> None:
+        """A gang with attempts left failed on one worker until none was."""
+        self.submit(APART)
+        failing_id = self.task(1).worker_id
+        for _ in range(MAX_ATTEMPTS - 1):
+            failed = [
+                task.index
+                for task in self.step.tasks
+                if task.worker_id == failing_id
+            ]
+            if failed:
+                self.fail_member(failed[0])
+                self.restart()
+        self.assertEqual(1, self.step.gang_failures)
+        self.end_all(EndKind.DONE)
+        self.rig.journal()
+        self.assertEqual('completed', self.rig.state(JOB))
+
+    def test_gang_that_needs_the_worker(self) -> None:
+        """A gang that fits nowhere else must not wait for ever."""
+        self.rig = CellRig(*(ModelWorker(f'w{each}') for each in range(3)))
+        self.submit(APART)
+        failing_id = self.fail_member(0)
+        self.restart()
+        worker_ids = {task.worker_id for task in self.step.tasks}
+        self.assertIn(failing_id, worker_ids)
+
+    def test_other_tasks_are_not_affected(self) -> None:
+        """Only the task that failed avoids the worker if it is of no gang."""
+        self.submit(StepSpec(3, SMALL))
+        worker_id = self.task(0).worker_id
+        self.end_all(EndKind.FAILED)
+        avoided = [task.avoided_workers for task in self.step.tasks]
+        self.assertEqual([{worker_id}, set(), set()], avoided)
+
+
 class TestRandomOrders(GangCase):
     """Any order of ends, reports, writes and hand-overs counts a run once."""
 
