Don't count a gang member's success towards its attempts

What callers saw: shown by a test. A gang job of the own interface was refused with "A task failed too often" when a member failed for the first time, after rounds in which it had succeeded.

Cause: every attempt that was not stopped used up one of max_attempts. A member that has succeeded runs again if another member of the round has not, so its successes were counted like failures. A batch task that succeeded has ended.

Change: attempts that succeeded are not counted.

Evidence: test_success_in_a_failed_round fails before and passes now.

--- a/src/apricotlead/state/job_table.py
+++ b/src/apricotlead/state/job_table.py
@@ -52,9 +52,10 @@
 class TaskEntry:
     """One task: its attempts in order, the live one, and its outcome.
 
-    ``counted_attempts`` is the number of attempts that may have run and count
-    towards the limit on attempts. ``unstarted_attempts`` is the number of
-    attempts that are known not to have run, since the last one that may have.
+    ``counted_attempts`` is the number of attempts that may have run without
+    success; they count towards the limit on attempts. ``unstarted_attempts`` is
+    the number of attempts that are known not to have run, since the last one
+    that may have.
     ``stops`` is the number of attempts that were stopped to make room for
     other work, or together with their gang.
     """
@@ -524,10 +525,11 @@
         return
     task.unstarted_attempts = 0
     # Attempts are stopped on cancellation, with their gang, or to make room
-    # for other work; that is not a failure of the task.
+    # for other work; that is not a failure of the task. An attempt that has
+    # succeeded is repeated only because another member of its gang has not.
     if finished.state == 'stopped':
         task.stops += 1
-    else:
+    elif finished.state != 'succeeded':
         task.counted_attempts += 1
 
 
--- a/tests/test_job_table.py
+++ b/tests/test_job_table.py
@@ -114,3 +114,36 @@
             job = accepted(1, 1, **fields)
             table = table_of((job, assigned(1, 0, 1), finished))
             self.assertEqual(expected, table.jobs_by_id['j.1'].final_state())
+
+
+def gang_round(number, *states, **changes):
+    """Return the records of a gang's round; ``states`` is how members end."""
+    assignments = [assigned(1, task, number) for task, _ in enumerate(states)]
+    ends = [
+        AttemptFinished(assignment.attempt_id, state, **changes)
+        for assignment, state in zip(assignments, states, strict=True)
+    ]
+    return (*assignments, *ends)
+
+
+class TestGangRounds(TestCase):
+    """A failed round of a gang uses up one attempt of the whole gang."""
+
+    def final_state(self, *rounds, max_attempts=3, **fields):
+        """Return the final state of a gang of three after these rounds."""
+        table = JobTable(max_attempts)
+        table.open_journal(JOURNAL, 1)
+        table.replay(accepted(1, 3, kind='gang', **fields))
+        for number, states in enumerate(rounds, 1):
+            for record in gang_round(number, *states):
+                table.replay(record)
+        return table.jobs_by_id['j.1'].final_state()
+
+    def test_success_in_a_failed_round(self):
+        """A member that succeeded twice was refused when it failed once.
+
+        Its rounds were repeated because the worker of another was lost.
+        """
+        lost = ('succeeded', 'lapsed', 'stopped')
+        failed = ('failed', 'stopped', 'stopped')
+        self.assertIsNone(self.final_state(lost, lost, failed))
