Don't avoid workers on which members of a gang succeeded

After a failed round, a gang of the own interface kept off all workers on which a member had succeeded, too, and waited for room elsewhere (three rounds in vain before it took them).

Cause: every attempt that may have run and was not stopped implicated its worker. In a gang, a member may succeed in a round that another ends, and then run again.

Change: successful attempts implicate no worker.

Evidence: test_worker_of_a_successful_member fails before and passes now.

--- a/src/apricotlead/state/job_table.py
+++ b/src/apricotlead/state/job_table.py
@@ -88,14 +88,14 @@
         """Return the workers on which an attempt failed.
 
         Stopped attempts are left out, since a stop does not implicate the
-        worker.
+        worker, and so are successful ones of a gang whose round has failed.
         """
         return tuple(
             attempt.assigned.worker_id
             for attempt in self.attempts
             if attempt.finished is not None
             and attempt.finished.ran is not False
-            and attempt.finished.state != 'stopped'
+            and attempt.finished.state not in {'stopped', 'succeeded'}
         )
 
 
--- a/tests/test_job_table.py
+++ b/tests/test_job_table.py
@@ -147,3 +147,15 @@
         lost = ('succeeded', 'lapsed', 'stopped')
         failed = ('failed', 'stopped', 'stopped')
         self.assertIsNone(self.final_state(lost, lost, failed))
+
+    def test_worker_of_a_successful_member(self):
+        """The next round avoided workers on which members had succeeded."""
+        table = JobTable()
+        table.open_journal(JOURNAL, 1)
+        table.replay(accepted(1, 3, kind='gang'))
+        for record in gang_round(1, 'succeeded', 'failed', 'stopped'):
+            table.replay(record)
+        tasks = table.jobs_by_id['j.1'].tasks
+        self.assertEqual(
+            [(), ('w',), ()], [task.failed_workers() for task in tasks]
+        )
