Refuse a gang after max_attempts failed rounds

What callers saw: shown by a test. A gang job of the own interface was repeated as long as another member failed in each round: one of three members with three attempts for seven rounds, one of N with four attempts for up to 3 N + 1.

Cause: attempts were counted by member only, but a failed attempt of any member ends the round of all.

At max_attempts the job ends as refused, with the message of a member that failed. Lost and stopped attempts are no failed rounds, as a wide gang loses workers more often; lost ones still count for their member. No record changes.

--- a/src/apricotlead/coordination/job_lifecycle.py
+++ b/src/apricotlead/coordination/job_lifecycle.py
@@ -848,11 +848,25 @@
 
 
 def _last_message(job: JobEntry) -> str:
-    """Return the message of the first refused or possibly run task."""
-    for task in job.tasks:
-        if task.outcome in {'refused', 'may_have_run'}:
-            return task.attempts[-1].finished.message
-    return ''
+    """Return the message of the first refused or possibly run task.
+
+    No task of a gang is refused if its rounds are used up; then return that of
+    the first task that failed in the last round.
+    """
+    ended = [
+        (task.outcome, task.attempts[-1].finished)
+        for task in job.tasks
+        if task.attempts and task.attempts[-1].finished is not None
+    ]
+    messages = [
+        finished.message
+        for outcome, finished in ended
+        if outcome in {'refused', 'may_have_run'}
+    ]
+    messages.extend(
+        finished.message for _, finished in ended if finished.state == 'failed'
+    )
+    return messages[0] if messages else ''
 
 
 def _not_found(job_id: str) -> NotRun:
--- a/src/apricotlead/state/job_table.py
+++ b/src/apricotlead/state/job_table.py
@@ -104,13 +104,18 @@
 
     ``history`` has the records between acceptance and end, in order.
     ``live_count`` is the number of tasks with a live attempt, ``open_count``
-    that of tasks without an outcome.
+    that of tasks without an outcome. ``failed_rounds`` is the number of rounds
+    of a gang in which an attempt failed, the latest one if
+    ``has_failed_attempt``.
     """
 
     __slots__ = (
+        '_max_attempts',
         'accepted',
         'cancel_requested',
         'ended',
+        'failed_rounds',
+        'has_failed_attempt',
         'history',
         'journal_id',
         'live_count',
@@ -119,8 +124,9 @@
         'tasks',
     )
 
-    def __init__(self, accepted: JobAccepted) -> None:
-        """Start with all tasks queued."""
+    def __init__(self, accepted: JobAccepted, max_attempts: int) -> None:
+        """Start with all tasks queued; a gang has ``max_attempts`` rounds."""
+        self._max_attempts = max_attempts
         self.accepted = accepted
         self.journal_id = journal_of_job(accepted.job_id)
         self.tasks = [TaskEntry(spec) for spec in accepted.submission.tasks]
@@ -130,6 +136,8 @@
         self.live_count = 0
         self.open_count = len(self.tasks)
         self.outcome_counts: dict[TaskOutcome, int] = {}
+        self.failed_rounds = 0
+        self.has_failed_attempt = False
 
     @property
     def job_id(self) -> str:
@@ -209,10 +217,18 @@
             return 'cancelled'
         return 'refused' if self.has_outcome('refused') else 'done'
 
+    def count_failed_round(self) -> None:
+        """Count the current round as failed, once for all of its attempts."""
+        if not self.has_failed_attempt:
+            self.has_failed_attempt = True
+            self.failed_rounds += 1
+
     def _final_state_of_open_gang(self) -> JobState | None:
         if not self.is_gang():
             return None
-        if self.has_outcome('refused'):
+        is_used_up = self.failed_rounds >= self._max_attempts
+        is_refused = self.submission.idempotent and is_used_up
+        if is_refused or self.has_outcome('refused'):
             return 'refused'
         # Only a non-idempotent gang keeps tasks that are done after a failed
         # round; it cannot be restarted as a whole.
@@ -253,7 +269,10 @@
     )
 
     def __init__(self, max_attempts: int = 4) -> None:
-        """Start empty; a task may have ``max_attempts`` counted attempts."""
+        """Start empty; a task may have ``max_attempts`` counted attempts.
+
+        The same limit applies to the failed rounds of a gang.
+        """
         self.max_attempts = max_attempts
         self.jobs_by_id: dict[str, JobEntry] = {}
         self.attempts_by_id: dict[str, Attempt] = {}
@@ -345,7 +364,7 @@
         )
         if journal_state is None or record.job_id in self.jobs_by_id:
             return
-        job = JobEntry(record)
+        job = JobEntry(record, self.max_attempts)
         journal_state.jobs_by_id[record.job_id] = job
         self.jobs_by_id[record.job_id] = job
         self._load_totals.add_job(job)
@@ -404,6 +423,8 @@
         task.live_attempt = None
         job.live_count -= 1
         _count_ended_attempt(task, finished)
+        if finished.state == 'failed' and finished.ran is not False:
+            job.count_failed_round()
         outcome = self._outcome(job, task, finished)
         if outcome is not None:
             task.outcome = outcome
@@ -434,6 +455,7 @@
         """
         if not job.is_gang() or job.live_count or not job.open_count:
             return
+        job.has_failed_attempt = False
         if job.has_outcome('refused') or not job.submission.idempotent:
             return
         for task in job.tasks:
--- a/tests/test_job_lifecycle.py
+++ b/tests/test_job_lifecycle.py
@@ -239,3 +239,35 @@
             {'reason': 'preemption', 'job': {'priority': 'urgent'}},
         ):
             self.assertEqual([], self.relieve(**options), str(options))
+
+    def test_gang_without_attempts_left(self):
+        """Callers of a gang whose members fail in turn waited for more rounds.
+
+        They get the reason, and no further round is queued.
+        """
+        rounds = [
+            (assigned(1, 0, number), assigned(1, 1, number))
+            for number in range(1, 5)
+        ]
+        records = [accepted(1, 2, kind='gang')]
+        for number, members in enumerate(rounds):
+            failed, stopped = members[number % 2], members[1 - number % 2]
+            records.extend(members)
+            records.append(AttemptFinished(stopped.attempt_id, 'stopped'))
+            records.append(
+                AttemptFinished(failed.attempt_id, 'failed', message='full')
+            )
+        last = records.pop()
+        self.lifecycle.open_journal(
+            JournalOpened(JOURNAL, 2, tuple(records)), 0
+        )
+        ending = AttemptEnded(
+            JOURNAL, last.attempt_id, last.state, message=last.message
+        )
+        append = self.lifecycle.record_ending(ending, 0)[0]
+        following = self.commit(append)
+        self.assertEqual([], of_type(following, TaskQueued))
+        ended = of_type(following, AppendRecords)[0].records[0]
+        self.assertIsInstance(ended, JobEnded)
+        self.assertEqual('refused', ended.state)
+        self.assertIn('full', ended.error.message)
--- a/tests/test_job_table.py
+++ b/tests/test_job_table.py
@@ -139,6 +139,72 @@
                 table.replay(record)
         return table.jobs_by_id['j.1'].final_state()
 
+    def test_members_that_fail_together(self):
+        """Members that fail in the same round must not add up."""
+        together = ('failed', 'failed', 'failed')
+        self.assertIsNone(self.final_state(together, together))
+        self.assertEqual(
+            'refused', self.final_state(together, together, together)
+        )
+
+    def test_other_members_fail_each_time(self):
+        """A gang of 3 with 3 attempts was refused after 7 rounds."""
+        rounds = (
+            ('failed', 'stopped', 'stopped'),
+            ('stopped', 'failed', 'stopped'),
+            ('succeeded', 'stopped', 'failed'),
+        )
+        self.assertIsNone(self.final_state(*rounds[:2]))
+        self.assertEqual('refused', self.final_state(*rounds))
+
+    def test_rounds_that_were_stopped_or_lost(self):
+        """A wide gang loses workers more often; only its own failures count."""
+        rounds = (
+            ('lapsed', 'stopped', 'stopped'),
+            ('stopped', 'lapsed', 'stopped'),
+            ('stopped', 'stopped', 'stopped'),
+            ('stopped', 'stopped', 'lapsed'),
+        )
+        self.assertIsNone(self.final_state(*rounds))
+
+    def test_gang_that_may_have_run(self):
+        """A gang that is not idempotent must not be reported as refused."""
+        table = JobTable(1)
+        table.open_journal(JOURNAL, 1)
+        table.replay(accepted(1, 3, kind='gang', idempotent=False))
+        missed = gang_round(1, 'failed', 'failed', 'failed', ran=False)
+        failed = AttemptFinished(missed[3].attempt_id, 'failed')
+        for record in (*missed[:3], failed, *missed[4:]):
+            table.replay(record)
+        job = table.jobs_by_id['j.1']
+        self.assertEqual('may_have_run', job.final_state())
+
+    def test_attempts_that_never_ran(self):
+        """A start that was refused is no failure of the gang."""
+        table = JobTable(1)
+        table.open_journal(JOURNAL, 1)
+        table.replay(accepted(1, 3, kind='gang'))
+        for record in gang_round(1, 'failed', 'failed', 'failed', ran=False):
+            table.replay(record)
+        self.assertIsNone(table.jobs_by_id['j.1'].final_state())
+
+    def test_rounds_after_the_last_attempt(self):
+        """A journal of the former version may contain more failed rounds."""
+        table = JobTable(2)
+        table.open_journal(JOURNAL, 1)
+        table.replay(accepted(1, 3, kind='gang'))
+        job = table.jobs_by_id['j.1']
+        for failed, expected in enumerate((None, 'refused', 'refused')):
+            states = ['succeeded', 'succeeded', 'succeeded']
+            states[failed] = 'failed'
+            records = gang_round(failed + 1, *states)
+            for assignment in records[:3]:
+                table.replay(assignment)
+            self.assertEqual((None, 3), (job.final_state(), job.open_count))
+            for ended in records[3:]:
+                table.replay(ended)
+            self.assertEqual(expected, job.final_state())
+
     def test_success_in_a_failed_round(self):
         """A member that succeeded twice was refused when it failed once.
 
@@ -159,3 +225,13 @@
         self.assertEqual(
             [(), ('w',), ()], [task.failed_workers() for task in tasks]
         )
+
+    def test_replay_counts_a_round_once(self):
+        """Repeated records and compaction must not change the count."""
+        records = [accepted(1, 3, kind='gang')]
+        records.extend(gang_round(1, 'failed', 'failed', 'stopped'))
+        records.extend(gang_round(2, 'stopped', 'failed', 'stopped'))
+        table = table_of((*records, *records))
+        compacted = table_of(table.compacted_records(JOURNAL))
+        for one in (table, compacted):
+            self.assertEqual(2, one.jobs_by_id['j.1'].failed_rounds)
