Count the crash of a gang member's worker as certain while it is stopped

What callers saw: shown by a test. A gang of which every member crashes its worker was started a third time, by the order in which the crashes became known.

Cause: the first proof of a crash stops the gang, and a run that is being stopped no longer looked as if its worker had confirmed it, unless a list had shown it. The crashes under the other members of that run became doubtful, so that no member had two certain ones after two runs.

Change: that a worker has confirmed a run is kept until the run is placed anew, or may be on another incarnation. Crashes are still counted by task and once for a run, so several in one run do not add up.

Evidence: test_members_that_are_being_stopped and test_second_run_ends_the_job fail before and pass now.

--- a/src/apricotlead/coordination/cell/crash_evidence.py
+++ b/src/apricotlead/coordination/cell/crash_evidence.py
@@ -136,7 +136,7 @@
 
 
 def _is_confirmed(task: TaskState) -> bool:
-    return task.phase is TaskPhase.RUNNING or task.first_progress is not None
+    return task.is_confirmed or task.first_progress is not None
 
 
 def _crash_s(tasks: Iterable[TaskState], worker: WorkerState) -> float:
--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -291,6 +291,8 @@
         if phase is TaskPhase.DONE:
             step.done_count += 1
         task.phase = phase
+        if phase is not TaskPhase.STOPPING:
+            task.is_confirmed = phase is TaskPhase.RUNNING
         if not step.waiting_count:
             self.ready_steps_by_name.pop(step.name, None)
         if is_change:
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -56,6 +56,7 @@
         'failures',
         'first_progress',
         'index',
+        'is_confirmed',
         'is_start_known',
         'load',
         'name',
@@ -88,6 +89,8 @@
         self.started_s = 0.0
         # Whether the run began during this scheduler's term.
         self.is_start_known = False
+        # Whether the worker has confirmed the run, also if it is being stopped.
+        self.is_confirmed = False
         # None until a worker reports the run; a resumed run starts above 0.
         self.first_progress: float | None = None
         self.progress = 0.0
