Clear a suspected gang member only once its gang works

What callers saw: shown by a test. A member that crashed its worker before, and now only waited for another member, was cleared after 0.5 s; other work was then placed beside it.

Cause: the age of a trial counted from the start of the member, but the members of a gang work only from the moment when all of them are there. A member whose gang was being stopped could be cleared, too.

Change: a member is cleared once all members run, and counts from the last start.

Evidence: test_suspect_that_waits_for_its_gang and test_gang_of_which_a_member_is_being_stopped fail before and pass now.

--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -236,9 +236,16 @@
 
 
 def _has_outlived(task: TaskState, worker: WorkerState) -> bool:
-    """Return whether a suspect has run for longer than before its crashes."""
-    if task.phase is not TaskPhase.RUNNING or worker.is_contact_lost:
+    """Return whether a suspect has worked for longer than before its crashes.
+
+    The members of a gang wait until all of them are there.
+    """
+    members = task.step.tasks if task.step.spec.gang else [task]
+    if worker.is_contact_lost or not all(
+        member.phase is TaskPhase.RUNNING for member in members
+    ):
         return False
+    began_s = max(member.started_s for member in members)
     trial_s = max(TRIAL_S, task.crashes.longest_age_s * _TRIAL_AGE_FACTOR)
     # The worker has to have answered since.
-    return worker.lease.last_contact_s - task.started_s > trial_s
+    return worker.lease.last_contact_s - began_s > trial_s
