--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -194,9 +194,9 @@
         later one, which counts the lease from its own start.
         """
         lease = self.lease
-        if task.is_confirmed:
-            return lease.latest_expiry_s
-        return max(lease.latest_expiry_s, lease.misdirected_until_s)
+        if task.may_outlast_lease:
+            return max(lease.latest_expiry_s, lease.misdirected_until_s)
+        return lease.latest_expiry_s
 
     def note_lapsed_run(self, task: TaskState) -> None:
         """Record a run that ended with the lease of a silent worker."""
