--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -1,5 +1,6 @@
 """Worker tracking: registrations, holds, leases and expired leases."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -26,6 +27,8 @@
 from apricotlead.state.cell_workers import TRIAL_S, WorkerState
 
 _MS_PER_S = 1000.0
+# A worker may restart this often in one term before its lives share a fence.
+_FENCES_PER_EPOCH = 1000
 # A worker gets no new runs for a while after this many failures in a row.
 _FAILURES_TO_PAUSE = 3
 _FAILING_PAUSE_S = 4.0
@@ -41,6 +44,7 @@
         '_ends',
         '_former_renewed_s',
         '_leases',
+        '_lives_by_id',
         '_lossy_until_s',
         '_settings',
         '_tracker',
@@ -75,6 +79,8 @@
             self._former_renewed_s = clock.to_local_s(former.renewed_ms, now)
         # The worker that was the last to answer at each address.
         self._answering_id_by_address: dict[str, str] = {}
+        # How many restarts of each worker this term has seen.
+        self._lives_by_id: Counter[str] = Counter()
         self.epoch = epoch
         # When the last confirmed write of the owner row was prepared.
         self.renewed_s = now
@@ -91,6 +97,7 @@
         ):
             return False
         if worker is not None and entry.born_ms > worker.entry.born_ms:
+            self._note_restart(worker, entry.born_ms, 'registration', None)
             self._replace_worker(worker, entry, now)
             return True
         if worker is None:
@@ -113,6 +120,7 @@
         for worker_id in tuple(self._tracker.restored_by_worker):
             entry = WorkerEntry(worker_id, '', '', '', Resources())
             worker = WorkerState(entry, self._leases.new_lease(worker_id, now))
+            worker.fence = self._fence(worker_id)
             worker.is_listed = False
             self._tracker.workers_by_id[worker_id] = worker
             self._tracker.restore_placements(worker)
@@ -131,28 +139,30 @@
     ) -> tuple[WorkerEntry, HoldOrder] | None:
         """Return the next hold for a worker, ``None`` if it is gone.
 
-        A hold is a long-poll call that extends the lease. Until the worker's
-        lists are known in this term, and after a period without answers, it
-        neither extends the lease nor waits.
+        A hold is a long-poll call that extends the lease and acknowledges
+        ends. A worker that has restarted under its id would apply both to other
+        runs than they are meant for. They are sent only on the connection on
+        which this incarnation has answered; until it has, and after a failed
+        call, the next hold only asks for the lists.
         """
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None or not worker.entry.address:
             return None
         lease = worker.lease
-        epoch = self.epoch
         is_silent = (
             now - lease.last_contact_s > self._settings.leases.lease_s / 2
         )
-        if not lease.has_contact or is_silent:
-            return worker.entry, HoldOrder(epoch, worker.acked_through, 0)
+        if not (worker.is_proven and lease.has_contact) or is_silent:
+            return worker.entry, HoldOrder(worker.fence, 0, 0)
         deadline_ms = None
         if worker.may_grant_lease:
             deadline_ms = lease.deadline(now, self.renewed_s)
         order = HoldOrder(
-            epoch,
+            worker.fence,
             worker.acked_through,
             int(self._wait_s(worker, now) * _MS_PER_S),
             deadline_ms,
+            worker.connection,
         )
         return worker.entry, order
 
@@ -176,14 +186,23 @@
         worker = self._tracker.workers_by_id.get(worker_id)
         return worker is not None and worker.lease.has_contact
 
+    def waits_for_grant(self, worker_id: str) -> bool:
+        """Tell whether a worker may get no lease before the next write."""
+        worker = self._tracker.workers_by_id.get(worker_id)
+        return worker is not None and not worker.may_grant_lease
+
     def hold_answered(
         self,
         worker_id: str,
         report: HoldReport,
         sent_s: float,
         now: float,
+        order: HoldOrder | None = None,
     ) -> None:
-        """Apply the lists of running and ended runs in a worker's answer."""
+        """Apply the lists of running and ended runs in a worker's answer.
+
+        ``order`` is what it answers, by default the latest one.
+        """
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None or _is_from_earlier_incarnation(
             worker, report.born_ms
@@ -191,9 +210,15 @@
             return
         self._detect_lost_answers(worker, now)
         if report.born_ms > worker.entry.born_ms:
+            self._note_restart(worker, report.born_ms, 'hold', order)
             self._handle_restart(worker, report, now)
             return
+        if _is_for_former(worker, order):
+            # The lists may be older than a late call to the former life.
+            self._apply_ends(worker, report, now)
+            return
         worker.lease.record_answer(report.clock_ms, sent_s, now)
+        worker.note_answer(report.connection)
         worker.forget_lapsed_runs()
         self._end_former_at_address(worker, now)
         self._apply_ends(worker, report, now)
@@ -209,10 +234,19 @@
         worker_id: str,
         reply: OrderReply,
         now: float,
+        order: HoldOrder | None = None,
     ) -> None:
-        """Handle a hold that was refused or got no answer."""
+        """Handle a hold that was refused or got no answer.
+
+        ``order`` is the hold, by default the latest one. The failure of a hold
+        of a former incarnation says nothing about the present one.
+        """
         worker = self._tracker.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or _is_for_former(worker, order):
+            return
+        if reply.refusal is Refusal.CONNECTION_GONE:
+            # Nothing was sent, so nothing is known about the worker.
+            worker.forget_connection()
             return
         is_prompt = reply.is_broken or reply.refusal is Refusal.NO_LISTENER
         worker.note_failed_call(now, is_prompt=is_prompt)
@@ -272,6 +306,23 @@
             for worker in self._tracker.workers_by_id.values()
         )
 
+    def is_current_fence(self, worker_id: str, fence: int) -> bool:
+        """Tell whether a worker that refuses ``fence`` has seen a later term.
+
+        A call to its former incarnation may arrive after the first call to
+        the present one, which refuses it.
+        """
+        return fence >= self._fence(worker_id)
+
+    def _fence(self, worker_id: str) -> int:
+        """Return the fencing number for calls to a worker's present life.
+
+        It is higher than those of its former lives. Once a life has answered
+        a call, it refuses the calls that were meant for them.
+        """
+        lives = min(self._lives_by_id[worker_id], _FENCES_PER_EPOCH - 1)
+        return self.epoch * _FENCES_PER_EPOCH + lives
+
     def _detect_lost_answers(self, worker: WorkerState, now: float) -> None:
         """Switch to short holds for a while if answers were lost.
 
@@ -287,6 +338,7 @@
         worker = WorkerState(
             entry, self._leases.new_lease(entry.worker_id, now)
         )
+        worker.fence = self._fence(entry.worker_id)
         worker.update_entry(entry, now)
         worker.may_grant_lease = self._leases.may_grant(entry.worker_id)
         self._tracker.workers_by_id[entry.worker_id] = worker
@@ -304,8 +356,8 @@
         The new incarnation has no state of the old one. Orders contain only
         the id, so it may have accepted starts that were sent to the old one.
         """
-        self._tracker.note('worker reborn', worker=entry.worker_id)
         self._leases.forget(entry.worker_id)
+        self._lives_by_id[entry.worker_id] += 1
         guilty = self._crashes.worker_ended(former, Evidence.REBORN, now)
         unlisted = self._tracker.detach_unlisted_runs(former)
         self._tracker.forget_worker(former, now)
@@ -353,7 +405,33 @@
         now: float,
     ) -> None:
         entry = msgspec.structs.replace(worker.entry, born_ms=report.born_ms)
-        self.update_worker(entry, now)
+        self._replace_worker(worker, entry, now)
+        # These ends may be listed only once, as the call that the new life
+        # answers may have acknowledged them.
+        worker = self._tracker.workers_by_id[entry.worker_id]
+        self._apply_ends(worker, report, now)
+
+    def _note_restart(
+        self,
+        worker: WorkerState,
+        born_ms: float,
+        seen_by: str,
+        order: HoldOrder | None,
+    ) -> None:
+        """Log a restart, and what a call to the former incarnation carried.
+
+        The new incarnation may have applied the acknowledgement and deadline.
+        """
+        self._tracker.note(
+            'worker reborn',
+            worker=worker.worker_id,
+            seen_by=seen_by,
+            born_ms=born_ms,
+            former_born_ms=worker.entry.born_ms,
+            former_acked_through=worker.acked_through,
+            call_acked_through=order.acked_through if order else None,
+            call_deadline_ms=order.deadline_ms if order else None,
+        )
 
     def _apply_ends(
         self,
@@ -423,3 +501,8 @@
 def _is_from_earlier_incarnation(worker: WorkerState, born_ms: float) -> bool:
     """Tell whether a late message is from an earlier incarnation."""
     return 0 < born_ms < worker.entry.born_ms
+
+
+def _is_for_former(worker: WorkerState, order: HoldOrder | None) -> bool:
+    """Tell whether a hold was meant for a former incarnation."""
+    return order is not None and order.epoch < worker.fence
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -94,11 +94,16 @@
                     answer,
                     sent_s,
                     now,
+                    order,
                 )
                 self._state.changed.set()
                 self._wait_before_next(worker_id, order, answer)
+            elif answer.refusal is Refusal.CONNECTION_GONE:
+                self._state.scheduler.workers.hold_refused(
+                    worker_id, answer, now, order
+                )
             else:
-                self._handle_hold_failure(worker_id, answer, now)
+                self._handle_hold_failure(worker_id, order, answer, now)
                 eventlet.sleep(
                     self._retry_pause_s(answer, consecutive_failures)
                 )
@@ -134,11 +139,14 @@
         """Wait until the next hold of a worker is useful."""
         pause_s = self._times.retry_pause_s
         self._wait_for_journal(worker_id)
-        if report.ended:
+        is_granted = order.deadline_ms is not None
+        if report.ended and is_granted:
             self._delay_next(worker_id)
         if not self._state.scheduler.workers.has_contact(worker_id):
             eventlet.sleep(pause_s)
-        elif order.deadline_ms is None:
+        elif not is_granted and self._state.scheduler.workers.waits_for_grant(
+            worker_id
+        ):
             # Leases can be granted after the next write of the journal.
             self._state.journaled.wait(pause_s)
 
@@ -187,6 +195,7 @@
     def _handle_hold_failure(
         self,
         worker_id: str,
+        order: HoldOrder,
         reply: OrderReply,
         now: float,
     ) -> None:
@@ -198,9 +207,11 @@
                 why=str(reply.refusal),
                 detail=reply.detail,
             )
-        if reply.refusal is Refusal.FENCED:
+        workers = self._state.scheduler.workers
+        is_fenced = reply.refusal is Refusal.FENCED
+        if is_fenced and workers.is_current_fence(worker_id, order.epoch):
             self._state.end(LATER_EPOCH)
             return
-        self._state.scheduler.workers.hold_refused(worker_id, reply, now)
+        workers.hold_refused(worker_id, reply, now, order)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._state.changed.set()
