--- a/src/apricotlead/protocol/cell_workers.py
+++ b/src/apricotlead/protocol/cell_workers.py
@@ -68,8 +68,9 @@
 class HoldOrder(Struct, frozen=True):
     """Long-poll call: extends the lease, acknowledges ends, awaits changes.
 
-    Without ``deadline_ms`` the lease is not extended. With ``connection`` it is
-    sent only on that connection, so that no other incarnation can receive it.
+    Without ``deadline_ms`` the lease is not extended. With ``connection`` the
+    order is sent only on that connection, which ends with the incarnation of
+    the worker that answered on it.
     """
 
     epoch: int
@@ -127,8 +128,8 @@
 
     A worker lists a limited number of unacknowledged ends, oldest first.
     Without ``has_all_ends`` there may be more, so a run that is in neither
-    list may have ended. ``connection`` is what the answer came on, ``None`` if
-    that connection has ended since.
+    list may have ended. ``connection`` is the number of the connection that it
+    came on, ``None`` if that was not kept open.
     """
 
     clock_ms: float
@@ -144,9 +145,9 @@
 
     ``LATE``: its deadline had passed. ``OTHER_LIFE``: it reached another
     incarnation of the worker. ``NO_LISTENER``: its address refused the
-    connection, as that of a crashed worker does. ``CONNECTION_GONE``: the order
-    was bound to a connection that has ended; nothing was sent. After
-    ``UNANSWERED`` it is unknown whether the order was carried out.
+    connection, as that of a crashed worker does. ``CONNECTION_GONE``: it was
+    bound to a connection that has ended; nothing was sent. After ``UNANSWERED``
+    it is unknown whether the order was carried out.
     """
 
     FENCED = 'fenced'
@@ -166,13 +167,15 @@
 class OrderReply(Struct, frozen=True):
     """The result of an order; ``refusal`` is ``None`` if it was accepted.
 
-    With ``is_broken`` the connection ended instead of an answer.
+    With ``is_broken`` the connection ended instead of an answer. ``born_ms``
+    is the start time of the incarnation that answered, 0 if it gave none.
     """
 
     refusal: Refusal | None = None
     clock_ms: float = 0
     detail: str = ''
     is_broken: bool = False
+    born_ms: float = 0
 
 
 class AdviceAnswer(Struct, frozen=True):
