Let the virtual cell pass holds and lapses on as the daemon does

Cause: the virtual cell applied the failure and the answer of a hold, and an acknowledged stop, without the order that they belong to, which the daemon passes along since. Besides, a lapsed run ended up to 0.02 s late.

Ruled out: the daemon. Only the model of it and of the worker changes.

Before and after: python -m pytest tests/test_cell_restarts.py.

Conclusion: holds, stops and their failures are attributed to lives as in transport/cell_holds.py and cell_orders.py.

--- a/tests/faulty/term.py
+++ b/tests/faulty/term.py
@@ -190,7 +190,10 @@
             lambda worker: worker.stop(order),
         )
         yield _CALL_DELAY_S
-        if reply.refusal is None and self._is_active:
+        workers = self.scheduler.workers
+        # A former life may have acknowledged it.
+        is_current = workers.is_current_fence(entry.worker_id, order.epoch)
+        if reply.refusal is None and is_current and self._is_active:
             self.scheduler.tracker.stop_acked(
                 entry.worker_id,
                 order.task,
@@ -204,23 +207,46 @@
         workers = self.scheduler.workers
         missed_count = 0
         while planned := workers.hold_order(worker_id, self.now):
+            entry, order = planned
             sent_s = self.now
-            answer = yield from self._hold(*planned)
+            answer = yield from self._hold(entry, order)
             if not self._is_active:
                 break
             self.request_planning()
             if isinstance(answer, HoldReport):
                 missed_count = 0
-                workers.hold_answered(worker_id, answer, sent_s, self.now)
-                is_granted = planned[1].deadline_ms is not None
-                yield _POLL_S if is_granted else times.retry_pause_s
+                workers.hold_answered(
+                    worker_id, answer, sent_s, self.now, order
+                )
+                yield self._pause_after_answer_s(worker_id, order)
             else:
-                is_broken = self._environment.links.is_broken(planned[0])
-                reply = OrderReply(answer, is_broken=is_broken)
-                workers.hold_refused(worker_id, reply, self.now)
+                self._handle_failed_hold(entry, order, answer)
                 pauses = min(missed_count, times.most_pauses)
                 yield max(_POLL_S, pauses * times.retry_pause_s)
-                missed_count += 1
+                is_missed = answer is not Refusal.CONNECTION_GONE
+                missed_count += is_missed
+
+    def _pause_after_answer_s(self, worker_id: str, order: HoldOrder) -> float:
+        """Return how long to wait before the next hold of a worker."""
+        workers = self.scheduler.workers
+        is_granted = order.deadline_ms is not None
+        is_grant_due = not is_granted and workers.waits_for_grant(worker_id)
+        if is_grant_due or not workers.has_contact(worker_id):
+            return self._environment.settings.holds.retry_pause_s
+        return _POLL_S
+
+    def _handle_failed_hold(
+        self,
+        entry: WorkerEntry,
+        order: HoldOrder,
+        refusal: Refusal,
+    ) -> None:
+        is_sent = refusal is not Refusal.CONNECTION_GONE
+        is_broken = is_sent and self._environment.links.is_broken(entry)
+        reply = OrderReply(refusal, is_broken=is_broken)
+        self.scheduler.workers.hold_refused(
+            entry.worker_id, reply, self.now, order
+        )
 
     def _hold(
         self,
@@ -264,15 +290,12 @@
         gave out that number.
         """
         links = self._environment.links
-        number = getattr(order, 'connection', None)
         worker = links.reach(entry)
         if not isinstance(worker, Refusal):
-            if number in {None, worker.connection}:
-                return worker
-            # Protocols without such numbers have no reason of their own.
-            return getattr(Refusal, 'CONNECTION_GONE', Refusal.NOT_SENT)
+            is_there = order.connection in {None, worker.connection}
+            return worker if is_there else Refusal.CONNECTION_GONE
         if links.is_held(worker):
-            links.deliver_held(entry, _hold_handler(order, number))
+            links.deliver_held(entry, _hold_handler(order))
             return Refusal.UNANSWERED
         return worker
 
@@ -293,11 +316,11 @@
             self.request_planning()
 
 
-def _hold_handler(order: HoldOrder, number: int | None) -> OrderHandler:
+def _hold_handler(order: HoldOrder) -> OrderHandler:
     """Return what a process does with a hold that comes late."""
 
     def handle(worker: FaultyWorker) -> OrderReply:
-        if number not in {None, worker.connection}:
+        if order.connection not in {None, worker.connection}:
             return OrderReply(Refusal.UNANSWERED)
         return worker.accept_hold(order)
 
--- a/tests/faulty/workers.py
+++ b/tests/faulty/workers.py
@@ -298,10 +298,7 @@
     def advance(self) -> None:
         """End the runs whose lease, stop or work is due by now."""
         if self._deadline_ms <= self.clock_ms:
-            for name in tuple(self.runs_by_task):
-                self.finish(name, EndKind.LAPSED)
-            for ended in self._ended:
-                self._records_by_number[ended.number].is_void = True
+            self._lapse()
         for run in tuple(self.runs_by_task.values()):
             kind = self._end_kind(run)
             if kind is not None:
@@ -336,6 +333,16 @@
             drain_left_ms=left_s * _MS_PER_S,
         )
 
+    def _lapse(self) -> None:
+        """End all runs; ends that are not acknowledged by now never count."""
+        lived_s = self._deadline_ms / self._clock_rate / _MS_PER_S
+        for run in tuple(self.runs_by_task.values()):
+            self.finish(run.profile.name, EndKind.LAPSED)
+            if run.record.kind is EndKind.LAPSED:
+                run.record.ended_s = self._born_s + lived_s
+        for ended in self._ended:
+            self._records_by_number[ended.number].is_void = True
+
     def _extend_lease(self, deadline_ms: float) -> None:
         """Extend the lease, which never becomes shorter."""
         deadline_ms = min(deadline_ms, self.clock_ms + _MAX_HOLD_MS)
