Test starts that are repeated and come late to a new life

Cause: under test, not mended here. A start without an answer is sent again. The former life runs the second order and lists the run; the first order comes late, to the next life. Listed runs get no stop and no longer lease there, so the task runs there and elsewhere (TWICE).

Ruled out: the longer lease alone, which listed runs do not get.

Conclusion: that a list has shown a run says nothing about other copies of its start that had no answer.

--- a/tests/test_cell_restarts.py
+++ b/tests/test_cell_restarts.py
@@ -319,6 +319,54 @@
             self.assert_kept(phase_s)
 
 
+class TestStartThatWasRepeated(RestartCase):
+    """A start without an answer is sent again, and the first one comes late.
+
+    The former life ran the repeated one and listed the run, so nothing was
+    stopped in the new life, which ran the first one (TWICE).
+    """
+
+    def repeat_start(self, phase_s: float, late_s: float) -> None:
+        """Let a run start by the second of two orders; the first is late."""
+        worker = self.begin(phase_s)
+        self.cell.links.held_share = 1.0
+        self.cell.links.held_s = (late_s, late_s)
+        worker.is_disconnected = True
+        self.cell.submit(LONG)
+        self.pass_time(0.06)
+        self.cell.links.held_share = 0
+        worker.is_disconnected = False
+        self.await_start(LONG)
+        # A hold lists the run.
+        self.pass_time(2)
+        self.restart(worker, unseen_s=0.3)
+        self.pass_time(0)
+
+    def test_new_life_is_cut_off(self) -> None:
+        """The registration alone shows the restart."""
+        for phase_s in _PHASES_S:
+            self.repeat_start(phase_s, 3.5)
+            self.cut_off()
+            self.end_cut()
+            self.assert_kept(phase_s)
+
+    def test_new_life_is_in_reach(self) -> None:
+        """Calls to the new life arrive before the first start does."""
+        for phase_s in _PHASES_S:
+            self.repeat_start(phase_s, 3.5)
+            self.cell.add_worker()
+            self.assert_kept(phase_s)
+
+    def test_scheduler_is_replaced(self) -> None:
+        """The successor knows of one start, from the stored job."""
+        for phase_s in _PHASES_S:
+            self.repeat_start(phase_s, 3.5)
+            self.cut_off()
+            self.replace_scheduler()
+            self.end_cut()
+            self.assert_kept(phase_s)
+
+
 class TestGangThatFails(RestartCase):
     """The members of a gang fail together, which is one run of the gang.
 
