--- a/tests/faulty/term.py
+++ b/tests/faulty/term.py
@@ -17,7 +17,12 @@
     WorkerEntry,
 )
 from apricotlead.protocol.table import Transaction
-from tests.faulty.links import AdviceService, Links, is_valid_ticket
+from tests.faulty.links import (
+    AdviceService,
+    Links,
+    OrderHandler,
+    is_valid_ticket,
+)
 from tests.faulty.shape import MS_PER_S
 from tests.faulty.store import ModelStore
 from tests.faulty.timeline import Process, Timeline
@@ -171,10 +176,11 @@
         )
 
     def _send_start(self, entry: WorkerEntry, order: StartOrder) -> OrderReply:
+        sent_s = self.now
+
         def handle(worker: FaultyWorker) -> OrderReply:
-            now = self._environment.timeline.now
-            has_ticket = is_valid_ticket(order.ticket, worker, now)
-            return worker.start(order, has_ticket=has_ticket)
+            has_ticket = is_valid_ticket(order.ticket, worker, self.now)
+            return worker.start(order, has_ticket=has_ticket, sent_s=sent_s)
 
         return self._environment.links.order(entry, handle)
 
@@ -184,7 +190,10 @@
             lambda worker: worker.stop(order),
         )
         yield _CALL_DELAY_S
-        if reply.refusal is None and self._is_active:
+        workers = self.scheduler.workers
+        # A former life may have acknowledged it.
+        is_current = workers.is_current_fence(entry.worker_id, order.epoch)
+        if reply.refusal is None and is_current and self._is_active:
             self.scheduler.tracker.stop_acked(
                 entry.worker_id,
                 order.task,
@@ -198,23 +207,46 @@
         workers = self.scheduler.workers
         missed_count = 0
         while planned := workers.hold_order(worker_id, self.now):
+            entry, order = planned
             sent_s = self.now
-            answer = yield from self._hold(*planned)
+            answer = yield from self._hold(entry, order)
             if not self._is_active:
                 break
             self.request_planning()
             if isinstance(answer, HoldReport):
                 missed_count = 0
-                workers.hold_answered(worker_id, answer, sent_s, self.now)
-                is_granted = planned[1].deadline_ms is not None
-                yield _POLL_S if is_granted else times.retry_pause_s
+                workers.hold_answered(
+                    worker_id, answer, sent_s, self.now, order
+                )
+                yield self._pause_after_answer_s(worker_id, order)
             else:
-                is_broken = self._environment.links.is_broken(planned[0])
-                reply = OrderReply(answer, is_broken=is_broken)
-                workers.hold_refused(worker_id, reply, self.now)
+                self._handle_failed_hold(entry, order, answer)
                 pauses = min(missed_count, times.most_pauses)
                 yield max(_POLL_S, pauses * times.retry_pause_s)
-                missed_count += 1
+                is_missed = answer is not Refusal.CONNECTION_GONE
+                missed_count += is_missed
+
+    def _pause_after_answer_s(self, worker_id: str, order: HoldOrder) -> float:
+        """Return how long to wait before the next hold of a worker."""
+        workers = self.scheduler.workers
+        is_granted = order.deadline_ms is not None
+        is_grant_due = not is_granted and workers.waits_for_grant(worker_id)
+        if is_grant_due or not workers.has_contact(worker_id):
+            return self._environment.settings.holds.retry_pause_s
+        return _POLL_S
+
+    def _handle_failed_hold(
+        self,
+        entry: WorkerEntry,
+        order: HoldOrder,
+        refusal: Refusal,
+    ) -> None:
+        is_sent = refusal is not Refusal.CONNECTION_GONE
+        is_broken = is_sent and self._environment.links.is_broken(entry)
+        reply = OrderReply(refusal, is_broken=is_broken)
+        self.scheduler.workers.hold_refused(
+            entry.worker_id, reply, self.now, order
+        )
 
     def _hold(
         self,
@@ -223,9 +255,10 @@
     ) -> Process:
         """Make one hold call, a long poll; return the report or the refusal."""
         links = self._environment.links
-        worker = links.reach(entry)
+        worker = self._reach_for_hold(entry, order)
         wait_s = order.wait_ms / MS_PER_S
         if not isinstance(worker, Refusal) and links.is_lost():
+            links.renew_connection(worker)
             worker = Refusal.UNANSWERED
         if isinstance(worker, Refusal):
             if worker is Refusal.UNANSWERED:
@@ -239,9 +272,32 @@
         ends_s = self.now + wait_s
         while self.now < ends_s and not _returns_early(worker):
             yield _POLL_S
+        # The answer is made even if it is lost.
+        report = worker.report()
         if worker.is_disconnected or worker.has_ended or links.is_lost():
+            links.renew_connection(worker)
             return Refusal.UNANSWERED
-        return worker.report()
+        return report
+
+    def _reach_for_hold(
+        self,
+        entry: WorkerEntry,
+        order: HoldOrder,
+    ) -> FaultyWorker | Refusal:
+        """Return the process that a hold reaches, or why it fails.
+
+        A hold with the number of a connection reaches only the process that
+        gave out that number.
+        """
+        links = self._environment.links
+        worker = links.reach(entry)
+        if not isinstance(worker, Refusal):
+            is_there = order.connection in {None, worker.connection}
+            return worker if is_there else Refusal.CONNECTION_GONE
+        if links.is_held(worker):
+            links.deliver_held(entry, _hold_handler(order))
+            return Refusal.UNANSWERED
+        return worker
 
     def _request_advice(self, call: AdviceCall) -> Process:
         asked_s = self.now
@@ -260,6 +316,17 @@
             self.request_planning()
 
 
+def _hold_handler(order: HoldOrder) -> OrderHandler:
+    """Return what a process does with a hold that comes late."""
+
+    def handle(worker: FaultyWorker) -> OrderReply:
+        if order.connection not in {None, worker.connection}:
+            return OrderReply(Refusal.UNANSWERED)
+        return worker.accept_hold(order)
+
+    return handle
+
+
 def _returns_early(worker: FaultyWorker) -> bool:
     """Return whether a worker ends a long poll, or its connection ends."""
     is_broken = worker.has_ended and worker.closes_connections
