Keep a run that a late start may begin in a later life of its worker

What callers saw: two runs at once.

Cause: a run that a list had shown was taken for over once its worker had restarted. If its first start had got no answer and a repetition had begun it, the first one could still come late and begin it again in the new life, while another worker ran the task. And a successor used the plain lease for a run that its predecessor had just sent, though a life that nobody had seen yet may have taken it.

Change: a run with an unanswered start stays with its worker's new life until that has answered, or until what a late call may have granted is over. A successor counts young runs by the longest lease, from the last renewal of the former term.

Evidence: TestStartThatWasRepeated.test_new_life_is_cut_off and, of TestDeadlineOfAFormerLife, test_hold and test_scheduler_is_replaced_during_the_cut failed before and pass now.

--- a/src/apricotlead/coordination/cell/lease_records.py
+++ b/src/apricotlead/coordination/cell/lease_records.py
@@ -41,8 +41,9 @@
             renewed_s = clock.to_local_s(former.renewed_ms, now)
             self._latest_expiry_s = max(now, _expiry_s(settings, renewed_s))
             times = settings.leases
+            # A scheduler that sends anything renews its term meanwhile.
             self._misdirected_until_s = (
-                renewed_s + times.start_within_s + times.misdirected_s
+                renewed_s + settings.election.renew_s + times.longest_run_s
             )
         self._former_by_worker: ExpiryByWorker = {}
         # The records in the write in progress.
--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -100,6 +100,7 @@
         task.placed_s = now
         task.started_s = now
         task.is_start_known = True
+        task.has_unanswered_start = False
         task.may_outlast_lease = True
         task.first_progress = None
         task.progress = 0.0
@@ -243,18 +244,25 @@
             key = (worker.worker_id, task.name, task.run)
             self.stop_acked_s_by_run.pop(key, None)
 
-    def detach_unlisted_runs(self, worker: WorkerState) -> list[TaskState]:
-        """Remove and return a worker's runs that were sent but never listed."""
-        unlisted = [
+    def detach_open_runs(
+        self, worker: WorkerState, late_since_s: float
+    ) -> list[TaskState]:
+        """Remove and return the runs that a later incarnation may take.
+
+        These were sent and never listed, or were listed although a start got no
+        answer. The starts of runs placed before ``late_since_s`` have all been
+        carried out by now, if ever.
+        """
+        open_runs = [
             task
             for task in worker.tasks_by_name.values()
             if task.is_placed
             and task.phase is not TaskPhase.PLANNED
-            and task.first_progress is None
+            and _has_open_start(task, late_since_s)
         ]
-        for task in unlisted:
+        for task in open_runs:
             worker.release(task)
-        return unlisted
+        return open_runs
 
     def stop_after_restart(
         self, tasks: list[TaskState], worker: WorkerState
@@ -302,3 +310,9 @@
             self.ready_steps_by_name.pop(step.name, None)
         if is_change:
             self.mark_dirty(step.job)
+
+
+def _has_open_start(task: TaskState, late_since_s: float) -> bool:
+    if task.first_progress is None:
+        return True
+    return task.has_unanswered_start and task.placed_s >= late_since_s
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -210,6 +210,7 @@
         worker = start.worker
         if refusal is Refusal.UNANSWERED:
             start.is_outcome_unknown = True
+            task.has_unanswered_start = True
             worker.suspected_s = now
         if start.is_outcome_unknown and refusal in _LOST_REFUSALS:
             # start_order ends the retries once their deadline is near.
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -350,18 +350,21 @@
     def _restore_placements(self, worker: WorkerState) -> None:
         """Account for restored runs.
 
-        One that was meant for a former incarnation of a worker that has since
-        registered again may outlast the lease. The previous scheduler sent no
-        start later than a while after it placed the run, so an old one does not.
+        The previous scheduler sent no start later than a while after it placed
+        the run, so an old run does not outlast the lease of its worker,
+        whichever incarnation took it.
         """
         self._tracker.restore_placements(worker)
         times = self._settings.leases
-        longest_s = times.start_within_s + times.misdirected_s
-        entry = worker.entry
+        lease = worker.lease
+        born_ms = worker.entry.born_ms
         for task in worker.tasks_by_name.values():
-            has_restarted = 0 < task.born_ms < entry.born_ms
-            is_old = task.placed_s + longest_s <= worker.lease.latest_expiry_s
-            task.may_outlast_lease = has_restarted and not is_old
+            sent_s = task.placed_s + times.start_within_s
+            until_s = sent_s + times.misdirected_s
+            task.may_outlast_lease = until_s > lease.latest_expiry_s
+            if task.may_outlast_lease and 0 < task.born_ms < born_ms:
+                # The registered incarnation is not the one it was meant for.
+                lease.note_grant_sent(sent_s)
 
     def _replace_worker(
         self,
@@ -377,12 +380,14 @@
         self._leases.forget(entry.worker_id)
         self._lives_by_id[entry.worker_id] += 1
         guilty = self._crashes.worker_ended(former, Evidence.REBORN, now)
-        unlisted = self._tracker.detach_unlisted_runs(former)
+        times = self._settings.leases
+        late_s = times.start_within_s + times.late_call_s
+        open_runs = self._tracker.detach_open_runs(former, now - late_s)
         self._tracker.forget_worker(former, now)
         self._add(entry, now)
         worker = self._tracker.workers_by_id[entry.worker_id]
         worker.lease.inherit(former.lease)
-        self._tracker.stop_after_restart(unlisted, worker)
+        self._tracker.stop_after_restart(open_runs, worker)
         self._crashes.give_up(guilty, now)
 
     def _requeue_unlisted_restored(
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -56,6 +56,7 @@
         'crashes',
         'failures',
         'first_progress',
+        'has_unanswered_start',
         'index',
         'is_confirmed',
         'is_start_known',
@@ -96,6 +97,8 @@
         # Whether the worker's present incarnation has confirmed the run, also if
         # it is being stopped.
         self.is_confirmed = False
+        # Whether a start of this run may still be on its way to the worker.
+        self.has_unanswered_start = False
         # Whether a later incarnation of the worker may have taken the run, with
         # a lease on its own clock.
         self.may_outlast_lease = False
@@ -278,6 +281,7 @@
             task.checkpoint = stored_task.checkpoint
             task.worker_id = stored_task.worker_id
             task.born_ms = stored_task.born_ms
+            task.has_unanswered_start = True
             if stored_task.is_done:
                 task.phase = TaskPhase.DONE
             elif stored_task.worker_id:
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -25,7 +25,9 @@
     while its last answer is less than ``silent_s`` old. ``longest_hold_s`` is
     the longest lease that a worker accepts, on its own clock: it truncates any
     deadline to that, also one on the clock of a former incarnation.
-    ``delivery_s`` is how long a call may take to reach its worker.
+    ``delivery_s`` is how long a call may take to reach its worker, and
+    ``late_call_s`` how long after its sending a worker may still carry out a
+    call that it has not answered.
     """
 
     lease_s: float = 8.0
@@ -35,20 +37,25 @@
     silent_s: float = 3.2
     longest_hold_s: float = 10.0
     delivery_s: float = 0.8
+    late_call_s: float = 12.0
 
     @property
     def start_within_s(self) -> float:
         """Return how long after its planning a start may be sent."""
         return self.lease_s / 2
 
+    @property
+    def longest_run_s(self) -> float:
+        """Return how long a run may last without a further call."""
+        return self.longest_hold_s * self.slowest_clock + self.margin_s
+
     @property
     def misdirected_s(self) -> float:
         """Return how long a run may last that reached another incarnation.
 
         Counted from when its start was sent.
         """
-        longest_s = self.longest_hold_s * self.slowest_clock
-        return self.delivery_s + longest_s + self.margin_s
+        return self.delivery_s + self.longest_run_s
 
     def max_lease_s(self, longest_hold_s: float) -> float:
         """Return the longest lease that a worker accepts unshortened.
@@ -154,10 +161,17 @@
         )
 
     def inherit(self, former: 'WorkerLease') -> None:
-        """Account for what calls to a former incarnation may have granted."""
+        """Account for what calls to a former incarnation may have granted.
+
+        Those that it had not answered may be carried out by this one.
+        """
+        times = self._times
         until_s = max(former.latest_expiry_s, former.misdirected_until_s)
         self.latest_expiry_s = max(self.latest_expiry_s, until_s)
-        self.misdirected_until_s = max(self.misdirected_until_s, until_s)
+        self.misdirected_until_s = max(
+            self.misdirected_until_s,
+            until_s + times.late_call_s - times.delivery_s,
+        )
 
     def shows_restart(self, clock_ms: float, sent_s: float) -> bool:
         """Return whether an answer proves that the worker has restarted.
