Forget the kind and the tickets of a worker's former life

What callers saw: read in the code, shown by tests.

Tickets and refusals of advice were kept by worker id; each start with a former ticket is refused, and a worker that may run a step now was never asked about again. An entry without a start time reset the known one, and each later report looked like a restart.

Change: a new life gets work once it has registered; tickets and refusals of its former life are dropped; an entry without a start time keeps the known one. A start time in the answer to a start is a proof of a restart, too.

--- a/src/apricotlead/coordination/cell/advice_cache.py
+++ b/src/apricotlead/coordination/cell/advice_cache.py
@@ -112,6 +112,17 @@
             self.steps_by_name[step] = known
         return known
 
+    def forget_worker(self, worker_id: str) -> None:
+        """Discard what is known of a worker that has restarted.
+
+        Tickets are valid for one incarnation, and the next one may be of
+        another kind.
+        """
+        for advice in self.steps_by_name.values():
+            advice.tickets_by_worker.pop(worker_id, None)
+            advice.expires_s.pop(worker_id, None)
+            advice.ineligible_ids.discard(worker_id)
+
     def forget(self, step: str) -> None:
         """Remove a step that needs no more workers."""
         self.steps_by_name.pop(step, None)
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -78,6 +78,7 @@
         self.workers = WorkerWatch(
             settings,
             self.tracker,
+            self.advice,
             self.clock,
             owner.epoch,
             former,
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -136,7 +136,7 @@
     ) -> bool:
         """Apply the reply to a start; tell whether to send it again."""
         task = start.task
-        is_restart = start.worker.lease.shows_restart(reply.clock_ms, sent_s)
+        is_restart = start.worker.is_of_later_life(reply, sent_s)
         if is_restart:
             self._note_restart(start, reply, now)
         if task.run != start.run:
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from apricotlead.coordination.cell.advice_cache import AdviceCache
 from apricotlead.coordination.cell.crash_attribution import CrashAttribution
 from apricotlead.coordination.cell.crash_evidence import Evidence
 from apricotlead.coordination.cell.election import OwnerRow
@@ -38,6 +39,7 @@
     """Tracks which workers are alive and until when their runs may continue."""
 
     __slots__ = (
+        '_advice',
         '_answering_id_by_address',
         '_clock',
         '_crashes',
@@ -56,6 +58,7 @@
         self,
         settings: CellSettings,
         tracker: RunTracker,
+        advice: AdviceCache,
         clock: StoreClock,
         epoch: int,
         former: OwnerRow | None,
@@ -67,6 +70,7 @@
         """
         self._settings = settings
         self._tracker = tracker
+        self._advice = advice
         self._clock = clock
         self._ends = RunEndHandler(tracker)
         self._crashes = CrashAttribution(tracker)
@@ -109,6 +113,9 @@
                 worker=entry.worker_id,
                 left_ms=entry.drain_left_ms,
             )
+        if not entry.born_ms:
+            # An entry without a start time does not tell one life from another.
+            entry = msgspec.structs.replace(entry, born_ms=worker.entry.born_ms)
         worker.update_entry(entry, now)
         return False
 
@@ -378,6 +385,7 @@
         the id, so it may have accepted starts that were sent to the old one.
         """
         self._leases.forget(entry.worker_id)
+        self._advice.forget_worker(entry.worker_id)
         self._lives_by_id[entry.worker_id] += 1
         guilty = self._crashes.worker_ended(former, Evidence.REBORN, now)
         times = self._settings.leases
@@ -426,6 +434,9 @@
     ) -> None:
         entry = msgspec.structs.replace(worker.entry, born_ms=report.born_ms)
         self._replace_worker(worker, entry, now)
+        # Its capacity and labels may be others than those of the former life,
+        # so it gets no work before it has registered.
+        self._tracker.workers_by_id[entry.worker_id].is_listed = False
         # These ends may be listed only once, as the call that the new life
         # answers may have acknowledged them.
         worker = self._tracker.workers_by_id[entry.worker_id]
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -3,7 +3,11 @@
 from collections import deque
 from collections.abc import Callable, Container
 
-from apricotlead.protocol.cell_workers import EndedTask, WorkerEntry
+from apricotlead.protocol.cell_workers import (
+    EndedTask,
+    OrderReply,
+    WorkerEntry,
+)
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import TaskPhase, TaskState
 from apricotlead.state.worker_lease import WorkerLease
@@ -174,6 +178,12 @@
         self.is_proven = True
         self.connection = connection
 
+    def is_of_later_life(self, reply: OrderReply, sent_s: float) -> bool:
+        """Return whether an answer proves that the worker has restarted."""
+        if reply.born_ms > self.entry.born_ms:
+            return True
+        return self.lease.shows_restart(reply.clock_ms, sent_s)
+
     def forget_connection(self) -> None:
         """Record that the next call may reach another incarnation."""
         self.is_proven = False
--- a/tests/test_cell_worker_lives.py
+++ b/tests/test_cell_worker_lives.py
@@ -5,10 +5,11 @@
 
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.starts import PlannedStart
+from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.cell_workers import OrderReply, Refusal
 from apricotlead.state.cell_jobs import TaskState
 from apricotlead.state.worker_lease import WorkerLease
-from tests.cell_rig import ModelWorker, stored_job
+from tests.cell_rig import SMALL, ModelWorker, stored_job
 from tests.restarting_worker import RestartingWorker, RestartRig
 
 FIRST_JOB = '00000000000000aa'
@@ -50,6 +51,9 @@
         # The first finds the connection gone, the second finds the new life.
         for _ in range(3):
             self.rig.hold('w1')
+        self.rig.scheduler.workers.update_worker(
+            self.worker.entry, self.rig.now
+        )
 
 
 class TestAcknowledgementsAtARestart(RestartCase):
@@ -327,3 +331,61 @@
 
     def test_answer_without_a_clock(self) -> None:
         self.assertFalse(self.lease.shows_restart(0, 10.1))
+
+
+class TestKindOfANewLife(RestartCase):
+    """What was known of the former life says nothing about the next one."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.restart()
+        self.rig.hold('w1')
+        self.rig.hold('w1')
+        self.rig.pass_time(1)
+
+    def test_no_work_before_the_registration(self) -> None:
+        """A smaller machine got starts beyond its capacity (LIMIT)."""
+        self.rig.submit(JOB, stored_job())
+        self.rig.pass_time(1)
+        self.assertFalse(self.task.is_placed)
+
+    def test_work_after_the_registration(self) -> None:
+        """The capacity of the new life counts."""
+        smaller = msgspec.structs.replace(self.worker.entry, capacity=SMALL)
+        self.rig.scheduler.workers.update_worker(smaller, self.rig.now)
+        self.rig.submit(JOB, stored_job(StepSpec(2, SMALL)))
+        self.rig.pass_time(1)
+        placed = [task.is_placed for task in self.task.step.tasks]
+        self.assertEqual([True, False], placed)
+
+    def test_entry_without_a_start_time(self) -> None:
+        """Each report after it looked like a further restart."""
+        unknown = msgspec.structs.replace(self.worker.entry, born_ms=0)
+        workers = self.rig.scheduler.workers
+        workers.update_worker(unknown, self.rig.now)
+        _, before = workers.hold_order('w1', self.rig.now)
+        self.rig.pass_time(1)
+        _, after = workers.hold_order('w1', self.rig.now)
+        self.assertEqual(before.epoch, after.epoch)
+
+
+class TestAdviceAtARestart(RestartCase):
+    """A ticket is valid for one life of a worker."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.advice = self.rig.scheduler.advice
+        known = self.advice.advice('step')
+        known.tickets_by_worker['w1'] = 'ticket'
+        known.expires_s['w1'] = self.rig.now + 60
+        self.advice.advice('other').mark_ineligible('w1')
+
+    def test_ticket_of_the_former_life(self) -> None:
+        """The new life refused each start that carried it."""
+        self.restart_seen()
+        self.assertIsNone(self.advice.ticket('step', 'w1', self.rig.now))
+
+    def test_worker_that_was_not_eligible(self) -> None:
+        """The next life may be of a kind that may run the step."""
+        self.restart_seen()
+        self.assertFalse(self.advice.advice('other').has_answer_for('w1'))
