--- a/tests/faulty/faults.py
+++ b/tests/faulty/faults.py
@@ -287,13 +287,19 @@
 def _cut_zone(cell: FaultyCell, zone: list[str]) -> Process:
     """Cut workers off, in half of the cases for longer than any lease.
 
-    Calls may wait on their way as the cut begins.
+    Calls may wait on their way as the cut begins. In half of the cases the
+    workers cannot register either.
     """
     cell.links.held_share = cell.random.choice(_HELD_SHARES)
     _set_disconnected(cell, zone, value=True)
+    duration_s = cell.random.uniform(*cell.random.choice(_CUTS_S))
+    if cell.random.random() < 0.5:
+        for worker_id in zone:
+            worker = cell.workers_by_id[worker_id]
+            worker.registers_from_s = cell.now + _HELD_S + duration_s
     yield _HELD_S
     cell.links.held_share = 0
-    yield cell.random.uniform(*cell.random.choice(_CUTS_S))
+    yield duration_s
     _set_disconnected(cell, zone, value=False)
 
 
