--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -31,6 +31,9 @@
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         self._record_run_time(worker, task, ended.kind, now)
+        if ended.kind is EndKind.DONE:
+            # Also of a gang that another member's end has completed.
+            worker.consecutive_failures = 0
         if task.phase is TaskPhase.DONE:
             self._tracker.release_done(worker, task)
         elif _is_final(task, ended.kind):
@@ -113,7 +116,6 @@
     def _handle_success(
         self, worker: WorkerState, task: TaskState, now: float
     ) -> None:
-        worker.consecutive_failures = 0
         step = task.step
         if task.is_start_known and not task.checkpoint:
             self._update_estimates(worker, task, now - task.started_s)
@@ -166,12 +168,7 @@
     ) -> None:
         step = task.step
         if kind is EndKind.FAILED:
-            worker.consecutive_failures += 1
-            task.avoided_workers.add(worker.worker_id)
-            task.failures += 1
-            step.gang_failures += 1
-        elif kind is EndKind.DONE:
-            worker.consecutive_failures = 0
+            _count_failure(worker, task)
         self._tracker.requeue(task, now)
         attempts = step.gang_failures if step.spec.gang else task.failures
         is_bounded = not step.spec.long_running
@@ -179,6 +176,23 @@
             self._tracker.finish(step.job, JobState.FAILED, now)
 
 
+def _count_failure(worker: WorkerState, task: TaskState) -> None:
+    """Count a failed run for its task, its gang and its worker.
+
+    Members of a gang that fail together are one failure of their worker.
+    """
+    step = task.step
+    # Any member of a gang fails on a failing worker, and ends the others' runs.
+    for member in step.tasks if step.spec.gang else [task]:
+        member.avoided_workers.add(worker.worker_id)
+    task.failures += 1
+    is_repeated = step.spec.gang and not step.count_gang_failure(
+        task.run, worker.worker_id
+    )
+    if not is_repeated:
+        worker.consecutive_failures += 1
+
+
 def _is_final(task: TaskState, kind: EndKind) -> bool:
     """Tell whether an end completes a task."""
     return kind is EndKind.DONE and not task.step.spec.long_running
--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -100,7 +100,7 @@
         task.placed_s = now
         task.started_s = now
         task.is_start_known = True
-        task.is_confirmed = False
+        task.may_outlast_lease = True
         task.first_progress = None
         task.progress = 0.0
         task.progress_s = now
@@ -182,7 +182,7 @@
 
     def mark_running(self, task: TaskState, now: float) -> None:
         """Mark a run as running once its worker has confirmed it."""
-        task.is_confirmed = True
+        task.may_outlast_lease = False
         if task.phase is TaskPhase.SENT:
             task.started_s = now
             task.progress_s = now
@@ -263,7 +263,7 @@
         for task in tasks:
             worker.place(task)
         for moved in tasks:
-            moved.is_confirmed = False
+            moved.may_outlast_lease = True
             moved.born_ms = worker.entry.born_ms
             # Stops sent to, or acknowledged by, the old incarnation are void.
             self.set_phase(moved, TaskPhase.SENT)
@@ -296,6 +296,8 @@
         if phase is TaskPhase.DONE:
             step.done_count += 1
         task.phase = phase
+        if phase is not TaskPhase.STOPPING:
+            task.is_confirmed = phase is TaskPhase.RUNNING
         if not step.waiting_count:
             self.ready_steps_by_name.pop(step.name, None)
         if is_change:
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -361,7 +361,7 @@
         for task in worker.tasks_by_name.values():
             has_restarted = 0 < task.born_ms < entry.born_ms
             is_old = task.placed_s + longest_s <= worker.lease.latest_expiry_s
-            task.is_confirmed = is_old or not has_restarted
+            task.may_outlast_lease = has_restarted and not is_old
 
     def _replace_worker(
         self,
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -60,6 +60,7 @@
         'is_confirmed',
         'is_start_known',
         'load',
+        'may_outlast_lease',
         'name',
         'not_before_s',
         'percent',
@@ -92,8 +93,12 @@
         self.started_s = 0.0
         # Whether the run began during this scheduler's term.
         self.is_start_known = False
-        # Whether the worker's present incarnation has confirmed the run.
+        # Whether the worker's present incarnation has confirmed the run, also if
+        # it is being stopped.
         self.is_confirmed = False
+        # Whether a later incarnation of the worker may have taken the run, with
+        # a lease on its own clock.
+        self.may_outlast_lease = False
         # None until a worker reports the run; a resumed run starts above 0.
         self.first_progress: float | None = None
         self.progress = 0.0
@@ -135,6 +140,8 @@
     __slots__ = (
         'apart_for',
         'done_count',
+        'gang_failed_run',
+        'gang_failed_worker_ids',
         'gang_failures',
         'has_crashed',
         'has_lived',
@@ -167,7 +174,11 @@
         ]
         self.done_count = 0
         self.waiting_count = len(self.tasks)
+        # Runs of a gang in which a member has failed, and the latest of them.
         self.gang_failures = 0
+        self.gang_failed_run = 0
+        # The workers that reported a failed member of that run to this term.
+        self.gang_failed_worker_ids: set[str] = set()
         # Longest run observed from start to end, 0 before the first.
         self.longest_full_run_s = 0.0
         # The same including resumed runs and gangs; logged when the job ends.
@@ -208,6 +219,22 @@
             return Resources(0, requested.memory_mb, requested.accelerators)
         return requested
 
+    def count_gang_failure(self, run: int, worker_id: str) -> bool:
+        """Count a failed run of the gang, once for all of its members.
+
+        Returns whether it is the first failed member of that run on the worker.
+
+        Former versions counted by member and did not store the run, so their
+        rows may contain more failures than runs, and this run already.
+        """
+        if run > self.gang_failed_run:
+            self.gang_failed_run = run
+            self.gang_failures = min(self.gang_failures + 1, run)
+            self.gang_failed_worker_ids.clear()
+        is_first = worker_id not in self.gang_failed_worker_ids
+        self.gang_failed_worker_ids.add(worker_id)
+        return is_first
+
     def recount(self) -> None:
         """Recompute the counts of phases after a task has changed."""
         phases = [task.phase for task in self.tasks]
@@ -227,6 +254,7 @@
                 for task in self.tasks
                 if task.crashes.total
             ),
+            self.gang_failed_run,
         )
 
     def restore(
@@ -237,6 +265,7 @@
         Raises :class:`ValueError` for the record of another step.
         """
         self.gang_failures = record.gang_failures
+        self.gang_failed_run = record.gang_failed_run
         for task, stored_task in zip(self.tasks, record.tasks, strict=True):
             task.run = stored_task.run
             task.placed_s = now
