Test leases that a late start extends, and starts two seconds late

Cause: under test, not mended here. A deadline holds for all that runs on a worker. The short run of a start for the former life makes the new life's lease 10 s long; a successor that knows only the new life counts on its own deadline for what it starts there next. And a start without an answer may be carried out two seconds later, with a lease that begins then.

Ruled out: the scheduler that sent the first start, which inherits its bound.

Conclusion: two cases are left in which a run outlives the lease that the scheduler accounts for, beside a successor that nothing tells of the restart (test_hold, test_scheduler_is_replaced_during_the_cut).

--- a/tests/test_cell_restarts.py
+++ b/tests/test_cell_restarts.py
@@ -42,10 +42,11 @@
 )
 KINDS = (SHORT, LONG, FAILING_GANG)
 
-# Ten of 1 to 24 broke a rule. 59: a run outlived its lease whose start was sent
-# after the restart. 61, 121 and 175: jobs were given up, as workers under them
-# had restarted.
-_CI_SEEDS = '1-24,59,61,121,175'
+# 1 to 8 and some that fail with a mechanism taken out. 27 to 187: the scheduler
+# acknowledges ends on any connection. 52, 97 and 164: it counts on leases as
+# long as its own. 1, 4 and 7: each failed member of a gang counts as a run. 46,
+# 360 and 531 failed when they were added.
+_CI_SEEDS = '1-8,27,40,45,46,52,64,81,87,97,100,112,164,187,360,531'
 _QUICK_WORK = JobKind(
     'quick', 3, (1, 3), (700, 2000), (1000, 4000), (0.05, 0.6)
 )
@@ -286,13 +287,13 @@
             self.end_cut()
             self.assert_kept(phase_s)
 
-    def test_start_that_waits_on_its_way(self) -> None:
-        """The start is sent while nothing listens, and comes later."""
+    def assert_late_start_lapses_in_time(self, late_s: float) -> None:
+        """Send the start while nothing listens; it comes after ``late_s``."""
         for phase_s in _PHASES_S:
             worker = self.begin(phase_s)
             self.cell.links.held_share = 1.0
-            self.cell.links.held_s = (0.5, 0.5)
-            self.restart(worker, down_s=0.4)
+            self.cell.links.held_s = (late_s, late_s)
+            self.restart(worker, down_s=late_s - 0.1)
             self.cell.submit(LONG)
             self.await_start(LONG)
             self.cell.links.held_share = 0
@@ -300,6 +301,34 @@
             self.end_cut()
             self.assert_kept(phase_s)
 
+    def test_start_that_waits_on_its_way(self) -> None:
+        self.assert_late_start_lapses_in_time(0.5)
+
+    def test_start_that_waits_for_two_seconds(self) -> None:
+        """Calls without an answer may be carried out seconds later."""
+        self.assert_late_start_lapses_in_time(2)
+
+    def test_lease_of_a_run_that_the_new_life_confirmed(self) -> None:
+        """A deadline holds for all that runs there, also for later starts.
+
+        A short run is started before the restart is known. The successor of
+        the scheduler starts a long one there, and counts on its deadline.
+        """
+        for phase_s in _PHASES_S:
+            self.restart(self.begin(phase_s))
+            self.cell.submit(SHORT)
+            self.await_start(SHORT)
+            worker = self.cell.workers_by_id['w1']
+            worker.registers_from_s = self.cell.now
+            self.cell.register(worker)
+            self.replace_scheduler()
+            self.cell.submit(LONG)
+            self.await_start(LONG)
+            self.pass_time(0.02)
+            self.cut_off()
+            self.end_cut()
+            self.assert_kept(phase_s)
+
     def test_hold(self) -> None:
         """The hold after a broken one is the first to reach the new process.
 
