Count the longest lease of a former term's workers in every case

What callers saw: two runs at once, shown in virtual time (test_lease_of_a_run_that_the_new_life_confirmed).

Cause: a deadline holds for all that runs on a worker, so a run that a successor starts in a new life lasts as long as the longest lease that a call of the former term has granted there. Only young restored runs were counted so.

Change: a successor takes the longest lease that a worker accepts, from the last renewal of the former term, for the lease itself: 10.65 s instead of 9.58 s after that renewal with the usual settings.

--- a/src/apricotlead/coordination/cell/lease_records.py
+++ b/src/apricotlead/coordination/cell/lease_records.py
@@ -18,7 +18,6 @@
         '_clock',
         '_former_by_worker',
         '_latest_expiry_s',
-        '_misdirected_until_s',
         '_recorded_by_worker',
         '_rows',
         '_settings',
@@ -36,15 +35,9 @@
         self._settings = settings
         self._clock = clock
         self._latest_expiry_s = now
-        self._misdirected_until_s = now
         if former is not None:
             renewed_s = clock.to_local_s(former.renewed_ms, now)
             self._latest_expiry_s = max(now, _expiry_s(settings, renewed_s))
-            times = settings.leases
-            # A scheduler that sends anything renews its term meanwhile.
-            self._misdirected_until_s = (
-                renewed_s + settings.election.renew_s + times.longest_run_s
-            )
         self._former_by_worker: ExpiryByWorker = {}
         # The records in the write in progress.
         self._unconfirmed_by_worker: ExpiryByWorker = {}
@@ -125,10 +118,7 @@
         if expiry_ms:
             expiry_s = self._clock.to_local_s(expiry_ms, now)
             until_s = expiry_s + times.margin_s
-        lease = WorkerLease(times, now, until_s)
-        if not expiry_ms:
-            lease.misdirected_until_s = max(until_s, self._misdirected_until_s)
-        return lease
+        return WorkerLease(times, now, until_s)
 
     def _expiry_ms(self, worker: WorkerState, now: float) -> float:
         """Return the expiry to record for a worker, 0 if it is in contact."""
@@ -150,10 +140,15 @@
 
 
 def _expiry_s(settings: CellSettings, renewed_s: float) -> float:
-    """Return the latest time at which a previous term's lease may expire."""
+    """Return the latest time at which a previous term's lease may expire.
+
+    A worker that has restarted may hold the longest lease that it accepts. The
+    previous scheduler has renewed its term while it sent anything.
+    """
     times = settings.leases
-    longest_s = times.longest_s * times.slowest_clock
-    return renewed_s + longest_s + times.margin_s
+    longest_s = times.longest_s * times.slowest_clock + times.margin_s
+    longest_run_s = settings.election.renew_s + times.longest_run_s
+    return renewed_s + max(longest_s, longest_run_s)
 
 
 def _max_contact_age_s(settings: CellSettings) -> float:
