Keep the leases of a worker by its life

What callers saw: a task that ran on a worker which had restarted at another address lost its lease, or was started again while its first run went on; after a hand-over it could stay in doubt for outage_s (an hour).

Each acknowledgement, and each adopted attempt, set that address to its own, so the end of an attempt of the former life sent the renewals of the present one to the former address. If another worker had taken that address, its boot id counted as a restart and ended the attempts at once.

Evidence: tests/test_worker_lives.py, without network.

Change: a channel belongs to one boot of a worker and keeps its address, clock, renewals and acknowledgements. Another boot's answer ends the attempts of the boot that was called; an answer of the boot that was called ends those of all boots known before the call was sent, because a worker's id has one life at a time.

--- a/src/apricotlead/coordination/lease_channel.py
+++ b/src/apricotlead/coordination/lease_channel.py
@@ -1,4 +1,4 @@
-"""State of one journal's attempts on one worker, and of the calls to it."""
+"""State of one journal's attempts in one life of a worker, and its calls."""
 
 from collections.abc import Iterable
 from typing import Literal
@@ -70,11 +70,12 @@
 
 
 class Channel:
-    """The leases, polls and timers of one journal on one worker.
+    """The leases, polls and timers of one journal on one boot of a worker.
 
-    ``answered_s`` is the time of the worker's last answer, ``failed_s`` that
-    of the last failure since then, ``delay_s`` the back-off before the next
-    poll after a failed one (0 after an answer).
+    ``opened_s`` is a time at which this boot had begun, ``answered_s`` the
+    time of the last answer, ``failed_s`` that of the last failure since then,
+    ``delay_s`` the back-off before the next poll after a failed one (0 after
+    an answer).
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         'acknowledged',
         'address',
         'answered_s',
+        'boot_id',
         'clock',
         'delay_s',
         'failed_s',
@@ -90,6 +92,7 @@
         'leases_by_id',
         'next_poll_s',
         'next_stop_s',
+        'opened_s',
         'polls_by_number',
         'wake_s',
         'worker_id',
@@ -100,10 +103,12 @@
         self.clock = WorkerClock(max_drift)
         self.journal_id = attempt.journal_id
         self.worker_id = attempt.assigned.worker_id
+        self.boot_id = attempt.assigned.boot_id
         self.address = attempt.assigned.address
         self.leases_by_id: dict[str, Lease] = {}
         self.acknowledged: dict[str, None] = {}
         self.polls_by_number: dict[int, Call] = {}
+        self.opened_s = now
         self.answered_s = now
         self.absent_since_s: float | None = None
         self.failed_s = float('-inf')
@@ -155,28 +160,14 @@
         found = (self.leases_by_id.get(one) for one in attempt_ids)
         return tuple(lease for lease in found if lease is not None)
 
-    def min_clock_s(self, attempt_ids: Iterable[str], now: float) -> float:
-        """Return a lower bound of the worker's clock for all these attempts.
-
-        The attempts can be of several boots. The smallest bound is safe for
-        each, and the answer shows which are of an earlier boot.
-        """
-        boot_ids = {
-            lease.attempt.assigned.boot_id
-            for lease in self.leases_of(attempt_ids)
-        }
-        return min(
-            self.clock.lower_bound_s(boot_id, now) for boot_id in boot_ids
-        )
+    def min_clock_s(self, now: float) -> float:
+        """Return a lower bound of the clock of this boot."""
+        return self.clock.lower_bound_s(self.boot_id, now)
 
     def record_clock(self, boot_id: str, clock_s: float, now: float) -> None:
-        """Record the worker's clock; drop boots that no lease refers to."""
-        self.clock.observe(boot_id, clock_s, now)
-        boot_ids = {
-            lease.attempt.assigned.boot_id
-            for lease in self.leases_by_id.values()
-        }
-        self.clock.keep_only(boot_ids | {boot_id})
+        """Record the clock in an answer, unless another boot has answered."""
+        if boot_id == self.boot_id:
+            self.clock.observe(boot_id, clock_s, now)
 
     def record_answer(self, now: float) -> None:
         """Reset the back-off, so that the next poll is due at once."""
--- a/src/apricotlead/coordination/task_leases.py
+++ b/src/apricotlead/coordination/task_leases.py
@@ -1,5 +1,6 @@
 """Starts attempts, renews their leases and receives their endings."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from heapq import heappop, heappush
 from typing import Any, ClassVar, Protocol
@@ -98,6 +99,10 @@
 class TaskLeases(Component):
     """Renews all attempts of a journal on a worker with one long poll.
 
+    Each life (boot) of a worker has a channel of its own, because the next
+    one can have another address: a call that goes to the former address
+    would renew nothing, or be answered by another worker.
+
     An attempt ends when its worker reports it, when its start provably never
     happened, or when it is lost: the worker restarted, or does not answer
     and its lease must have expired there. Each renewal carries the end of the
@@ -109,7 +114,7 @@
     name: ClassVar[str] = 'leases'
     __slots__ = (
         '_calls_by_number',
-        '_channels_by_key',
+        '_channels_by_worker',
         '_directory',
         '_down_ids',
         '_number',
@@ -133,7 +138,10 @@
         self._directory = directory
         self._down_ids: frozenset[str] = frozenset()
         self._number = 0
-        self._channels_by_key: dict[tuple[str, str], Channel] = {}
+        # By journal and worker, then by boot.
+        self._channels_by_worker: dict[tuple[str, str], dict[str, Channel]] = (
+            defaultdict(dict)
+        )
         self._calls_by_number: dict[int, Call] = {}
         self._timers: list[tuple[float, int, Channel | int]] = []
 
@@ -159,7 +167,7 @@
                     'attempts': len(channel.leases_by_id),
                     'silent_s': now - channel.answered_s,
                 }
-                for channel in self._channels_by_key.values()
+                for channel in self._channels()
             ],
         }
 
@@ -174,6 +182,7 @@
         channel = self._channel_of(attempt, now)
         if signal.attempt_id in channel.leases_by_id:
             return ()
+        channel.address = attempt.assigned.address
         self._record_grant_clock(channel, attempt, now)
         # The worker refuses the start after ``not_after_s``; a start accepted
         # at that time gets a full lease.
@@ -219,7 +228,7 @@
         self._down_ids = down_ids
         return [
             self._end(channel, lease, 'lapsed', ran=None)
-            for channel in tuple(self._channels_by_key.values())
+            for channel in tuple(self._channels())
             if channel.worker_id in newly_down_ids
             for lease in tuple(channel.leases_by_id.values())
         ]
@@ -264,10 +273,9 @@
         now: float,
     ) -> Iterable[Signal]:
         """Drop the journal's attempts without sending anything."""
-        for key, channel in tuple(self._channels_by_key.items()):
+        for channel in tuple(self._channels()):
             if channel.journal_id == signal.journal_id:
-                channel.is_closed = True
-                self._channels_by_key.pop(key)
+                self._close(channel)
         self._calls_by_number = {
             number: call
             for number, call in self._calls_by_number.items()
@@ -322,21 +330,37 @@
         clock_s = assigned.not_after_s - self._settings.grant_ttl_s
         channel.clock.observe(assigned.boot_id, clock_s, now)
 
+    def _channels(self) -> Iterator[Channel]:
+        for channels_by_boot in self._channels_by_worker.values():
+            yield from channels_by_boot.values()
+
+    def _channels_on_worker(
+        self,
+        journal_id: str,
+        worker_id: str,
+    ) -> Mapping[str, Channel]:
+        """Return the channels to the lives of a worker, by boot."""
+        return self._channels_by_worker.get((journal_id, worker_id), {})
+
     def _channel_of(self, attempt: Attempt, now: float) -> Channel:
-        key = (attempt.journal_id, attempt.assigned.worker_id)
-        channel = self._channels_by_key.get(key)
+        assigned = attempt.assigned
+        key = (attempt.journal_id, assigned.worker_id)
+        channels_by_boot = self._channels_by_worker[key]
+        channel = channels_by_boot.get(assigned.boot_id)
         if channel is None:
             channel = Channel(attempt, self._settings.max_drift, now)
-            self._channels_by_key[key] = channel
-        channel.address = attempt.assigned.address
+            channels_by_boot[assigned.boot_id] = channel
         return channel
 
     def _find_channel(self, attempt_id: str) -> Channel | None:
         attempt = self._table.attempts_by_id.get(attempt_id)
         if attempt is None:
             return None
-        key = (attempt.journal_id, attempt.assigned.worker_id)
-        channel = self._channels_by_key.get(key)
+        assigned = attempt.assigned
+        channel = self._channels_on_worker(
+            attempt.journal_id,
+            assigned.worker_id,
+        ).get(assigned.boot_id)
         if channel is None or attempt_id not in channel.leases_by_id:
             return None
         return channel
@@ -478,9 +502,7 @@
             channel.next_poll_s = call.sent_s + self._settings.short_poll_s
         for acknowledged_id in call.acknowledged_ids:
             channel.acknowledged.pop(acknowledged_id, None)
-        for lease in channel.leases_of(channel.pollable_ids()):
-            if lease.is_of_earlier_boot(reply.boot_id, call.sent_s):
-                yield self._end(channel, lease, 'lapsed', ran=None)
+        yield from self._end_earlier_lives(call, reply.boot_id, now)
         reported_ids = {report.attempt_id for report in reply.attempts}
         unreported_ids = (
             one for one in call.attempt_ids if one not in reported_ids
@@ -491,6 +513,41 @@
             for known in channel.leases_of((report.attempt_id,)):
                 yield from self._apply_report(channel, known, report, reply)
 
+    def _end_earlier_lives(
+        self,
+        call: Call,
+        boot_id: str,
+        now: float,
+    ) -> Iterator[AttemptEnded]:
+        """End the attempts of lives that an answer shows to be over.
+
+        Another boot than the one called shows only that this one is over: at
+        a former address, any other worker can answer.
+        """
+        if boot_id != call.channel.boot_id:
+            yield from self._end_earlier_life(call.channel, call, boot_id)
+            return
+        channels_by_boot = self._channels_on_worker(
+            call.channel.journal_id,
+            call.channel.worker_id,
+        )
+        for channel in tuple(channels_by_boot.values()):
+            if channel.boot_id != boot_id and channel.opened_s <= call.sent_s:
+                # Nothing is left there that could be discarded.
+                channel.acknowledged.clear()
+                yield from self._end_earlier_life(channel, call, boot_id)
+                self._schedule(channel, now)
+
+    def _end_earlier_life(
+        self,
+        channel: Channel,
+        call: Call,
+        boot_id: str,
+    ) -> Iterator[AttemptEnded]:
+        for lease in channel.leases_of(channel.pollable_ids()):
+            if lease.is_of_earlier_boot(boot_id, call.sent_s):
+                yield self._end(channel, lease, 'lapsed', ran=None)
+
     def _apply_report(
         self,
         channel: Channel,
@@ -621,9 +678,15 @@
 
     def _close_if_empty(self, channel: Channel) -> None:
         if channel.is_empty():
-            channel.is_closed = True
-            key = (channel.journal_id, channel.worker_id)
-            self._channels_by_key.pop(key, None)
+            self._close(channel)
+
+    def _close(self, channel: Channel) -> None:
+        channel.is_closed = True
+        key = (channel.journal_id, channel.worker_id)
+        channels_by_boot = self._channels_by_worker.get(key, {})
+        channels_by_boot.pop(channel.boot_id, None)
+        if not channels_by_boot:
+            self._channels_by_worker.pop(key, None)
 
     def _send_stops(self, channel: Channel, now: float) -> Iterator[Signal]:
         stop_ids = channel.stop_ids()
@@ -692,10 +755,7 @@
         journal_id = channel.journal_id
         lease_until_s = None
         if call.attempt_ids:
-            lease_until_s = self._settings.lease_s + channel.min_clock_s(
-                call.attempt_ids,
-                now,
-            )
+            lease_until_s = self._settings.lease_s + channel.min_clock_s(now)
         return RenewLeases(
             journal_id,
             self._table.epoch_of(journal_id),
--- a/src/apricotlead/coordination/worker_clock.py
+++ b/src/apricotlead/coordination/worker_clock.py
@@ -1,7 +1,5 @@
 """Lower bounds of a worker's clock, derived from its replies."""
 
-from collections.abc import Container
-
 from msgspec import Struct
 
 
@@ -45,11 +43,5 @@
         bound = self._bounds_by_boot[boot_id]
         return bound.at_s + (clock_s - bound.clock_s) / self._slowest_rate
 
-    def keep_only(self, boot_ids: Container[str]) -> None:
-        """Remove the bounds of all other boots."""
-        for boot_id in tuple(self._bounds_by_boot):
-            if boot_id not in boot_ids:
-                self._bounds_by_boot.pop(boot_id)
-
     def _extrapolate(self, bound: _Bound, now: float) -> float:
         return bound.clock_s + (now - bound.at_s) * self._slowest_rate
--- /dev/null
+++ b/tests/test_worker_lives.py
@@ -0,0 +1,167 @@
+"""Guards against messages, answers and state that pass to another life.
+
+A life, or boot, of a worker is one process. The next one can have the same
+id, the same address, or both.
+"""
+
+from msgspec import structs
+from testtools import TestCase
+
+from apricotlead.coordination.task_leases import LeaseSettings, TaskLeases
+from apricotlead.protocol.jobs import AttemptFinished
+from apricotlead.protocol.signals import (
+    AttemptAdopted,
+    AttemptEnded,
+    AttemptForgotten,
+    AttemptStarting,
+    CallWorker,
+    Tick,
+)
+from apricotlead.protocol.workers import (
+    Accepted,
+    CallFailed,
+    LeasesReply,
+    RenewLeases,
+)
+from apricotlead.state.job_table import JobTable
+from tests.job_samples import (
+    JOURNAL,
+    accepted,
+    assigned,
+    of_type,
+    replied,
+    session_view,
+)
+
+FORMER_ADDRESS = '10.0.0.1:1'
+ADDRESS = '10.0.0.2:1'
+FORMER = structs.replace(
+    assigned(),
+    boot_id='former',
+    address=FORMER_ADDRESS,
+    not_after_s=9000.0,
+)
+CURRENT = structs.replace(
+    assigned(task=1, attempt=2),
+    boot_id='current',
+    address=ADDRESS,
+)
+ENDED = AttemptFinished(FORMER.attempt_id, 'lapsed', ran=None)
+
+
+def renewals_of(signals):
+    """Return the address and the attempts of each renewal."""
+    return [
+        (call.address, call.request.attempt_ids)
+        for call in of_type(signals, CallWorker)
+        if isinstance(call.request, RenewLeases) and call.request.attempt_ids
+    ]
+
+
+class TestLeasesOfTwoLives(TestCase):
+    """Guards against leases whose calls go to another life of the worker."""
+
+    def setUp(self):
+        """Assign one attempt to each of two lives of worker ``w``."""
+        super().setUp()
+        self.table = JobTable()
+        self.table.open_journal(JOURNAL, 1)
+        for record in (accepted(tasks=2), FORMER, CURRENT):
+            self.table.replay(record)
+        self.leases = TaskLeases(
+            LeaseSettings(outage_s=100),
+            self.table,
+            session_view(),
+        )
+
+    def start(self, assignment, now):
+        """Start an attempt, which its life accepts; return the calls."""
+        signal = AttemptStarting(JOURNAL, assignment.attempt_id)
+        start = self.leases.start(signal, now)[0]
+        reply = Accepted(now, assignment.boot_id)
+        return self.leases.handle_reply(replied(start, reply), now)
+
+    def acknowledge_former(self, now):
+        """Make the end of the former life's attempt durable."""
+        self.table.replay(ENDED)
+        signal = AttemptForgotten(JOURNAL, FORMER.attempt_id)
+        self.leases.acknowledge(signal, now)
+
+    def test_acknowledgement_leaves_the_address_of_the_renewals(self):
+        """Guards against renewals that go to the former life's address.
+
+        The current life got none, and its lease ran out under a running task.
+        """
+        poll = self.start(CURRENT, 0)[0]
+        self.acknowledge_former(0.5)
+        running = LeasesReply(1, CURRENT.boot_id)
+        following = self.leases.handle_reply(replied(poll, running), 1)
+        following += self.leases.act_on_time(Tick(), 2)
+        self.assertEqual(
+            [(ADDRESS, (CURRENT.attempt_id,))],
+            renewals_of(following),
+        )
+
+    def test_process_at_the_former_address_ends_no_attempt(self):
+        """Guards against a second run while the first one goes on.
+
+        Another worker that has the former life's address answered with a boot
+        of its own, which counted as a restart.
+        """
+        poll = self.start(CURRENT, 0)[0]
+        self.acknowledge_former(0.5)
+        running = LeasesReply(1, CURRENT.boot_id)
+        following = self.leases.handle_reply(replied(poll, running), 1)
+        following += self.leases.act_on_time(Tick(), 2)
+        stranger = LeasesReply(70, 'stranger')
+        for call in of_type(following, CallWorker):
+            if call.address == FORMER_ADDRESS:
+                reply = replied(call, stranger)
+                following += self.leases.handle_reply(reply, 2)
+        self.assertEqual([], of_type(following, AttemptEnded))
+
+    def test_adopter_renews_each_life_at_its_own_address(self):
+        """Guards against a task in doubt for ``outage_s`` after a hand-over.
+
+        The records repeat acknowledgements of attempts of former lives.
+        """
+        signal = AttemptAdopted(JOURNAL, CURRENT.attempt_id)
+        self.leases.adopt(signal, 0)
+        self.acknowledge_former(0)
+        following = self.leases.act_on_time(Tick(), 0)
+        self.assertEqual(
+            [(ADDRESS, (CURRENT.attempt_id,))],
+            renewals_of(following),
+        )
+
+    def test_answer_of_the_current_life_ends_the_former_one(self):
+        """Guards against waiting for a life whose address is dead."""
+        for assignment in (FORMER, CURRENT):
+            signal = AttemptAdopted(JOURNAL, assignment.attempt_id)
+            self.leases.adopt(signal, 0)
+        calls = of_type(self.leases.act_on_time(Tick(), 0), CallWorker)
+        ended = []
+        for call in calls:
+            is_current = call.address == ADDRESS
+            answer = LeasesReply(1, CURRENT.boot_id)
+            reply = answer if is_current else CallFailed(sent=False)
+            ended += of_type(
+                self.leases.handle_reply(replied(call, reply), 0.1),
+                AttemptEnded,
+            )
+        self.assertEqual(
+            [(FORMER.attempt_id, 'lapsed', None)],
+            [(one.attempt_id, one.state, one.ran) for one in ended],
+        )
+
+    def test_acknowledgements_end_with_the_life_that_they_are_for(self):
+        """Guards against calls to a dead address for ``acknowledge_s``."""
+        self.acknowledge_former(0)
+        lost = of_type(self.leases.act_on_time(Tick(), 0), CallWorker)[0]
+        self.leases.handle_reply(replied(lost, CallFailed(sent=False)), 0)
+        poll = self.start(CURRENT, 0.05)[0]
+        running = LeasesReply(1, CURRENT.boot_id)
+        self.leases.handle_reply(replied(poll, running), 0.1)
+        following = self.leases.act_on_time(Tick(), 5)
+        addresses = [call.address for call in of_type(following, CallWorker)]
+        self.assertEqual([ADDRESS], addresses)
