Name the worker in each heartbeat

What callers saw: with a gone worker still listed at an address that another worker has taken, twice the capacity of that worker could be in use, or none of it could be granted, until the list was right.

Cause: a heartbeat named its owner and epoch, but not the worker it was meant for. The process answered for both ids, so both ledgers granted its capacity; each id has epochs of its own, so the gone worker's higher epoch fenced off the true owner, or its lower one made its owner give it up.

Evidence: tests/test_worker_lives.py, TestWorkerAtAFormerAddress, without network: 8,000 of 4,000 thousandths of a core in use, free capacity of zero, and a lost ownership. All three tests fail before the change.

Change: the heartbeat carries worker_id. A process with another id refuses it (other_worker) before it compares epochs, and the refusal never ends an ownership. Starts need no such field, as their boot id comes from a heartbeat's reply. A worker that does not know the field ignores it. The expected heartbeats of test_worker_monitor and the model of the fuzz tests now include the id; with the field left out of the call, two tests fail, without the check in the stand-in both fencing tests of test_worker_client.

--- a/src/apricotlead/coordination/worker_monitor.py
+++ b/src/apricotlead/coordination/worker_monitor.py
@@ -292,6 +292,7 @@
             watch.epoch,
             watch.version,
             watch.boot_id if watch.version else '',
+            worker_id,
         )
         call = CallWorker(
             Token(self.name, _HEARTBEAT, watch.pending),
@@ -314,7 +315,7 @@
             full_reply = watch.with_listing(reply)
         if full_reply is not None:
             return self._reconcile(worker_id, watch, full_reply, now)
-        if isinstance(reply, WorkerRefused) and reply.epoch > watch.epoch:
+        if _is_fenced_off(reply, watch.epoch):
             return self._give_up_ownership(worker_id, watch, reply)
         self._ledger.block(worker_id, _UNREACHABLE)
         return (Count('worker_unreachable'),)
@@ -409,6 +410,16 @@
     return tuple(CapacityFreed(worker_id) for worker_id in worker_ids)
 
 
+def _is_fenced_off(reply: WorkerReply, epoch: int) -> bool:
+    """Tell whether the worker has seen a higher epoch.
+
+    The epoch of another worker says nothing about the ownership of this one.
+    """
+    if not isinstance(reply, WorkerRefused) or reply.reason == 'other_worker':
+        return False
+    return reply.epoch > epoch
+
+
 def _counts_for_quarantine(report: AttemptReport) -> bool:
     """Tell whether the outcome counts for or against the worker."""
     outcomes: tuple[AttemptState, ...] = ('failed', 'succeeded')
--- a/src/apricotlead/protocol/workers.py
+++ b/src/apricotlead/protocol/workers.py
@@ -44,13 +44,17 @@
     """Fences former owners and asks for attempts; route ``/v1/heartbeat``.
 
     ``known_version`` is the version of the list that the owner received under
-    this epoch from boot ``known_boot_id``; 0 requests the full list.
+    this epoch from boot ``known_boot_id``; 0 requests the full list. A process
+    that is not the worker ``worker_id`` rejects the heartbeat before it
+    compares epochs: the list can still name a worker that is gone, whose
+    address another one has now. An empty ``worker_id`` names no worker.
     """
 
     owner: str
     epoch: int
     known_version: int = 0
     known_boot_id: str = ''
+    worker_id: str = ''
 
 
 class HeartbeatReply(
@@ -157,7 +161,13 @@
 class WorkerRefused(Struct, frozen=True, tag='refused'):
     """The worker rejected the request; ``reason`` says why."""
 
-    reason: Literal['stale_epoch', 'expired', 'other_boot', 'unknown_attempt']
+    reason: Literal[
+        'stale_epoch',
+        'expired',
+        'other_boot',
+        'other_worker',
+        'unknown_attempt',
+    ]
     epoch: int = 0
     clock_s: float = 0.0
     boot_id: str = ''
--- a/src/apricotlead_standins/worker.py
+++ b/src/apricotlead_standins/worker.py
@@ -158,6 +158,8 @@
         faults: Faults,
         now: float,
     ) -> Result:
+        if message.worker_id not in {'', self._settings.worker_id}:
+            return self._refuse('other_worker', now)
         if message.epoch < self._worker_epoch:
             return self._refuse('stale_epoch', now, self._worker_epoch)
         self._worker_epoch = message.epoch
--- a/src/apricotlead_standins/worker_messages.py
+++ b/src/apricotlead_standins/worker_messages.py
@@ -61,6 +61,7 @@
     epoch: int
     known_version: int = 0
     known_boot_id: str = ''
+    worker_id: str = ''
 
 
 class HeartbeatReply(
--- a/tests/model_worker.py
+++ b/tests/model_worker.py
@@ -63,7 +63,9 @@
         self.ended[attempt_id] = self.running.pop(attempt_id)
 
     def heartbeat(self, request, now):
-        """Return the current state, or refuse an older epoch."""
+        """Return the current state, or refuse another id or older epoch."""
+        if request.worker_id != self.worker_id:
+            return WorkerRefused('other_worker', self.epoch)
         if request.epoch < self.epoch:
             return WorkerRefused('stale_epoch', self.epoch)
         self.epoch = request.epoch
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -60,6 +60,11 @@
 # have started by then.
 FENCING_CASES = {
     'older owner': ((Heartbeat('b', 2), Heartbeat('a', 1)), 'stale_epoch', 0),
+    'heartbeat for another worker': (
+        (Heartbeat('a', 9, worker_id='gone'), start()),
+        '',
+        1,
+    ),
     'older grant': ((Heartbeat('b', 2), start()), 'stale_epoch', 0),
     'previous home starts': ((renew(2), start()), 'stale_epoch', 0),
     'previous home renews': ((start(), renew(2), renew()), 'stale_epoch', 1),
@@ -69,6 +74,11 @@
         'stale_epoch',
         1,
     ),
+    'another worker is meant': (
+        (Heartbeat('a', 9, worker_id='gone'),),
+        'other_worker',
+        0,
+    ),
     'grant of another boot': ((start(boot_id='x'),), 'other_boot', 0),
     'start too late': ((2.1, start()), 'expired', 0),
     'start at the last moment': ((1.9, start()), '', 1),
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -9,6 +9,8 @@
 
 from apricotlead.coordination.task_leases import LeaseSettings, TaskLeases
 from apricotlead.protocol.jobs import AttemptFinished
+from apricotlead.protocol.peers import CapacityGranted
+from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.signals import (
     AttemptAdopted,
     AttemptEnded,
@@ -16,6 +18,8 @@
     AttemptStarting,
     CallWorker,
     Tick,
+    WorkerClaimed,
+    WorkerReplied,
 )
 from apricotlead.protocol.workers import (
     Accepted,
@@ -24,6 +28,7 @@
     RenewLeases,
 )
 from apricotlead.state.job_table import JobTable
+from tests.capacity_rig import CapacityRig, messages_of
 from tests.job_samples import (
     JOURNAL,
     accepted,
@@ -32,7 +37,9 @@
     replied,
     session_view,
 )
+from tests.model_worker import ModelWorker
 
+CAPACITY = Resources(4000, 4000)
 FORMER_ADDRESS = '10.0.0.1:1'
 ADDRESS = '10.0.0.2:1'
 FORMER = structs.replace(
@@ -165,3 +172,56 @@
         following = self.leases.act_on_time(Tick(), 5)
         addresses = [call.address for call in of_type(following, CallWorker)]
         self.assertEqual([ADDRESS], addresses)
+
+
+class TestWorkerAtAFormerAddress(TestCase):
+    """Guards against one process whose capacity is granted under two ids."""
+
+    def setUp(self):
+        """List a gone worker and, at the same address, its successor."""
+        super().setUp()
+        self.rig = CapacityRig()
+        self.process = ModelWorker('later', CAPACITY, 1)
+        self.process.boot(self.rig.now)
+        for worker_id in ('gone', 'later'):
+            self.rig.list_worker(worker_id, CAPACITY)
+
+    def answer_all(self, effects):
+        """Let the one process answer; return the messages to the home."""
+        produced = list(effects)
+        for call in of_type(effects, CallWorker):
+            reply = self.process.heartbeat(call.request, self.rig.now)
+            answer = WorkerReplied(call.token, call.worker_id, reply)
+            produced += self.rig.deliver(answer)
+        return messages_of(produced)
+
+    def claim(self, worker_id, epoch):
+        """Claim a worker and let the process answer."""
+        self.answer_all(self.rig.deliver(WorkerClaimed(worker_id, epoch)))
+
+    def test_its_capacity_is_granted_once(self):
+        """Guards against twice the capacity in use on one process."""
+        for worker_id in ('gone', 'later'):
+            self.claim(worker_id, 1)
+        for request in ('r', 's'):
+            for message in self.rig.ask(request, cpu=4000):
+                if isinstance(message, CapacityGranted):
+                    grant = message.grants[0]
+                    self.process.start(grant, CAPACITY, self.rig.now)
+        self.assertEqual(CAPACITY, self.process.in_use())
+
+    def test_its_owner_is_not_fenced_off(self):
+        """Guards against capacity that is lost until the list is right.
+
+        The gone worker's ownership had the higher epoch.
+        """
+        self.claim('later', 1)
+        self.claim('gone', 5)
+        self.answer_all(self.rig.tick(1))
+        self.assertEqual(CAPACITY, self.rig.ledger.free_of('later'))
+
+    def test_ownership_of_the_gone_worker_is_kept(self):
+        """Guards against an epoch of another worker that ends it."""
+        self.claim('later', 5)
+        self.claim('gone', 1)
+        self.assertIn('gone', self.rig.ledger.workers_by_id)
--- a/tests/test_worker_monitor.py
+++ b/tests/test_worker_monitor.py
@@ -78,7 +78,8 @@
     def test_fences_a_worker_before_any_grant(self):
         """No capacity is available before the worker has seen the epoch."""
         call = self.claim(epoch=3)
-        self.assertEqual(Heartbeat('owner', 3), call.request)
+        expected = Heartbeat('owner', 3, worker_id='w')
+        self.assertEqual(expected, call.request)
         self.assertEqual(NO_CAPACITY, self.free())
         self.answer(call, IDLE_REPLY)
         self.assertEqual(CAPACITY, self.free())
@@ -101,7 +102,8 @@
         busy = reply_with_attempts(('j.0.1-1', CAPACITY, NO_CAPACITY))
         self.answer(self.claim(), structs.replace(busy, version=5))
         call = self.next_heartbeat()
-        self.assertEqual(Heartbeat('owner', 1, 5, 'boot'), call.request)
+        expected = Heartbeat('owner', 1, 5, 'boot', 'w')
+        self.assertEqual(expected, call.request)
         self.answer(call, unchanged)
         self.assertEqual(NO_CAPACITY, self.free())
         self.answer(
@@ -116,9 +118,11 @@
             self.answer(self.next_heartbeat(), wrong)
             self.assertEqual(NO_CAPACITY, self.free())
             call = self.next_heartbeat()
-            self.assertEqual(Heartbeat('owner', 1), call.request)
+            full = Heartbeat('owner', 1, worker_id='w')
+            self.assertEqual(full, call.request)
             self.answer(call, structs.replace(IDLE_REPLY, version=6))
-        self.assertEqual(Heartbeat('owner', 2), self.claim(epoch=2).request)
+        expected = Heartbeat('owner', 2, worker_id='w')
+        self.assertEqual(expected, self.claim(epoch=2).request)
 
     def test_refusal_with_a_higher_epoch_ends_the_ownership(self):
         """A late refusal whose epoch is not higher does not end it."""
