Grant a worker at the address that its reply came from

What callers saw: a start that was refused, or sent to a process that was gone, and a task that waited for its next round, right after a worker had moved.

Cause: a heartbeat's reply was stored with the address that the list named when the reply came in. A list that changed in between made grants with the boot of one life and the address of another, and leases then kept that address.

Evidence: test_worker_lives, test_grant_has_the_address_that_was_called, without network; it fails before the change.

Change: the watch keeps the address of the heartbeat in flight, and the reply is stored with that one.

--- a/src/apricotlead/coordination/worker_monitor.py
+++ b/src/apricotlead/coordination/worker_monitor.py
@@ -74,6 +74,8 @@
     """Heartbeat state of one owned worker.
 
     ``pending`` is the number of the heartbeat in flight, 0 if there is none.
+    ``address`` is where the latest one was sent, and thus where the boot in
+    its reply is; the list can name the next boot's address by then.
     ``attempts`` is the listing with this ``version`` of the worker's boot
     ``boot_id``; ``version`` is 0 if no listing is known. A watch belongs to
     one epoch, so a new owner or a new epoch starts with a full listing.
@@ -83,6 +85,7 @@
     due_s: float
     pending: int = 0
     sent_s: float = float('-inf')
+    address: str = ''
     boot_id: str = ''
     version: int = 0
     attempts: tuple[AttemptReport, ...] = ()
@@ -287,6 +290,7 @@
             unblocked = (CapacityFreed(worker_id),)
         watch.pending = next(self._call_numbers)
         watch.sent_s = now
+        watch.address = instance.address
         heartbeat = Heartbeat(
             self._view.session_id,
             watch.epoch,
@@ -327,10 +331,8 @@
         reply: HeartbeatReply,
         now: float,
     ) -> Iterable[Signal]:
-        instance = self._directory.workers_by_id.get(worker_id)
-        address = instance.address if instance else ''
         has_new_capacity = self._ledger.apply_reply(
-            worker_id, reply, address, now
+            worker_id, reply, watch.address, now
         )
         unblocked = self._ledger.unblock(worker_id, _UNREACHABLE)
         freed = [worker_id] if has_new_capacity or unblocked else []
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -225,3 +225,19 @@
         self.claim('later', 5)
         self.claim('gone', 1)
         self.assertIn('gone', self.rig.ledger.workers_by_id)
+
+    def test_grant_has_the_address_that_was_called(self):
+        """Guards against a grant for one life at the address of the next.
+
+        Its start was refused there, or was sent to a process that was gone.
+        """
+        effects = self.rig.deliver(WorkerClaimed('later', 1))
+        listed = self.rig.directory.workers_by_id
+        called_address = listed['later'].address
+        listed['later'] = structs.replace(listed['later'], address=ADDRESS)
+        self.answer_all(effects)
+        grant = self.rig.ask('r', cpu=4000)[0].grants[0]
+        self.assertEqual(
+            (self.process.boot_id, called_address),
+            (grant.boot_id, grant.address),
+        )
