Use an executor again after it has left and restarted

What callers saw: after executors of a service had been restarted one by one under their ids, lookups were refused as overloaded ("All executors are full"), without end, although all executors were idle.

Cause: an executor's own word that it is leaving was kept by its id, for as long as the list had that id. A restart in less time than the list needs to drop an entry left the mark of the former life on the next one.

Change: the mark ends when the list shows the next life (no longer leaving, or at another address), and after leaving_s (120 s) if the list shows no difference. An executor that is still leaving then refuses one request, which is known not to have run, and is left out again.

--- a/src/apricotlead/coordination/service_routing.py
+++ b/src/apricotlead/coordination/service_routing.py
@@ -32,7 +32,9 @@
     service's executors is skipped at a time. A load reported by the executor
     is valid for ``load_age_s``, and a reading of its clock for
     ``clock_age_s``: the older the reading, the more time of a request is
-    lost to the allowance for ``max_drift``.
+    lost to the allowance for ``max_drift``. An executor that has said that it
+    is leaving is left out for ``leaving_s`` if the list shows neither that nor
+    its next life.
     """
 
     connections: int = 64
@@ -43,17 +45,25 @@
     most_ejected: float = 0.5
     load_age_s: float = 0.25
     clock_age_s: float = 2.0
+    leaving_s: float = 120.0
     max_drift: float = 0.02
 
 
 class _ExecutorState(Struct):
+    """What is known of an executor.
+
+    It said that it is leaving while the list had the entry ``left_as``, at
+    most ``leaving_s`` before ``leaving_until_s``.
+    """
+
     outstanding: int = 0
     reported_outstanding: int = 0
     reported_s: float = float('-inf')
     failures: int = 0
     ejections: int = 0
     avoided_until_s: float = float('-inf')
-    leaving: bool = False
+    leaving_until_s: float = float('-inf')
+    left_as: Instance | None = None
     clock: ExecutorClock | None = None
     clock_read_s: float = float('-inf')
     has_no_clock: bool = False
@@ -67,7 +77,8 @@
     :meth:`record_result`.
 
     A leaving executor gets no new requests once the platform's list, or one
-    of its own responses, reports that it is leaving.
+    of its own responses, reports that it is leaving. An executor can start
+    again under its id, and its next life is not leaving.
     """
 
     __slots__ = ('_directory', '_rng', '_settings', '_states_by_id', '_view')
@@ -136,6 +147,8 @@
         state = self._state(executor_id)
         state.outstanding -= 1
         self._update_state(result, state, now)
+        if state.leaving_until_s > now and state.left_as is None:
+            state.left_as = self._directory.executors_by_id.get(executor_id)
         self._update_clock(state, result, now)
 
     def record_clock(
@@ -189,10 +202,13 @@
         }
 
     def forget_absent(self) -> None:
-        """Drop the states of executors that are no longer listed."""
+        """Drop what refers to executors, or lives, that the list has not."""
         present = self._directory.executors_by_id
         for executor_id, state in tuple(self._states_by_id.items()):
-            if executor_id not in present and not state.outstanding:
+            listed = present.get(executor_id)
+            if listed is not None:
+                _forget_former_life(state, listed)
+            elif not state.outstanding:
                 self._states_by_id.pop(executor_id)
 
     def _update_clock(
@@ -213,7 +229,7 @@
         state: _ExecutorState,
         now: float,
     ) -> None:
-        state.leaving = state.leaving or result.leaving
+        self._record_leaving(result, state, now)
         if result.outstanding is not None:
             state.reported_outstanding = result.outstanding
             state.reported_s = now
@@ -230,7 +246,7 @@
         state: _ExecutorState,
         now: float,
     ) -> None:
-        state.leaving = state.leaving or result.leaving
+        self._record_leaving(result, state, now)
         if result.reachable:
             retry_s = now + result.retry_after_s
             state.avoided_until_s = max(state.avoided_until_s, retry_s)
@@ -246,6 +262,15 @@
     ) -> None:
         self._count_failure(state, now)
 
+    def _record_leaving(
+        self,
+        result: ExecutorAnswered | ExecutorRefused,
+        state: _ExecutorState,
+        now: float,
+    ) -> None:
+        if result.leaving:
+            state.leaving_until_s = now + self._settings.leaving_s
+
     def _count_failure(self, state: _ExecutorState, now: float) -> None:
         state.failures += 1
         if state.failures < self._settings.failures_to_eject:
@@ -265,7 +290,9 @@
         now: float,
     ) -> list[Instance]:
         staying = [
-            executor for executor in executors if not self._is_leaving(executor)
+            executor
+            for executor in executors
+            if not self._is_leaving(executor, now)
         ]
         healthy = [
             executor
@@ -277,8 +304,9 @@
         # spreading requests over all avoids overloading the remaining few.
         return healthy if len(healthy) >= min_healthy else staying
 
-    def _is_leaving(self, executor: Instance) -> bool:
-        return executor.leaving or self._state(executor.instance_id).leaving
+    def _is_leaving(self, executor: Instance, now: float) -> bool:
+        state = self._state(executor.instance_id)
+        return executor.leaving or now < state.leaving_until_s
 
     def _has_capacity(self, executor: Instance, now: float) -> bool:
         state = self._state(executor.instance_id)
@@ -315,3 +343,16 @@
 
     def _state(self, executor_id: str) -> _ExecutorState:
         return self._states_by_id.setdefault(executor_id, _ExecutorState())
+
+
+def _forget_former_life(state: _ExecutorState, listed: Instance) -> None:
+    """Forget that an executor was leaving if the list shows its next life."""
+    former = state.left_as
+    if former is None:
+        return
+    has_moved = listed.address != former.address
+    if has_moved or (former.leaving and not listed.leaving):
+        state.left_as = None
+        state.leaving_until_s = float('-inf')
+    else:
+        state.left_as = listed
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -8,6 +8,8 @@
 from testtools import TestCase
 
 from apricotlead.coordination.task_leases import LeaseSettings, TaskLeases
+from apricotlead.protocol.errors import Overloaded
+from apricotlead.protocol.executors import ExecutorAnswered, ExecutorRefused
 from apricotlead.protocol.jobs import AttemptFinished
 from apricotlead.protocol.peers import CapacityGranted
 from apricotlead.protocol.resources import Resources
@@ -38,6 +40,7 @@
     session_view,
 )
 from tests.model_worker import ModelWorker
+from tests.test_lookups import SERVICE, LookupCase, executor
 
 CAPACITY = Resources(4000, 4000)
 FORMER_ADDRESS = '10.0.0.1:1'
@@ -241,3 +244,55 @@
             (self.process.boot_id, called_address),
             (grant.boot_id, grant.address),
         )
+
+
+class TestExecutorsThatStartAgain(LookupCase):
+    """Guards against what a former life said, held against the next one."""
+
+    executors = (executor('e'),)
+
+    def leave(self, now=0):
+        """Let the executor say that it is leaving."""
+        for result in (
+            ExecutorAnswered(200, b'', leaving=True),
+            ExecutorRefused(leaving=True),
+        ):
+            self.router.record_start('e')
+            self.router.record_result('e', result, now)
+
+    def is_used(self, now):
+        """Return whether the executor gets requests."""
+        try:
+            chosen = self.router.choose(SERVICE, now)
+        except Overloaded:
+            return False
+        return chosen.instance_id == 'e'
+
+    def show(self, now, **changed):
+        """Change the entry of the list and let a tick pass."""
+        self.directory.replace((structs.replace(self.executors[0], **changed),))
+        self.manager.on_tick(Tick(), now)
+
+    def test_executor_that_the_list_no_longer_shows_as_leaving(self):
+        """Guards against a service without executors after their restarts."""
+        self.leave()
+        self.show(1, leaving=True)
+        self.assertFalse(self.is_used(1))
+        self.show(2)
+        self.assertTrue(self.is_used(2))
+
+    def test_executor_at_another_address(self):
+        """Guards against an unused life if the list never showed the end."""
+        self.manager.on_tick(Tick(), 0)
+        self.leave()
+        self.show(1)
+        self.assertFalse(self.is_used(1))
+        self.show(2, address=ADDRESS)
+        self.assertTrue(self.is_used(2))
+
+    def test_executor_that_the_list_shows_as_before(self):
+        """Guards against a life that is never used if it looks the same."""
+        self.leave()
+        self.show(1)
+        self.assertFalse(self.is_used(119))
+        self.assertTrue(self.is_used(121))
