Read the clock of an executor again after one answer without it

What callers saw: an organisation could have more lookups running than its limit, if a request was delayed on its way to an executor.

Cause: an executor that answered the reading of its clock without a clock once, such as a former life of an older version, counted as one that has none for as long as the list had its id. Its lookups then carried no end on its clock, and one that was delayed ran after its unit had been returned.

Evidence: test_worker_lives, test_clock_of_the_life_after_one_without_a_clock, without network; it fails before the change.

Change: an answer with a clock ends that state; the next lookup with a limit reads the clock again.

--- a/src/apricotlead/coordination/service_routing.py
+++ b/src/apricotlead/coordination/service_routing.py
@@ -221,6 +221,8 @@
             return
         state.clock = result.clock
         state.clock_read_s = now
+        # A life without a clock can be followed by one that has one.
+        state.has_no_clock = False
 
     @singledispatchmethod
     def _update_state(
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -9,7 +9,11 @@
 
 from apricotlead.coordination.task_leases import LeaseSettings, TaskLeases
 from apricotlead.protocol.errors import Overloaded
-from apricotlead.protocol.executors import ExecutorAnswered, ExecutorRefused
+from apricotlead.protocol.executors import (
+    ExecutorAnswered,
+    ExecutorClock,
+    ExecutorRefused,
+)
 from apricotlead.protocol.jobs import AttemptFinished
 from apricotlead.protocol.peers import CapacityGranted
 from apricotlead.protocol.resources import Resources
@@ -296,3 +300,18 @@
         self.show(1)
         self.assertFalse(self.is_used(119))
         self.assertTrue(self.is_used(121))
+
+    def test_clock_of_the_life_after_one_without_a_clock(self):
+        """Guards against lookups that run after their unit was returned.
+
+        One answer without a clock, of a former life or in its place, made the
+        executor count as one that has none, so that no end on its clock was
+        sent any more.
+        """
+        lookup = self.open(key='courts')
+        lookup.next_step(0)
+        lookup.handle_clock_reply(ExecutorAnswered(200, b''), 0)
+        lookup.next_step(0)
+        clock = ExecutorClock('next', 5)
+        lookup.handle_result(ExecutorAnswered(200, b'', clock=clock), 0)
+        self.assertTrue(self.router.needs_clock('e', 60))
