End lookups under a limit with the session lease

What callers saw: an organisation could have more lookups and tasks running than its limit for up to 2 s, after an instance had been cut off from the store.

Cause: a lookup was admitted until the last moment of the session lease and then ran for up to longest_deadline_s (2 s). The check of the settings (deadline below the TTL) covers a session that ends right after a renewal only.

Evidence: test_worker_lives, test_lookup_ends_with_the_session_lease, without network: the lookup begun 0.1 s before the end of the lease ended 1.9 s after it. It fails before the change. The overlap itself follows from the code of the adoption and was not played.

Change: the allotments say until when units may be in use (the end of the session lease), and a lookup under a limit ends by then. Lookups without a limit are not shortened. The fake units of test_lookups have the new method, without an end.

--- a/src/apricotlead/coordination/allotments.py
+++ b/src/apricotlead/coordination/allotments.py
@@ -161,6 +161,14 @@
         account.record_refusal(amount, now)
         return False
 
+    def usable_until_s(self, team: str) -> float:
+        """Return when a lookup under a unit must have ended.
+
+        An adopter counts the tasks of a journal, but no lookups, so they must
+        end with the session lease. The empty team has no limit.
+        """
+        return self._view.lease_end_s if team else float('inf')
+
     def release_units(
         self,
         team: str,
--- a/src/apricotlead/coordination/lookups.py
+++ b/src/apricotlead/coordination/lookups.py
@@ -46,8 +46,9 @@
 class LookupSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Deadlines in seconds, tries per request, and the retry budget.
 
-    ``longest_deadline_s`` must be below the session TTL: an adopter may use
-    a dead session's units, so none of its lookups may still run by then.
+    ``longest_deadline_s`` must be below the session TTL: a lookup with a limit
+    also ends with the session lease, because an adopter may use the units of
+    an expired session. While the lease is renewed, the defaults leave it longer.
     """
 
     deadline_s: float = 1.0
@@ -297,7 +298,8 @@
         wait_s = min(wait_s, self._settings.longest_deadline_s)
         self._budget.record_request()
         self.open_count += 1
-        return Lookup(self, request, team, self._journal_id, now + wait_s)
+        ends_s = min(now + wait_s, self._units.usable_until_s(team))
+        return Lookup(self, request, team, self._journal_id, ends_s)
 
     def close(self, lookup: Lookup, now: float) -> None:
         """Return the unit now, or once no executor can still work on it."""
--- a/src/apricotlead/coordination/unit_pool.py
+++ b/src/apricotlead/coordination/unit_pool.py
@@ -15,6 +15,13 @@
     ) -> bool:
         """Take all units or none; return whether they were taken."""
 
+    def usable_until_s(self, team: str) -> float:
+        """Return when units of the team must no longer be in use.
+
+        Only a renewal of the session lease moves this time. Units of running
+        tasks go to the adopter of their journal and are not subject to it.
+        """
+
     def release_units(
         self,
         team: str,
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -75,6 +75,10 @@
         self.free -= amount
         return True
 
+    def usable_until_s(self, team):
+        """Return that units may be in use without end."""
+        return float('inf')
+
     def release_units(self, team, journal_id, amount, now):
         """Return units."""
         self.free += amount
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -4,9 +4,14 @@
 id, the same address, or both.
 """
 
+from random import Random
+
 from msgspec import structs
 from testtools import TestCase
 
+from apricotlead.coordination.allotments import Allotments
+from apricotlead.coordination.limit_account import AllotmentSettings
+from apricotlead.coordination.lookups import LookupRequest
 from apricotlead.coordination.task_leases import LeaseSettings, TaskLeases
 from apricotlead.protocol.errors import Overloaded
 from apricotlead.protocol.executors import (
@@ -33,6 +38,7 @@
     LeasesReply,
     RenewLeases,
 )
+from apricotlead.state.config_view import ConfigView
 from apricotlead.state.job_table import JobTable
 from tests.capacity_rig import CapacityRig, messages_of
 from tests.job_samples import (
@@ -315,3 +321,37 @@
         clock = ExecutorClock('next', 5)
         lookup.handle_result(ExecutorAnswered(200, b'', clock=clock), 0)
         self.assertTrue(self.router.needs_clock('e', 60))
+
+
+class TestLookupsOfAnExpiredSession(LookupCase):
+    """Guards against lookups whose units an adopter already uses."""
+
+    executors = (executor('e'),)
+
+    def setUp(self):
+        """Count units with a session lease that ends at 1."""
+        super().setUp()
+        self.view.lease_end_s = 1
+        allotments = Allotments(
+            AllotmentSettings(),
+            self.view,
+            ConfigView(),
+            Random(1),
+        )
+        self.units.usable_until_s = allotments.usable_until_s
+
+    def test_lookup_ends_with_the_session_lease(self):
+        """Guards against a team beyond its limit while a session is cut off.
+
+        A lookup that began just before the lease ended went on for 2 s more.
+        """
+        lookup = self.manager.open(
+            LookupRequest(SERVICE, key='courts', wait_s=2),
+            0.9,
+        )
+        self.assertEqual(1, lookup.ends_s)
+
+    def test_lookup_without_a_limit_goes_on(self):
+        """Guards against refusals on open queues during a store outage."""
+        lookup = self.manager.open(LookupRequest(SERVICE, wait_s=2), 5)
+        self.assertEqual(7, lookup.ends_s)
