Move the workers of the simulated cell between addresses

The fuzz test of the job lifecycle routed calls by the worker's id, so a call could never reach another worker, or nobody, at a former address. Each boot now has its former address, a new one, or one that any worker had, and a call goes to the process that has the address when it arrives. No check is changed.

--- a/tests/job_cell.py
+++ b/tests/job_cell.py
@@ -145,7 +145,7 @@
                 return Grant(
                     demand.attempt_id,
                     worker.worker_id,
-                    '127.0.0.1:1',
+                    worker.address,
                     worker.epoch,
                     worker.boot_id,
                     not_after_s,
@@ -247,11 +247,15 @@
 
 
 class Worker:
-    """Runs tasks under leases; its clock starts at 0 with each boot."""
+    """Runs tasks under leases; its clock starts at 0 with each boot.
+
+    Each boot has its former address, a new one, or one that any worker had.
+    """
 
     def __init__(self, cell, number):
         self.cell = cell
         self.worker_id = f'w{number}'
+        self.address = ''
         self.owner = None
         self.epoch = 0
         self.boots = 0
@@ -260,6 +264,7 @@
 
     def restart(self):
         self.boots += 1
+        self.address = self.cell.choose_address(self)
         self.boot_id = f'{self.worker_id}-{self.boots}'
         self.started_at = self.cell.now
         self.rate = self.cell.rng.uniform(0.991, 1.009)
@@ -377,13 +382,21 @@
         self.cell = cell
         self.home = home
         self.effect = effect
-        self.worker = cell.workers[int(effect.worker_id[1:])]
         self.link = (home.number, effect.worker_id)
         self.is_open = True
 
+    @property
+    def worker(self):
+        """Return the process that has the address now, if it is up."""
+        for worker in self.cell.workers:
+            if worker.address == self.effect.address and not worker.is_down:
+                return worker
+        return None
+
     def arrive(self):
-        if not self.worker.is_down:
-            self.worker.handle_request(self.effect.request, self.answer)
+        worker = self.worker
+        if worker is not None:
+            worker.handle_request(self.effect.request, self.answer)
 
     def answer(self, reply):
         if self.link in self.cell.answerless_links or self.cell.fault_occurs():
@@ -419,6 +432,8 @@
         self.request_keys = {}
         self.append_ends = defaultdict(float)
         self.cut_links = set()
+        self.addresses = []
+        self.workers = []
         # Links that deliver requests but drop their answers.
         self.answerless_links = set()
         self.answers = defaultdict(list)
@@ -429,7 +444,8 @@
         self.starts = Counter()
         self.finishes = Counter()
         self.homes = [Home(self, number) for number in range(homes)]
-        self.workers = [Worker(self, number) for number in range(workers)]
+        for number in range(workers):
+            self.workers.append(Worker(self, number))
         for number, worker in enumerate(self.workers):
             worker.owner = self.homes[number % homes]
         self.adopt_expired()
@@ -451,6 +467,22 @@
         """Return at random whether a fault happens now."""
         return self.rng.random() < self.fault_rate * factor
 
+    def choose_address(self, booting):
+        """Return an address that no running worker has."""
+        taken = {
+            worker.address
+            for worker in self.workers
+            if worker is not booting and not worker.is_down
+        }
+        free = [one for one in self.addresses if one not in taken]
+        draw = self.rng.random()
+        if booting.address in free and draw < 0.4:
+            return booting.address
+        if free and draw < 0.8:
+            return self.rng.choice(free)
+        self.addresses.append(f'10.0.0.{len(self.addresses)}:1')
+        return self.addresses[-1]
+
     def alive(self):
         return [
             home
@@ -569,8 +601,8 @@
 
     def call(self, home, effect):
         call = Call(self, home, effect)
-        if call.worker.is_down or call.link in self.cut_links:
-            was_sent = not call.worker.is_down and self.rng.random() < 0.5
+        if call.worker is None or call.link in self.cut_links:
+            was_sent = call.worker is not None and self.rng.random() < 0.5
             self.after(0.2, call.complete, CallFailed(was_sent))
             return
         if not self.fault_occurs():
