Test that calls for a former life of a worker change nothing

No fault stands behind these tests; they show what already held, without network. tests/test_worker_lives.py: late starts, stops, renewals, acknowledgements and throttles at the next life; listings, grants and releases of a former life; each life's own clock; a restart between the assignment and the start, once, twice, and with the loss or a cut of the home at that moment (simulated cell); lookups.

--- a/tests/job_cell.py
+++ b/tests/job_cell.py
@@ -321,7 +321,8 @@
             state='running',
             lease_end=self.clock() + request.lease_s,
         )
-        state = 'failed' if self.cell.rng.random() < 0.1 else 'succeeded'
+        has_failed = self.cell.rng.random() < self.cell.failure_rate
+        state = 'failed' if has_failed else 'succeeded'
         self.cell.after(
             request.task.run_s,
             self.finish,
@@ -420,6 +421,8 @@
 class Cell:
     """Homes, workers and the store, driven by events in time order."""
 
+    failure_rate = 0.1
+
     def __init__(self, rng, homes=3, workers=4):
         self.rng = rng
         self.now = 0.0
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -8,6 +8,7 @@
 
 from msgspec import structs
 from testtools import TestCase
+from testtools.matchers import Equals, IsInstance
 
 from apricotlead.coordination.allotments import Allotments
 from apricotlead.coordination.limit_account import AllotmentSettings
@@ -19,28 +20,44 @@
     ExecutorClock,
     ExecutorRefused,
 )
-from apricotlead.protocol.jobs import AttemptFinished
-from apricotlead.protocol.peers import CapacityGranted
+from apricotlead.protocol.jobs import AttemptFinished, Submission, TaskSpec
+from apricotlead.protocol.outcomes import Done, NotRun
+from apricotlead.protocol.peers import CapacityGranted, ReleaseGrants
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.signals import (
+    AdmitJob,
     AttemptAdopted,
     AttemptEnded,
     AttemptForgotten,
     AttemptStarting,
     CallWorker,
+    FindJob,
     Tick,
     WorkerClaimed,
     WorkerReplied,
 )
 from apricotlead.protocol.workers import (
     Accepted,
+    AttemptReport,
     CallFailed,
+    Heartbeat,
+    HeartbeatReply,
     LeasesReply,
     RenewLeases,
+    StartTask,
+    StopTasks,
+    ThrottleTask,
+    WorkerRefused,
 )
 from apricotlead.state.config_view import ConfigView
 from apricotlead.state.job_table import JobTable
+from apricotlead.transport.executor_client import ExecutorClient
+from apricotlead.transport.worker_client import WorkerClient
+from apricotlead_standins.executor import Executor, ExecutorSettings
+from apricotlead_standins.worker import Worker, WorkerSettings
+from apricotlead_standins.worker_messages import Resources as Capacity
 from tests.capacity_rig import CapacityRig, messages_of
+from tests.job_cell import Cell
 from tests.job_samples import (
     JOURNAL,
     accepted,
@@ -50,6 +67,7 @@
     session_view,
 )
 from tests.model_worker import ModelWorker
+from tests.standin_harness import InMemory, InMemoryPool
 from tests.test_lookups import SERVICE, LookupCase, executor
 
 CAPACITY = Resources(4000, 4000)
@@ -67,6 +85,26 @@
     address=ADDRESS,
 )
 ENDED = AttemptFinished(FORMER.attempt_id, 'lapsed', ran=None)
+LEASE_S = LeaseSettings().lease_s
+
+
+def make_worker(now):
+    """Boot a worker of four cores."""
+    return Worker(WorkerSettings('w', Capacity(4000, 4096)), 'boot', now)
+
+
+def late_start(attempt_id, boot_id, run_s=60.0, not_after_s=2.0):
+    """Return a start that is granted for one life of the worker."""
+    return StartTask(
+        attempt_id,
+        1,
+        boot_id,
+        not_after_s,
+        'j',
+        1,
+        LEASE_S,
+        TaskSpec(CAPACITY, run_s, ''),
+    )
 
 
 def renewals_of(signals):
@@ -174,6 +212,56 @@
             [(one.attempt_id, one.state, one.ran) for one in ended],
         )
 
+    def test_next_life_proves_no_start_that_never_happened(self):
+        """Guards against a second run of a task that is not idempotent.
+
+        The attempt may have run and ended in the former life; that the next
+        one does not know it says nothing about that.
+        """
+        signal = AttemptAdopted(JOURNAL, FORMER.attempt_id)
+        self.leases.adopt(signal, 0)
+        poll = of_type(self.leases.act_on_time(Tick(), 0), CallWorker)[0]
+        unknown = AttemptReport(FORMER.attempt_id, 'unknown')
+        reply = LeasesReply(FORMER.not_after_s + 1, 'next', (unknown,))
+        ended = self.leases.handle_reply(replied(poll, reply), 0.1)
+        self.assertEqual([None], [one.ran for one in ended])
+
+    def test_late_answer_of_the_former_life_ends_no_attempt(self):
+        """Guards against a second run because of an answer under way.
+
+        The call left before this session knew the current life.
+        """
+        poll = self.start(FORMER, 0)[0]
+        self.start(CURRENT, 1)
+        answer = replied(poll, LeasesReply(9001, FORMER.boot_id))
+        following = self.leases.handle_reply(answer, 1.5)
+        self.assertEqual([], of_type(following, AttemptEnded))
+
+    def test_each_life_is_renewed_by_its_own_clock(self):
+        """Guards against a lease that outlasts the time it is reckoned with.
+
+        The former life's clock is far ahead of the current one's.
+        """
+        calls = self.start(FORMER, 0) + self.start(CURRENT, 0)
+        until_by_address = {
+            call.address: call.request.lease_until_s
+            for call in of_type(calls, CallWorker)
+        }
+        self.assertLessEqual(until_by_address[ADDRESS], LEASE_S)
+        self.assertGreater(until_by_address[FORMER_ADDRESS], 8000)
+
+    def test_start_names_the_life_that_was_granted(self):
+        """Guards against a start that the next life accepts."""
+        signal = AttemptStarting(JOURNAL, FORMER.attempt_id)
+        start = self.leases.start(signal, 0)[0]
+        self.assertEqual(
+            (FORMER.boot_id, FORMER_ADDRESS),
+            (start.request.boot_id, start.address),
+        )
+        refusal = WorkerRefused('other_boot', boot_id=CURRENT.boot_id)
+        ended = self.leases.handle_reply(replied(start, refusal), 1)
+        self.assertEqual([False], [one.ran for one in ended])
+
     def test_acknowledgements_end_with_the_life_that_they_are_for(self):
         """Guards against calls to a dead address for ``acknowledge_s``."""
         self.acknowledge_former(0)
@@ -260,6 +348,7 @@
     """Guards against what a former life said, held against the next one."""
 
     executors = (executor('e'),)
+    request = LookupRequest(SERVICE, key='courts')
 
     def leave(self, now=0):
         """Let the executor say that it is leaving."""
@@ -322,6 +411,34 @@
         lookup.handle_result(ExecutorAnswered(200, b'', clock=clock), 0)
         self.assertTrue(self.router.needs_clock('e', 60))
 
+    def test_lookup_meant_for_a_former_life(self):
+        """Guards against a lookup that runs twice, or after its unit ended.
+
+        The next life refuses it, and the refusal tells the clock to use.
+        """
+        client = self.boot('former')
+        first = self.manager.open(self.request, 0)
+        first.handle_clock_reply(client.read_clock(first.next_step(0)), 0)
+        self.manager.close(first, 0)
+        client = self.boot('next')
+        lookup = self.manager.open(self.request, 0)
+        step = lookup.next_step(0)
+        self.assertEqual('former', step.not_after.boot_id)
+        refusal = client.send(step, b'x')
+        self.assertIsNone(lookup.handle_result(refusal, 0))
+        self.assertThat(lookup.next_step(0), IsInstance(NotRun))
+        self.manager.close(lookup, 0)
+        self.assertEqual({}, self.standin.run_counts_by_request)
+        self.assertEqual(1, self.units.free)
+        self.assertEqual('next', self.router.not_after('e', 1, 0).boot_id)
+
+    def boot(self, boot_id):
+        """Begin a life of the executor; return a client."""
+        pool = InMemoryPool()
+        self.standin = Executor(ExecutorSettings('e', boot_id=boot_id))
+        pool.add(self.executors[0].address, self.standin)
+        return ExecutorClient(pool)
+
 
 class TestLookupsOfAnExpiredSession(LookupCase):
     """Guards against lookups whose units an adopter already uses."""
@@ -355,3 +472,211 @@
         """Guards against refusals on open queues during a store outage."""
         lookup = self.manager.open(LookupRequest(SERVICE, wait_s=2), 5)
         self.assertEqual(7, lookup.ends_s)
+
+
+class TestCallsMeantForAFormerLife(TestCase):
+    """Guards against a call that acts on a life it was not meant for.
+
+    The present life runs ``b`` and has ended ``c``; the former one had ``a``.
+    Each late call must leave both as they are.
+    """
+
+    late_calls = (
+        (late_start('a', 'boot'), 'other_boot'),
+        (StopTasks('j', 1, ('a',)), ''),
+        (
+            RenewLeases(
+                'j',
+                1,
+                ('a',),
+                ('a',),
+                LEASE_S,
+                lease_until_s=9000.0,
+            ),
+            '',
+        ),
+        (ThrottleTask('a', 1, 10), 'unknown_attempt'),
+    )
+
+    def setUp(self):
+        """Let a worker start again under its id and its address."""
+        super().setUp()
+        self.harness = InMemory(make_worker)
+        self.client = WorkerClient(self.harness.pool)
+        self.harness.pass_time(9000)
+        self.call(late_start('a', 'boot', not_after_s=9002))
+        self.harness.standin.restart('next', self.harness.now())
+        for attempt_id, run_s in (('b', 60), ('c', 0)):
+            start = late_start(attempt_id, 'next', run_s=run_s)
+            self.assertThat(self.call(start), IsInstance(Accepted))
+
+    def call(self, request):
+        """Send a request to the worker's address; return the reply."""
+        return self.client.call(self.harness.address, request)
+
+    def states(self):
+        """Return the states that a call without renewal shows."""
+        poll = RenewLeases('j', 1, ('a', 'b', 'c'), lease_s=0.0)
+        reported = {'b': 'running'}
+        reported.update(
+            (report.attempt_id, report.state)
+            for report in self.call(poll).attempts
+        )
+        return reported
+
+    def test_late_calls_change_nothing(self):
+        """Guards against a run, a stop or a lost end in the next life."""
+        expected = {'a': 'unknown', 'b': 'running', 'c': 'succeeded'}
+        for late, reason in self.late_calls:
+            reply = self.call(late)
+            self.expectThat(getattr(reply, 'reason', ''), Equals(reason))
+            self.expectThat(self.states(), Equals(expected))
+
+    def test_late_renewals_extend_no_lease(self):
+        """Guards against a lease beyond the time that its home reckons with.
+
+        The former life's clock is 9,000 s ahead of the next one's.
+        """
+        self.harness.pass_time(LEASE_S - 1)
+        for late, _ in self.late_calls:
+            self.call(late)
+        self.harness.pass_time(1.1)
+        self.assertEqual('lapsed', self.states()['b'])
+
+    def test_listing_of_a_former_life_is_not_the_present_one(self):
+        """Guards against capacity that seems free in the next life."""
+        former = self.call(Heartbeat('o', 1))
+        self.harness.standin.restart('third', self.harness.now())
+        self.call(late_start('d', 'third'))
+        known = Heartbeat('o', 1, former.version, former.boot_id)
+        reply = self.call(known)
+        self.assertEqual(former.version, reply.version)
+        self.assertEqual(['d'], [one.attempt_id for one in reply.attempts])
+
+
+class TestCapacityOfTwoLives(TestCase):
+    """Guards against capacity of a former life that is returned twice."""
+
+    def setUp(self):
+        """Grant all capacity of a worker, which then starts again."""
+        super().setUp()
+        self.rig = CapacityRig()
+        self.process = ModelWorker('w', CAPACITY, 1)
+        self.rig.list_worker('w', CAPACITY)
+        self.answer_all(self.rig.deliver(WorkerClaimed('w', 1)))
+        self.former = self.grant('former')
+        self.process.boot(self.rig.now)
+        self.answer_all(self.rig.tick(1))
+
+    def answer_all(self, effects):
+        """Let the worker answer the heartbeats."""
+        for call in of_type(effects, CallWorker):
+            reply = self.process.heartbeat(call.request, self.rig.now)
+            self.rig.deliver(WorkerReplied(call.token, 'w', reply))
+
+    def grant(self, request):
+        """Request all capacity; return the grant."""
+        return self.rig.ask(request, 4000, 4000)[0].grants[0]
+
+    def free(self):
+        """Return the capacity that can be granted."""
+        return self.rig.ledger.free_of('w')
+
+    def test_grant_of_the_former_life_is_released_once(self):
+        """Guards against two attempts in the room of one."""
+        self.assertEqual(CAPACITY, self.free())
+        for _ in range(2):
+            self.rig.send(ReleaseGrants((self.former.attempt_id,)))
+            self.assertEqual(CAPACITY, self.free())
+        self.grant('next')
+        self.rig.send(ReleaseGrants((self.former.attempt_id,)))
+        self.assertEqual(Resources(), self.free())
+
+    def test_only_the_grant_of_the_present_life_starts(self):
+        """Guards against a late start beside the work granted since."""
+        current = self.grant('next')
+        started = [
+            self.process.start(grant, CAPACITY, self.rig.now)
+            for grant in (self.former, current)
+        ]
+        self.assertEqual([False, True], started)
+
+    def test_reply_of_the_former_life_that_comes_late(self):
+        """Guards against a listing of what the present life does not run."""
+        late = self.rig.tick(1)
+        self.process.boot(self.rig.now)
+        self.answer_all(self.rig.tick(3))
+        self.process.start(self.grant('next'), CAPACITY, self.rig.now)
+        self.answer_all(self.rig.tick(1))
+        former = HeartbeatReply(1, self.former.boot_id, CAPACITY, (), 9)
+        for call in of_type(late, CallWorker):
+            self.rig.deliver(WorkerReplied(call.token, 'w', former))
+        self.assertEqual(Resources(), self.free())
+
+
+class RestartingCell(Cell):
+    """Restarts the worker that a start is on its way to.
+
+    Its home can end, or lose the store, at the same moment.
+    """
+
+    failure_rate = 0
+    restarts = 0
+    home_fault = ''
+
+    def call(self, home, effect):
+        """Restart the worker before the start arrives."""
+        if isinstance(effect.request, StartTask) and self.restarts:
+            self.restarts -= 1
+            for worker in self.workers:
+                if worker.worker_id == effect.worker_id:
+                    worker.restart()
+            home.is_dead = self.home_fault == 'end'
+            home.is_partitioned = self.home_fault == 'cut'
+            self.home_fault = ''
+        super().call(home, effect)
+
+
+class TestRestartBetweenAssignmentAndStart(TestCase):
+    """Guards against a task that is lost, or runs twice, in this window.
+
+    The simulated cell fails a test as soon as a task runs twice at a time.
+    """
+
+    def run_job(self, seed, **faults):
+        """Run a job of one task; return its state and its starts."""
+        idempotent = faults.pop('idempotent', True)
+        cell = RestartingCell(Random(seed))
+        for name, fault in faults.items():
+            setattr(cell, name, fault)
+        cell.run(0.2)
+        spec = TaskSpec(Resources(1000, 1000), 3, 'x')
+        submission = Submission('queue', (spec,), idempotent=idempotent)
+        cell.homes[0].deliver(AdmitJob(1, 'team', submission))
+        cell.run(60)
+        cell.heal()
+        cell.run(10)
+        job_id = cell.answers[1][0].answer.job_id
+        cell.alive()[0].deliver(FindJob(2, job_id, 'team'))
+        cell.run(2)
+        outcome = cell.answers[2][0]
+        self.assertThat(outcome, IsInstance(Done))
+        return outcome.answer.state, cell.starts[f'{job_id}.0']
+
+    def test_start_that_no_life_accepted_is_made_again(self):
+        """Guards against ``may_have_run`` for a task that never ran."""
+        for restarts in (0, 1, 2):
+            for seed in range(8):
+                result = self.run_job(
+                    seed,
+                    restarts=restarts,
+                    idempotent=False,
+                )
+                self.expectThat(result, Equals(('done', 1)))
+
+    def test_home_is_lost_in_the_window(self):
+        """Guards against a task that its adopter leaves in doubt."""
+        for home_fault in ('end', 'cut'):
+            for seed in range(8):
+                result = self.run_job(seed, restarts=1, home_fault=home_fault)
+                self.expectThat(result, Equals(('done', 1)))
