--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -8,7 +8,7 @@
 
 from msgspec import structs
 from testtools import TestCase
-from testtools.matchers import Equals, IsInstance
+from testtools.matchers import Equals, HasLength, IsInstance
 
 from apricotlead.coordination.allotments import Allotments
 from apricotlead.coordination.limit_account import AllotmentSettings
@@ -212,6 +212,32 @@
             [(one.attempt_id, one.state, one.ran) for one in ended],
         )
 
+    def test_end_is_acknowledged_once_it_is_durable(self):
+        """Guards against an end that is removed before its home has kept it.
+
+        A hand-over in between left the adopter without the end.
+        """
+        poll = self.start(CURRENT, 0)[0]
+        report = AttemptReport(CURRENT.attempt_id, 'succeeded')
+        reply = LeasesReply(1, CURRENT.boot_id, (report,))
+        following = self.leases.handle_reply(replied(poll, reply), 1)
+        self.assertThat(of_type(following, AttemptEnded), HasLength(1))
+        signal = AttemptForgotten(JOURNAL, CURRENT.attempt_id)
+        self.leases.acknowledge(signal, 2)
+        self.assertEqual([], self.leases.act_on_time(Tick(), 2))
+        record = AttemptFinished(CURRENT.attempt_id, 'succeeded', ran=True)
+        self.table.replay(record)
+        self.leases.acknowledge(signal, 3)
+        call = self.leases.act_on_time(Tick(), 3)[0]
+        self.assertEqual(
+            (ADDRESS, (), (CURRENT.attempt_id,)),
+            (
+                call.address,
+                call.request.attempt_ids,
+                call.request.acknowledged_ids,
+            ),
+        )
+
     def test_next_life_proves_no_start_that_never_happened(self):
         """Guards against a second run of a task that is not idempotent.
 
