--- a/src/apricotlead/coordination/worker_monitor.py
+++ b/src/apricotlead/coordination/worker_monitor.py
@@ -74,6 +74,8 @@
     """Heartbeat state of one owned worker.
 
     ``pending`` is the number of the heartbeat in flight, 0 if there is none.
+    ``address`` is where the latest one was sent, and thus where the boot in
+    its reply is; the list can name the next boot's address by then.
     ``attempts`` is the listing with this ``version`` of the worker's boot
     ``boot_id``; ``version`` is 0 if no listing is known. A watch belongs to
     one epoch, so a new owner or a new epoch starts with a full listing.
@@ -83,6 +85,7 @@
     due_s: float
     pending: int = 0
     sent_s: float = float('-inf')
+    address: str = ''
     boot_id: str = ''
     version: int = 0
     attempts: tuple[AttemptReport, ...] = ()
@@ -287,11 +290,13 @@
             unblocked = (CapacityFreed(worker_id),)
         watch.pending = next(self._call_numbers)
         watch.sent_s = now
+        watch.address = instance.address
         heartbeat = Heartbeat(
             self._view.session_id,
             watch.epoch,
             watch.version,
             watch.boot_id if watch.version else '',
+            worker_id,
         )
         call = CallWorker(
             Token(self.name, _HEARTBEAT, watch.pending),
@@ -314,7 +319,7 @@
             full_reply = watch.with_listing(reply)
         if full_reply is not None:
             return self._reconcile(worker_id, watch, full_reply, now)
-        if isinstance(reply, WorkerRefused) and reply.epoch > watch.epoch:
+        if _is_fenced_off(reply, watch.epoch):
             return self._give_up_ownership(worker_id, watch, reply)
         self._ledger.block(worker_id, _UNREACHABLE)
         return (Count('worker_unreachable'),)
@@ -326,10 +331,8 @@
         reply: HeartbeatReply,
         now: float,
     ) -> Iterable[Signal]:
-        instance = self._directory.workers_by_id.get(worker_id)
-        address = instance.address if instance else ''
         has_new_capacity = self._ledger.apply_reply(
-            worker_id, reply, address, now
+            worker_id, reply, watch.address, now
         )
         unblocked = self._ledger.unblock(worker_id, _UNREACHABLE)
         freed = [worker_id] if has_new_capacity or unblocked else []
@@ -409,6 +412,16 @@
     return tuple(CapacityFreed(worker_id) for worker_id in worker_ids)
 
 
+def _is_fenced_off(reply: WorkerReply, epoch: int) -> bool:
+    """Tell whether the worker has seen a higher epoch.
+
+    The epoch of another worker says nothing about the ownership of this one.
+    """
+    if not isinstance(reply, WorkerRefused) or reply.reason == 'other_worker':
+        return False
+    return reply.epoch > epoch
+
+
 def _counts_for_quarantine(report: AttemptReport) -> bool:
     """Tell whether the outcome counts for or against the worker."""
     outcomes: tuple[AttemptState, ...] = ('failed', 'succeeded')
