Store which run of a task was last counted as a crash

What callers saw: a job was shown as failed although nothing but restarts had happened to it (LOST); shown in virtual time.

Cause: the number of the latest counted run belonged to one scheduler. After a hand-over the next restart of the worker counted the same run again.

Change: CrashRecord.counted_run, the last field with a default, so that rows of the former build load.

--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -118,7 +118,10 @@
 
 
 class CrashRecord(Struct, array_like=True, frozen=True):
-    """The crashes of workers under the task with this index of a step."""
+    """The crashes of workers under the task with this index of a step.
+
+    ``counted_run`` is the latest run that was counted.
+    """
 
     index: int
     crashes: int
@@ -126,6 +129,7 @@
     sole_crashes: int = 0
     alone_crashes: int = 0
     is_suspect: bool = False
+    counted_run: int = 0
 
 
 class StepRecord(Struct, array_like=True):
--- a/src/apricotlead/state/crash_history.py
+++ b/src/apricotlead/state/crash_history.py
@@ -45,6 +45,7 @@
             self.sole_crashes,
             self.alone_crashes,
             self.is_suspect,
+            self.counted_run,
         )
 
     def restore(self, record: CrashRecord) -> None:
@@ -54,6 +55,7 @@
         self.sole_crashes = record.sole_crashes
         self.alone_crashes = record.alone_crashes
         self.is_suspect = record.is_suspect
+        self.counted_run = record.counted_run
 
     def clear(self) -> None:
         """Forget all crashes, as the task has been shown not to cause them."""
