Drop advice on its way when its worker restarts

Cause: an answer that came after a restart was applied to the new life, which then had a ticket that it refuses, or counted as not eligible for good.

Change: the worker leaves the calls in flight; answers about it are ignored.

Evidence: TestAdviceOverARestart, both tests failed before and pass now.

--- a/src/apricotlead/coordination/cell/advice_cache.py
+++ b/src/apricotlead/coordination/cell/advice_cache.py
@@ -119,6 +119,8 @@
         another kind.
         """
         for advice in self.steps_by_name.values():
+            # An answer that is on its way is about the former incarnation.
+            advice.asked_ids -= {worker_id}
             advice.tickets_by_worker.pop(worker_id, None)
             advice.expires_s.pop(worker_id, None)
             advice.ineligible_ids.discard(worker_id)
@@ -307,7 +309,7 @@
             return
         advice.asked_s = float('-inf')
         expires_s = now + answer.valid_ms / _MS_PER_S
-        for worker_id in call.worker_ids:
+        for worker_id in filter(advice.asked_ids.__contains__, call.worker_ids):
             ticket = answer.tickets_by_worker.get(worker_id)
             if ticket is None:
                 advice.mark_ineligible(worker_id)
