Keep the learned speed of a worker by its life

Cause: speed rows were kept by id, so a successor took a new machine for as slow as the one before it.

Change: the row names the life; another one starts without a known speed.

Evidence: TestStoredRowsOfAFormerLife failed before and passes now.

--- a/src/apricotlead/coordination/cell/speed_rows.py
+++ b/src/apricotlead/coordination/cell/speed_rows.py
@@ -1,5 +1,7 @@
 """Rows that keep learned worker speeds and estimate errors across terms."""
 
+from typing import Annotated
+
 import msgspec
 
 from apricotlead.coordination.cell.run_tracker import RunTracker
@@ -12,7 +14,10 @@
 ESTIMATES_KEY = f'{STATISTICS_PREFIX}estimates'
 # A successor relearns what was lost since the last write from a few runs.
 _WRITE_INTERVAL_S = 5.0
-_Speeds = dict[str, tuple[float, int]]
+# The slowness, the number of runs, and the start time of the incarnation.
+_Speeds = dict[
+    str, Annotated[list[float], msgspec.Meta(min_length=2, max_length=3)]
+]
 _Estimates = dict[str, tuple[float, float, int]]
 
 
@@ -42,6 +47,7 @@
             worker.worker_id: (
                 round(worker.speed.slowness, 2),
                 worker.speed.count,
+                worker.entry.born_ms,
             )
             for worker in self._tracker.workers_by_id.values()
             if worker.speed.count
@@ -55,12 +61,20 @@
     def _apply_row(self, row: Row) -> None:
         if row.key == SPEEDS_KEY:
             speeds = msgspec.convert(row.value, _Speeds)
-            for worker_id, (slowness, count) in speeds.items():
-                worker = self._tracker.workers_by_id.get(worker_id)
-                if worker is not None and slowness > 0:
-                    worker.speed = WorkerSpeed(slowness, count)
+            for worker_id, known in speeds.items():
+                self._apply_speed(worker_id, *known)
         elif row.key == ESTIMATES_KEY:
             estimates = msgspec.convert(row.value, _Estimates)
-            for queue, known in estimates.items():
-                error = EstimateError(*known)
+            for queue, learned in estimates.items():
+                error = EstimateError(*learned)
                 self._tracker.estimate_errors.by_queue[queue] = error
+
+    def _apply_speed(
+        self, worker_id: str, slowness: float, count: float, born_ms: float = 0
+    ) -> None:
+        """Apply what was learned of a worker, unless it has restarted since."""
+        worker = self._tracker.workers_by_id.get(worker_id)
+        if worker is None or worker.entry.born_ms != born_ms:
+            return
+        if slowness > 0:
+            worker.speed = WorkerSpeed(slowness, int(count))
