Bound what late calls may grant over several restarts

Cause: each life inherited the bound of the former one and added to it, so ten quick restarts kept the runs of a silent worker for 102 s. The answer to a start was not compared with the deadline that it had got, so a short-lived former life, or a scheduler frozen before the sending, made the lease longer than accounted for. A worker that registered only after a hand-over kept the bounds of an unknown one. A run that was never listed was carried on for ever.

Change: the inherited bounds are at most what a call sent until now may grant; the end of a lease is computed from the answer that shows the start as taken; restored runs are bounded again when their worker registers; starts that are too old to come any more are not carried to the next life.

--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -313,6 +313,6 @@
 
 
 def _has_open_start(task: TaskState, late_since_s: float) -> bool:
-    if task.first_progress is None:
-        return True
-    return task.has_unanswered_start and task.placed_s >= late_since_s
+    if task.placed_s < late_since_s:
+        return False
+    return task.first_progress is None or task.has_unanswered_start
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -142,8 +142,13 @@
         if task.run != start.run:
             return False
         if reply.refusal is None:
+            lease = start.worker.lease
+            until_s = lease.note_start_taken(
+                start.deadline_ms, reply.clock_ms, now
+            )
             if not is_restart:
-                start.worker.lease.record_answer(reply.clock_ms, sent_s, now)
+                lease.latest_expiry_s = max(lease.latest_expiry_s, until_s)
+                lease.record_answer(reply.clock_ms, sent_s, now)
                 self._tracker.mark_running(task, now)
             return False
         self._tracker.note(
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -95,6 +95,7 @@
         if worker is not None and not worker.entry.address:
             # So far only its restored runs were known.
             worker.update_entry(entry, now)
+            self._bound_restored_runs(worker)
             return True
         if worker is not None and _is_from_earlier_incarnation(
             worker, entry.born_ms
@@ -130,7 +131,8 @@
             worker.fence = self._fence(worker_id)
             worker.is_listed = False
             self._tracker.workers_by_id[worker_id] = worker
-            self._restore_placements(worker)
+            self._tracker.restore_placements(worker)
+            self._bound_restored_runs(worker)
 
     def mark_unlisted(self, worker_id: str) -> None:
         """Record that a worker is no longer registered."""
@@ -351,17 +353,17 @@
         worker.update_entry(entry, now)
         worker.may_grant_lease = self._leases.may_grant(entry.worker_id)
         self._tracker.workers_by_id[entry.worker_id] = worker
-        self._restore_placements(worker)
+        self._tracker.restore_placements(worker)
+        self._bound_restored_runs(worker)
         self._tracker.note('worker added', worker=entry.worker_id)
 
-    def _restore_placements(self, worker: WorkerState) -> None:
-        """Account for restored runs.
+    def _bound_restored_runs(self, worker: WorkerState) -> None:
+        """Note how long the restored runs of a worker may last.
 
         The previous scheduler sent no start later than a while after it placed
         the run, so an old run does not outlast the lease of its worker,
         whichever incarnation took it.
         """
-        self._tracker.restore_placements(worker)
         times = self._settings.leases
         lease = worker.lease
         born_ms = worker.entry.born_ms
@@ -394,7 +396,7 @@
         self._tracker.forget_worker(former, now)
         self._add(entry, now)
         worker = self._tracker.workers_by_id[entry.worker_id]
-        worker.lease.inherit(former.lease)
+        worker.lease.inherit(former.lease, now)
         self._tracker.stop_after_restart(open_runs, worker)
         self._crashes.give_up(guilty, now)
 
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -160,19 +160,38 @@
             self.misdirected_until_s, now + self._times.misdirected_s
         )
 
-    def inherit(self, former: 'WorkerLease') -> None:
-        """Account for what calls to a former incarnation may have granted.
+    def inherit(self, former: 'WorkerLease', now: float) -> None:
+        """Account for what calls to former incarnations may have granted.
 
-        Those that it had not answered may be carried out by this one.
+        Those that they had not answered may be carried out by this one, but no
+        later than ``late_call_s`` from now.
         """
         times = self._times
-        until_s = max(former.latest_expiry_s, former.misdirected_until_s)
+        last_s = now + times.late_call_s + times.longest_run_s
+        until_s = min(
+            last_s, max(former.latest_expiry_s, former.misdirected_until_s)
+        )
+        late_s = until_s + times.late_call_s - times.delivery_s
         self.latest_expiry_s = max(self.latest_expiry_s, until_s)
         self.misdirected_until_s = max(
-            self.misdirected_until_s,
-            until_s + times.late_call_s - times.delivery_s,
+            self.misdirected_until_s, min(last_s, late_s)
         )
 
+    def note_start_taken(
+        self, deadline_ms: float, clock_ms: float, now: float
+    ) -> float:
+        """Return when a run ends at the latest that an answer shows as taken.
+
+        The deadline is compared with the clock in the answer, so the result
+        holds for whichever incarnation has answered.
+        """
+        times = self._times
+        left_s = (deadline_ms - clock_ms) / _MS_PER_S
+        granted_s = min(times.longest_hold_s, left_s) * times.slowest_clock
+        until_s = now + granted_s + times.margin_s
+        self.misdirected_until_s = max(self.misdirected_until_s, until_s)
+        return until_s
+
     def shows_restart(self, clock_ms: float, sent_s: float) -> bool:
         """Return whether an answer proves that the worker has restarted.
 
