Say which starts the lease of a former term does not cover

Cause: a docstring said that a scheduler renews its term while it sends anything. test_former_scheduler_sends_after_its_last_renewal (KNOWN-RED.txt) shows that it does not.

Change: the docstring names what the bound covers and what it does not.

--- a/src/apricotlead/coordination/cell/lease_records.py
+++ b/src/apricotlead/coordination/cell/lease_records.py
@@ -142,8 +142,9 @@
 def _expiry_s(settings: CellSettings, renewed_s: float) -> float:
     """Return the latest time at which a previous term's lease may expire.
 
-    A worker that has restarted may hold the longest lease that it accepts. The
-    previous scheduler has renewed its term while it sent anything.
+    A worker that has restarted may hold the longest lease that it accepts,
+    counted from a start that the previous scheduler sent before its next
+    renewal was due. Starts that it sent later are not covered.
     """
     times = settings.leases
     longest_s = times.longest_s * times.slowest_clock + times.margin_s
