Keep connections that come while the loop is busy

Cause: the servers listened with eventlet's default queue of 50 connections. While the loop is busy with something else, the system drops further connections; their clients try again after 1 s, then 3 s, and a caller waits 3 s.

Ruled out: nothing yet; no log of an instance can show a connection that it has not accepted.

Evidence: the new test failed before at the 52nd of 120 connections.

Conclusion: the queue is as long as the system allows. The older test's stand-in for listen takes the new argument and checks the same.

--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -14,6 +14,9 @@
 
 ACCEPT_FAILED = 'accept failed'
 _MAX_ACCEPT_POLLS = 1000
+# Connections that may wait while the loop is busy. The system drops further ones
+# silently, and their callers try again only after a second. It may lower this.
+_MAX_WAITING_CONNECTIONS = 4096
 # Exhausted file descriptors are freed as connections end.
 _ACCEPT_RETRY_S = 0.05
 
@@ -66,7 +69,9 @@
 
         ``log(kind, **fields)`` logs failed accepts.
         """
-        listener = eventlet.listen(split_address(address))
+        listener = eventlet.listen(
+            split_address(address), backlog=_MAX_WAITING_CONNECTIONS
+        )
         self._listener = _ResilientListener(listener, log)
         eventlet.spawn_n(
             wsgi.server,
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -1,6 +1,7 @@
 """A server keeps running when single connections fail."""
 
 import errno
+import socket
 
 import eventlet
 from eventlet.patcher import import_patched
@@ -11,6 +12,9 @@
 
 green_urllib3 = import_patched('urllib3')
 LISTEN = eventlet.listen
+# Jobs that one instance of a grown cell may be asked about at the same time.
+_BURST_CONNECTIONS = 120
+_CONNECT_S = 0.5
 
 
 class FailingListener:
@@ -41,7 +45,9 @@
         self.patch(
             serving.eventlet,
             'listen',
-            lambda address: FailingListener(LISTEN(address), errors),
+            lambda address, **options: FailingListener(
+                LISTEN(address, **options), errors
+            ),
         )
         logged = []
         server = HttpServer(
@@ -69,6 +75,31 @@
         self.assertEqual((200, 2), (status, len(logged)))
 
 
+class TestConnectionBursts(TestCase):
+    """A burst of callers must not wait for a second connection attempt.
+
+    The first one was dropped while the loop was busy and 50 connections waited;
+    the next attempt follows after 1 s, most of what a caller waits.
+    """
+
+    def test_burst_while_the_loop_is_busy(self):
+        server = HttpServer('127.0.0.1:0', _answer, 10, _ignore)
+        self.addCleanup(server.stop)
+        host, _, port = server.address.partition(':')
+        # Nothing is accepted meanwhile: the loop runs only when this thread
+        # waits in eventlet.
+        for number in range(_BURST_CONNECTIONS):
+            connection = socket.socket()
+            self.addCleanup(connection.close)
+            connection.settimeout(_CONNECT_S)
+            error = connection.connect_ex((host, int(port)))
+            self.assertEqual(0, error, number)
+
+
+def _ignore(kind, **fields):
+    """Drop a log line."""
+
+
 def _answer(environ, start_response):
     start_response('200 OK', [('Content-Length', '0')])
     return ()
