Tell a peer how long the asking instance waits

Cause: a peer that relays a call cannot know when nobody waits for its answer any more, so its call to the store keeps to a limit of its own.

An instance of an older version ignores it, and a call from one has 0.

No code uses the field yet.

--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -72,11 +72,13 @@
 class RelayedCall(Struct, frozen=True, omit_defaults=True):
     """A call to the store that is relayed by another instance.
 
-    Either a transaction or the key of a row to read.
+    Either a transaction or the key of a row to read. The asking instance waits
+    ``timeout_s`` seconds for the answer; 0 if that is not known.
     """
 
     transaction: Transaction | None = None
     key: str = ''
+    timeout_s: float = 0
 
 
 class AdviceQuestion(Struct, frozen=True):
--- a/src/apricotlead/transport/cell_peers.py
+++ b/src/apricotlead/transport/cell_peers.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import msgspec
+from msgspec.structs import replace
 
 from apricotlead.protocol.cell_peers import (
     AdviceQuestion,
@@ -30,6 +31,8 @@
 _ADVICE_ROUND_TRIP_S = 0.05
 # By then the change feed usually delivers the row.
 _NOTICE_TIMEOUT_S = 0.5
+# A peer is told the time that is left in milliseconds.
+_TIMEOUT_DIGITS = 3
 
 _status_decoder = msgspec.json.Decoder(SchedulerStatus)
 _follower_decoder = msgspec.json.Decoder(FollowerCall)
@@ -94,7 +97,7 @@
                 'POST',
                 address,
                 _STORE_PATH,
-                _encoder.encode(call),
+                _encoder.encode(_timed(call, timeout_s)),
                 timeout_s=timeout_s,
             ),
         )
@@ -183,6 +186,10 @@
         return None
 
 
+def _timed(call: RelayedCall, timeout_s: float) -> RelayedCall:
+    return replace(call, timeout_s=round(timeout_s, _TIMEOUT_DIGITS))
+
+
 def _body(environ: dict[str, Any]) -> bytes:
     return environ['wsgi.input'].read(int(environ.get('CONTENT_LENGTH') or 0))
 
