Let each instance know other peers than the scheduler's instance

Cause: a follower knew one peer, the scheduler's instance, and none after it had lost the scheduler. An instance that the store refuses, or that is cut off from it, then had nobody to ask, and all such instances asked the scheduler's instance, which has the most to do.

Change: a follower that knows no recent peers asks for them in its call, every 2 s at most, and the status then names three other followers. All followers form a ring in the order of a hash of their addresses, and each is named those that follow it, so each is the first peer of one other. The ring is sorted again only when an instance joins or leaves. Peers and the scheduler's address are remembered for 10 s. A follower asks another one first, then the scheduler, and peers that have just failed last; without a scheduler these are left out for 0.5 s, so that callers are still refused at once when nobody reaches the store. Three addresses take 61 bytes in a status and the question 18 in a call, every 2 s; with 300 followers that is 12 kB/s (reckoned, not measured) at the scheduler.

--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -35,7 +35,8 @@
     stopping. ``pending_by_queue`` counts jobs that have not started; it and
     ``backlog`` are meaningless until the scheduler has read all jobs
     (``is_loaded``). ``rank`` is the calling follower's rank among the
-    scheduler's deputies, ``None`` if it is not a deputy.
+    scheduler's deputies, ``None`` if it is not a deputy. ``peers`` are a few
+    other followers in contact, if the call asks for them.
     """
 
     epoch: int = 0
@@ -46,19 +47,21 @@
     backlog: Backlog = Backlog()
     rank: int | None = None
     is_loaded: bool = False
+    peers: tuple[str, ...] = ()
 
 
 class FollowerCall(Struct, frozen=True, omit_defaults=True):
     """A follower's long poll for the scheduler's status, up to ``hold_s``.
 
     ``cores`` is the instance's number of processor cores, ``age_s`` the time
-    since it started.
+    since it started. With ``asks_peers`` the status names other followers.
     """
 
     peer_address: str
     cores: float
     age_s: float = 0
     hold_s: float = 0
+    asks_peers: bool = False
 
 
 class JobNotice(Struct, frozen=True):
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -14,6 +14,7 @@
     takeover,
     takeover_delay_s,
 )
+from apricotlead.coordination.cell.peer_ring import PEERS_PER_FOLLOWER
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.protocol.cell_peers import (
@@ -29,6 +30,7 @@
     StoreReply,
 )
 from apricotlead.state.cell_config_view import CellConfigView
+from apricotlead.state.known_peers import KnownPeers
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_links import RELEASED, CellLinks
 from apricotlead.transport.cell_peers import PeerClient
@@ -70,6 +72,7 @@
 
     __slots__ = (
         '_is_stopping',
+        '_known_peers',
         '_links',
         '_own',
         '_peers',
@@ -99,6 +102,7 @@
         self._term: SchedulingTerm | None = None
         # The address at which the scheduler last answered, empty if lost.
         self._scheduler_address = ''
+        self._known_peers = KnownPeers(own.peer_address)
         self._status = SchedulerStatus()
         self._status_read_s = float('-inf')
         self._view: CellConfigView | None = None
@@ -140,10 +144,17 @@
         return term.followers.watch(call)
 
     def addresses(self) -> list[str]:
-        """Return the instances in contact: the followers or the scheduler."""
+        """Return the instances to ask for a store call, the preferred first.
+
+        A scheduler asks its followers, a follower others and the scheduler.
+        Both are remembered between two terms.
+        """
+        now = boot_now()
         if self._term is not None:
-            return self._term.followers.addresses()
-        return [self._scheduler_address] if self._scheduler_address else []
+            followers = self._term.followers.peers(self._own.peer_address)
+            if followers:
+                return self._known_peers.prefer(followers, now)
+        return self._known_peers.addresses(now)
 
     def relay(
         self,
@@ -152,7 +163,13 @@
         timeout_s: float,
     ) -> StoreReply | None:
         """Make a store call through another instance."""
-        return self._peers.relay(address, call, timeout_s)
+        answer = self._peers.relay(address, call, timeout_s)
+        self._known_peers.record_call(
+            address,
+            boot_now(),
+            is_served=not isinstance(answer, StoreFailed | None),
+        )
+        return answer
 
     def announce(self, row: Row) -> None:
         """Send a stored job row to the scheduler ahead of the change feed.
@@ -196,6 +213,7 @@
             self._claim(read)
             return
         self._rank = None
+        self._known_peers.remember(owner.peer_address, boot_now())
         loss = self._follow(owner)
         if loss is Loss.NONE:
             return
@@ -252,8 +270,11 @@
                 self._status = status
                 self._status_read_s = boot_now()
             self._scheduler_address = owner.peer_address
+            self._known_peers.follow(owner.peer_address, boot_now())
+            self._known_peers.learn(status.peers, boot_now())
             status, loss = self._watch(owner)
         self._scheduler_address = ''
+        self._known_peers.lose_scheduler()
         if loss is Loss.NONE:
             # The owner is starting its term, or has ended it.
             pause(_RETRY_S / 3)
@@ -275,6 +296,7 @@
             self._own.cores,
             asked_s - self._started_s,
             hold_s,
+            self._known_peers.should_ask(asked_s),
         )
         status = self._peers.watch(
             owner.peer_address,
@@ -381,7 +403,7 @@
         return None
 
     def _hold_term(self, scheduler: CellScheduler, took_s: float) -> None:
-        self._term = SchedulingTerm(
+        term = SchedulingTerm(
             self._links,
             self._settings,
             scheduler,
@@ -389,11 +411,18 @@
             self._own.cores,
             took_s,
         )
+        self._term = term
         try:
-            self._term.run()
+            term.run()
         finally:
-            has_failed = self._term.has_failed
             self._term = None
-        if has_failed:
+            self._remember_followers(term)
+        if term.has_failed:
             # Leave the next term to another instance, if there is one.
             pause(_FAILED_TERM_PAUSE_S)
+
+    def _remember_followers(self, term: SchedulingTerm) -> None:
+        followers = term.followers.peers(
+            self._own.peer_address, PEERS_PER_FOLLOWER
+        )
+        self._known_peers.learn(followers, boot_now())
--- a/src/apricotlead/transport/cell_follower_calls.py
+++ b/src/apricotlead/transport/cell_follower_calls.py
@@ -4,6 +4,10 @@
 from msgspec import Struct
 
 from apricotlead.coordination.cell.election import rank_deputies
+from apricotlead.coordination.cell.peer_ring import (
+    PEERS_PER_FOLLOWER,
+    PeerRing,
+)
 from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.protocol.cell_peers import (
     Backlog,
@@ -42,6 +46,7 @@
         '_followers',
         '_is_released',
         '_journal',
+        '_ring',
         '_state',
         '_status_changed',
         '_summary',
@@ -59,6 +64,7 @@
         self._journal = journal
         self._times = times
         self._followers = FollowerTable()
+        self._ring = PeerRing()
         self._status_changed = Broadcast()
         self._summary = _Summary()
         # Whether the term was released and has made its last write.
@@ -69,13 +75,31 @@
         self._followers.drop_silent(boot_now())
         return self._followers.addresses()
 
+    def peers(self, address: str, count: int | None = None) -> tuple[str, ...]:
+        """Return the followers that serve an instance, the preferred first.
+
+        These are all but itself, or the first ``count`` of them.
+        """
+        addresses = self.addresses()
+        if addresses != self._ring.members:
+            self._ring = PeerRing(addresses)
+        return self._ring.after(address, count)
+
     def largest_cores(self) -> float:
         """Return the core count of the largest follower, 0 without any."""
         return self._followers.largest_cores()
 
-    def status(self, peer_address: str = '') -> SchedulerStatus:
+    def status(
+        self,
+        peer_address: str = '',
+        *,
+        asks_peers: bool = False,
+    ) -> SchedulerStatus:
         """Return the status for a follower or for the instance itself."""
         summary = self._recent_summary()
+        peers = (
+            self.peers(peer_address, PEERS_PER_FOLLOWER) if asks_peers else ()
+        )
         return SchedulerStatus(
             self._state.epoch,
             not self._state.ended_why,
@@ -85,6 +109,7 @@
             summary.backlog,
             summary.ranks_by_address.get(peer_address),
             summary.is_loaded,
+            peers,
         )
 
     def watch(self, call: FollowerCall) -> SchedulerStatus:
@@ -97,7 +122,7 @@
                 break
             self._status_changed.wait(left_s)
         self._followers.record_call(call, boot_now())
-        return self.status(call.peer_address)
+        return self.status(call.peer_address, asks_peers=call.asks_peers)
 
     def wake(self) -> None:
         """Make the held calls check for an urgent change."""
