Repeat the reads of the configuration that are not answered at once

Cause: an instance has no keys before it has read the configuration, and each try took up to 1 s, 0.8 s after a lost long poll. One lost answer at the start, when all machines come back from a loss of power at once, kept the instance from serving for that time; after a lost long poll (1.8 s), two more lost answers let the view grow older than the 4.5 s for which keys are accepted.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -3,6 +3,7 @@
 import os
 import random
 import sys
+from collections.abc import Callable
 from functools import partial
 from time import time
 from typing import Any
@@ -32,6 +33,7 @@
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_peers import PeerApplication, PeerClient
 from apricotlead.transport.cell_request_handler import CellRequestHandler
+from apricotlead.transport.hedged_reader import HedgedReader
 from apricotlead.transport.http_pool import HttpPool
 from apricotlead.transport.serving import (
     HttpServer,
@@ -42,7 +44,11 @@
 )
 from apricotlead.transport.store_health import StoreHealth
 from apricotlead.transport.store_relay import StoreRelay
-from apricotlead.transport.table_follower import TableFollower
+from apricotlead.transport.table_follower import (
+    TableFollower,
+    TableListener,
+    TableReader,
+)
 
 SETTINGS_VARIABLE = 'APRICOTLEAD_CONFIG'
 
@@ -162,9 +168,8 @@
             )
         self._log.start()
         self._log.log('started', data_centre=settings.data_centre)
-        follower = TableFollower(
+        follower = config_follower(
             self._store,
-            (OPERATOR_PREFIX,),
             _ConfigListener(self),
             self._log.log,
         )
@@ -245,6 +250,18 @@
         self._entry.confirm_config(read_s, store_ms)
 
 
+def config_follower(
+    store: TableReader,
+    listener: TableListener,
+    log: Callable[..., Any],
+) -> TableFollower:
+    """Return a follower of the rows that operators write.
+
+    An instance has no keys before its first answer, and refuses all callers.
+    """
+    return TableFollower(HedgedReader(store), (OPERATOR_PREFIX,), listener, log)
+
+
 def main(environ: Any = os.environ) -> None:
     """Run an entry instance until it is stopped."""
     random.seed(time())
