Remember peers for as long as they serve calls

An instance that the store turns away cannot read who the next scheduler is. After 10 s it forgot its peers and had nobody to ask, though they had served its calls all the time.

Evidence: test_peers_that_serve_are_not_forgotten fails before.

Change: a call that a peer serves extends the time for which it is remembered.

--- a/src/apricotlead/state/known_peers.py
+++ b/src/apricotlead/state/known_peers.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-# How long an instance is remembered after it was last named or answered, in
-# seconds: longer than the longest silence before a scheduler is replaced
+# How long instances are remembered after they were named or one of them served
+# a call, in seconds: longer than the longest silence before a scheduler is replaced
 # (6.4 s) and than the keys of a configuration are accepted without the store.
 _MEMORY_S = 10.0
 # The age at which the peers are asked for again, in seconds. The scheduler
@@ -27,6 +27,7 @@
         '_is_followed',
         '_named_s',
         '_others',
+        '_others_s',
         '_own_address',
         '_scheduler',
         '_scheduler_s',
@@ -39,7 +40,9 @@
         self._scheduler_s = float('-inf')
         self._is_followed = False
         self._others: tuple[str, ...] = ()
+        # When they were named last, and when one of them last served a call.
         self._named_s = float('-inf')
+        self._others_s = float('-inf')
         self._failed_s_by_address: dict[str, float] = {}
 
     def follow(self, scheduler: str, now: float) -> None:
@@ -65,6 +68,7 @@
         if others:
             self._others = others
             self._named_s = now
+            self._others_s = now
 
     def should_ask(self, now: float) -> bool:
         """Return whether to ask the scheduler for other instances."""
@@ -74,6 +78,10 @@
         """Record whether a peer has served a call."""
         if is_served:
             self._failed_s_by_address.pop(address, None)
+            if address in self._others:
+                self._others_s = now
+            if address == self._scheduler:
+                self._scheduler_s = now
             return
         self._failed_s_by_address = {
             peer: failed_s
@@ -92,7 +100,7 @@
         failed are left out: perhaps nobody reaches the store, and callers are
         then refused at once.
         """
-        others = self._others if now - self._named_s < _MEMORY_S else ()
+        others = self._others if now - self._others_s < _MEMORY_S else ()
         scheduler = (
             (self._scheduler,) if now - self._scheduler_s < _MEMORY_S else ()
         )
--- a/tests/test_known_peers.py
+++ b/tests/test_known_peers.py
@@ -25,6 +25,15 @@
         self.assertEqual(['a', 'b', 'scheduler'], self.peers.addresses(19))
         self.assertEqual([], self.peers.addresses(21))
 
+    # Guards against an instance that is turned away by the store for longer,
+    # cannot find out who the next scheduler is, and forgets those that serve it.
+    def test_peers_that_serve_are_not_forgotten(self) -> None:
+        self.peers.lose_scheduler()
+        self.peers.record_call('b', 18, is_served=True)
+        self.assertEqual(['a', 'b'], self.peers.addresses(21))
+        self.peers.record_call('scheduler', 21, is_served=True)
+        self.assertEqual(['scheduler'], self.peers.addresses(29))
+
     # Guards against an answer of a scheduler of an older version, or of one
     # without other followers, that makes an instance forget those it knows.
     def test_status_without_peers(self) -> None:
