Read the configuration through a peer where the store turns an instance away

Cause: reads and writes of jobs go through a peer in that case, but the configuration was confirmed by the instance's own feed only. After nine tenths of revoke_ms no key is accepted.

Change: once half of that time has passed without a confirmation, the row of the configuration is read through a peer, a second one if the first fails. The peer reads it from the store after the call was sent, so the time of sending counts, and revoked keys end as early as before. Nothing is said about the store's health here, so the readiness probe answers as before. The stand-in of the store has an address that turns single instances away; no test was changed.

--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -35,6 +35,7 @@
 from apricotlead.transport.cell_request_handler import CellRequestHandler
 from apricotlead.transport.hedged_reader import HedgedReader
 from apricotlead.transport.http_pool import HttpPool
+from apricotlead.transport.relayed_row import RelayedRow
 from apricotlead.transport.serving import (
     HttpServer,
     StopRequest,
@@ -62,6 +63,10 @@
 _DRAIN_POLL_S = 0.05
 _STOP_MARGIN_S = 0.7
 _EXIT_SETTINGS_ERROR = 2
+# The share of the time for which keys are accepted without a confirmation
+# after which peers are asked for the configuration. A lost long poll takes
+# 1.8 s, and the repeated read after it is usually answered before 2.25 s.
+_RELAYED_AGE = 0.5
 
 
 class CellEntry:
@@ -173,7 +178,15 @@
             _ConfigListener(self),
             self._log.log,
         )
+        relayed = RelayedRow(
+            CONFIG_KEY,
+            self._candidate,
+            settings.view_bound_s * _RELAYED_AGE,
+            self._config_read_s,
+            self._apply_relayed,
+        )
         run_in_background(follower.run)
+        run_in_background(relayed.run)
         run_in_background(self._candidate.run)
         stop.wait()
         self._stop(servers)
@@ -194,8 +207,23 @@
 
     def confirm_config(self, read_s: float, store_ms: float) -> None:
         """Record that the configuration was still current at ``read_s``."""
-        view = self.request_handler.view
         self.request_handler.health.record_answer(store_ms)
+        self._confirm_view(read_s)
+
+    def _config_read_s(self) -> float:
+        view = self.request_handler.view
+        return float('-inf') if view is None else view.read_s
+
+    def _apply_relayed(self, row: Row, read_s: float) -> None:
+        """Apply the configuration as a peer has read it from the store.
+
+        This says nothing about the store's health here.
+        """
+        self.apply_config(row, read_s)
+        self._confirm_view(read_s)
+
+    def _confirm_view(self, read_s: float) -> None:
+        view = self.request_handler.view
         if view is not None:
             view.read_s = max(view.read_s, read_s)
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -195,6 +195,23 @@
         return {**answer, 'Ver': self.version, 'NowMs': now_ms}
 
 
+class StoreDoor(_Model):
+    """The address of a store for some of the instances.
+
+    While it is shut, the store turns them away, and serves the others.
+    """
+
+    def __init__(self, store):
+        """Pass calls to ``store``."""
+        self._store = store
+        self.is_shut = False
+        super().__init__()
+
+    def answer(self, path, body):
+        """Pass one call on, or refuse it."""
+        return (503, {}) if self.is_shut else self._store.answer(path, body)
+
+
 class WorkerModel(_Model):
     """A worker whose tasks run for the seconds that are their payload."""
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -17,7 +17,7 @@
 from testtools import TestCase
 from testtools.content import text_content
 
-from tests.platform.standin import StoreModel, WorkerModel
+from tests.platform.standin import StoreDoor, StoreModel, WorkerModel
 
 CONFIG = {
     'Version': 3,
@@ -123,10 +123,11 @@
         wait_until(lambda: all(each.is_ready() for each in self.instances))
         wait_until(self.scheduler)
 
-    def start_instance(self):
+    def start_instance(self, store_address=''):
         """Start another instance."""
         name = f'i{len(self.started)}'
-        instance = Instance(name, self.folder, self.store.address)
+        address = store_address or self.store.address
+        instance = Instance(name, self.folder, address)
         self.addCleanup(_kill, instance.process)
         self.started.append(instance)
         self.instances.append(instance)
@@ -241,6 +242,26 @@
         self.assertEqual(410, never.status)
 
 
+class TestTurnedAwayInstance(CellProcesses):
+    """The store refuses a single instance, and serves the others."""
+
+    # Guards against 503 to the callers of an instance whose configuration is
+    # not confirmed for 4.5 s, though its peers reach the store.
+    def test_callers_are_served_through_peers(self):
+        door = StoreDoor(self.store)
+        self.addCleanup(door.close)
+        self.start_instance(door.address)
+        turned_away = self.instances[-1]
+        wait_until(turned_away.is_ready)
+        path = self.submit(1)[0]
+        wait_until(lambda: self.state(path) == 'completed')
+        door.is_shut = True
+        for _ in range(14):
+            time.sleep(0.5)
+            answer = turned_away.call('GET', path)
+            self.assertEqual(200, answer.status, answer.data)
+
+
 def path_of(number):
     """Return the path of a job."""
     job_id = hex(number).removeprefix('0x').rjust(JOB_ID_LENGTH, '0')
