--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -3,6 +3,7 @@
 import os
 import random
 import sys
+from collections.abc import Callable
 from functools import partial
 from time import time
 from typing import Any
@@ -32,7 +33,9 @@
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_peers import PeerApplication, PeerClient
 from apricotlead.transport.cell_request_handler import CellRequestHandler
+from apricotlead.transport.hedged_reader import HedgedReader
 from apricotlead.transport.http_pool import HttpPool
+from apricotlead.transport.relayed_row import RelayedRow
 from apricotlead.transport.serving import (
     HttpServer,
     StopRequest,
@@ -42,7 +45,11 @@
 )
 from apricotlead.transport.store_health import StoreHealth
 from apricotlead.transport.store_relay import StoreRelay
-from apricotlead.transport.table_follower import TableFollower
+from apricotlead.transport.table_follower import (
+    TableFollower,
+    TableListener,
+    TableReader,
+)
 
 SETTINGS_VARIABLE = 'APRICOTLEAD_CONFIG'
 
@@ -56,6 +63,10 @@
 _DRAIN_POLL_S = 0.05
 _STOP_MARGIN_S = 0.7
 _EXIT_SETTINGS_ERROR = 2
+# The share of the time for which keys are accepted without a confirmation
+# after which peers are asked for the configuration. A lost long poll takes
+# 1.8 s, and the repeated read after it is usually answered before 2.25 s.
+_RELAYED_AGE = 0.5
 
 
 class CellEntry:
@@ -162,13 +173,20 @@
             )
         self._log.start()
         self._log.log('started', data_centre=settings.data_centre)
-        follower = TableFollower(
+        follower = config_follower(
             self._store,
-            (OPERATOR_PREFIX,),
             _ConfigListener(self),
             self._log.log,
         )
+        relayed = RelayedRow(
+            CONFIG_KEY,
+            self._candidate,
+            settings.view_bound_s * _RELAYED_AGE,
+            self._config_read_s,
+            self._apply_relayed,
+        )
         run_in_background(follower.run)
+        run_in_background(relayed.run)
         run_in_background(self._candidate.run)
         stop.wait()
         self._stop(servers)
@@ -189,8 +207,23 @@
 
     def confirm_config(self, read_s: float, store_ms: float) -> None:
         """Record that the configuration was still current at ``read_s``."""
-        view = self.request_handler.view
         self.request_handler.health.record_answer(store_ms)
+        self._confirm_view(read_s)
+
+    def _config_read_s(self) -> float:
+        view = self.request_handler.view
+        return float('-inf') if view is None else view.read_s
+
+    def _apply_relayed(self, row: Row, read_s: float) -> None:
+        """Apply the configuration as a peer has read it from the store.
+
+        This says nothing about the store's health here.
+        """
+        self.apply_config(row, read_s)
+        self._confirm_view(read_s)
+
+    def _confirm_view(self, read_s: float) -> None:
+        view = self.request_handler.view
         if view is not None:
             view.read_s = max(view.read_s, read_s)
 
@@ -245,6 +278,18 @@
         self._entry.confirm_config(read_s, store_ms)
 
 
+def config_follower(
+    store: TableReader,
+    listener: TableListener,
+    log: Callable[..., Any],
+) -> TableFollower:
+    """Return a follower of the rows that operators write.
+
+    An instance has no keys before its first answer, and refuses all callers.
+    """
+    return TableFollower(HedgedReader(store), (OPERATOR_PREFIX,), listener, log)
+
+
 def main(environ: Any = os.environ) -> None:
     """Run an entry instance until it is stopped."""
     random.seed(time())
