Look at every waiting step in each check for stalled steps

Callers saw: nothing; a step that breaks the rule (LOST) in a cell of 176 workers with thousands of waiting steps left no line `step stalled`, or a late one.

Cause: a check looked at 40 steps and timed a step from the check whose turn it was, so of 3,000 idle steps one was timed after up to 75 s and reported on its second turn. Besides, the watch had a definition of its own. It did not see: a long-running task while others of its step run, or in a service over half full; a suspect, as only the worker kept for its trial counted; a chosen task that does not begin while others of its step wait without room; a job whose steps could run by turns. It reported steps that the limit of their organisation holds back.

Change: the watch uses the definition in runnable.py and looks at all steps in each check. Cheap conditions come first; the search for room looks at workers with enough free processors only and ends once the need is met. Steps without a line are reported first. What an organisation uses is counted from confirmed runs, so that a wrong sum of the tracker does not hide its steps, too. Room for a task that is chosen is not asked for: the scheduler has set it aside.

A report of a step whose organisation is at half of its limit is gone: the platform's rule allows that wait, and it is the one point in which the watch reports less than before.

TestAgreement stops the planner of the simulated cell and finds that both watchers name the same steps (six cells).

--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -104,6 +104,7 @@
         """Apply a new configuration."""
         self.jobs.view = view
         self.planner.set_view(view)
+        self.stalled.set_view(view)
 
     def tick(self, now: float) -> None:
         """Run periodic work and handle expired deadlines."""
--- a/src/apricotlead/coordination/cell/stalled_steps.py
+++ b/src/apricotlead/coordination/cell/stalled_steps.py
@@ -1,23 +1,34 @@
 """Detection of steps that could run but do not, with the state that blocks them.
 
 Pattern: a service that is half idle while accepted work makes no progress.
-Nothing fails in this case, so no other log line shows it. A step counts as
-stalled if none of its tasks has run for a while although it is ready and would
-fit on workers that advice does not rule out, or if its tasks have been placed
-and do not start.
+Nothing fails in this case, so no other log line shows it. What could run is
+defined in :mod:`.runnable`. Besides, tasks that have been placed and do not
+begin are reported: nothing is left that they could wait for.
+
+Pattern: thousands of waiting steps. Each check looks at all of them, as a step
+that only some checks look at is reported late or never.
 """
 
-from collections import Counter
-from collections.abc import Container, Iterable
+from collections import Counter, defaultdict
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any
 
 from apricotlead.coordination.cell.advice_cache import AdviceCache, StepAdvice
 from apricotlead.coordination.cell.placement import (
+    can_execute,
     fitting_task_count,
     is_eligible,
 )
 from apricotlead.coordination.cell.run_tracker import RunTracker
-from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
+from apricotlead.coordination.cell.runnable import (
+    Need,
+    ServiceRoom,
+    WorkerRoom,
+    idle_units,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.state.cell_config_view import CellConfigView
+from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
 
 # Placing a step takes one advice answer and one write; longer is a fault.
@@ -25,116 +36,203 @@
 # Time between two log lines about the same step.
 _REPORT_INTERVAL_S = 5.0
 _MAX_REPORTS_PER_CHECK = 5
-# Bounds the cost of a check; the next checks look at the other steps.
-_MAX_STEPS_PER_CHECK = 40
 _MAX_TASKS_PER_REPORT = 4
+_NOTHING = Resources()
+
+
+class _CellView:
+    """The capacity and the use of a cell at one check.
+
+    What an organisation uses is counted on the workers. The tracker's sum is
+    not used: if it counted runs that are gone, their organisation's steps
+    would wait, and count as held by the limit.
+    """
+
+    __slots__ = ('_usage_by_organisation', 'rooms_by_service')
+
+    def __init__(self, workers: Collection[WorkerState], now: float) -> None:
+        """Count the free capacity of workers that take work, and all runs."""
+        self._usage_by_organisation: dict[str, Resources] = {}
+        workers_by_service: defaultdict[str, list[WorkerState]]
+        workers_by_service = defaultdict(list)
+        for worker in workers:
+            self._count_runs(worker)
+            if worker.takes_work(now):
+                workers_by_service[worker.entry.service].append(worker)
+        self.rooms_by_service = {
+            service: _service_room(usable)
+            for service, usable in workers_by_service.items()
+        }
+
+    def usage(self, organisation: str) -> Resources:
+        """Return the resources of the runs of an organisation."""
+        return self._usage_by_organisation.get(organisation, _NOTHING)
+
+    def _count_runs(self, worker: WorkerState) -> None:
+        for task in worker.tasks_by_name.values():
+            if task.phase is TaskPhase.RUNNING:
+                organisation = task.step.job.stored.organisation
+                self._usage_by_organisation[organisation] = (
+                    self.usage(organisation) + task.step.demand()
+                )
 
 
 class StalledSteps:
-    """Finds stalled steps of services of which more than half is free."""
+    """Finds the steps that could run and have not for too long."""
 
     __slots__ = (
         '_advice',
-        '_next_index',
+        '_limits_by_organisation',
         '_reported_s_by_step',
-        '_since_s_by_step',
+        '_since_s_by_unit',
         '_tracker',
+        'stalled_names',
     )
 
     def __init__(self, tracker: RunTracker, advice: AdviceCache) -> None:
         """Report each stalled step as a note in ``tracker``."""
         self._tracker = tracker
         self._advice = advice
-        # Index of the idle step that the next check starts with.
-        self._next_index = 0
-        self._since_s_by_step: dict[str, float] = {}
+        self._limits_by_organisation: dict[str, Resources] = {}
+        # Since when each unit of work could have run.
+        self._since_s_by_unit: dict[str, float] = {}
+        # The steps that have been stalled for too long, as of the latest check.
+        self.stalled_names: set[str] = set()
         self._reported_s_by_step: dict[str, float] = {}
 
+    def set_view(self, view: CellConfigView) -> None:
+        """Apply the limits of a new configuration."""
+        for organisation in view.config.organisations:
+            self._limits_by_organisation[organisation.name] = organisation.limit
+
     def check(self, now: float) -> None:
         """Report the steps that have been stalled for too long."""
-        workers = [
-            worker
-            for worker in self._tracker.workers_by_id.values()
-            if worker.takes_work(now)
-        ]
-        services = _half_free_services(workers)
-        steps = self._idle_steps(services) if services else []
-        self._forget_all_except(steps)
-        report_count = 0
-        for step in self._next_steps(steps):
-            if not self._could_run(step, workers):
-                self._since_s_by_step.pop(step.name, None)
-                continue
-            since_s = self._since_s_by_step.setdefault(step.name, now)
-            is_due = self._is_due(step.name, since_s, now)
-            if is_due and report_count < _MAX_REPORTS_PER_CHECK:
-                report_count += 1
-                self._report(step, workers, since_s, now)
-
-    def _idle_steps(self, services: Container[str]) -> list[StepState]:
-        """Return the ready steps of which no task is running."""
-        return [
-            step
-            for job in self._tracker.jobs_by_id.values()
-            if job.stored.service in services
+        cell = _CellView(self._tracker.workers_by_id.values(), now)
+        former_since_s = self._since_s_by_unit
+        self._since_s_by_unit = {}
+        since_s_by_step: dict[str, float] = {}
+        for job in self._tracker.jobs_by_id.values():
+            for step_name, units in self._runnable_units_of(job, cell):
+                since_s = {
+                    unit: former_since_s.get(unit, now) for unit in units
+                }
+                self._since_s_by_unit.update(since_s)
+                since_s_by_step[step_name] = min(since_s.values())
+        self.stalled_names = {
+            name
+            for name, since_s in since_s_by_step.items()
+            if now - since_s >= STALLED_AFTER_S
+        }
+        for name in self._due_names(since_s_by_step, now):
+            self._reported_s_by_step[name] = now
+            self._report(self._step(name), cell, since_s_by_step[name], now)
+
+    def _runnable_units_of(
+        self, job: JobRun, cell: _CellView
+    ) -> list[tuple[str, list[str]]]:
+        """Return the steps of a job that could run, each with its units.
+
+        The job is a unit of all of them if nothing of it runs.
+        """
+        if job.state.is_final:
+            return []
+        units_by_step = [
+            (step.name, units)
             for step in job.steps_by_key.values()
-            if _is_idle(step)
+            if _is_open(step) and (units := self._runnable_units(step, cell))
         ]
+        if units_by_step and not _is_running(job):
+            for _, units_of_step in units_by_step:
+                units_of_step.append(job.job_id)
+        return units_by_step
 
-    def _forget_all_except(self, steps: Iterable[StepState]) -> None:
-        names = {step.name for step in steps}
-        for name in self._since_s_by_step.keys() - names:
-            self._since_s_by_step.pop(name)
-            self._reported_s_by_step.pop(name, None)
-
-    def _next_steps(self, steps: list[StepState]) -> list[StepState]:
-        """Return the steps of this check, continuing after the last one."""
-        start = self._next_index if self._next_index < len(steps) else 0
-        self._next_index = start + _MAX_STEPS_PER_CHECK
-        return steps[start : self._next_index]
+    def _runnable_units(self, step: StepState, cell: _CellView) -> list[str]:
+        """Return the units of a step that could run, of which nothing runs."""
+        room = cell.rooms_by_service.get(step.job.stored.service)
+        if room is None or not room.has_spare(step.spec):
+            return []
+        placed = _placed_tasks(step)
+        running_names = _names(placed, is_running=True)
+        chosen_names = _names(placed, is_running=False)
+        units = idle_units(step.name, step.spec, running_names)
+        if chosen_names and not step.spec.long_running:
+            return units
+        if units and self._may_start(step, room, cell):
+            return units
+        return [unit for unit in units if unit in chosen_names]
 
-    def _could_run(
-        self,
-        step: StepState,
-        workers: Iterable[WorkerState],
+    def _may_start(
+        self, step: StepState, room: ServiceRoom, cell: _CellView
     ) -> bool:
-        waiting = step.waiting_count
-        if not waiting or (step.spec.gang and waiting < len(step.tasks)):
-            # The step does not wait for capacity.
-            return True
+        """Return whether limit, advice and room leave no reason to wait."""
+        organisation = step.job.stored.organisation
+        need = Need.from_spec(step.spec)
+        limit = self._limit(organisation)
+        if not need.is_within_limit(cell.usage(organisation), limit):
+            return False
+        return room.fits(need, self._ruled_out_ids(step), _held_counts(step))
+
+    def _limit(self, organisation: str) -> Resources:
+        return self._limits_by_organisation.get(organisation, _NOTHING)
+
+    def _ruled_out_ids(self, step: StepState) -> set[str]:
         advice = self._known_advice(step)
-        needed = len(step.tasks) if step.spec.gang else 1
-        fitting_count = sum(
-            _fitting_count(step, worker)
-            for worker in workers
-            if is_eligible(step, worker)
-            and not (advice and worker.worker_id in advice.ineligible_ids)
+        return set() if advice is None else advice.ineligible_ids
+
+    def _due_names(
+        self, since_s_by_step: Mapping[str, float], now: float
+    ) -> list[str]:
+        """Return the stalled steps to report now.
+
+        Steps that have not been reported yet come first, so that none is left
+        out while others are reported again.
+        """
+        self._reported_s_by_step = {
+            name: reported_s
+            for name, reported_s in self._reported_s_by_step.items()
+            if name in since_s_by_step
+        }
+        never = float('-inf')
+        due = sorted(
+            (
+                self._reported_s_by_step.get(name, never),
+                since_s_by_step[name],
+                name,
+            )
+            for name in self.stalled_names
         )
-        return fitting_count >= needed
+        return [
+            name
+            for reported_s, _, name in due[:_MAX_REPORTS_PER_CHECK]
+            if now - reported_s >= _REPORT_INTERVAL_S
+        ]
+
+    def _step(self, name: str) -> StepState:
+        job_id, occurrence, index = name.split('.')
+        job = self._tracker.jobs_by_id[job_id]
+        return job.steps_by_key[int(occurrence), int(index)]
 
     def _known_advice(self, step: StepState) -> StepAdvice | None:
         return self._advice.steps_by_name.get(step.name)
 
-    def _is_due(self, name: str, since_s: float, now: float) -> bool:
-        reported_s = self._reported_s_by_step.get(name, float('-inf'))
-        has_lasted = now - since_s >= STALLED_AFTER_S
-        return has_lasted and now - reported_s >= _REPORT_INTERVAL_S
-
     def _report(
         self,
         step: StepState,
-        workers: Iterable[WorkerState],
+        cell: _CellView,
         since_s: float,
         now: float,
     ) -> None:
         """Log everything that could block a step."""
-        self._reported_s_by_step[step.name] = now
         advice = self._known_advice(step)
         worker_counts: Counter[str] = Counter(
             _describe_worker(step, worker, advice, now)
             for worker in self._tracker.workers_by_id.values()
         )
-        chosen = [task for task in step.tasks if task.is_placed]
+        chosen = [
+            task
+            for task in _placed_tasks(step)
+            if task.phase is not TaskPhase.RUNNING
+        ]
         organisation = step.job.stored.organisation
         self._tracker.note(
             'step stalled',
@@ -157,6 +255,11 @@
                 self._describe_task(task, now)
                 for task in chosen[:_MAX_TASKS_PER_REPORT]
             ],
+            idle_tasks=[
+                task.name
+                for task in step.tasks
+                if task.name in self._since_s_by_unit
+            ][:_MAX_TASKS_PER_REPORT],
         )
 
     def _describe_task(self, task: TaskState, now: float) -> dict[str, Any]:
@@ -177,21 +280,56 @@
         return fields
 
 
-def _is_idle(step: StepState) -> bool:
-    """Return whether a step is ready and none of its tasks is running."""
-    if step.ready_s is None or step.is_done or step.job.state.is_final:
-        return False
-    return not any(task.phase is TaskPhase.RUNNING for task in step.tasks)
+def _is_open(step: StepState) -> bool:
+    """Return whether a step is ready and not done."""
+    return step.ready_s is not None and not step.is_done
 
 
-def _half_free_services(workers: Iterable[WorkerState]) -> set[str]:
-    free_minus_used_cpu: Counter[str] = Counter()
-    for worker in workers:
-        total_cpu = worker.entry.capacity.cpu_millis
-        free_minus_used_cpu[worker.entry.service] += (
-            total_cpu - 2 * worker.used.cpu_millis
-        )
-    return {service for service, cpu in free_minus_used_cpu.items() if cpu > 0}
+def _is_running(job: JobRun) -> bool:
+    return any(
+        task.phase is TaskPhase.RUNNING
+        for step in job.steps_by_key.values()
+        for task in _placed_tasks(step)
+    )
+
+
+def _placed_tasks(step: StepState) -> list[TaskState]:
+    if step.waiting_count == len(step.tasks):
+        # True of most waiting steps; wide ones have hundreds of tasks.
+        return []
+    return [task for task in step.tasks if task.is_placed]
+
+
+def _names(tasks: Iterable[TaskState], *, is_running: bool) -> set[str]:
+    """Return the names of the tasks that run, or of those that do not."""
+    return {
+        task.name
+        for task in tasks
+        if (task.phase is TaskPhase.RUNNING) is is_running
+    }
+
+
+def _service_room(workers: Collection[WorkerState]) -> ServiceRoom:
+    """Return the free capacity of workers of one service that take work."""
+    return ServiceRoom(
+        (
+            WorkerRoom(
+                worker.worker_id,
+                worker.entry.capacity - worker.used,
+                worker.entry.labels,
+            )
+            for worker in workers
+        ),
+        sum(worker.used.cpu_millis for worker in workers),
+        sum(worker.entry.capacity.cpu_millis for worker in workers),
+    )
+
+
+def _held_counts(step: StepState) -> Counter[str]:
+    """Return how many tasks of a step with ``max_per_worker`` are where."""
+    if not step.spec.max_per_worker:
+        return Counter()
+    return Counter(task.worker_id for task in _placed_tasks(step))
 
 
 def _fitting_count(step: StepState, worker: WorkerState) -> int:
@@ -209,7 +347,11 @@
     if not worker.takes_work(now):
         return _describe_unusable(worker, now)
     if not is_eligible(step, worker):
-        return 'other service or label'
+        return (
+            'kept for other work'
+            if can_execute(step, worker)
+            else 'other service or label'
+        )
     availability = 'room' if _fitting_count(step, worker) else 'full'
     if step.job.stored.advice is None:
         return availability
--- a/tests/test_cell_runnable.py
+++ b/tests/test_cell_runnable.py
@@ -1,5 +1,6 @@
-"""Tests of the definition of work that could run."""
+"""Tests of the definition of work that could run, and that all use it."""
 
+import msgspec
 from testtools import TestCase
 
 from apricotlead.coordination.cell.runnable import (
@@ -8,8 +9,19 @@
     WorkerRoom,
     idle_units,
 )
+from apricotlead.coordination.cell.stalled_steps import STALLED_AFTER_S
 from apricotlead.protocol.cell_jobs import StepSpec
 from apricotlead.protocol.resources import Resources
+from tests.faulty.cell import FaultyCell
+from tests.faulty.progress_rule import ProgressRule
+from tests.faulty.shape import CellShape
+from tests.test_cell_progress import BATCHES, SPREAD_GANGS
+from tests.test_cell_progress_shapes import (
+    IN_A_RACK,
+    LONG_RUNNING,
+    LONG_RUNNING_GANGS,
+    PARALLEL,
+)
 
 DEMAND = Resources(2950, 3472)
 FREE = Resources(6000, 8000)
@@ -134,3 +146,58 @@
         self.assertFalse(busy.has_spare(GANG))
         self.assertTrue(busy.has_spare(StepSpec(1, long_running=True)))
         self.assertTrue(ServiceRoom((), 7999, 16000).has_spare(GANG))
+
+
+class StoppedPlanner:
+    """Places nothing, which is the fault that the watchers have to see."""
+
+    def plan(self, now: float, askers: list[str]) -> list[object]:
+        return []
+
+
+class TestAgreement(TestCase):
+    """The scheduler's watch and the simulation's rule judge alike.
+
+    They had definitions of their own, so what one of them called a fault the
+    other did not report.
+    """
+
+    def assert_agreement(self, shape: CellShape, seed: int) -> None:
+        cell = FaultyCell(shape, seed)
+        cell.timeline.run_until(cell.traffic_end_s - 2)
+        cell.scheduler.planner = StoppedPlanner()
+        rule = ProgressRule(cell, cell.now)
+        cell.timeline.spawn(rule.watch())
+        # Until all that runs has ended and both have watched what waits.
+        cell.timeline.run_until(cell.now + 12 + STALLED_AFTER_S)
+        expected = {
+            '.'.join(name.split('.')[:3])
+            for name in rule.violations_by_name
+            if '.' in name
+        }
+        self.assertNotEqual(set(), expected, seed)
+        self.assertEqual(expected, cell.scheduler.stalled.stalled_names, seed)
+
+    def test_kinds_of_work(self) -> None:
+        """Guards against definitions that differ in what has to run."""
+        kinds = [
+            msgspec.structs.replace(kind, advice=None, permitted_share=1.0)
+            for kind in (BATCHES, PARALLEL, SPREAD_GANGS, IN_A_RACK)
+        ]
+        kinds.extend((LONG_RUNNING, LONG_RUNNING_GANGS))
+        for seed in (1, 2, 3):
+            shape = CellShape(tuple(kinds), workers=24, cancelled_share=0)
+            self.assert_agreement(shape, seed)
+
+    def test_limits(self) -> None:
+        """Guards against definitions that differ in what a limit allows."""
+        kinds = [
+            msgspec.structs.replace(kind, advice=None, permitted_share=1.0)
+            for kind in (BATCHES, SPREAD_GANGS, IN_A_RACK)
+        ]
+        for seed in (1, 2, 3):
+            limit = Resources(9000, 30000)
+            shape = CellShape(
+                tuple(kinds), workers=24, limit=limit, cancelled_share=0
+            )
+            self.assert_agreement(shape, seed)
--- a/tests/test_cell_stalled_steps.py
+++ b/tests/test_cell_stalled_steps.py
@@ -7,12 +7,16 @@
 from apricotlead.coordination.cell.stalled_steps import STALLED_AFTER_S
 from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_jobs import StepSpec
-from apricotlead.protocol.cell_workers import AdviceAnswer
+from apricotlead.protocol.cell_workers import AdviceAnswer, EndKind
 from apricotlead.protocol.resources import Resources
+from apricotlead.state.cell_jobs import TaskState
+from apricotlead.state.wait_times import WaitReason
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 
 JOB = '00000000000000aa'
 WHOLE = Resources(16000, 1024)
+# More memory than any worker has.
+TOO_LARGE = Resources(100, 999_999)
 ADVICE = AdvicePolicy(100, 1, 2000)
 
 
@@ -31,6 +35,31 @@
             if kind == 'step stalled'
         ]
 
+    def reported_steps(self) -> list[str]:
+        return [report['step'] for report in self.reports()]
+
+    def wait(self, duration_s: float) -> None:
+        """Let time pass while nothing is placed, as a faulty planner does."""
+        ends_s = self.rig.now + duration_s
+        while self.rig.now < ends_s:
+            self.rig.now += 0.5
+            self.rig.hold_all()
+            self.rig.journal()
+            self.rig.scheduler.tick(self.rig.now)
+
+    def place_one(self, spec: StepSpec, job_id: str = JOB) -> TaskState:
+        """Submit a job, place what fits, and return its first task."""
+        self.rig.submit(job_id, stored_job(spec))
+        self.rig.round()
+        self.rig.hold_all()
+        return self.rig.scheduler.tracker.task(f'{job_id}.0.0.0')
+
+    def lose_run(self, task: TaskState) -> None:
+        """End a run as lapsed, so that its task waits again."""
+        worker = self.rig.workers_by_id[task.worker_id]
+        worker.end(task.name, EndKind.LAPSED)
+        self.rig.hold_all()
+
 
 class TestServices(StalledStepsCase):
     """Each service is checked separately."""
@@ -118,3 +147,158 @@
         self.rig.pass_time(20)
         self.assertLessEqual(len(self.reports()), 5 * 20)
         self.assertNotEqual([], self.reports())
+
+
+class TestManySteps(StalledStepsCase):
+    """A grown cell: 176 workers and thousands of waiting steps."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(*(ModelWorker(f'w{each}') for each in range(176)))
+
+    def test_one_step_among_thousands(self) -> None:
+        """Guards against a step that is reported late, or never.
+
+        Each check looked at 40 steps and timed a step from the check whose turn
+        it was, so this one was to be reported after more than two minutes.
+        """
+        for number in range(1, 3000):
+            spec = StepSpec(1, TOO_LARGE)
+            self.rig.submit(format(number << 16, '016x'), stored_job(spec))
+        self.rig.submit(JOB, stored_job())
+        self.wait(STALLED_AFTER_S + 2)
+        self.assertEqual([f'{JOB}.0.0'], self.reported_steps())
+
+    def test_each_stalled_step_is_named(self) -> None:
+        """Guards against repeated reports that crowd out other steps."""
+        names = []
+        for number in range(60):
+            job_id = format(number, '016x')
+            self.rig.submit(job_id, stored_job())
+            names.append(f'{job_id}.0.0')
+        self.wait(STALLED_AFTER_S + 2 + 60 / 5)
+        self.assertEqual(names, sorted(set(self.reported_steps())))
+
+
+class TestTurn(StalledStepsCase):
+    """Work counts as idle step by step; a long-running task by itself."""
+
+    def test_long_running_task_beside_others_of_its_step(self) -> None:
+        """Guards against a lasting task that is missed while others run."""
+        task = self.place_one(StepSpec(3, SMALL, long_running=True))
+        self.lose_run(task)
+        self.wait(STALLED_AFTER_S + 2)
+        report = self.reports()[0]
+        self.assertEqual(f'{JOB}.0.0', report['step'])
+        self.assertEqual([task.name], report['idle_tasks'])
+
+    def test_long_running_task_in_a_busy_service(self) -> None:
+        """Guards against a lasting task that is missed in a busy service."""
+        task = self.place_one(StepSpec(3, SMALL, long_running=True))
+        self.place_one(StepSpec(3, WHOLE, estimated_ms=60000), 'f' * 16)
+        self.lose_run(task)
+        self.wait(STALLED_AFTER_S + 2)
+        self.assertEqual([f'{JOB}.0.0'], self.reported_steps()[:1])
+
+    def test_step_beside_another_of_its_job(self) -> None:
+        """Guards against a step that is missed while another one runs."""
+        self.place_one(StepSpec(1, SMALL, estimated_ms=60000), 'f' * 16)
+        steps = (StepSpec(1, SMALL, estimated_ms=60000), StepSpec(1, SMALL))
+        self.rig.submit(JOB, stored_job(*steps))
+        self.rig.round()
+        self.rig.hold_all()
+        self.lose_run(self.rig.scheduler.tracker.task(f'{JOB}.0.1.0'))
+        self.wait(STALLED_AFTER_S + 2)
+        self.assertEqual({f'{JOB}.0.1'}, set(self.reported_steps()))
+
+    def test_steps_that_take_turns_in_having_room(self) -> None:
+        """Guards against a job that stands while its steps could run by turns.
+
+        Each of the steps could run for 2.5 s only, so none counts by itself.
+        """
+        steps = [StepSpec(1, SMALL, required_label=each) for each in 'ab']
+        workers = [ModelWorker(each, labels=(each,)) for each in 'ab']
+        self.rig = CellRig(*self.workers, *workers)
+        self.rig.submit(JOB, stored_job(*steps))
+        states = self.rig.scheduler.tracker.workers_by_id
+        states['b'].used = WHOLE
+        self.wait(2.5)
+        states['a'].used = WHOLE
+        states['b'].used = Resources()
+        self.wait(2.5)
+        self.assertEqual([f'{JOB}.0.1'], self.reported_steps())
+
+    def test_chosen_task_never_begins(self) -> None:
+        """Guards against a chosen task that is missed for want of room.
+
+        Its step has further tasks, for which nothing is left on any worker.
+        """
+        spec = StepSpec(3, SMALL, required_label='small')
+        small = ModelWorker('small', capacity=SMALL, labels=('small',))
+        self.rig = CellRig(*self.workers, small)
+        self.rig.submit(JOB, stored_job(spec))
+        self.rig.scheduler.plan(self.rig.now, [])
+        self.wait(STALLED_AFTER_S + 2)
+        chosen = self.reports()[0]['chosen']
+        self.assertEqual(['sent'], [each['phase'] for each in chosen])
+
+
+class TestSuspectedWork(StalledStepsCase):
+    """Work that is held back after crashes counts like any other."""
+
+    def test_suspect_that_waits_for_a_trial(self) -> None:
+        """Guards against suspects that are missed as no worker is kept."""
+        self.rig.submit(JOB, stored_job())
+        step = self.rig.scheduler.tracker.ready_steps_by_name[f'{JOB}.0.0']
+        step.apart_for = 'trial'
+        step.waits.note(WaitReason.TRIAL, self.rig.now)
+        self.wait(STALLED_AFTER_S + 2)
+        report = self.reports()[0]
+        self.assertEqual('trial', report['waits_for'])
+        self.assertEqual({'kept for other work': 4}, report['workers'])
+
+    def test_step_that_is_held_back(self) -> None:
+        """Guards against steps of a limited queue that are missed."""
+        self.rig.submit(JOB, stored_job())
+        step = self.rig.scheduler.tracker.ready_steps_by_name[f'{JOB}.0.0']
+        step.waits.note(WaitReason.CRASHES, self.rig.now)
+        self.wait(STALLED_AFTER_S + 2)
+        self.assertEqual('crashes', self.reports()[0]['waits_for'])
+
+
+class TestReasonsToWait(StalledStepsCase):
+    """Advice and limits may leave nothing that could run."""
+
+    def test_advice_rules_out_all_workers(self) -> None:
+        """Guards against reports of steps that may run nowhere."""
+        self.rig.submit(JOB, stored_job(StepSpec(2, SMALL), advice=ADVICE))
+        advice = self.rig.scheduler.advice.advice(f'{JOB}.0.0')
+        for worker in self.workers:
+            advice.mark_ineligible(worker.entry.worker_id)
+        self.wait(STALLED_AFTER_S * 2)
+        self.assertEqual([], self.reports())
+
+    def test_organisation_above_half_of_its_limit(self) -> None:
+        """Guards against reports of steps that the limit holds back."""
+        self.rig = CellRig(*self.workers, limit=Resources(24000, 0))
+        self.place_one(StepSpec(1, WHOLE, estimated_ms=60000), 'f' * 16)
+        self.rig.submit(JOB, stored_job(StepSpec(1, WHOLE)))
+        self.wait(STALLED_AFTER_S * 2)
+        self.assertEqual([], self.reports())
+
+    def test_usage_of_runs_that_are_gone(self) -> None:
+        """Guards against a wrong sum of usage that also hides the step."""
+        self.rig = CellRig(*self.workers, limit=Resources(24000, 0))
+        self.rig.submit(JOB, stored_job())
+        usage = self.rig.scheduler.tracker.usage_by_organisation
+        usage['clerks'] = Resources(24000, 0)
+        self.wait(STALLED_AFTER_S + 2)
+        report = self.reports()[0]
+        self.assertEqual(24000, report['organisation_cpu_millis'])
+
+    def test_most_tasks_on_each_worker(self) -> None:
+        """Guards against reports of tasks whose workers all have enough."""
+        spec = StepSpec(5, SMALL, long_running=True, max_per_worker=1)
+        self.place_one(spec)
+        self.wait(STALLED_AFTER_S * 2)
+        self.assertEqual([], self.reports())
