Show stalled work in metrics, and what a stalled step waited for

Callers saw: no metric told that work could run and did not; the counter of `step stalled` counts lines, which are limited to five a second.

Change: `cell state` has the steps that could run, that are stalled, the age of the oldest, and the waiting steps by reason. The instance that schedules exports them as gauges, once a second with that line, and drops them at the end of its term, as nothing updates them any more; a counter counts the steps that became stalled.

--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -24,6 +24,8 @@
 from apricotlead.coordination.cell.worker_watch import WorkerWatch
 from apricotlead.state.cell_config_view import CellConfigView
 
+# The kind of the event that summarises the cell.
+CELL_STATE = 'cell state'
 _MAX_EXPIRED_PER_WRITE = 8
 _MS_PER_S = 1000.0
 _SUMMARY_INTERVAL_S = 1.0
@@ -94,7 +96,7 @@
         )
         self.planner = Planner(self.tracker, self.advice)
         self.speeds = SpeedRows(self.tracker, now)
-        self.stalled = StalledSteps(self.tracker, self.advice)
+        self.stalled = StalledSteps(self.tracker, self.advice, now)
         self.owner = owner
         self.owner_version = 0
         self._summary_logged_s = now
@@ -110,8 +112,8 @@
         """Run periodic work and handle expired deadlines."""
         if now - self._summary_logged_s >= _SUMMARY_INTERVAL_S:
             self._summary_logged_s = now
-            self._log_summary(now)
             self.stalled.check(now)
+            self._log_summary(now)
         self.workers.tick(now)
         self.jobs.drop_finished()
 
@@ -194,14 +196,16 @@
         ]
         waiting: Counter[str] = Counter()
         reasons: defaultdict[str, Counter[str]] = defaultdict(Counter)
+        steps_by_reason: Counter[str] = Counter()
         for step in self.tracker.ready_steps_by_name.values():
             queue = step.job.stored.queue
             waiting[queue] += step.waiting_count
-            reasons[queue][str(step.waits.reason or 'new')] += (
-                step.waiting_count
-            )
+            reason = str(step.waits.reason or 'new')
+            reasons[queue][reason] += step.waiting_count
+            steps_by_reason[reason] += 1
+        stalls = self.stalled.summary
         self.tracker.note(
-            'cell state',
+            CELL_STATE,
             usable_workers=len(workers),
             workers=len(self.tracker.workers_by_id),
             cpu_millis=sum(w.entry.capacity.cpu_millis for w in workers),
@@ -210,4 +214,9 @@
             jobs=len(self.tracker.jobs_by_id),
             waiting_tasks=waiting,
             waiting_for=reasons,
+            waiting_steps=steps_by_reason,
+            runnable_steps=stalls.runnable,
+            stalled_steps=stalls.stalled,
+            newly_stalled_steps=stalls.new,
+            oldest_runnable_s=stalls.oldest_s,
         )
--- a/src/apricotlead/coordination/cell/stalled_steps.py
+++ b/src/apricotlead/coordination/cell/stalled_steps.py
@@ -13,6 +13,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import Any
 
+from msgspec import Struct
+
 from apricotlead.coordination.cell.advice_cache import AdviceCache, StepAdvice
 from apricotlead.coordination.cell.placement import (
     can_execute,
@@ -30,6 +32,7 @@
 from apricotlead.state.cell_config_view import CellConfigView
 from apricotlead.state.cell_jobs import JobRun, StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import WorkerState
+from apricotlead.state.wait_times import WaitReason
 
 # Placing a step takes one advice answer and one write; longer is a fault.
 STALLED_AFTER_S = 3.0
@@ -40,6 +43,20 @@
 _NOTHING = Resources()
 
 
+class StallSummary(Struct, frozen=True):
+    """How much work could run and does not, as of the latest check.
+
+    ``runnable``: steps that could run. ``stalled``: those of them that have
+    waited for too long. ``new``: those that had not at the check before.
+    ``oldest_s``: the longest time for which any of them could have run.
+    """
+
+    runnable: int = 0
+    stalled: int = 0
+    new: int = 0
+    oldest_s: float = 0.0
+
+
 class _CellView:
     """The capacity and the use of a cell at one check.
 
@@ -82,23 +99,32 @@
 
     __slots__ = (
         '_advice',
+        '_began_s',
         '_limits_by_organisation',
         '_reported_s_by_step',
         '_since_s_by_unit',
         '_tracker',
         'stalled_names',
+        'summary',
     )
 
-    def __init__(self, tracker: RunTracker, advice: AdviceCache) -> None:
-        """Report each stalled step as a note in ``tracker``."""
+    def __init__(
+        self, tracker: RunTracker, advice: AdviceCache, began_s: float
+    ) -> None:
+        """Report each stalled step as a note in ``tracker``.
+
+        ``began_s`` is when the scheduler's term began.
+        """
         self._tracker = tracker
         self._advice = advice
+        self._began_s = began_s
         self._limits_by_organisation: dict[str, Resources] = {}
         # Since when each unit of work could have run.
         self._since_s_by_unit: dict[str, float] = {}
         # The steps that have been stalled for too long, as of the latest check.
         self.stalled_names: set[str] = set()
         self._reported_s_by_step: dict[str, float] = {}
+        self.summary = StallSummary()
 
     def set_view(self, view: CellConfigView) -> None:
         """Apply the limits of a new configuration."""
@@ -118,11 +144,7 @@
                 }
                 self._since_s_by_unit.update(since_s)
                 since_s_by_step[step_name] = min(since_s.values())
-        self.stalled_names = {
-            name
-            for name, since_s in since_s_by_step.items()
-            if now - since_s >= STALLED_AFTER_S
-        }
+        self._summarise(since_s_by_step, now)
         for name in self._due_names(since_s_by_step, now):
             self._reported_s_by_step[name] = now
             self._report(self._step(name), cell, since_s_by_step[name], now)
@@ -179,6 +201,24 @@
         advice = self._known_advice(step)
         return set() if advice is None else advice.ineligible_ids
 
+    def _summarise(
+        self, since_s_by_step: Mapping[str, float], now: float
+    ) -> None:
+        stalled_names = {
+            name
+            for name, since_s in since_s_by_step.items()
+            if now - since_s >= STALLED_AFTER_S
+        }
+        new_count = len(stalled_names - self.stalled_names)
+        self.stalled_names = stalled_names
+        oldest_s = now - min(since_s_by_step.values(), default=now)
+        self.summary = StallSummary(
+            len(since_s_by_step),
+            len(stalled_names),
+            new_count,
+            round(oldest_s, 2),
+        )
+
     def _due_names(
         self, since_s_by_step: Mapping[str, float], now: float
     ) -> list[str]:
@@ -260,6 +300,12 @@
                 for task in step.tasks
                 if task.name in self._since_s_by_unit
             ][:_MAX_TASKS_PER_REPORT],
+            running_cpu_millis=cell.usage(organisation).cpu_millis,
+            limit_cpu_millis=self._limit(organisation).cpu_millis,
+            ready_age_s=round(now - (step.ready_s or now), 2),
+            waited_s=_rounded(step.waits.seconds(now)),
+            is_from_former_term=step.job.accepted_s < self._began_s,
+            **_count_advice(advice),
         )
 
     def _describe_task(self, task: TaskState, now: float) -> dict[str, Any]:
@@ -332,6 +378,21 @@
     return Counter(task.worker_id for task in _placed_tasks(step))
 
 
+def _count_advice(advice: StepAdvice | None) -> dict[str, int]:
+    """Return how many workers advice was requested for, and its outcome."""
+    if advice is None:
+        return {'asked_workers': 0, 'ruled_out_workers': 0}
+    answered_ids = advice.ineligible_ids | advice.tickets_by_worker.keys()
+    return {
+        'asked_workers': len(answered_ids | advice.asked_ids),
+        'ruled_out_workers': len(advice.ineligible_ids),
+    }
+
+
+def _rounded(seconds: Mapping[WaitReason, float]) -> dict[str, float]:
+    return {str(reason): round(each, 2) for reason, each in seconds.items()}
+
+
 def _fitting_count(step: StepState, worker: WorkerState) -> int:
     """Return how many tasks of a step fit on a worker now."""
     return fitting_task_count(step, worker.entry.capacity - worker.used)
--- a/src/apricotlead/state/wait_times.py
+++ b/src/apricotlead/state/wait_times.py
@@ -55,6 +55,15 @@
         self._reason = reason
         self._since_s = now
 
-    def seconds(self) -> Mapping[WaitReason, float]:
-        """Return the seconds waited by reason, up to the latest ``note``."""
-        return self._waited_s_by_reason
+    def seconds(self, now: float | None = None) -> Mapping[WaitReason, float]:
+        """Return the seconds waited by reason, up to the latest ``note``.
+
+        With ``now``, the time since then counts for the current reason.
+        """
+        if now is None or self._reason is None:
+            return self._waited_s_by_reason
+        waited_s = self._waited_s_by_reason.get(self._reason, 0)
+        return {
+            **self._waited_s_by_reason,
+            self._reason: waited_s + now - self._since_s,
+        }
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -1,8 +1,10 @@
 """One term of the elected scheduler: its calls, feeds and journal."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from time import time
+from types import MappingProxyType
+from typing import Any
 
 import eventlet
 from eventlet.greenthread import GreenThread
@@ -11,7 +13,7 @@
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
-from apricotlead.coordination.cell.scheduler import CellScheduler
+from apricotlead.coordination.cell.scheduler import CELL_STATE, CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import STATISTICS_PREFIX
 from apricotlead.protocol.table import Row, Rows, StoreFailed
@@ -48,6 +50,14 @@
 _JOBS_PAUSE_S = 0.2
 # Batches the workers' heartbeats into one feed read.
 _REGISTRY_PAUSE_S = 0.25
+# The fields of the summary that are exported as gauges.
+_FIELDS_BY_GAUGE = MappingProxyType(
+    {
+        'cell_runnable_steps': 'runnable_steps',
+        'cell_stalled_steps': 'stalled_steps',
+        'cell_oldest_runnable_seconds': 'oldest_runnable_s',
+    }
+)
 
 
 class SchedulingTerm:
@@ -216,6 +226,8 @@
         self._links.workers.close_connections()
         self.followers.wake()
         self._log_events()
+        # The next scheduler may be another instance; its gauges count then.
+        self._links.metrics.drop_gauges()
 
     def _load(self, jobs: TableFollower, registry: TableFollower) -> bool:
         """Load jobs, progress, registrations, statistics and leases."""
@@ -336,6 +348,19 @@
         for kind, fields in notes:
             self._links.log(kind, epoch=self._state.epoch, **fields)
             self._links.metrics.count(f'cell_{kind.replace(" ", "_")}')
+            if kind == CELL_STATE:
+                self._set_gauges(fields)
+
+    def _set_gauges(self, summary: Mapping[str, Any]) -> None:
+        """Export the part of a summary of the cell that alerts need."""
+        metrics = self._links.metrics
+        for gauge, field in _FIELDS_BY_GAUGE.items():
+            metrics.set_gauge(gauge, summary[field])
+        metrics.set_gauge_by_reason(
+            'cell_waiting_steps', summary['waiting_steps']
+        )
+        if summary['newly_stalled_steps']:
+            metrics.count('cell_stall_began', summary['newly_stalled_steps'])
 
 
 def _has_failed(answer: Rows | StoreFailed) -> bool:
--- a/tests/test_cell_stalled_steps.py
+++ b/tests/test_cell_stalled_steps.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from apricotlead.coordination.cell.scheduler import CELL_STATE
 from apricotlead.coordination.cell.stalled_steps import STALLED_AFTER_S
 from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_jobs import StepSpec
@@ -295,6 +296,7 @@
         self.wait(STALLED_AFTER_S + 2)
         report = self.reports()[0]
         self.assertEqual(24000, report['organisation_cpu_millis'])
+        self.assertEqual(0, report['running_cpu_millis'])
 
     def test_most_tasks_on_each_worker(self) -> None:
         """Guards against reports of tasks whose workers all have enough."""
@@ -302,3 +304,57 @@
         self.place_one(spec)
         self.wait(STALLED_AFTER_S * 2)
         self.assertEqual([], self.reports())
+
+
+class TestReportFields(StalledStepsCase):
+    """A report shows what the step waited for, and who loaded it."""
+
+    def test_seconds_by_reason(self) -> None:
+        """Guards against reports that show the latest reason only."""
+        job = stored_job(advice=ADVICE, accepted_ms=self.rig.store_ms)
+        self.rig.submit(JOB, job)
+        step = self.rig.scheduler.tracker.ready_steps_by_name[f'{JOB}.0.0']
+        step.waits.note(WaitReason.ADVICE_PENDING, self.rig.now)
+        step.waits.note(WaitReason.EARLIER_STEPS, self.rig.now + 1)
+        advice = self.rig.scheduler.advice.advice(step.name)
+        advice.mark_ineligible('w0')
+        advice.tickets_by_worker['w1'] = 'ticket'
+        self.wait(STALLED_AFTER_S + 2)
+        report = self.reports()[0]
+        waited_s = report['waited_s']
+        self.assertEqual(1, waited_s['advice'])
+        self.assertGreaterEqual(waited_s['turn'], STALLED_AFTER_S - 1)
+        self.assertEqual(2, report['asked_workers'])
+        self.assertEqual(1, report['ruled_out_workers'])
+        self.assertFalse(report['is_from_former_term'])
+
+    def test_step_that_a_successor_loaded(self) -> None:
+        """Guards against reports that do not tell such steps apart."""
+        self.rig.submit(JOB, stored_job(accepted_ms=self.rig.store_ms))
+        self.rig.now += 1
+        self.rig.take_over()
+        self.wait(STALLED_AFTER_S + 2)
+        self.assertTrue(self.reports()[0]['is_from_former_term'])
+
+
+class TestSummary(StalledStepsCase):
+    """The summary of the cell counts the steps that could run."""
+
+    def test_counts_and_age(self) -> None:
+        """Guards against alerts without a number of stalled steps."""
+        for number in range(20):
+            self.rig.submit(format(number, '016x'), stored_job())
+        self.wait(STALLED_AFTER_S + 2)
+        states = [
+            fields
+            for kind, fields in self.rig.scheduler.tracker.notes
+            if kind == CELL_STATE
+        ]
+        self.assertEqual(20, states[-1]['runnable_steps'])
+        self.assertEqual(20, states[-1]['stalled_steps'])
+        self.assertEqual({'new': 20}, states[-1]['waiting_steps'])
+        self.assertGreaterEqual(
+            states[-1]['oldest_runnable_s'], STALLED_AFTER_S
+        )
+        began = [state['newly_stalled_steps'] for state in states]
+        self.assertEqual(20, sum(began))
