--- a/tests/test_cell_runnable.py
+++ b/tests/test_cell_runnable.py
@@ -72,6 +72,14 @@
         self.assertFalse(room(1).fits(accelerated))
         self.assertTrue(room(1, Resources(1000, 1000, 1)).fits(accelerated))
 
+    def test_resources_of_different_workers(self) -> None:
+        """Guards against room that no single worker has."""
+        rooms = (
+            WorkerRoom('cpu', Resources(6000, 100)),
+            WorkerRoom('memory', Resources(100, 8000)),
+        )
+        self.assertFalse(ServiceRoom(rooms, 0, 1).fits(need()))
+
     def test_label(self) -> None:
         """Guards against room that is counted on workers without a label."""
         labelled = WorkerRoom('labelled', FREE, ('ssd',))
--- a/tests/test_cell_stalled_steps.py
+++ b/tests/test_cell_stalled_steps.py
@@ -243,6 +243,16 @@
         chosen = self.reports()[0]['chosen']
         self.assertEqual(['sent'], [each['phase'] for each in chosen])
 
+    def test_chosen_long_running_task_never_begins(self) -> None:
+        """Guards against a chosen lasting task that is missed without room."""
+        spec = StepSpec(2, SMALL, required_label='small', long_running=True)
+        small = ModelWorker('small', capacity=SMALL, labels=('small',))
+        self.rig = CellRig(*self.workers, small)
+        self.rig.submit(JOB, stored_job(spec))
+        self.rig.scheduler.plan(self.rig.now, [])
+        self.wait(STALLED_AFTER_S + 2)
+        self.assertEqual([f'{JOB}.0.0.0'], self.reports()[0]['idle_tasks'])
+
 
 class TestSuspectedWork(StalledStepsCase):
     """Work that is held back after crashes counts like any other."""
@@ -258,6 +268,16 @@
         self.assertEqual('trial', report['waits_for'])
         self.assertEqual({'kept for other work': 4}, report['workers'])
 
+    def test_step_beside_workers_kept_apart(self) -> None:
+        """Guards against steps that are missed as trials keep all workers."""
+        self.rig.submit(JOB, stored_job())
+        for worker in self.rig.scheduler.tracker.workers_by_id.values():
+            worker.apart_for = 'trial'
+        self.wait(STALLED_AFTER_S + 2)
+        self.assertEqual(
+            {'kept for other work': 4}, self.reports()[0]['workers']
+        )
+
     def test_step_that_is_held_back(self) -> None:
         """Guards against steps of a limited queue that are missed."""
         self.rig.submit(JOB, stored_job())
@@ -358,3 +378,15 @@
         )
         began = [state['newly_stalled_steps'] for state in states]
         self.assertEqual(20, sum(began))
+
+    def test_summary_of_the_check_that_reports(self) -> None:
+        """Guards against metrics that lag a second behind the report."""
+        self.rig.submit(JOB, stored_job())
+        while not self.reports():
+            self.wait(0.5)
+        stalled_counts = [
+            fields['stalled_steps']
+            for kind, fields in self.rig.scheduler.tracker.notes
+            if kind == CELL_STATE
+        ]
+        self.assertEqual(1, stalled_counts[-1])
