Log states that are late or not answered, with their reads

Cause: unknown so far. Nothing was logged for a state that is asked for in vain: not which read failed, nor through whom, nor where the time went.

Change: a line `state unanswered` or `state late` for each state or cancel that is answered without a state, or after more than half of the caller's wait. It has the calls to the store with path, outcome and duration, and is limited to 5 a second with a count of the others. Counters for both and for requests without a recent configuration, and histograms of reads by path. No other behaviour changes. tests/virtual_clock.py runs green threads in virtual time.

Result: test_answer_log.py, test_store_relay.py, test_platform_adapter.py and test_cell_limits.py pass.

--- a/src/apricotlead/transport/cell_job_store.py
+++ b/src/apricotlead/transport/cell_job_store.py
@@ -15,6 +15,7 @@
     StoreFailed,
     Transaction,
 )
+from apricotlead.transport.answer_log import StoreTries
 from apricotlead.transport.store_relay import StoreRelay
 
 
@@ -29,10 +30,13 @@
         self._scheduler = scheduler
 
     def read(
-        self, job_id: str, ends_s: float
+        self,
+        job_id: str,
+        ends_s: float,
+        tries: StoreTries,
     ) -> StoredJob | StoreFailed | None:
         """Return a job, ``None`` if it does not exist or was refused."""
-        row = self._store.read(job_key(job_id), ends_s)
+        row = self._store.read(job_key(job_id), ends_s, tries)
         if isinstance(row, StoreFailed) or row is None:
             return row
         job = msgspec.convert(row.value, StoredJob)
--- a/src/apricotlead/transport/cell_request_handler.py
+++ b/src/apricotlead/transport/cell_request_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Any, Protocol
 
 import msgspec
@@ -38,6 +39,11 @@
     Transaction,
 )
 from apricotlead.state.cell_config_view import CellConfigView
+from apricotlead.transport.answer_log import (
+    AnswerLog,
+    Question,
+    StoreTries,
+)
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_job_store import JobStore
 from apricotlead.transport.store_health import StoreHealth
@@ -68,6 +74,7 @@
     """
 
     __slots__ = (
+        '_answers',
         '_jobs',
         '_log',
         '_max_view_age_s',
@@ -100,6 +107,7 @@
         self._max_view_age_s = max_view_age_s
         self._log = log
         self._metrics = metrics
+        self._answers = AnswerLog(log, metrics)
         self.health = health
         self.view: CellConfigView | None = None
         self.is_stopping = False
@@ -143,6 +151,7 @@
         """
         view = self._fresh_view()
         if view is None:
+            self._metrics.count('cell_view_stale')
             raise StaleView('This instance has no recent configuration.')
         queue = view.match_queue(host.partition(':')[0], path)
         if queue is None:
@@ -201,15 +210,8 @@
         wait_s: float,
     ) -> Outcome:
         """Return the :class:`JobReport` of a job."""
-        ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        progress = self._store.read(f'{PROGRESS_PREFIX}{job_id}', ends_s)
-        if isinstance(progress, StoreFailed):
-            return _store_unreachable(progress)
-        if progress is not None:
-            record = msgspec.convert(progress.value, JobProgress)
-            return Done(JobReport(record.state, record.why))
-        job = self._read_job(job_id, ends_s)
-        return Done(JobReport(job.state)) if isinstance(job, StoredJob) else job
+        question = Question('state', queue.name, job_id, wait_s)
+        return self._answers.watch(question, partial(self._status, question))
 
     def cancel(
         self,
@@ -218,34 +220,52 @@
         wait_s: float,
     ) -> Outcome:
         """Request a job's cancellation; done once the request is stored."""
-        ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        job = self._read_job(job_id, ends_s)
+        question = Question('cancel', queue.name, job_id, wait_s)
+        return self._answers.watch(question, partial(self._cancel, question))
+
+    def pending(self, queue: QueueConfig) -> Outcome:
+        """Return the number of a queue's jobs that have not started."""
+        status = self._scheduler.status()
+        if status is None:
+            error = StoreUnreachable('No recent count is known here.')
+            return NotRun(error, _RETRY_AFTER_S)
+        return Done(status.pending_by_queue.get(queue.name, 0))
+
+    def _status(self, question: Question, tries: StoreTries) -> Outcome:
+        job_id = question.job_id
+        ends_s = boot_now() + question.wait_s - _ANSWER_MARGIN_S
+        key = f'{PROGRESS_PREFIX}{job_id}'
+        progress = self._store.read(key, ends_s, tries)
+        if isinstance(progress, StoreFailed):
+            return _store_unreachable(progress)
+        if progress is not None:
+            record = msgspec.convert(progress.value, JobProgress)
+            return Done(JobReport(record.state, record.why))
+        job = self._read_job(job_id, ends_s, tries)
+        return Done(JobReport(job.state)) if isinstance(job, StoredJob) else job
+
+    def _cancel(self, question: Question, tries: StoreTries) -> Outcome:
+        job_id = question.job_id
+        ends_s = boot_now() + question.wait_s - _ANSWER_MARGIN_S
+        job = self._read_job(job_id, ends_s, tries)
         if not isinstance(job, StoredJob):
             return job
         if job.state.is_final:
             return Done()
         key = cancel_key(job_id)
         transaction = Transaction('', key, (Check(key, 0),), (Put(key, 1),))
-        answer = self._store.write(transaction, ends_s)
+        answer = self._store.write(transaction, ends_s, tries)
         self._jobs.announce(transaction, answer)
         self._log(
             'cancel',
             job=job_id,
-            queue=queue.name,
+            queue=question.queue,
             outcome=_outcome_label(answer),
         )
         if isinstance(answer, StoreFailed):
             return _store_unreachable(answer)
         return Done()
 
-    def pending(self, queue: QueueConfig) -> Outcome:
-        """Return the number of a queue's jobs that have not started."""
-        status = self._scheduler.status()
-        if status is None:
-            error = StoreUnreachable('No recent count is known here.')
-            return NotRun(error, _RETRY_AFTER_S)
-        return Done(status.pending_by_queue.get(queue.name, 0))
-
     def _fresh_view(self) -> CellConfigView | None:
         view = self.view
         if view is None or boot_now() - view.read_s > self._max_view_age_s:
@@ -303,8 +323,13 @@
             rejection.retry_after_s,
         )
 
-    def _read_job(self, job_id: str, ends_s: float) -> StoredJob | NotRun:
-        job = self._jobs.read(job_id, ends_s)
+    def _read_job(
+        self,
+        job_id: str,
+        ends_s: float,
+        tries: StoreTries,
+    ) -> StoredJob | NotRun:
+        job = self._jobs.read(job_id, ends_s, tries)
         if isinstance(job, StoreFailed):
             return _store_unreachable(job)
         if job is None:
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -17,6 +17,7 @@
     StoreFailed,
     Transaction,
 )
+from apricotlead.transport.answer_log import DIRECT, StoreTries
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.store_health import StoreHealth
 
@@ -67,11 +68,16 @@
         self,
         transaction: Transaction,
         ends_s: float,
+        tries: StoreTries | None = None,
     ) -> Committed | CheckFailed | StoreFailed:
-        """Retry a transaction until its outcome is known or ``ends_s``."""
+        """Retry a transaction until its outcome is known or ``ends_s``.
+
+        Its calls are added to ``tries``.
+        """
         is_outcome_unknown = False
+        tries = tries or StoreTries()
         while True:
-            answer = self.transact(transaction, ends_s - boot_now())
+            answer = self.transact(transaction, ends_s - boot_now(), tries)
             if not isinstance(answer, StoreFailed):
                 return answer
             is_outcome_unknown = is_outcome_unknown or answer.applied is None
@@ -82,10 +88,19 @@
             return StoreFailed(None, answer.retry_after_s, answer.reason)
         return answer
 
-    def read(self, key: str, ends_s: float) -> Row | StoreFailed | None:
-        """Read one row, with retries until ``ends_s``; ``None`` if absent."""
+    def read(
+        self,
+        key: str,
+        ends_s: float,
+        tries: StoreTries | None = None,
+    ) -> Row | StoreFailed | None:
+        """Read one row, with retries until ``ends_s``; ``None`` if absent.
+
+        Its calls are added to ``tries``.
+        """
+        tries = tries or StoreTries()
         while True:
-            answer = self.read_row(key)
+            answer = self.read_row(key, tries)
             if not isinstance(answer, StoreFailed):
                 return answer.rows[0] if answer.rows else None
             if self._should_give_up(ends_s):
@@ -96,34 +111,44 @@
         self,
         transaction: Transaction,
         left_s: float,
+        tries: StoreTries | None = None,
     ) -> Committed | CheckFailed | StoreFailed:
         """Send a transaction within ``left_s`` seconds.
 
         It may be sent twice, so a repeat must not apply again.
         """
         direct = None
+        tries = tries or StoreTries()
         if not self._health.is_failing():
-            direct = self._transact_directly(transaction, left_s)
+            direct = self._transact_directly(transaction, left_s, tries)
             if not isinstance(direct, StoreFailed):
                 return direct
         call = RelayedCall(transaction)
-        relayed = self._call_through_peer(call, left_s)
+        relayed = self._call_through_peer(call, left_s, tries)
         if relayed is not None and not isinstance(relayed, StoreFailed):
             return relayed
         if direct is None:
-            direct = self._transact_directly(transaction, left_s)
+            direct = self._transact_directly(transaction, left_s, tries)
         return _combine_answers(direct, relayed)
 
-    def read_row(self, key: str) -> Rows | StoreFailed:
+    def read_row(
+        self,
+        key: str,
+        tries: StoreTries | None = None,
+    ) -> Rows | StoreFailed:
         """Read one row; the answer is empty if the row does not exist."""
+        tries = tries or StoreTries()
         if self._health.is_failing():
             relayed = self._call_through_peer(
-                RelayedCall(key=key), _RELAY_TIMEOUT_S
+                RelayedCall(key=key), _RELAY_TIMEOUT_S, tries
             )
             if isinstance(relayed, Rows):
                 return relayed
         sent_s = boot_now()
         answer = self._store.read_row(key)
+        took_s = boot_now() - sent_s
+        self._metrics.time('cell_store_read_direct', took_s)
+        tries.add('read', key, DIRECT, answer, took_s)
         if isinstance(answer, StoreFailed):
             self._health.record_failure(sent_s)
         else:
@@ -139,7 +164,9 @@
             return StoreFailed(applied=False, reason='out of reach as well')
         if call.transaction is None:
             return self._store.read_row(call.key)
-        return self._transact_directly(call.transaction, _RELAY_TIMEOUT_S)
+        return self._transact_directly(
+            call.transaction, _RELAY_TIMEOUT_S, StoreTries()
+        )
 
     def _should_give_up(self, ends_s: float) -> bool:
         """Return whether another attempt is useless to the caller.
@@ -154,6 +181,7 @@
         self,
         transaction: Transaction,
         left_s: float,
+        tries: StoreTries,
     ) -> Committed | CheckFailed | StoreFailed:
         health = self._health
         sent_s = boot_now()
@@ -165,6 +193,7 @@
             transaction, min(adaptive_timeout_s, max_timeout_s)
         )
         took_s = boot_now() - sent_s
+        tries.add('write', transaction.witness, DIRECT, answer, took_s)
         if not isinstance(answer, StoreFailed):
             health.record_answer()
             health.write_timeout.answered(took_s)
@@ -174,11 +203,24 @@
             health.write_timeout.missed()
         return answer
 
-    def _call_through_peer(self, call: RelayedCall, left_s: float) -> Any:
+    def _call_through_peer(
+        self,
+        call: RelayedCall,
+        left_s: float,
+        tries: StoreTries,
+    ) -> Any:
         for address in self._peers.addresses()[:1]:
             self._metrics.count('cell_store_relayed')
             timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_CALL_TIMEOUT_S, left_s))
+            sent_s = boot_now()
             answer = self._peers.relay(address, call, timeout_s)
+            took_s = boot_now() - sent_s
+            if call.transaction is None:
+                self._metrics.time('cell_store_read_relayed', took_s)
+                tries.add('read', call.key, address, answer, took_s)
+            else:
+                witness = call.transaction.witness
+                tries.add('write', witness, address, answer, took_s)
             return answer or StoreFailed(None, reason='no answer of a peer')
         return None
 
