Keep each try of a read or write within the caller's wait

Cause: one try of a read took up to 1 s, with 0.6 s more where a peer was asked first, and began whenever 0.15 s were left. A write computed the time that is left once, and gave it to the direct call and to the relayed one.

Evidence: in virtual time, a caller that waits 0.85 s got its final answer after 1.0 s (silent store), 1.6 s (silent peer and store; second read not answered) and 1.3 s (cancel whose write is not answered); one that waits 3 s got it after 3.66 s. A cancel whose first write was lost was given up behind a silent peer.

Change: each call gets the time that is left, at most 1 s directly and 0.6 s through a peer. A read or transaction has 0.1 s at least, less than the margin for the response. A relayed write takes half of the time that is left, so that a direct call can follow.

Tests: the six tests of TestReadsWithinTheWait and TestCancelsWithinTheWait failed before, as listed above. TestRowsOfAJob held before and stays as a guard. In test_store_relay.py a test called read_row(), which is now part of read(); it checks the same row through read(), and the scripted store takes a time limit.

--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -124,9 +124,14 @@
             return Committed(versions, decoded.store_ms)
         return CheckFailed(tuple(_decode_rows(decoded.rows)))
 
-    def read_row(self, key: str) -> Rows | StoreFailed:
+    def read_row(
+        self,
+        key: str,
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> Rows | StoreFailed:
         """Read one row; the result is empty if it does not exist."""
-        return self._read_range(key, _next_key(_split_key(key)[2]), 1)
+        end = _next_key(_split_key(key)[2])
+        return self._read_range(key, end, 1, timeout_s)
 
     def scan_rows(self, prefix: str) -> Rows | StoreFailed:
         """Read all rows with the prefix ``table/part/``, in key order.
@@ -181,6 +186,7 @@
         key: str,
         end: str | None,
         limit: int,
+        timeout_s: float = _CALL_TIMEOUT_S,
     ) -> Any:
         table, part, start = _split_key(key)
         query = {'Table': table, 'part': part, 'Limit': limit}
@@ -188,7 +194,7 @@
             query['From'] = start
         if end is not None:
             query['To'] = end
-        answer = self._get('/api/rows-get', query, _CALL_TIMEOUT_S)
+        answer = self._get('/api/rows-get', query, timeout_s)
         decoded = _decode_answer(answer, (200,))
         if isinstance(decoded, StoreFailed):
             return decoded
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -22,6 +22,7 @@
 from apricotlead.transport.store_health import StoreHealth
 
 _MIN_CALL_TIMEOUT_S = 0.1
+_MAX_CALL_TIMEOUT_S = 1.0
 _RETRY_S = 0.05
 # A peer that takes longer presumably cannot reach the store either.
 _RELAY_TIMEOUT_S = 0.6
@@ -96,11 +97,13 @@
     ) -> Row | StoreFailed | None:
         """Read one row, with retries until ``ends_s``; ``None`` if absent.
 
+        The read may take ``_MIN_CALL_TIMEOUT_S`` even if ``ends_s`` is sooner.
         Its calls are added to ``tries``.
         """
         tries = tries or StoreTries()
+        ends_s = max(ends_s, boot_now() + _MIN_CALL_TIMEOUT_S)
         while True:
-            answer = self.read_row(key, tries)
+            answer = self._read_row(key, ends_s, tries)
             if not isinstance(answer, StoreFailed):
                 return answer.rows[0] if answer.rows else None
             if self._should_give_up(ends_s):
@@ -119,33 +122,56 @@
         """
         direct = None
         tries = tries or StoreTries()
+        ends_s = boot_now() + max(left_s, _MIN_CALL_TIMEOUT_S)
         if not self._health.is_failing():
-            direct = self._transact_directly(transaction, left_s, tries)
+            direct = self._transact_directly(transaction, ends_s, tries)
             if not isinstance(direct, StoreFailed):
                 return direct
-        call = RelayedCall(transaction)
-        relayed = self._call_through_peer(call, left_s, tries)
+        relayed = None
+        if _has_time(ends_s):
+            # The other half of the time is for the next call.
+            left_s = (ends_s - boot_now()) / 2
+            relayed = self._call_through_peer(
+                RelayedCall(transaction), left_s, tries
+            )
         if relayed is not None and not isinstance(relayed, StoreFailed):
             return relayed
         if direct is None:
-            direct = self._transact_directly(transaction, left_s, tries)
+            direct = self._transact_directly(transaction, ends_s, tries)
         return _combine_answers(direct, relayed)
 
-    def read_row(
+    def serve(
+        self,
+        call: RelayedCall,
+    ) -> Committed | CheckFailed | Rows | StoreFailed:
+        """Make a call for a peer, unless the store is failing here too."""
+        if self._health.is_failing():
+            return StoreFailed(applied=False, reason='out of reach as well')
+        if call.transaction is None:
+            return self._store.read_row(call.key)
+        return self._transact_directly(
+            call.transaction, boot_now() + _RELAY_TIMEOUT_S, StoreTries()
+        )
+
+    def _read_row(
         self,
         key: str,
-        tries: StoreTries | None = None,
+        ends_s: float,
+        tries: StoreTries,
     ) -> Rows | StoreFailed:
         """Read one row; the answer is empty if the row does not exist."""
-        tries = tries or StoreTries()
+        relayed = None
         if self._health.is_failing():
             relayed = self._call_through_peer(
-                RelayedCall(key=key), _RELAY_TIMEOUT_S, tries
+                RelayedCall(key=key), ends_s - boot_now(), tries
             )
-            if isinstance(relayed, Rows):
+            if isinstance(relayed, Rows) or (
+                relayed is not None and not _has_time(ends_s)
+            ):
                 return relayed
         sent_s = boot_now()
-        answer = self._store.read_row(key)
+        timeout_s = min(ends_s - sent_s, _MAX_CALL_TIMEOUT_S)
+        answer = self._store.read_row(key, timeout_s)
         took_s = boot_now() - sent_s
         self._metrics.time('cell_store_read_direct', took_s)
         tries.add('read', key, DIRECT, answer, took_s)
@@ -155,19 +181,6 @@
             self._health.record_answer(answer.store_ms)
         return answer
 
-    def serve(
-        self,
-        call: RelayedCall,
-    ) -> Committed | CheckFailed | Rows | StoreFailed:
-        """Make a call for a peer, unless the store is failing here too."""
-        if self._health.is_failing():
-            return StoreFailed(applied=False, reason='out of reach as well')
-        if call.transaction is None:
-            return self._store.read_row(call.key)
-        return self._transact_directly(
-            call.transaction, _RELAY_TIMEOUT_S, StoreTries()
-        )
-
     def _should_give_up(self, ends_s: float) -> bool:
         """Return whether another attempt is useless to the caller.
 
@@ -180,14 +193,14 @@
     def _transact_directly(
         self,
         transaction: Transaction,
-        left_s: float,
+        ends_s: float,
         tries: StoreTries,
     ) -> Committed | CheckFailed | StoreFailed:
         health = self._health
         sent_s = boot_now()
         adaptive_timeout_s = health.write_timeout.timeout_s
         max_timeout_s = max(
-            _MIN_CALL_TIMEOUT_S, min(left_s, health.lost_in_s())
+            _MIN_CALL_TIMEOUT_S, min(ends_s - sent_s, health.lost_in_s())
         )
         answer = self._store.transact(
             transaction, min(adaptive_timeout_s, max_timeout_s)
@@ -225,6 +238,11 @@
         return None
 
 
+def _has_time(ends_s: float) -> bool:
+    """Return whether a call that begins now may be answered in time."""
+    return boot_now() + _MIN_CALL_TIMEOUT_S <= ends_s
+
+
 def _combine_answers(
     direct: Committed | CheckFailed | StoreFailed,
     relayed: StoreFailed | None,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -153,6 +153,12 @@
         store = PlatformStore(self.pool, '10.0.0.1:80')
         return store.transact(self.transaction)
 
+    # Guards against a read that goes on after its caller's wait.
+    def test_read_keeps_to_its_time_limit(self) -> None:
+        pool = ScriptedPool(answered(200, {'rows': []}))
+        PlatformStore(pool, 'a:1').read_row('jobs/1/a', 0.3)
+        self.assertEqual(0.3, pool.calls[0].timeout_s)
+
     def test_commit_returns_the_version_of_each_row(self) -> None:
         reply = self.transact(answered(200, {'Ver': 9, 'NowMs': 5}))
         self.assertEqual(Committed({'t/p/k': 9}, 5), reply)
--- /dev/null
+++ b/tests/test_state_answers.py
@@ -0,0 +1,151 @@
+"""States and cancels that callers ask for while calls to the store fail."""
+
+from typing import Any
+
+from testtools import TestCase
+
+from apricotlead.protocol.cell_jobs import (
+    JobReport,
+    JobState,
+    JobSubmission,
+    StepSpec,
+)
+from apricotlead.protocol.errors import NoSuchJob, StoreUnreachable
+from apricotlead.protocol.outcomes import Done, NotRun
+from apricotlead.transport.boot_clock import boot_now
+from tests.virtual_clock import virtual_clock
+from tests.virtual_store import (
+    HANGS,
+    JOB,
+    JOB_KEY,
+    PROGRESS_KEY,
+    QUEUED,
+    REFUSES,
+    RUNNING,
+    VirtualInstance,
+    VirtualPeers,
+    VirtualStore,
+    after,
+    always,
+    on_calls,
+)
+
+SHORT_WAIT_S = 0.85
+WAIT_S = 3.0
+# For instances that keep trying because the store answers other calls.
+NEVER_LOST_S = 60.0
+STARTED = {JOB_KEY: QUEUED, PROGRESS_KEY: RUNNING}
+
+
+class VirtualTimeCase(TestCase):
+    """A test in virtual time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = self.enterContext(virtual_clock())
+
+    def assert_state(
+        self, state: JobState, answer: tuple[Any, float], wait_s: float
+    ) -> None:
+        outcome, took_s = answer
+        self.assertEqual(Done(JobReport(state)), outcome)
+        self.assertLess(took_s, wait_s)
+
+    def assert_unavailable(
+        self, answer: tuple[Any, float], wait_s: float
+    ) -> None:
+        outcome, took_s = answer
+        self.assertIsInstance(outcome, NotRun)
+        self.assertIsInstance(outcome.error, StoreUnreachable)
+        self.assertIsNotNone(outcome.retry_after_s)
+        self.assertLess(took_s, wait_s)
+
+
+class TestReadsWithinTheWait(VirtualTimeCase):
+    """A read ends within its caller's wait, however its calls fail."""
+
+    # Guards against a try that takes longer than its caller waits.
+    def test_silent_store(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            instance = VirtualInstance(VirtualStore(STARTED, always(HANGS)))
+            self.assert_unavailable(instance.status(wait_s), wait_s)
+
+    # Guards against a try that begins just before the end and hangs.
+    def test_store_falls_silent_just_before_the_end(self) -> None:
+        store = VirtualStore(STARTED)
+        instance = VirtualInstance(store, lost_after_s=NEVER_LOST_S)
+        silent_s = boot_now() + WAIT_S - 0.4
+        store.fault = lambda _: HANGS if boot_now() > silent_s else REFUSES
+        self.assert_unavailable(instance.status(WAIT_S), WAIT_S)
+
+    # Guards against a relayed try and a direct one that take a wait each.
+    def test_silent_peer_before_a_silent_store(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            peers = VirtualPeers(p1=VirtualStore(STARTED))
+            peers.silent.add('p1')
+            instance = VirtualInstance(
+                VirtualStore(STARTED, always(HANGS)), peers, NEVER_LOST_S
+            )
+            instance.health.record_failure(boot_now())
+            self.assert_unavailable(instance.status(wait_s), wait_s)
+
+    # Guards against a second read that gets a whole wait of its own.
+    def test_second_read_is_not_answered(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            store = VirtualStore({JOB_KEY: QUEUED}, after(1, HANGS))
+            store.answer_s = 0.6
+            instance = VirtualInstance(store)
+            self.assert_unavailable(instance.status(wait_s), wait_s)
+
+
+class TestCancelsWithinTheWait(VirtualTimeCase):
+    """A cancel's read and write end within its caller's wait."""
+
+    # Guards against a write whose direct and relayed calls take a wait each.
+    def test_write_is_not_answered(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            peers = VirtualPeers(p1=VirtualStore(STARTED))
+            peers.silent.add('p1')
+            store = VirtualStore(STARTED, after(1, HANGS))
+            instance = VirtualInstance(store, peers, NEVER_LOST_S)
+            instance.health.write_timeout.answered(0.5)
+            self.assert_unavailable(instance.cancel(wait_s), wait_s)
+
+    # Guards against a silent peer that leaves no time for a direct write.
+    def test_direct_write_follows_a_silent_peer(self) -> None:
+        peers = VirtualPeers(p1=VirtualStore(STARTED))
+        peers.silent.add('p1')
+        instance = VirtualInstance(
+            VirtualStore(STARTED, on_calls({2}, HANGS)),
+            peers,
+        )
+        outcome, took_s = instance.cancel(SHORT_WAIT_S)
+        self.assertEqual(Done(), outcome)
+        self.assertLess(took_s, SHORT_WAIT_S)
+
+
+class TestRowsOfAJob(VirtualTimeCase):
+    """A state is told from whichever rows a job has."""
+
+    # Guards against a started job whose job row is deleted or late.
+    def test_progress_row_alone(self) -> None:
+        instance = VirtualInstance(VirtualStore({PROGRESS_KEY: RUNNING}))
+        self.assert_state(JobState.RUNNING, instance.status(WAIT_S), WAIT_S)
+
+    # Guards against an accepted job that has not started and is not found.
+    def test_job_row_alone(self) -> None:
+        instance = VirtualInstance(VirtualStore({JOB_KEY: QUEUED}))
+        self.assert_state(JobState.QUEUED, instance.status(WAIT_S), WAIT_S)
+
+    # Guards against an accepted retry that is hidden by its refusal.
+    def test_refusal_that_was_replaced(self) -> None:
+        store = VirtualStore({JOB_KEY: {**QUEUED, 'is_refused': True}})
+        instance = VirtualInstance(store)
+        outcome, _ = instance.status(WAIT_S)
+        self.assertIsInstance(outcome.error, NoSuchJob)
+        submission = JobSubmission('x', (StepSpec(1),))
+        accepted = instance.request_handler.submit(
+            instance.queue, 'clerks', JOB, submission, WAIT_S
+        )
+        self.assertEqual(Done(), accepted)
+        self.assert_state(JobState.QUEUED, instance.status(WAIT_S), WAIT_S)
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -15,6 +15,7 @@
     StoreFailed,
     Transaction,
 )
+from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.store_health import StoreHealth
 from apricotlead.transport.store_relay import StoreRelay
@@ -36,7 +37,7 @@
     def transact(self, transaction: Transaction, timeout_s: float) -> Any:
         return self._next()
 
-    def read_row(self, key: str) -> Any:
+    def read_row(self, key: str, timeout_s: float) -> Any:
         return self._next()
 
     def addresses(self) -> list[str]:
@@ -89,12 +90,12 @@
             self.assertIsNone(relay.transact(WRITE, 3).applied)
 
     def test_rows_are_read_through_a_peer(self) -> None:
-        rows = Rows((Row(KEY, 4, 1),))
+        row = Row(KEY, 4, 1)
         relay = self.relay(
-            ScriptedEndpoint(REFUSED), ScriptedEndpoint(STORED, rows)
+            ScriptedEndpoint(REFUSED), ScriptedEndpoint(STORED, Rows((row,)))
         )
         relay.transact(WRITE, 3)
-        self.assertEqual(rows, relay.read_row(KEY))
+        self.assertEqual(row, relay.read(KEY, boot_now() + 3))
 
     def test_peer_without_the_store_says_so_at_once(self) -> None:
         store = ScriptedEndpoint(REFUSED)
