Join a read that is not answered by another try

Cause: a read made one try after the other. A lost answer or a path that hangs took 1 s before the next one, more than a caller has that waits 0.85 s.

Evidence: in virtual time, one lost answer of the store failed such a caller's state or cancel, as did a direct path that hangs while a peer would answer.

Change: HedgedRead begins another try when one has not been answered for 0.25 s, or four times the longest recent answer, up to 1 s and to a third of the time that is left. Tries go directly and through a peer in turn; the first success is the answer, and tries that are still open run on to their own time limit. At most 3 tries of a read and 32 extra tries of an instance are open at a time. A store that answers within the delay is read once, as before.

Tests: five tests of TestLostAnswers failed before: one lost answer, several, one in each of two reads, those of a cancel, and a direct path that hangs while a peer would answer. Its other tests held before; they fail without the limits on open tries, the adaptive delay or the share of the time that is left.

--- a/src/apricotlead/transport/answer_log.py
+++ b/src/apricotlead/transport/answer_log.py
@@ -27,6 +27,39 @@
     wait_s: float
 
 
+class StoreTry:
+    """A call to the store that was made for a request."""
+
+    __slots__ = ('_answer', '_began_s', '_call', '_path', '_took_s')
+
+    def __init__(self, kind: str, key: str, path: str) -> None:
+        """Begin a call; ``path`` is a peer's address or DIRECT."""
+        self._call = (kind, key)
+        self._path = path
+        self._began_s = boot_now()
+        self._answer: Any = None
+        self._took_s: float | None = None
+
+    def end(self, answer: Any) -> float:
+        """Record the answer; return how long the call took."""
+        self._answer = answer
+        self._took_s = boot_now() - self._began_s
+        return self._took_s
+
+    def fields(self) -> dict[str, Any]:
+        """Return the call as fields of a log line."""
+        took_s, outcome = self._took_s, _outcome(self._answer)
+        if took_s is None:
+            took_s, outcome = boot_now() - self._began_s, 'pending'
+        kind, key = self._call
+        return {
+            'call': f'{kind} {_table(key)}',
+            'path': self._path,
+            'outcome': outcome,
+            'took_s': round(took_s, _LOG_DIGITS),
+        }
+
+
 class StoreTries:
     """The store calls that were made for one request."""
 
@@ -34,30 +67,17 @@
 
     def __init__(self) -> None:
         """Start without calls."""
-        self._tries: list[tuple[str, str, str, Any, float]] = []
+        self._tries: list[StoreTry] = []
 
-    def add(
-        self,
-        kind: str,
-        key: str,
-        path: str,
-        answer: Any,
-        took_s: float,
-    ) -> None:
-        """Add a call of a ``kind``; ``path`` is a peer's address or DIRECT."""
-        self._tries.append((kind, key, path, answer, took_s))
+    def begin(self, kind: str, key: str, path: str) -> StoreTry:
+        """Add a call of a kind that begins now."""
+        store_try = StoreTry(kind, key, path)
+        self._tries.append(store_try)
+        return store_try
 
     def fields(self) -> list[dict[str, Any]]:
         """Return the calls as fields of a log line."""
-        return [
-            {
-                'call': f'{kind} {_table(key)}',
-                'path': path,
-                'outcome': _outcome(answer),
-                'took_s': round(took_s, _LOG_DIGITS),
-            }
-            for kind, key, path, answer, took_s in self._tries
-        ]
+        return [store_try.fields() for store_try in self._tries]
 
 
 class LineLimit:
--- a/src/apricotlead/transport/store_health.py
+++ b/src/apricotlead/transport/store_health.py
@@ -8,17 +8,24 @@
 # usual in 300 ms.
 _MIN_WRITE_TIMEOUT_S = 0.25
 _MAX_WRITE_TIMEOUT_S = 1.0
+# A healthy store answers a read in 20 ms, also to another zone in 0.1 s.
+_MIN_READ_DELAY_S = 0.25
+_MAX_READ_DELAY_S = 1.0
 _LOST_AFTER_S = 1.3
 
 
 class StoreHealth:
-    """Tracks the outcome of store calls; times are local seconds."""
+    """Tracks the outcome of store calls; times are local seconds.
+
+    ``read_delay`` is how long a read waits for an answer before an extra try.
+    """
 
     __slots__ = (
         '_answered_s',
         '_failed_since_s',
         '_lost_after_s',
         '_store_base',
+        'read_delay',
         'write_timeout',
     )
 
@@ -28,6 +35,7 @@
         self._failed_since_s: float | None = None
         self._answered_s = float('-inf')
         self._store_base = (0.0, 0.0)
+        self.read_delay = AdaptiveTimeout(_MIN_READ_DELAY_S, _MAX_READ_DELAY_S)
         self.write_timeout = AdaptiveTimeout(
             _MIN_WRITE_TIMEOUT_S, _MAX_WRITE_TIMEOUT_S
         )
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -4,6 +4,8 @@
 Without a relay, their callers would have to find another instance themselves.
 """
 
+from collections.abc import Iterator
+from functools import partial
 from typing import Any, Protocol
 
 import eventlet
@@ -19,6 +21,7 @@
 )
 from apricotlead.transport.answer_log import DIRECT, StoreTries
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.hedged_read import ExtraTries, HedgedRead
 from apricotlead.transport.store_health import StoreHealth
 
 _MIN_CALL_TIMEOUT_S = 0.1
@@ -46,7 +49,7 @@
 class StoreRelay:
     """Calls the store, or a peer while the store fails to answer here."""
 
-    __slots__ = ('_health', '_metrics', '_peers', '_store')
+    __slots__ = ('_extra_tries', '_health', '_metrics', '_peers', '_store')
 
     def __init__(
         self,
@@ -60,6 +63,7 @@
         self._health = health
         self._peers = peers
         self._metrics = metrics
+        self._extra_tries = ExtraTries()
 
     def is_lost(self) -> bool:
         """Return whether the store is unreachable directly and via peers."""
@@ -101,14 +105,17 @@
         Its calls are added to ``tries``.
         """
         tries = tries or StoreTries()
-        ends_s = max(ends_s, boot_now() + _MIN_CALL_TIMEOUT_S)
-        while True:
-            answer = self._read_row(key, ends_s, tries)
-            if not isinstance(answer, StoreFailed):
-                return answer.rows[0] if answer.rows else None
-            if self._should_give_up(ends_s):
-                return answer
-            eventlet.sleep(_RETRY_S)
+        read = HedgedRead(
+            partial(self._read_through, key, ends_s, tries),
+            self._paths(),
+            max(ends_s, boot_now() + _MIN_CALL_TIMEOUT_S),
+            self._health.read_delay.timeout_s,
+            self._extra_tries,
+        )
+        answer = read.run(self._health.is_lost)
+        if isinstance(answer, StoreFailed):
+            return answer
+        return answer.rows[0] if answer.rows else None
 
     def transact(
         self,
@@ -131,9 +138,9 @@
         if _has_time(ends_s):
             # The other half of the time is for the next call.
             left_s = (ends_s - boot_now()) / 2
-            relayed = self._call_through_peer(
-                RelayedCall(transaction), left_s, tries
-            )
+            call = RelayedCall(transaction)
+            for address in self._peers.addresses()[:1]:
+                relayed = self._call_peer(address, call, left_s, tries)
         if relayed is not None and not isinstance(relayed, StoreFailed):
             return relayed
         if direct is None:
@@ -153,32 +160,34 @@
             call.transaction, boot_now() + _RELAY_TIMEOUT_S, StoreTries()
         )
 
-    def _read_row(
+    def _paths(self) -> Iterator[str]:
+        """Yield the paths of a read: directly and through a peer in turn."""
+        if not self._health.is_failing():
+            yield DIRECT
+        while True:
+            yield from self._peers.addresses()[:1]
+            yield DIRECT
+
+    def _read_through(
         self,
         key: str,
         ends_s: float,
         tries: StoreTries,
+        path: str,
     ) -> Rows | StoreFailed:
-        """Read one row; the answer is empty if the row does not exist."""
-        relayed = None
-        if self._health.is_failing():
-            relayed = self._call_through_peer(
-                RelayedCall(key=key), ends_s - boot_now(), tries
-            )
-            if isinstance(relayed, Rows) or (
-                relayed is not None and not _has_time(ends_s)
-            ):
-                return relayed
+        left_s = max(_MIN_CALL_TIMEOUT_S, ends_s - boot_now())
+        if path != DIRECT:
+            return self._call_peer(path, RelayedCall(key=key), left_s, tries)
         sent_s = boot_now()
-        timeout_s = min(ends_s - sent_s, _MAX_CALL_TIMEOUT_S)
-        answer = self._store.read_row(key, timeout_s)
-        took_s = boot_now() - sent_s
+        store_try = tries.begin('read', key, DIRECT)
+        answer = self._store.read_row(key, min(left_s, _MAX_CALL_TIMEOUT_S))
+        took_s = store_try.end(answer)
         self._metrics.time('cell_store_read_direct', took_s)
-        tries.add('read', key, DIRECT, answer, took_s)
         if isinstance(answer, StoreFailed):
             self._health.record_failure(sent_s)
         else:
             self._health.record_answer(answer.store_ms)
+            self._health.read_delay.answered(took_s)
         return answer
 
     def _should_give_up(self, ends_s: float) -> bool:
@@ -202,11 +211,11 @@
         max_timeout_s = max(
             _MIN_CALL_TIMEOUT_S, min(ends_s - sent_s, health.lost_in_s())
         )
+        store_try = tries.begin('write', transaction.witness, DIRECT)
         answer = self._store.transact(
             transaction, min(adaptive_timeout_s, max_timeout_s)
         )
-        took_s = boot_now() - sent_s
-        tries.add('write', transaction.witness, DIRECT, answer, took_s)
+        took_s = store_try.end(answer)
         if not isinstance(answer, StoreFailed):
             health.record_answer()
             health.write_timeout.answered(took_s)
@@ -216,26 +225,24 @@
             health.write_timeout.missed()
         return answer
 
-    def _call_through_peer(
+    def _call_peer(
         self,
+        address: str,
         call: RelayedCall,
         left_s: float,
         tries: StoreTries,
     ) -> Any:
-        for address in self._peers.addresses()[:1]:
-            self._metrics.count('cell_store_relayed')
-            timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_CALL_TIMEOUT_S, left_s))
-            sent_s = boot_now()
-            answer = self._peers.relay(address, call, timeout_s)
-            took_s = boot_now() - sent_s
-            if call.transaction is None:
-                self._metrics.time('cell_store_read_relayed', took_s)
-                tries.add('read', call.key, address, answer, took_s)
-            else:
-                witness = call.transaction.witness
-                tries.add('write', witness, address, answer, took_s)
-            return answer or StoreFailed(None, reason='no answer of a peer')
-        return None
+        self._metrics.count('cell_store_relayed')
+        if call.transaction is None:
+            store_try = tries.begin('read', call.key, address)
+        else:
+            store_try = tries.begin('write', call.transaction.witness, address)
+        timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_CALL_TIMEOUT_S, left_s))
+        answer = self._peers.relay(address, call, timeout_s)
+        took_s = store_try.end(answer)
+        if call.transaction is None:
+            self._metrics.time('cell_store_read_relayed', took_s)
+        return answer or StoreFailed(None, reason='no answer of a peer')
 
 
 def _has_time(ends_s: float) -> bool:
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import eventlet
 from testtools import TestCase
 
 from apricotlead.protocol.cell_jobs import (
@@ -27,6 +28,7 @@
     VirtualStore,
     after,
     always,
+    first,
     on_calls,
 )
 
@@ -124,6 +126,100 @@
         self.assertLess(took_s, SHORT_WAIT_S)
 
 
+class TestLostAnswers(VirtualTimeCase):
+    """A lost answer is replaced by that of another try."""
+
+    # Guards against a lost answer that takes the whole wait of a caller.
+    def test_one_lost_answer(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            instance = VirtualInstance(VirtualStore(STARTED, first(1, HANGS)))
+            self.assert_state(JobState.RUNNING, instance.status(wait_s), wait_s)
+
+    # Guards against several lost answers that take the wait one by one.
+    def test_several_lost_answers(self) -> None:
+        for count, wait_s in ((2, SHORT_WAIT_S), (4, WAIT_S)):
+            instance = VirtualInstance(
+                VirtualStore(STARTED, first(count, HANGS))
+            )
+            self.assert_state(JobState.RUNNING, instance.status(wait_s), wait_s)
+
+    # Guards against a loss in either read of a state.
+    def test_lost_answer_to_each_of_two_reads(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            store = VirtualStore(
+                {JOB_KEY: QUEUED},
+                on_calls({1, 3}, HANGS),
+            )
+            answer = VirtualInstance(store).status(wait_s)
+            self.assert_state(JobState.QUEUED, answer, wait_s)
+
+    # Guards against a loss in the read and in the write of a cancel.
+    def test_lost_answers_to_a_cancel(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            store = VirtualStore(STARTED, on_calls({1, 3}, HANGS))
+            outcome, took_s = VirtualInstance(store).cancel(wait_s)
+            self.assertEqual(Done(), outcome)
+            self.assertLess(took_s, wait_s)
+
+    # Guards against a direct path that hangs while a peer would answer.
+    def test_peer_answers_while_the_direct_path_hangs(self) -> None:
+        for wait_s in (SHORT_WAIT_S, WAIT_S):
+            instance = VirtualInstance(
+                VirtualStore(STARTED, always(HANGS)),
+                VirtualPeers(p1=VirtualStore(STARTED)),
+            )
+            self.assert_state(JobState.RUNNING, instance.status(wait_s), wait_s)
+
+    # Guards against a peer that hangs before a direct path that answers.
+    def test_direct_path_answers_while_the_peer_hangs(self) -> None:
+        peers = VirtualPeers(p1=VirtualStore(STARTED))
+        peers.silent.add('p1')
+        instance = VirtualInstance(VirtualStore(STARTED), peers)
+        instance.health.record_failure(boot_now())
+        answer = instance.status(SHORT_WAIT_S)
+        self.assert_state(JobState.RUNNING, answer, SHORT_WAIT_S)
+
+    # Guards against a second, priced read in normal operation.
+    def test_healthy_store_is_read_once(self) -> None:
+        store = VirtualStore(STARTED)
+        instance = VirtualInstance(store)
+        for _ in range(20):
+            instance.status(WAIT_S)
+        self.assertEqual(20, len(store.sent_s))
+
+    # Guards against doubled load on a store that has become slow.
+    def test_slow_store_is_hardly_read_twice(self) -> None:
+        store = VirtualStore(STARTED, answer_s=0.4)
+        instance = VirtualInstance(store)
+        for _ in range(20):
+            self.assert_state(JobState.RUNNING, instance.status(WAIT_S), 1)
+        self.assertLess(len(store.sent_s), 23)
+
+    # Guards against a slow store that leaves a short wait a single try.
+    def test_lost_answer_of_a_slow_store(self) -> None:
+        # The first read takes two calls, since the store was fast before.
+        store = VirtualStore(STARTED, on_calls({3}, HANGS), answer_s=0.3)
+        instance = VirtualInstance(store)
+        instance.status(WAIT_S)
+        answer = instance.status(SHORT_WAIT_S)
+        self.assert_state(JobState.RUNNING, answer, SHORT_WAIT_S)
+
+    # Guards against an outage in which one request makes many calls.
+    def test_tries_of_one_read_are_bounded(self) -> None:
+        store = VirtualStore(STARTED, always(HANGS))
+        VirtualInstance(store, lost_after_s=NEVER_LOST_S).status(WAIT_S)
+        self.assertLess(len(store.sent_s), 9)
+
+    # Guards against an outage in which each request multiplies its calls.
+    def test_extra_reads_are_bounded(self) -> None:
+        store = VirtualStore(STARTED, always(HANGS))
+        instance = VirtualInstance(store)
+        for _ in range(300):
+            eventlet.spawn_n(instance.status, WAIT_S)
+        eventlet.sleep(0.9)
+        self.assertLess(len(store.sent_s), 300 + 40)
+
+
 class TestRowsOfAJob(VirtualTimeCase):
     """A state is told from whichever rows a job has."""
 
