Relay calls through several peers

Cause: only the first known peer was asked, and it is the same one for all instances. One that hangs or is cut off as well kept the others from being asked, and all refused instances turned to it together.

Change: PeerChoice orders the peers: the first four that are sound in random order, the further ones, then those that failed within 2 s. A read tries them in turn with the direct path, a write takes the next one with each attempt.

Tests: the four tests of TestFurtherPeers failed before: states and cancels that only the second peer serves, calls spread over peers, a silent peer that is asked last.

--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -22,6 +22,7 @@
 from apricotlead.transport.answer_log import DIRECT, StoreTries
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.hedged_read import ExtraTries, HedgedRead
+from apricotlead.transport.peer_choice import PeerChoice
 from apricotlead.transport.store_health import StoreHealth
 
 _MIN_CALL_TIMEOUT_S = 0.1
@@ -29,6 +30,8 @@
 _RETRY_S = 0.05
 # A peer that takes longer presumably cannot reach the store either.
 _RELAY_TIMEOUT_S = 0.6
+# Then those that failed in the meantime are put last.
+_PEERS_PER_ROUND = 4
 
 
 class Peers(Protocol):
@@ -49,7 +52,14 @@
 class StoreRelay:
     """Calls the store, or a peer while the store fails to answer here."""
 
-    __slots__ = ('_extra_tries', '_health', '_metrics', '_peers', '_store')
+    __slots__ = (
+        '_extra_tries',
+        '_health',
+        '_metrics',
+        '_peer_choice',
+        '_peers',
+        '_store',
+    )
 
     def __init__(
         self,
@@ -64,6 +74,7 @@
         self._peers = peers
         self._metrics = metrics
         self._extra_tries = ExtraTries()
+        self._peer_choice = PeerChoice()
 
     def is_lost(self) -> bool:
         """Return whether the store is unreachable directly and via peers."""
@@ -139,7 +150,7 @@
             # The other half of the time is for the next call.
             left_s = (ends_s - boot_now()) / 2
             call = RelayedCall(transaction)
-            for address in self._peers.addresses()[:1]:
+            for address in self._peer_order()[:1]:
                 relayed = self._call_peer(address, call, left_s, tries)
         if relayed is not None and not isinstance(relayed, StoreFailed):
             return relayed
@@ -165,8 +176,14 @@
         if not self._health.is_failing():
             yield DIRECT
         while True:
-            yield from self._peers.addresses()[:1]
-            yield DIRECT
+            for address in self._peer_order()[:_PEERS_PER_ROUND]:
+                yield address
+                yield DIRECT
+            if not self._peers.addresses():
+                yield DIRECT
+
+    def _peer_order(self) -> list[str]:
+        return self._peer_choice.order(self._peers.addresses())
 
     def _read_through(
         self,
@@ -239,6 +256,10 @@
             store_try = tries.begin('write', call.transaction.witness, address)
         timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_CALL_TIMEOUT_S, left_s))
         answer = self._peers.relay(address, call, timeout_s)
+        self._peer_choice.note(
+            address,
+            is_failure=answer is None or isinstance(answer, StoreFailed),
+        )
         took_s = store_try.end(answer)
         if call.transaction is None:
             self._metrics.time('cell_store_read_relayed', took_s)
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -1,5 +1,6 @@
 """States and cancels that callers ask for while calls to the store fail."""
 
+import random
 from typing import Any
 
 import eventlet
@@ -16,6 +17,7 @@
 from apricotlead.transport.boot_clock import boot_now
 from tests.virtual_clock import virtual_clock
 from tests.virtual_store import (
+    CUT_OFF,
     HANGS,
     JOB,
     JOB_KEY,
@@ -45,6 +47,8 @@
     def setUp(self) -> None:
         super().setUp()
         self.clock = self.enterContext(virtual_clock())
+        # Pauses and the order of peers are random.
+        random.seed(1)
 
     def assert_state(
         self, state: JobState, answer: tuple[Any, float], wait_s: float
@@ -220,6 +224,66 @@
         self.assertLess(len(store.sent_s), 300 + 40)
 
 
+class TestFurtherPeers(VirtualTimeCase):
+    """Peers after the first one are tried while the direct path fails."""
+
+    # Guards against a first peer that keeps others from being asked.
+    def test_second_peer_answers(self) -> None:
+        for fault in (HANGS, CUT_OFF):
+            for wait_s in (SHORT_WAIT_S, WAIT_S):
+                peers = VirtualPeers(
+                    p1=VirtualStore(STARTED, always(fault)),
+                    p2=VirtualStore(STARTED),
+                )
+                instance = VirtualInstance(
+                    VirtualStore(STARTED, always(REFUSES)), peers
+                )
+                self.assert_state(
+                    JobState.RUNNING, instance.status(wait_s), wait_s
+                )
+
+    # Guards against a cancel that fails because its first peer does.
+    def test_second_peer_writes(self) -> None:
+        for fault in (HANGS, CUT_OFF):
+            for wait_s in (SHORT_WAIT_S, WAIT_S):
+                peers = VirtualPeers(
+                    p1=VirtualStore(STARTED, always(fault)),
+                    p2=VirtualStore(STARTED),
+                )
+                instance = VirtualInstance(
+                    VirtualStore(STARTED, always(REFUSES)), peers
+                )
+                outcome, took_s = instance.cancel(wait_s)
+                self.assertEqual(Done(), outcome)
+                self.assertLess(took_s, wait_s)
+
+    # Guards against all instances that ask the same one.
+    def test_calls_are_spread_over_several_peers(self) -> None:
+        peers = VirtualPeers(
+            **{f'p{number}': VirtualStore(STARTED) for number in range(8)}
+        )
+        instance = VirtualInstance(
+            VirtualStore(STARTED, always(REFUSES)), peers
+        )
+        for _ in range(40):
+            instance.status(WAIT_S)
+        counts = [peers.asked.count(address) for address in set(peers.asked)]
+        self.assertGreater(len(counts), 2)
+        self.assertLess(max(counts), 25)
+
+    # Guards against a silent peer that each request waits for again.
+    def test_peer_that_failed_is_asked_last(self) -> None:
+        peers = VirtualPeers(p1=VirtualStore(STARTED), p2=VirtualStore(STARTED))
+        peers.silent.add('p1')
+        instance = VirtualInstance(
+            VirtualStore(STARTED, always(REFUSES)), peers
+        )
+        instance.status(WAIT_S)
+        for _ in range(20):
+            instance.status(WAIT_S)
+        self.assertLess(peers.asked.count('p1'), 6)
+
+
 class TestRowsOfAJob(VirtualTimeCase):
     """A state is told from whichever rows a job has."""
 
