Serve a peer's call within the time that its asker has

Cause: a call for a peer had a time limit of its own: 1 s for a read, though the asker waits 0.6 s at most. The peer kept the store and its connections busy for calls whose askers were gone, and didn't notice that the store failed.

Change: RelayedCall has timeout_s, the seconds that the asker waits, 0 if it is unknown. The peer answers 0.05 s sooner, and records the outcome of a read as of any other direct call.

Tests: the four tests of TestServingPeers failed before.

--- a/src/apricotlead/protocol/cell_peers.py
+++ b/src/apricotlead/protocol/cell_peers.py
@@ -77,6 +77,7 @@
 
     transaction: Transaction | None = None
     key: str = ''
+    timeout_s: float = 0
 
 
 class AdviceQuestion(Struct, frozen=True):
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 import eventlet
+from msgspec import structs
 
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.table import (
@@ -30,6 +31,8 @@
 _RETRY_S = 0.05
 # A peer that takes longer presumably cannot reach the store either.
 _RELAY_TIMEOUT_S = 0.6
+# Network round trip to an instance, which it deducts from its asker's time.
+_HOP_S = 0.05
 # Then those that failed in the meantime are put last.
 _PEERS_PER_ROUND = 4
 
@@ -165,10 +168,15 @@
         """Make a call for a peer, unless the store is failing here too."""
         if self._health.is_failing():
             return StoreFailed(applied=False, reason='out of reach as well')
+        left_s = min(
+            call.timeout_s - _HOP_S if call.timeout_s else _RELAY_TIMEOUT_S,
+            _MAX_CALL_TIMEOUT_S,
+        )
+        left_s = max(left_s, _MIN_CALL_TIMEOUT_S)
         if call.transaction is None:
-            return self._store.read_row(call.key)
+            return self._read_directly(call.key, left_s, StoreTries())
         return self._transact_directly(
-            call.transaction, boot_now() + _RELAY_TIMEOUT_S, StoreTries()
+            call.transaction, boot_now() + left_s, StoreTries()
         )
 
     def _paths(self) -> Iterator[str]:
@@ -195,9 +203,18 @@
         left_s = max(_MIN_CALL_TIMEOUT_S, ends_s - boot_now())
         if path != DIRECT:
             return self._call_peer(path, RelayedCall(key=key), left_s, tries)
+        left_s = min(left_s, _MAX_CALL_TIMEOUT_S)
+        return self._read_directly(key, left_s, tries)
+
+    def _read_directly(
+        self,
+        key: str,
+        timeout_s: float,
+        tries: StoreTries,
+    ) -> Rows | StoreFailed:
         sent_s = boot_now()
         store_try = tries.begin('read', key, DIRECT)
-        answer = self._store.read_row(key, min(left_s, _MAX_CALL_TIMEOUT_S))
+        answer = self._store.read_row(key, timeout_s)
         took_s = store_try.end(answer)
         self._metrics.time('cell_store_read_direct', took_s)
         if isinstance(answer, StoreFailed):
@@ -255,7 +272,8 @@
         else:
             store_try = tries.begin('write', call.transaction.witness, address)
         timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_CALL_TIMEOUT_S, left_s))
-        answer = self._peers.relay(address, call, timeout_s)
+        timed_call = structs.replace(call, timeout_s=timeout_s)
+        answer = self._peers.relay(address, timed_call, timeout_s)
         self._peer_choice.note(
             address,
             is_failure=answer is None or isinstance(answer, StoreFailed),
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -6,14 +6,17 @@
 import eventlet
 from testtools import TestCase
 
+from apricotlead.coordination.cell.job_rows import cancel_key
 from apricotlead.protocol.cell_jobs import (
     JobReport,
     JobState,
     JobSubmission,
     StepSpec,
 )
+from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.errors import NoSuchJob, StoreUnreachable
 from apricotlead.protocol.outcomes import Done, NotRun
+from apricotlead.protocol.table import Check, Put, StoreFailed, Transaction
 from apricotlead.transport.boot_clock import boot_now
 from tests.virtual_clock import virtual_clock
 from tests.virtual_store import (
@@ -38,6 +41,10 @@
 WAIT_S = 3.0
 # For instances that keep trying because the store answers other calls.
 NEVER_LOST_S = 60.0
+CANCEL_KEY = cancel_key(JOB)
+CANCEL = Transaction(
+    '', CANCEL_KEY, (Check(CANCEL_KEY, 0),), (Put(CANCEL_KEY, 1),)
+)
 STARTED = {JOB_KEY: QUEUED, PROGRESS_KEY: RUNNING}
 
 
@@ -309,3 +316,45 @@
         )
         self.assertEqual(Done(), accepted)
         self.assert_state(JobState.QUEUED, instance.status(WAIT_S), WAIT_S)
+
+
+class TestServingPeers(VirtualTimeCase):
+    """An instance that makes a call for a peer keeps to the peer's time."""
+
+    def serve(self, call: RelayedCall) -> float:
+        instance = VirtualInstance(VirtualStore(STARTED, always(HANGS)))
+        instance.health.write_timeout.answered(9)
+        began_s = boot_now()
+        self.assertIsInstance(instance.relay.serve(call), StoreFailed)
+        return boot_now() - began_s
+
+    # Guards against a call that goes on when its asker has given up.
+    def test_call_ends_within_the_time_of_its_asker(self) -> None:
+        for transaction in (None, CANCEL):
+            call = RelayedCall(transaction, JOB_KEY, 0.4)
+            self.assertLess(self.serve(call), 0.4)
+
+    # Guards against an instance of another version that sends no time.
+    def test_unknown_time(self) -> None:
+        for transaction in (None, CANCEL):
+            took_s = self.serve(RelayedCall(transaction, JOB_KEY))
+            self.assertGreater(took_s, 0.4)
+            self.assertLess(took_s, 0.7)
+
+    # Guards against an instance that retries reads while the store is silent.
+    def test_failed_read_counts_as_a_failure_of_the_store(self) -> None:
+        instance = VirtualInstance(VirtualStore(STARTED, always(HANGS)))
+        instance.relay.serve(RelayedCall(key=JOB_KEY))
+        self.assertTrue(instance.health.is_failing())
+
+    # Guards against an asker that leaves its peer without the time.
+    def test_asker_sends_the_time_that_is_left(self) -> None:
+        peers = VirtualPeers(p1=VirtualStore(STARTED))
+        instance = VirtualInstance(
+            VirtualStore(STARTED, always(REFUSES)), peers
+        )
+        instance.status(0.5)
+        instance.cancel(0.5)
+        for call in peers.calls:
+            self.assertGreater(call.timeout_s, 0)
+            self.assertLess(call.timeout_s, 0.36)
