Answer when a row of a job cannot be read

A submission with the id of a row without a value was accepted.

Cause: the row was converted without handling the error, and a row without a readable value was taken for an absent one where a write had failed its check.

Change: a job whose own row is unreadable gets 503 with Retry-After and the reason in the log. Where only the progress row is unreadable, the job runs, or has the final state of its own row; a line `row unreadable` names the row. A submission with the id of such a row has an unknown outcome. A deleted row (version 0) is an absent one.

--- a/src/apricotlead/transport/cell_job_store.py
+++ b/src/apricotlead/transport/cell_job_store.py
@@ -6,6 +6,7 @@
 
 from apricotlead.coordination.cell.job_rows import job_key
 from apricotlead.protocol.cell_jobs import StoredJob
+from apricotlead.protocol.decoding import DECODE_ERRORS
 from apricotlead.protocol.table import (
     Check,
     CheckFailed,
@@ -35,11 +36,17 @@
         ends_s: float,
         tries: StoreTries,
     ) -> StoredJob | StoreFailed | None:
-        """Return a job, ``None`` if it does not exist or was refused."""
+        """Return a job, ``None`` if it does not exist or was refused.
+
+        A row that is no job is a failure, since the job may exist.
+        """
         row = self._store.read(job_key(job_id), ends_s, tries)
         if isinstance(row, StoreFailed) or row is None:
             return row
-        job = msgspec.convert(row.value, StoredJob)
+        try:
+            job = msgspec.convert(row.value, StoredJob)
+        except DECODE_ERRORS as error:
+            return _unreadable(row.key, error)
         return None if job.is_refused else job
 
     def write(
@@ -53,7 +60,10 @@
         puts = (Put(key, msgspec.to_builtins(stored)),)
         transaction = Transaction('', key, (Check(key, 0),), puts)
         answer = self._store.write(transaction, ends_s)
-        refused = _refused_row(answer, key)
+        try:
+            refused = _refused_row(answer, key)
+        except DECODE_ERRORS as error:
+            return _unreadable(key, error)
         if refused is not None:
             check = Check(key, refused.version)
             transaction = Transaction('', key, (check,), puts)
@@ -73,6 +83,10 @@
                 self._scheduler.announce(Row(put.key, version, put.value))
 
 
+def _unreadable(key: str, error: Exception) -> StoreFailed:
+    return StoreFailed(None, reason=f'the row {key} is unreadable: {error}')
+
+
 def _refused_row(
     answer: Committed | CheckFailed | StoreFailed,
     key: str,
@@ -81,6 +95,6 @@
     if not isinstance(answer, CheckFailed):
         return None
     row = answer.row(key)
-    if row.value is None:
+    if not row.version:
         return None
     return row if msgspec.convert(row.value, StoredJob).is_refused else None
--- a/src/apricotlead/transport/cell_request_handler.py
+++ b/src/apricotlead/transport/cell_request_handler.py
@@ -15,10 +15,12 @@
 from apricotlead.protocol.cell_jobs import (
     JobProgress,
     JobReport,
+    JobState,
     JobSubmission,
     StoredJob,
 )
 from apricotlead.protocol.cell_peers import SchedulerStatus
+from apricotlead.protocol.decoding import DECODE_ERRORS
 from apricotlead.protocol.errors import (
     KeyRefused,
     NoSuchJob,
@@ -238,11 +240,35 @@
         progress = self._store.read(key, ends_s, tries)
         if isinstance(progress, StoreFailed):
             return _store_unreachable(progress)
-        if progress is not None:
+        if progress is None:
+            job = self._read_job(job_id, ends_s, tries)
+            if isinstance(job, StoredJob):
+                return Done(JobReport(job.state))
+            return job
+        try:
             record = msgspec.convert(progress.value, JobProgress)
-            return Done(JobReport(record.state, record.why))
-        job = self._read_job(job_id, ends_s, tries)
-        return Done(JobReport(job.state)) if isinstance(job, StoredJob) else job
+        except DECODE_ERRORS as error:
+            self._log('row unreadable', key=key, why=str(error))
+            return self._status_without_progress(job_id, ends_s, tries)
+        return Done(JobReport(record.state, record.why))
+
+    def _status_without_progress(
+        self,
+        job_id: str,
+        ends_s: float,
+        tries: StoreTries,
+    ) -> Outcome:
+        """Return the state of a job whose progress cannot be read.
+
+        It has started, so it exists, and runs unless its own row says more.
+        """
+        job = self._jobs.read(job_id, ends_s, tries)
+        if isinstance(job, StoredJob):
+            is_final = job.state.is_final
+            return Done(JobReport(job.state if is_final else JobState.RUNNING))
+        return _store_unreachable(
+            job or StoreFailed(None, reason='the progress row is unreadable')
+        )
 
     def _cancel(self, question: Question, tries: StoreTries) -> Outcome:
         job_id = question.job_id
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -129,7 +129,8 @@
         answer = read.run(self._health.is_lost)
         if isinstance(answer, StoreFailed):
             return answer
-        return answer.rows[0] if answer.rows else None
+        row = answer.rows[0] if answer.rows else None
+        return row if row and row.version else None
 
     def transact(
         self,
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -15,8 +15,8 @@
 )
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.errors import NoSuchJob, StoreUnreachable
-from apricotlead.protocol.outcomes import Done, NotRun
-from apricotlead.protocol.table import Check, Put, StoreFailed, Transaction
+from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun
+from apricotlead.protocol.table import Check, Put, Row, StoreFailed, Transaction
 from apricotlead.transport.boot_clock import boot_now
 from tests.virtual_clock import virtual_clock
 from tests.virtual_store import (
@@ -45,6 +45,7 @@
 CANCEL = Transaction(
     '', CANCEL_KEY, (Check(CANCEL_KEY, 0),), (Put(CANCEL_KEY, 1),)
 )
+SUBMISSION = JobSubmission('x', (StepSpec(1),))
 STARTED = {JOB_KEY: QUEUED, PROGRESS_KEY: RUNNING}
 
 
@@ -310,9 +311,8 @@
         instance = VirtualInstance(store)
         outcome, _ = instance.status(WAIT_S)
         self.assertIsInstance(outcome.error, NoSuchJob)
-        submission = JobSubmission('x', (StepSpec(1),))
         accepted = instance.request_handler.submit(
-            instance.queue, 'clerks', JOB, submission, WAIT_S
+            instance.queue, 'clerks', JOB, SUBMISSION, WAIT_S
         )
         self.assertEqual(Done(), accepted)
         self.assert_state(JobState.QUEUED, instance.status(WAIT_S), WAIT_S)
@@ -358,3 +358,64 @@
         for call in peers.calls:
             self.assertGreater(call.timeout_s, 0)
             self.assertLess(call.timeout_s, 0.36)
+
+
+class TestUnreadableRows(VirtualTimeCase):
+    """Other programs write to the store too, and versions differ."""
+
+    # A value that is no JSON is None.
+    unreadable = (None, 7, 'x', {}, [], [[], 'asleep'], {'state': 3})
+
+    def status(self, values_by_key: dict[str, Any]) -> tuple[Any, float]:
+        self.instance = VirtualInstance(VirtualStore(values_by_key))
+        return self.instance.status(WAIT_S)
+
+    # Guards against an error instead of an answer, at each instance.
+    def test_unreadable_job(self) -> None:
+        for value in self.unreadable:
+            answer = self.status({JOB_KEY: value})
+            self.assert_unavailable(answer, WAIT_S)
+            kind, fields = self.instance.lines[-1]
+            self.assertEqual('state unanswered', kind)
+            self.assertIn(JOB_KEY, fields['why'])
+
+    # Guards against a job whose state is hidden by its progress.
+    def test_unreadable_progress(self) -> None:
+        for value in self.unreadable:
+            answer = self.status({PROGRESS_KEY: value, JOB_KEY: QUEUED})
+            self.assert_state(JobState.RUNNING, answer, WAIT_S)
+            kind, fields = self.instance.lines[-1]
+            self.assertEqual('row unreadable', kind)
+            self.assertEqual(PROGRESS_KEY, fields['key'])
+
+    # Guards against a final job that is shown as running for good.
+    def test_unreadable_progress_of_a_final_job(self) -> None:
+        final = {**QUEUED, 'state': 'completed'}
+        answer = self.status({PROGRESS_KEY: 7, JOB_KEY: final})
+        self.assert_state(JobState.COMPLETED, answer, WAIT_S)
+
+    # Guards against an accepted job that is reported as unknown.
+    def test_unreadable_progress_alone(self) -> None:
+        self.assert_unavailable(self.status({PROGRESS_KEY: 7}), WAIT_S)
+
+    # Guards against an error instead of an answer to a cancel.
+    def test_cancel_of_an_unreadable_job(self) -> None:
+        for value in self.unreadable:
+            instance = VirtualInstance(VirtualStore({JOB_KEY: value}))
+            self.assert_unavailable(instance.cancel(WAIT_S), WAIT_S)
+
+    # Guards against an acceptance of a job that no row describes.
+    def test_submission_with_the_id_of_an_unreadable_row(self) -> None:
+        for value in self.unreadable:
+            instance = VirtualInstance(VirtualStore({JOB_KEY: value}))
+            outcome = instance.request_handler.submit(
+                instance.queue, 'clerks', JOB, SUBMISSION, WAIT_S
+            )
+            self.assertIsInstance(outcome, MayHaveRun)
+
+    # Guards against a progress row that is deleted and holds nothing.
+    def test_deleted_progress(self) -> None:
+        store = VirtualStore({JOB_KEY: QUEUED})
+        store.rows_by_key[PROGRESS_KEY] = Row(PROGRESS_KEY)
+        answer = VirtualInstance(store).status(WAIT_S)
+        self.assert_state(JobState.QUEUED, answer, WAIT_S)
