Take no short time limit for a failure of the store

Callers would see: calls relayed, and an instance that refuses its peers, while the store is only slower than one caller's or one peer's remaining time.

Cause: a missing answer counted as a failure of the store however little time the call had. Reads and relayed calls have short limits since they keep to the caller's wait; writes had them before.

Change: a missing answer counts if the call had the time in which an answer is expected (read_delay, write_timeout). A refusal counts as before.

Tests: the three tests of TestShortLimits with a slow answer failed before. test_refusal_to_a_hurried_caller held, as a guard.

--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -218,11 +218,13 @@
         answer = self._store.read_row(key, timeout_s)
         took_s = store_try.end(answer)
         self._metrics.time('cell_store_read_direct', took_s)
-        if isinstance(answer, StoreFailed):
-            self._health.record_failure(sent_s)
-        else:
-            self._health.record_answer(answer.store_ms)
-            self._health.read_delay.answered(took_s)
+        health = self._health
+        if not isinstance(answer, StoreFailed):
+            health.record_answer(answer.store_ms)
+            health.read_delay.answered(took_s)
+        elif took_s < timeout_s or timeout_s >= health.read_delay.timeout_s:
+            # A shorter time limit says nothing about the store.
+            health.record_failure(sent_s)
         return answer
 
     def _should_give_up(self, ends_s: float) -> bool:
@@ -246,18 +248,19 @@
         max_timeout_s = max(
             _MIN_CALL_TIMEOUT_S, min(ends_s - sent_s, health.lost_in_s())
         )
+        timeout_s = min(adaptive_timeout_s, max_timeout_s)
         store_try = tries.begin('write', transaction.witness, DIRECT)
-        answer = self._store.transact(
-            transaction, min(adaptive_timeout_s, max_timeout_s)
-        )
+        answer = self._store.transact(transaction, timeout_s)
         took_s = store_try.end(answer)
         if not isinstance(answer, StoreFailed):
             health.record_answer()
             health.write_timeout.answered(took_s)
-            return answer
-        health.record_failure(sent_s)
-        if took_s >= adaptive_timeout_s:
+        elif took_s >= adaptive_timeout_s:
+            health.record_failure(sent_s)
             health.write_timeout.missed()
+        elif took_s < timeout_s:
+            # A shorter time limit says nothing about the store.
+            health.record_failure(sent_s)
         return answer
 
     def _call_peer(
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -419,3 +419,33 @@
         store.rows_by_key[PROGRESS_KEY] = Row(PROGRESS_KEY)
         answer = VirtualInstance(store).status(WAIT_S)
         self.assert_state(JobState.QUEUED, answer, WAIT_S)
+
+
+class TestShortLimits(VirtualTimeCase):
+    """A call that was given little time says nothing about the store."""
+
+    # Guards against an instance that relays because its callers hurry.
+    def test_slow_answer_to_a_hurried_caller(self) -> None:
+        store = VirtualStore(STARTED, answer_s=0.2)
+        instance = VirtualInstance(store)
+        self.assert_unavailable(instance.status(0.3), 0.3)
+        self.assertFalse(instance.health.is_failing())
+
+    # Guards against a peer that refuses calls because its asker hurries.
+    def test_slow_answer_to_a_hurried_peer(self) -> None:
+        instance = VirtualInstance(VirtualStore(STARTED, answer_s=0.2))
+        instance.relay.serve(RelayedCall(key=JOB_KEY, timeout_s=0.15))
+        self.assertFalse(instance.health.is_failing())
+
+    # Guards against a slow write that makes an instance relay its calls.
+    def test_slow_answer_to_a_hurried_write(self) -> None:
+        instance = VirtualInstance(VirtualStore(STARTED, answer_s=0.2))
+        instance.health.write_timeout.answered(0.2)
+        self.assertIsNone(instance.relay.transact(CANCEL, 0.15).applied)
+        self.assertFalse(instance.health.is_failing())
+
+    # Guards against a refusal that is overlooked because of a short limit.
+    def test_refusal_to_a_hurried_caller(self) -> None:
+        instance = VirtualInstance(VirtualStore(STARTED, always(REFUSES)))
+        instance.status(0.3)
+        self.assertTrue(instance.health.is_failing())
