Repeat calls that a busy store refuses instead of relaying them

Cause: status 429, for the rates that all instances share or for a part's queue, counted as a store that does not answer. Every instance turned to the same peer at once, and after 1.3 s took the store for lost, which sheds callers and readiness.

Evidence: in virtual time, of 1,000 states asked for at once of 4 instances, where the store answers 400 calls a second, some got 503; retries came at 5 moments within a second.

Change: StoreFailed.is_busy marks status 429. It does not count as a failure of the store; the call is repeated directly after a pause of 0.05 s that doubles up to 0.4 s, half longer or shorter at random, at most half of the time that is left. The store may also turn a single instance away in this way, so peers are asked after 0.6 of the wait, and first when no call was answered for 1.2 s.

Tests: test_only_status_429_is_busy is new. With the new field alone, six tests of TestBusyStore failed: the refused read and write, the busy store that is not lost, the refused instance, many states, spread retries. The two with an instance that is refused while its peer is not held before, as guards. test_each_peer_is_asked_before_any_again guards the choice of peers.

--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -275,4 +275,7 @@
     applied = False if answer.status in REFUSED_STATUSES else None
     if 400 <= answer.status < 500:
         applied = False
-    return StoreFailed(applied, _RETRY_S, f'status {answer.status}')
+    # Sent for calls beyond the rates that all instances share, and for more
+    # than a part's transactions of a second.
+    is_busy = answer.status == 429
+    return StoreFailed(applied, _RETRY_S, f'status {answer.status}', is_busy)
--- a/src/apricotlead/protocol/table.py
+++ b/src/apricotlead/protocol/table.py
@@ -104,12 +104,15 @@
     """The call failed.
 
     ``applied`` is ``False`` if the service reported so (or the call was never
-    sent), ``None`` if it is unknown. ``reason`` is for logs.
+    sent), ``None`` if it is unknown. ``reason`` is for logs. With ``is_busy``
+    the service has more calls than it takes, which says nothing about the path
+    to it.
     """
 
     applied: bool | None
     retry_after_s: float = 0.2
     reason: str = ''
+    is_busy: bool = False
 
 
 StoreReply = Committed | CheckFailed | Rows | StoreFailed
--- a/src/apricotlead/transport/hedged_read.py
+++ b/src/apricotlead/transport/hedged_read.py
@@ -1,13 +1,15 @@
 """A read of one row that tries several paths until one of them answers."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 
 import eventlet
 from eventlet.queue import Empty, LightQueue
 
 from apricotlead.protocol.table import Rows, StoreFailed
+from apricotlead.transport.backoff import Backoff
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.hedging import MIN_HEDGE_DELAY_S
+from apricotlead.transport.read_paths import ReadPaths
 
 # A healthy store answers in 20 ms.
 _MIN_TRY_S = 0.05
@@ -16,9 +18,8 @@
 # so that a caller with a short wait gets one as well.
 _MAX_DELAY_SHARE = 1 / 3
 _DELAY_GROWTH = 1.5
-_RETRY_S = 0.05
-_MAX_RETRY_S = 0.4
-_RETRY_GROWTH = 2
+# Likewise for the pause before a retry: a longer one could reach to the end.
+_MAX_PAUSE_SHARE = 0.5
 # In an outage, extra tries of all requests would multiply the calls to the
 # store, which are limited for all instances together.
 _MAX_EXTRA_TRIES = 32
@@ -54,6 +55,7 @@
 
     __slots__ = (
         '_answers',
+        '_backoff',
         '_call',
         '_delay_s',
         '_ends_s',
@@ -61,25 +63,28 @@
         '_failure',
         '_next_s',
         '_next_try',
+        '_paths',
         '_pending_count',
-        '_tries',
+        '_tried',
     )
 
     def __init__(
         self,
         call: Callable[[str], Rows | StoreFailed],
-        paths: Iterable[str],
+        paths: ReadPaths,
         ends_s: float,
         delay_s: float,
         extra_tries: ExtraTries,
     ) -> None:
-        """Try ``paths`` in turn until ``ends_s``.
+        """Try ``paths`` until ``ends_s``.
 
         An extra try begins when the previous one has not been answered for
         ``delay_s``, each further one after a longer delay.
         """
         self._call = call
-        self._tries = _paced(paths)
+        self._paths = paths
+        self._tried: set[str] = set()
+        self._backoff = Backoff()
         # The path of the next try is chosen only when it is needed.
         self._next_try: tuple[str, float] | None = None
         self._next_s = boot_now()
@@ -123,7 +128,10 @@
     def _upcoming_try(self) -> tuple[str, float]:
         """Return the path of the next try, and the pause before it."""
         if self._next_try is None:
-            self._next_try = next(self._tries)
+            path = self._paths.next_path(self._failure)
+            pause_s = self._backoff.next_s() if path in self._tried else 0
+            self._next_try = (path, pause_s)
+            self._tried.add(path)
         return self._next_try
 
     def _next_answer(self) -> Rows | StoreFailed | None:
@@ -142,7 +150,8 @@
         """Use the next path at once, or a path that failed after a pause."""
         self._failure = failure
         _, pause_s = self._upcoming_try()
-        retry_s = boot_now() + pause_s
+        now = boot_now()
+        retry_s = now + min(pause_s, (self._ends_s - now) * _MAX_PAUSE_SHARE)
         if self._pending_count:
             retry_s = min(retry_s, self._next_s)
         self._next_s = retry_s
@@ -175,16 +184,3 @@
         finally:
             if is_extra:
                 self._extra_tries.end()
-
-
-def _paced(paths: Iterable[str]) -> Iterator[tuple[str, float]]:
-    """Yield each path with the pause before it: none for the first time."""
-    tried: set[str] = set()
-    pause_s = _RETRY_S
-    for path in paths:
-        if path in tried:
-            yield path, pause_s
-            pause_s = min(_MAX_RETRY_S, pause_s * _RETRY_GROWTH)
-        else:
-            tried.add(path)
-            yield path, 0
--- /dev/null
+++ b/src/apricotlead/transport/read_paths.py
@@ -0,0 +1,70 @@
+"""Choice of the paths on which a read reaches the store."""
+
+from collections import deque
+from collections.abc import Callable
+
+from apricotlead.protocol.table import StoreFailed
+from apricotlead.transport.answer_log import DIRECT
+from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.store_health import StoreHealth
+
+# Then those that failed in the meantime are put last.
+_PEERS_PER_ROUND = 4
+# A busy store refuses what peers ask for as well, but it may also turn this
+# instance away alone, so the rest of the time is for peers.
+_BUSY_SHARE = 0.6
+
+
+def relays_busy_s(ends_s: float) -> float:
+    """Return when a call that a busy store refuses is also relayed.
+
+    The call begins now and ends at ``ends_s``.
+    """
+    now = boot_now()
+    return now + (ends_s - now) * _BUSY_SHARE
+
+
+class ReadPaths:
+    """Chooses the direct path and peers in turn for the tries of one read."""
+
+    __slots__ = (
+        '_health',
+        '_is_first',
+        '_peer_order',
+        '_relays_busy_s',
+        '_round',
+    )
+
+    def __init__(
+        self,
+        health: StoreHealth,
+        peer_order: Callable[[], list[str]],
+        ends_s: float,
+    ) -> None:
+        """Choose for a read that begins now and ends at ``ends_s``."""
+        self._health = health
+        self._peer_order = peer_order
+        self._relays_busy_s = relays_busy_s(ends_s)
+        self._is_first = True
+        self._round: deque[str] = deque()
+
+    def next_path(self, failure: StoreFailed | None) -> str:
+        """Return the path of the next try after the latest ``failure``."""
+        is_busy = (
+            failure is not None
+            and failure.is_busy
+            and boot_now() < self._relays_busy_s
+        )
+        is_direct = self._is_first or is_busy
+        self._is_first = False
+        if is_direct and not self._health.should_relay():
+            return DIRECT
+        if not self._round:
+            self._begin_round()
+        return self._round.popleft()
+
+    def _begin_round(self) -> None:
+        for address in self._peer_order()[:_PEERS_PER_ROUND]:
+            self._round.extend((address, DIRECT))
+        if not self._round:
+            self._round.append(DIRECT)
--- a/src/apricotlead/transport/store_health.py
+++ b/src/apricotlead/transport/store_health.py
@@ -12,6 +12,9 @@
 _MIN_READ_DELAY_S = 0.25
 _MAX_READ_DELAY_S = 1.0
 _LOST_AFTER_S = 1.3
+# The rates count the calls of a second, so a store that is busy for all
+# instances answers some calls of each within that time.
+_TURNED_AWAY_AFTER_S = 1.2
 
 
 class StoreHealth:
@@ -22,6 +25,7 @@
 
     __slots__ = (
         '_answered_s',
+        '_busy_since_s',
         '_failed_since_s',
         '_lost_after_s',
         '_store_base',
@@ -33,6 +37,7 @@
         """Start as healthy; the store is lost after failing that long."""
         self._lost_after_s = lost_after_s
         self._failed_since_s: float | None = None
+        self._busy_since_s: float | None = None
         self._answered_s = float('-inf')
         self._store_base = (0.0, 0.0)
         self.read_delay = AdaptiveTimeout(_MIN_READ_DELAY_S, _MAX_READ_DELAY_S)
@@ -44,6 +49,7 @@
         """Record an answer, and the store's clock if it was included."""
         now = boot_now()
         self._failed_since_s = None
+        self._busy_since_s = None
         self._answered_s = now
         if store_ms:
             self._store_base = (now, store_ms)
@@ -53,6 +59,24 @@
         if self._failed_since_s is None:
             self._failed_since_s = max(sent_s, self._answered_s)
 
+    def record_busy(self, sent_s: float) -> None:
+        """Record that a call sent at ``sent_s`` was refused as one too many.
+
+        This is no failure: it says nothing about the path to the store.
+        """
+        if self._busy_since_s is None:
+            self._busy_since_s = max(sent_s, self._answered_s)
+
+    def should_relay(self) -> bool:
+        """Return whether peers may reach the store better.
+
+        The store may also turn single instances away as if it were busy.
+        """
+        since_s = self._busy_since_s
+        return self.is_failing() or (
+            since_s is not None and boot_now() - since_s > _TURNED_AWAY_AFTER_S
+        )
+
     def is_failing(self) -> bool:
         """Return whether the last call got no answer."""
         return self._failed_since_s is not None
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -4,7 +4,6 @@
 Without a relay, their callers would have to find another instance themselves.
 """
 
-from collections.abc import Iterator
 from functools import partial
 from typing import Any, Protocol
 
@@ -21,9 +20,14 @@
     Transaction,
 )
 from apricotlead.transport.answer_log import DIRECT, StoreTries
+from apricotlead.transport.backoff import Backoff
 from apricotlead.transport.boot_clock import boot_now
-from apricotlead.transport.hedged_read import ExtraTries, HedgedRead
+from apricotlead.transport.hedged_read import (
+    ExtraTries,
+    HedgedRead,
+)
 from apricotlead.transport.peer_choice import PeerChoice
+from apricotlead.transport.read_paths import ReadPaths, relays_busy_s
 from apricotlead.transport.store_health import StoreHealth
 
 _MIN_CALL_TIMEOUT_S = 0.1
@@ -33,8 +37,6 @@
 _RELAY_TIMEOUT_S = 0.6
 # Network round trip to an instance, which it deducts from its asker's time.
 _HOP_S = 0.05
-# Then those that failed in the meantime are put last.
-_PEERS_PER_ROUND = 4
 
 
 class Peers(Protocol):
@@ -95,14 +97,24 @@
         """
         is_outcome_unknown = False
         tries = tries or StoreTries()
+        busy = Backoff()
+        relays_s = relays_busy_s(ends_s)
         while True:
-            answer = self.transact(transaction, ends_s - boot_now(), tries)
+            answer = self.transact(
+                transaction,
+                ends_s - boot_now(),
+                tries,
+                relays_busy=boot_now() >= relays_s,
+            )
             if not isinstance(answer, StoreFailed):
                 return answer
             is_outcome_unknown = is_outcome_unknown or answer.applied is None
-            if self._should_give_up(ends_s):
+            pause_s = busy.next_s() if answer.is_busy else _RETRY_S
+            # A longer pause could reach to the end.
+            pause_s = min(pause_s, max(_RETRY_S, (ends_s - boot_now()) / 2))
+            if self._should_give_up(ends_s, pause_s):
                 break
-            eventlet.sleep(_RETRY_S)
+            eventlet.sleep(pause_s)
         if is_outcome_unknown:
             return StoreFailed(None, answer.retry_after_s, answer.reason)
         return answer
@@ -121,7 +133,7 @@
         tries = tries or StoreTries()
         read = HedgedRead(
             partial(self._read_through, key, ends_s, tries),
-            self._paths(),
+            ReadPaths(self._health, self._peer_order, ends_s),
             max(ends_s, boot_now() + _MIN_CALL_TIMEOUT_S),
             self._health.read_delay.timeout_s,
             self._extra_tries,
@@ -137,17 +149,20 @@
         transaction: Transaction,
         left_s: float,
         tries: StoreTries | None = None,
+        *,
+        relays_busy: bool = False,
     ) -> Committed | CheckFailed | StoreFailed:
         """Send a transaction within ``left_s`` seconds.
 
-        It may be sent twice, so a repeat must not apply again.
+        It may be sent twice, so a repeat must not apply again. With
+        ``relays_busy`` a peer is asked even if the store is only busy.
         """
         direct = None
         tries = tries or StoreTries()
         ends_s = boot_now() + max(left_s, _MIN_CALL_TIMEOUT_S)
-        if not self._health.is_failing():
+        if not self._health.should_relay():
             direct = self._transact_directly(transaction, ends_s, tries)
-            if not isinstance(direct, StoreFailed):
+            if not self._needs_peer(direct, relays_busy=relays_busy):
                 return direct
         relayed = None
         if _has_time(ends_s):
@@ -167,7 +182,7 @@
         call: RelayedCall,
     ) -> Committed | CheckFailed | Rows | StoreFailed:
         """Make a call for a peer, unless the store is failing here too."""
-        if self._health.is_failing():
+        if self._health.should_relay():
             return StoreFailed(applied=False, reason='out of reach as well')
         left_s = min(
             call.timeout_s - _HOP_S if call.timeout_s else _RELAY_TIMEOUT_S,
@@ -180,16 +195,12 @@
             call.transaction, boot_now() + left_s, StoreTries()
         )
 
-    def _paths(self) -> Iterator[str]:
-        """Yield the paths of a read: directly and through a peer in turn."""
-        if not self._health.is_failing():
-            yield DIRECT
-        while True:
-            for address in self._peer_order()[:_PEERS_PER_ROUND]:
-                yield address
-                yield DIRECT
-            if not self._peers.addresses():
-                yield DIRECT
+    def _needs_peer(self, answer: Any, *, relays_busy: bool) -> bool:
+        """Return whether a call failed that a peer may make."""
+        if not isinstance(answer, StoreFailed):
+            return False
+        is_relayed = relays_busy or self._health.should_relay()
+        return is_relayed or not answer.is_busy
 
     def _peer_order(self) -> list[str]:
         return self._peer_choice.order(self._peers.addresses())
@@ -222,18 +233,20 @@
         if not isinstance(answer, StoreFailed):
             health.record_answer(answer.store_ms)
             health.read_delay.answered(took_s)
+        elif answer.is_busy:
+            health.record_busy(sent_s)
         elif took_s < timeout_s or timeout_s >= health.read_delay.timeout_s:
             # A shorter time limit says nothing about the store.
             health.record_failure(sent_s)
         return answer
 
-    def _should_give_up(self, ends_s: float) -> bool:
+    def _should_give_up(self, ends_s: float, pause_s: float) -> bool:
         """Return whether another attempt is useless to the caller.
 
         If the store is lost to this instance, the caller may succeed at once
         at another instance.
         """
-        is_late = boot_now() + _RETRY_S + _MIN_CALL_TIMEOUT_S > ends_s
+        is_late = boot_now() + pause_s + _MIN_CALL_TIMEOUT_S > ends_s
         return is_late or self._health.is_lost()
 
     def _transact_directly(
@@ -255,6 +268,8 @@
         if not isinstance(answer, StoreFailed):
             health.record_answer()
             health.write_timeout.answered(took_s)
+        elif answer.is_busy:
+            health.record_busy(sent_s)
         elif took_s >= adaptive_timeout_s:
             health.record_failure(sent_s)
             health.write_timeout.missed()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -159,6 +159,17 @@
         PlatformStore(pool, 'a:1').read_row('jobs/1/a', 0.3)
         self.assertEqual(0.3, pool.calls[0].timeout_s)
 
+    # Guards against a refusal for the rate that counts as an outage.
+    def test_only_status_429_is_busy(self) -> None:
+        for status, is_busy in ((429, True), (503, False), (500, False)):
+            pool = ScriptedPool(*[answered(status, {}) for _ in range(2)])
+            store = PlatformStore(pool, 'a:1')
+            for failure in (
+                store.read_row('jobs/1/a'),
+                store.transact(self.transaction),
+            ):
+                self.assertIs(is_busy, failure.is_busy)
+
     def test_commit_returns_the_version_of_each_row(self) -> None:
         reply = self.transact(answered(200, {'Ver': 9, 'NowMs': 5}))
         self.assertEqual(Committed({'t/p/k': 9}, 5), reply)
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -20,6 +20,7 @@
 from apricotlead.transport.boot_clock import boot_now
 from tests.virtual_clock import virtual_clock
 from tests.virtual_store import (
+    BUSY,
     CUT_OFF,
     HANGS,
     JOB,
@@ -28,6 +29,7 @@
     QUEUED,
     REFUSES,
     RUNNING,
+    RatedStore,
     VirtualInstance,
     VirtualPeers,
     VirtualStore,
@@ -265,6 +267,20 @@
                 self.assertEqual(Done(), outcome)
                 self.assertLess(took_s, wait_s)
 
+    # Guards against a silent peer that is asked again before the others.
+    def test_each_peer_is_asked_before_any_again(self) -> None:
+        for seed in range(10):
+            random.seed(seed)
+            peers = VirtualPeers(
+                **{f'p{number}': VirtualStore(STARTED) for number in range(3)}
+            )
+            peers.silent.update(peers.addresses())
+            instance = VirtualInstance(
+                VirtualStore(STARTED, always(REFUSES)), peers, NEVER_LOST_S
+            )
+            instance.status(WAIT_S)
+            self.assertEqual(3, len(set(peers.asked[:3])))
+
     # Guards against all instances that ask the same one.
     def test_calls_are_spread_over_several_peers(self) -> None:
         peers = VirtualPeers(
@@ -449,3 +465,104 @@
         instance = VirtualInstance(VirtualStore(STARTED, always(REFUSES)))
         instance.status(0.3)
         self.assertTrue(instance.health.is_failing())
+
+
+class TestBusyStore(VirtualTimeCase):
+    """The store refuses calls beyond its rates with status 429."""
+
+    # Guards against refusals for the rate that send all instances to a peer.
+    def test_refused_read_is_repeated_directly(self) -> None:
+        peers = VirtualPeers(p1=VirtualStore(STARTED))
+        store = VirtualStore(STARTED, first(2, BUSY))
+        instance = VirtualInstance(store, peers)
+        answer = instance.status(SHORT_WAIT_S)
+        self.assert_state(JobState.RUNNING, answer, SHORT_WAIT_S)
+        self.assertEqual([], peers.asked)
+        self.assertFalse(instance.health.is_failing())
+
+    # Guards against a refused write that is sent through a peer at once.
+    def test_refused_write_is_repeated_directly(self) -> None:
+        peers = VirtualPeers(p1=VirtualStore(STARTED))
+        store = VirtualStore(STARTED, on_calls({2, 3}, BUSY))
+        instance = VirtualInstance(store, peers)
+        outcome, took_s = instance.cancel(SHORT_WAIT_S)
+        self.assertEqual(Done(), outcome)
+        self.assertLess(took_s, SHORT_WAIT_S)
+        self.assertEqual([], peers.asked)
+        self.assertFalse(instance.health.is_failing())
+
+    # Guards against a store that counts as lost because it is busy.
+    def test_busy_store_is_not_lost(self) -> None:
+        instance = VirtualInstance(VirtualStore(STARTED, always(BUSY)))
+        self.assert_unavailable(instance.status(WAIT_S), WAIT_S)
+        self.assertFalse(instance.health.is_lost())
+        outcome, took_s = instance.cancel(WAIT_S)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertLess(took_s, WAIT_S)
+        self.assertFalse(instance.health.is_lost())
+
+    # Guards against an instance that the platform refuses with status 429.
+    def test_peer_answers_while_this_instance_is_refused(self) -> None:
+        for seed in range(20):
+            random.seed(seed)
+            for wait_s in (SHORT_WAIT_S, WAIT_S):
+                instance = VirtualInstance(
+                    VirtualStore(STARTED, always(BUSY)),
+                    VirtualPeers(p1=VirtualStore(STARTED)),
+                )
+                answer = instance.status(wait_s)
+                self.assert_state(JobState.RUNNING, answer, wait_s)
+
+    # Guards against an instance whose writes alone are refused like that.
+    def test_peer_writes_while_this_instance_is_refused(self) -> None:
+        for seed in range(20):
+            random.seed(seed)
+            for wait_s in (SHORT_WAIT_S, WAIT_S):
+                instance = VirtualInstance(
+                    VirtualStore(STARTED, after(1, BUSY)),
+                    VirtualPeers(p1=VirtualStore(STARTED)),
+                )
+                outcome, took_s = instance.cancel(wait_s)
+                self.assertEqual(Done(), outcome)
+                self.assertLess(took_s, wait_s)
+
+    # Guards against calls that are refused for each request of such an instance.
+    def test_refused_instance_asks_its_peers_first(self) -> None:
+        store = VirtualStore(STARTED, always(BUSY))
+        peers = VirtualPeers(p1=VirtualStore(STARTED))
+        instance = VirtualInstance(store, peers)
+        for _ in range(8):
+            instance.status(WAIT_S)
+        self.assertFalse(instance.health.is_failing())
+        refused_count = len(store.sent_s)
+        for _ in range(20):
+            instance.status(WAIT_S)
+        self.assertEqual(refused_count, len(store.sent_s))
+        answer = instance.relay.serve(RelayedCall(key=JOB_KEY))
+        self.assertEqual(CUT_OFF, answer.reason)
+
+    # Guards against states without an answer when all are asked for at once.
+    def test_many_states_at_once(self) -> None:
+        store = RatedStore(STARTED, 400)
+        peers = VirtualPeers(p1=store, p2=store)
+        instances = [VirtualInstance(store, peers) for _ in range(4)]
+        pool = eventlet.GreenPool(2000)
+        answers = list(
+            pool.imap(
+                lambda number: instances[number % 4].status(WAIT_S),
+                range(1000),
+            )
+        )
+        for answer in answers:
+            self.assert_state(JobState.RUNNING, answer, WAIT_S)
+        self.assertLess(len(peers.asked), 400)
+        self.assertLess(len(store.sent_s), 6000)
+
+    # Guards against refused calls that are all repeated at the same moment.
+    def test_retries_are_spread(self) -> None:
+        store = VirtualStore(STARTED, always(BUSY))
+        for _ in range(50):
+            eventlet.spawn_n(VirtualInstance(store).status, WAIT_S)
+        eventlet.sleep(1)
+        moments = {round(sent_s, 3) for sent_s in store.sent_s}
+        self.assertGreater(len(moments), 100)
--- a/tests/virtual_store.py
+++ b/tests/virtual_store.py
@@ -1,5 +1,6 @@
 """A store, and instances beside it, with scripted faults in virtual time."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -40,6 +41,8 @@
 HANGS = 'hangs'
 # The platform refuses a call with status 503 at once.
 REFUSES = 'refuses'
+# The platform refuses a call with status 429 at once.
+BUSY = 'status 429'
 CUT_OFF = 'out of reach as well'
 
 Fault = Callable[[int], str]
@@ -120,10 +123,27 @@
             return StoreFailed(None, reason='no answer')
         eventlet.sleep(self.answer_s)
         if fault:
-            return StoreFailed(applied=False, reason=fault)
+            return StoreFailed(False, reason=fault, is_busy=fault == BUSY)
         return None
 
 
+class RatedStore(VirtualStore):
+    """Answers a limited number of calls each second, and refuses others."""
+
+    def __init__(self, values_by_key: dict[str, Any], max_per_s: int) -> None:
+        """Start without calls."""
+        super().__init__(values_by_key, self._fault_of)
+        self._max_per_s = max_per_s
+        self._counts_by_second: Counter[int] = Counter()
+
+    def _fault_of(self, number: int) -> str:
+        second = int(boot_now())
+        if self._counts_by_second[second] >= self._max_per_s:
+            return BUSY
+        self._counts_by_second[second] += 1
+        return ''
+
+
 class VirtualPeers:
     """Instances by address, each with its own way to the store."""
 
