Go on through peers while the store is lost to an instance

Cause: a lost store ended a read after its first failure and a write after its first attempt, whether or not further peers were known. Since reads are joined by extra tries, an instance without any path held its callers until the end of their wait.

Change: a read or write is given up early only when each peer, or eight of them, has been asked. While the store is lost, a direct read takes 0.8 of the time in which an answer is expected, so that no extra try joins it. Without any path the 503 with Retry-After comes after one try, 0.2 s: the caller may succeed at another instance within its wait, and nothing here would be better for it.

Tests: four tests of TestLostStore failed before: a state and a cancel that a further peer serves, the prompt answer without a path, the single try. The others held. The limit of eight peers is guarded by test_outage_with_many_peers.

--- a/src/apricotlead/transport/hedged_read.py
+++ b/src/apricotlead/transport/hedged_read.py
@@ -98,7 +98,7 @@
     def run(self, is_useless: Callable[[], bool]) -> Rows | StoreFailed:
         """Return the first success, or the last failure.
 
-        After a failure, ``is_useless()`` tells whether to give up early.
+        Before a path is used again, ``is_useless()`` tells whether to give up.
         """
         while not self._is_over(is_useless):
             self._begin_if_due()
@@ -170,8 +170,10 @@
             return True
         if self._pending_count:
             return False
-        is_useless_now = self._failure is not None and is_useless()
-        return is_useless_now or not self._has_time(self._next_s)
+        if not self._has_time(self._next_s):
+            return True
+        is_repeated = self._failure is not None and self._upcoming_try()[1] > 0
+        return is_repeated and is_useless()
 
     def _has_time(self, begins_s: float) -> bool:
         return begins_s + _MIN_TRY_S <= self._ends_s
--- a/src/apricotlead/transport/read_paths.py
+++ b/src/apricotlead/transport/read_paths.py
@@ -10,6 +10,8 @@
 
 # Then those that failed in the meantime are put last.
 _PEERS_PER_ROUND = 4
+# In an outage of the store each request would otherwise ask all instances.
+_MAX_ROUNDS = 2
 # A busy store refuses what peers ask for as well, but it may also turn this
 # instance away alone, so the rest of the time is for peers.
 _BUSY_SHARE = 0.6
@@ -33,6 +35,8 @@
         '_peer_order',
         '_relays_busy_s',
         '_round',
+        '_round_count',
+        '_tried',
     )
 
     def __init__(
@@ -47,6 +51,14 @@
         self._relays_busy_s = relays_busy_s(ends_s)
         self._is_first = True
         self._round: deque[str] = deque()
+        self._round_count = 0
+        self._tried: set[str] = set()
+
+    def is_exhausted(self) -> bool:
+        """Return whether enough paths have been chosen to give up."""
+        if self._round_count > _MAX_ROUNDS:
+            return True
+        return self._tried.issuperset(self._peer_order())
 
     def next_path(self, failure: StoreFailed | None) -> str:
         """Return the path of the next try after the latest ``failure``."""
@@ -61,9 +73,12 @@
             return DIRECT
         if not self._round:
             self._begin_round()
-        return self._round.popleft()
+        path = self._round.popleft()
+        self._tried.add(path)
+        return path
 
     def _begin_round(self) -> None:
+        self._round_count += 1
         for address in self._peer_order()[:_PEERS_PER_ROUND]:
             self._round.extend((address, DIRECT))
         if not self._round:
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -5,6 +5,7 @@
 """
 
 from functools import partial
+from itertools import count
 from typing import Any, Protocol
 
 import eventlet
@@ -38,6 +39,10 @@
 # Network round trip to an instance, which it deducts from its asker's time.
 _HOP_S = 0.05
 
+# In an outage of the store each write would otherwise go to all instances.
+_MAX_PEERS = 8
+_LOST_READ_SHARE = 0.8
+
 
 class Peers(Protocol):
     """What the relay needs from the other instances."""
@@ -99,7 +104,7 @@
         tries = tries or StoreTries()
         busy = Backoff()
         relays_s = relays_busy_s(ends_s)
-        while True:
+        for attempt_count in count(1):
             answer = self.transact(
                 transaction,
                 ends_s - boot_now(),
@@ -112,7 +117,7 @@
             pause_s = busy.next_s() if answer.is_busy else _RETRY_S
             # A longer pause could reach to the end.
             pause_s = min(pause_s, max(_RETRY_S, (ends_s - boot_now()) / 2))
-            if self._should_give_up(ends_s, pause_s):
+            if self._should_give_up(ends_s - pause_s, attempt_count):
                 break
             eventlet.sleep(pause_s)
         if is_outcome_unknown:
@@ -131,14 +136,18 @@
         Its calls are added to ``tries``.
         """
         tries = tries or StoreTries()
+        paths = ReadPaths(self._health, self._peer_order, ends_s)
         read = HedgedRead(
             partial(self._read_through, key, ends_s, tries),
-            ReadPaths(self._health, self._peer_order, ends_s),
+            paths,
             max(ends_s, boot_now() + _MIN_CALL_TIMEOUT_S),
             self._health.read_delay.timeout_s,
             self._extra_tries,
         )
-        answer = read.run(self._health.is_lost)
+        # The caller may succeed at once at another instance.
+        answer = read.run(
+            lambda: self._health.is_lost() and paths.is_exhausted()
+        )
         if isinstance(answer, StoreFailed):
             return answer
         row = answer.rows[0] if answer.rows else None
@@ -216,6 +225,10 @@
         if path != DIRECT:
             return self._call_peer(path, RelayedCall(key=key), left_s, tries)
         left_s = min(left_s, _MAX_CALL_TIMEOUT_S)
+        if self._health.is_lost():
+            # Ends before an extra try would begin.
+            expected_s = self._health.read_delay.timeout_s
+            left_s = min(left_s, expected_s * _LOST_READ_SHARE)
         return self._read_directly(key, left_s, tries)
 
     def _read_directly(
@@ -240,14 +253,15 @@
             health.record_failure(sent_s)
         return answer
 
-    def _should_give_up(self, ends_s: float, pause_s: float) -> bool:
+    def _should_give_up(self, ends_s: float, attempt_count: int) -> bool:
         """Return whether another attempt is useless to the caller.
 
-        If the store is lost to this instance, the caller may succeed at once
-        at another instance.
+        If the store is lost to this instance and each peer has been asked, the
+        caller may succeed at once at another instance.
         """
-        is_late = boot_now() + pause_s + _MIN_CALL_TIMEOUT_S > ends_s
-        return is_late or self._health.is_lost()
+        peer_count = min(len(self._peers.addresses()), _MAX_PEERS)
+        is_hopeless = self._health.is_lost() and attempt_count >= peer_count
+        return is_hopeless or not _has_time(ends_s)
 
     def _transact_directly(
         self,
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -566,3 +566,94 @@
         eventlet.sleep(1)
         moments = {round(sent_s, 3) for sent_s in store.sent_s}
         self.assertGreater(len(moments), 100)
+
+
+class TestLostStore(VirtualTimeCase):
+    """An instance has had no answer of the store for 1.3 s."""
+
+    def lost(
+        self, store: VirtualStore, peers: VirtualPeers | None = None
+    ) -> VirtualInstance:
+        instance = VirtualInstance(store, peers)
+        instance.health.record_failure(boot_now() - 2)
+        self.assertTrue(instance.health.is_lost())
+        return instance
+
+    # Guards against a state that fails although a further peer answers.
+    def test_further_peer_answers(self) -> None:
+        for fault in (HANGS, REFUSES):
+            for wait_s in (SHORT_WAIT_S, WAIT_S):
+                for seed in range(10):
+                    random.seed(seed)
+                    peers = VirtualPeers(
+                        p1=VirtualStore(STARTED, always(fault)),
+                        p2=VirtualStore(STARTED, always(fault)),
+                        p3=VirtualStore(STARTED),
+                    )
+                    instance = self.lost(
+                        VirtualStore(STARTED, always(fault)), peers
+                    )
+                    self.assert_state(
+                        JobState.RUNNING, instance.status(wait_s), wait_s
+                    )
+
+    # Guards against a cancel that fails although a further peer answers.
+    def test_further_peer_writes(self) -> None:
+        for fault in (HANGS, REFUSES):
+            for seed in range(10):
+                random.seed(seed)
+                peers = VirtualPeers(
+                    p1=VirtualStore(STARTED, always(fault)),
+                    p2=VirtualStore(STARTED, always(fault)),
+                    p3=VirtualStore(STARTED),
+                )
+                instance = self.lost(
+                    VirtualStore(STARTED, always(fault)), peers
+                )
+                outcome, took_s = instance.cancel(WAIT_S)
+                self.assertEqual(Done(), outcome)
+                self.assertLess(took_s, WAIT_S)
+
+    # Guards against a caller that is held without any path to the store.
+    def test_no_path(self) -> None:
+        for fault in (HANGS, REFUSES):
+            instance = self.lost(VirtualStore(STARTED, always(fault)))
+            self.assert_unavailable(instance.status(WAIT_S), 0.3)
+            self.assert_unavailable(instance.cancel(WAIT_S), 0.3)
+
+    # Guards against a caller that is held while all peers refuse.
+    def test_peers_without_the_store(self) -> None:
+        peers = VirtualPeers(
+            p1=VirtualStore(STARTED, always(REFUSES)),
+            p2=VirtualStore(STARTED, always(REFUSES)),
+        )
+        instance = self.lost(VirtualStore(STARTED, always(REFUSES)), peers)
+        self.assert_unavailable(instance.status(WAIT_S), 0.3)
+        self.assert_unavailable(instance.cancel(WAIT_S), 0.3)
+
+    # Guards against an instance that stays lost when the store is back.
+    def test_store_is_back(self) -> None:
+        instance = self.lost(VirtualStore(STARTED))
+        self.assert_state(JobState.RUNNING, instance.status(WAIT_S), 0.3)
+        self.assertFalse(instance.health.is_lost())
+
+    # Guards against extra calls to a store that is known to be silent.
+    def test_silent_store_is_tried_once(self) -> None:
+        store = VirtualStore(STARTED, always(HANGS))
+        self.lost(store).status(WAIT_S)
+        self.assertEqual(1, len(store.sent_s))
+
+    # Guards against an outage in which each request asks all instances.
+    def test_outage_with_many_peers(self) -> None:
+        peers = VirtualPeers(
+            **{
+                f'p{number}': VirtualStore(STARTED, always(REFUSES))
+                for number in range(30)
+            }
+        )
+        instance = self.lost(VirtualStore(STARTED, always(REFUSES)), peers)
+        self.assert_unavailable(instance.status(WAIT_S), WAIT_S)
+        self.assertLess(len(peers.asked), 10)
+        peers.asked.clear()
+        instance.relay.write(CANCEL, boot_now() + WAIT_S)
+        self.assertLess(len(peers.asked), 10)
