Read again only the parts of a table that could not be read

Callers would see: jobs that a scheduler in its term doesn't know of, and so never starts, where the store discards its history and loses answers.

Cause: after a discarded history the jobs table is read in 16 parts, each once and without an extra try, and all were read again if any answer was lost. Where every third answer is lost, no read of all parts succeeds.

Change: parts that were read are kept for 5 s while the missing ones are read again. The feed continues from the oldest part's version, and the read counts as made when the first part was asked for.

Tests: test_only_missing_prefixes_are_read_again failed before, as did test_old_pages_are_read_again for the same reason; it fails without the limit of 5 s. test_history_is_lost_later held, as a guard.

--- a/src/apricotlead/transport/table_follower.py
+++ b/src/apricotlead/transport/table_follower.py
@@ -13,6 +13,8 @@
 _FEED_WAIT_S = 1.0
 _RETRY_S = 0.15
 _MAX_RETRY_S = 0.5
+# The changes since older pages may no longer be in the store's history.
+_MAX_PAGES_AGE_S = 5.0
 
 
 class TableReader(Protocol):
@@ -49,6 +51,8 @@
     __slots__ = (
         '_listener',
         '_log',
+        '_pages_by_prefix',
+        '_pages_s',
         '_pause_s',
         '_prefixes',
         '_reader',
@@ -76,6 +80,9 @@
         self._listener = listener
         self._log = log
         self._version: int | None = None
+        # The answers to a read of all prefixes that is not complete.
+        self._pages_by_prefix: dict[str, Rows] = {}
+        self._pages_s = float('-inf')
         self.is_lost = False
 
     def run(self) -> None:
@@ -94,7 +101,8 @@
         """Make one read; return its failure, if any."""
         read_s = boot_now()
         if self._version is None:
-            answer = self.read_all()
+            answer = self._read_missing(read_s)
+            read_s = self._pages_s
         else:
             # After a loss, a read without a wait confirms the state at once.
             wait_s = 0 if self.is_lost else _FEED_WAIT_S
@@ -118,22 +126,46 @@
         read may be answered twice: :meth:`follow_from` sets it from the
         answer in use.
         """
-        pile = GreenPile()
-        for prefix in self._prefixes:
-            pile.spawn(scan or self._reader.scan_rows, prefix)
-        pages = list(pile)
-        failures = [page for page in pages if isinstance(page, StoreFailed)]
-        if failures:
-            return failures[0]
-        return Rows(
-            tuple(chain.from_iterable(page.rows for page in pages)),
-            min(page.version for page in pages),
-            max(page.store_ms for page in pages),
-        )
+        pages = self._read(self._prefixes, scan or self._reader.scan_rows)
+        return _first_failure(pages) or _join(pages)
 
     def follow_from(self, rows: Rows) -> None:
         """Continue with the changes since a read of all prefixes."""
         self._version = rows.version
+        self._pages_by_prefix.clear()
+
+    def _read_missing(self, now: float) -> Rows | StoreFailed:
+        """Read the prefixes that previous steps have failed to read.
+
+        The changes since the oldest page follow, so pages may differ in age.
+        """
+        if now - self._pages_s > _MAX_PAGES_AGE_S:
+            self._pages_by_prefix.clear()
+        if not self._pages_by_prefix:
+            self._pages_s = now
+        missing = tuple(
+            prefix
+            for prefix in self._prefixes
+            if prefix not in self._pages_by_prefix
+        )
+        pages = self._read(missing, self._reader.scan_rows)
+        for found, page in zip(missing, pages, strict=True):
+            if not isinstance(page, StoreFailed):
+                self._pages_by_prefix[found] = page
+        failure = _first_failure(pages)
+        if failure is not None:
+            return failure
+        return _join([self._pages_by_prefix[each] for each in self._prefixes])
+
+    def _read(
+        self,
+        prefixes: tuple[str, ...],
+        scan: Callable[[str], Rows | StoreFailed],
+    ) -> list[Rows | StoreFailed]:
+        pile = GreenPile()
+        for prefix in prefixes:
+            pile.spawn(scan, prefix)
+        return list(pile)
 
     def _apply(self, answer: Rows | Changes, read_s: float) -> None:
         if isinstance(answer, Rows):
@@ -154,3 +186,16 @@
         if not self.is_lost:
             self.is_lost = True
             self._log('feed lost', table=self._table, why=failure.reason)
+
+
+def _first_failure(pages: list[Rows | StoreFailed]) -> StoreFailed | None:
+    failures = (page for page in pages if isinstance(page, StoreFailed))
+    return next(failures, None)
+
+
+def _join(pages: list[Rows]) -> Rows:
+    return Rows(
+        tuple(chain.from_iterable(page.rows for page in pages)),
+        min(page.version for page in pages),
+        max(page.store_ms for page in pages),
+    )
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -2,8 +2,9 @@
 
 from testtools import TestCase
 
-from apricotlead.protocol.table import Changes, Rows, StoreFailed
+from apricotlead.protocol.table import Changes, Row, Rows, StoreFailed
 from apricotlead.transport.table_follower import TableFollower
+from tests.virtual_clock import virtual_clock
 
 
 class ScriptedTable:
@@ -99,3 +100,87 @@
         self.follower.read_all()
         self.follower.step()
         self.assertEqual([first.version], self.table.asked_after)
+
+
+class LossyTable:
+    """Loses the answer to every third scan; each scan sees a later version."""
+
+    def __init__(self) -> None:
+        self.scans: list[str] = []
+        self.asked_after: list[int] = []
+
+    def scan_rows(self, prefix: str) -> Rows | StoreFailed:
+        self.scans.append(prefix)
+        number = len(self.scans)
+        if number % 3 == 0:
+            return StoreFailed(applied=None)
+        return Rows((Row(f'{prefix}a', number),), number, 1)
+
+    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        self.asked_after.append(after)
+        return Changes(version=after)
+
+
+class SnapshotListener(CountingListener):
+    """Keeps the last snapshot."""
+
+    def on_snapshot(self, rows: tuple[Row, ...], read_s: float) -> None:
+        self.keys = {row.key for row in rows}
+        self.read_s = read_s
+
+
+class TestLossyReads(TestCase):
+    """A table of many prefixes is read while answers are lost."""
+
+    prefixes = tuple(f'jobs/{number}/' for number in range(16))
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = self.enterContext(virtual_clock())
+        self.table = LossyTable()
+        self.listener = SnapshotListener()
+        self.follower = TableFollower(
+            self.table,
+            self.prefixes,
+            self.listener,
+            lambda kind, **fields: None,
+        )
+
+    def steps_until_read(self) -> int:
+        count = 1
+        while self.follower.step() is not None and count < 20:
+            self.clock.now += 1
+            count += 1
+        return count
+
+    # Guards against a table that is not read as long as any answer is lost.
+    def test_only_missing_prefixes_are_read_again(self) -> None:
+        began_s = self.clock.now
+        self.assertLess(self.steps_until_read(), 5)
+        self.assertEqual(
+            {f'{prefix}a' for prefix in self.prefixes}, self.listener.keys
+        )
+        self.assertEqual(began_s, self.listener.read_s)
+        self.assertLess(len(self.table.scans), 26)
+        # Changes made after the first page was read must be delivered.
+        self.follower.step()
+        self.assertEqual([1], self.table.asked_after)
+
+    # Guards against pages that are older than the history of changes.
+    def test_old_pages_are_read_again(self) -> None:
+        self.follower.step()
+        self.clock.now += 60
+        began_s = self.clock.now
+        self.steps_until_read()
+        self.assertEqual(began_s, self.listener.read_s)
+
+    # Guards against pages of an earlier read in a later one.
+    def test_history_is_lost_later(self) -> None:
+        self.steps_until_read()
+        lost = Changes(history_lost=True)
+        self.table.changes = lambda *call: lost
+        self.follower.step()
+        scanned_count = len(self.table.scans)
+        self.steps_until_read()
+        scanned = set(self.table.scans[scanned_count:])
+        self.assertEqual(set(self.prefixes), scanned)
