Share the last tenth of a second between a relayed write and a direct one

Callers would see: a cancel answered 0.02 s after a wait of 0.5 s.

Cause: both calls of an attempt had 0.1 s at least, so one that began at the end of the wait took 0.2 s, more than the margin for the response.

Change: each of the two calls has 0.05 s at least, 0.1 s together.

Tests: test_write_without_time failed before.

--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -32,6 +32,8 @@
 from apricotlead.transport.store_health import StoreHealth
 
 _MIN_CALL_TIMEOUT_S = 0.1
+# Half of that, since a relayed call and a direct one share the time.
+_MIN_SHARE_S = 0.05
 _MAX_CALL_TIMEOUT_S = 1.0
 _RETRY_S = 0.05
 # A peer that takes longer presumably cannot reach the store either.
@@ -272,10 +274,11 @@
         health = self._health
         sent_s = boot_now()
         adaptive_timeout_s = health.write_timeout.timeout_s
-        max_timeout_s = max(
-            _MIN_CALL_TIMEOUT_S, min(ends_s - sent_s, health.lost_in_s())
+        timeout_s = min(
+            adaptive_timeout_s,
+            max(_MIN_CALL_TIMEOUT_S, health.lost_in_s()),
+            max(_MIN_SHARE_S, ends_s - sent_s),
         )
-        timeout_s = min(adaptive_timeout_s, max_timeout_s)
         store_try = tries.begin('write', transaction.witness, DIRECT)
         answer = self._store.transact(transaction, timeout_s)
         took_s = store_try.end(answer)
@@ -304,7 +307,7 @@
             store_try = tries.begin('read', call.key, address)
         else:
             store_try = tries.begin('write', call.transaction.witness, address)
-        timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_CALL_TIMEOUT_S, left_s))
+        timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_SHARE_S, left_s))
         timed_call = structs.replace(call, timeout_s=timeout_s)
         answer = self._peers.relay(address, timed_call, timeout_s)
         self._peer_choice.note(
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -127,6 +127,19 @@
             instance.health.write_timeout.answered(0.5)
             self.assert_unavailable(instance.cancel(wait_s), wait_s)
 
+    # Guards against two calls that each take more than the time that is left.
+    def test_write_without_time(self) -> None:
+        peers = VirtualPeers(p1=VirtualStore(STARTED))
+        peers.silent.add('p1')
+        instance = VirtualInstance(
+            VirtualStore(STARTED, always(HANGS)), peers, NEVER_LOST_S
+        )
+        instance.health.record_failure(boot_now())
+        began_s = boot_now()
+        answer = instance.relay.write(CANCEL, began_s)
+        self.assertIsInstance(answer, StoreFailed)
+        self.assertLess(boot_now() - began_s, 0.15)
+
     # Guards against a silent peer that leaves no time for a direct write.
     def test_direct_write_follows_a_silent_peer(self) -> None:
         peers = VirtualPeers(p1=VirtualStore(STARTED))
