Ask peers sooner while the store turns this instance away

Callers would see: no state in 0.85 s, where a job takes two reads, and in a case with further refused peers none in 3 s, from an instance that the store refuses with status 429 while a peer is served.

Cause: the second read of a request waited for its own 0.6 of the time that was left before it asked a peer, and the direct path was tried again between peers.

Change: the time after which a refused call is relayed counts from the begin of the request, and peers that are asked because the store is busy follow one another.

--- a/src/apricotlead/transport/answer_log.py
+++ b/src/apricotlead/transport/answer_log.py
@@ -61,12 +61,13 @@
 
 
 class StoreTries:
-    """The store calls that were made for one request."""
+    """The store calls that were made for a request that began at ``began_s``."""
 
-    __slots__ = ('_tries',)
+    __slots__ = ('_tries', 'began_s')
 
     def __init__(self) -> None:
         """Start without calls."""
+        self.began_s = boot_now()
         self._tries: list[StoreTry] = []
 
     def begin(self, kind: str, key: str, path: str) -> StoreTry:
--- a/src/apricotlead/transport/read_paths.py
+++ b/src/apricotlead/transport/read_paths.py
@@ -17,13 +17,12 @@
 _BUSY_SHARE = 0.6
 
 
-def relays_busy_s(ends_s: float) -> float:
-    """Return when a call that a busy store refuses is also relayed.
+def relays_busy_s(began_s: float, ends_s: float) -> float:
+    """Return when calls that a busy store refuses are also relayed.
 
-    The call begins now and ends at ``ends_s``.
+    They belong to a request that began at ``began_s`` and ends at ``ends_s``.
     """
-    now = boot_now()
-    return now + (ends_s - now) * _BUSY_SHARE
+    return began_s + (ends_s - began_s) * _BUSY_SHARE
 
 
 class ReadPaths:
@@ -43,12 +42,12 @@
         self,
         health: StoreHealth,
         peer_order: Callable[[], list[str]],
-        ends_s: float,
+        relays_s: float,
     ) -> None:
-        """Choose for a read that begins now and ends at ``ends_s``."""
+        """Choose peers for what a busy store refuses only after ``relays_s``."""
         self._health = health
         self._peer_order = peer_order
-        self._relays_busy_s = relays_busy_s(ends_s)
+        self._relays_busy_s = relays_s
         self._is_first = True
         self._round: deque[str] = deque()
         self._round_count = 0
@@ -72,14 +71,18 @@
         if is_direct and not self._health.should_relay():
             return DIRECT
         if not self._round:
-            self._begin_round()
+            was_busy = failure is not None and failure.is_busy
+            self._begin_round(skips_direct=was_busy)
         path = self._round.popleft()
         self._tried.add(path)
         return path
 
-    def _begin_round(self) -> None:
+    def _begin_round(self, *, skips_direct: bool) -> None:
+        """Choose peers, each followed by the direct path if that may help."""
         self._round_count += 1
         for address in self._peer_order()[:_PEERS_PER_ROUND]:
-            self._round.extend((address, DIRECT))
-        if not self._round:
+            self._round.extend(
+                (address,) if skips_direct else (address, DIRECT)
+            )
+        if skips_direct or not self._round:
             self._round.append(DIRECT)
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -105,7 +105,7 @@
         is_outcome_unknown = False
         tries = tries or StoreTries()
         busy = Backoff()
-        relays_s = relays_busy_s(ends_s)
+        relays_s = relays_busy_s(tries.began_s, ends_s)
         for attempt_count in count(1):
             answer = self.transact(
                 transaction,
@@ -138,7 +138,8 @@
         Its calls are added to ``tries``.
         """
         tries = tries or StoreTries()
-        paths = ReadPaths(self._health, self._peer_order, ends_s)
+        relays_s = relays_busy_s(tries.began_s, ends_s)
+        paths = ReadPaths(self._health, self._peer_order, relays_s)
         read = HedgedRead(
             partial(self._read_through, key, ends_s, tries),
             paths,
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -526,6 +526,31 @@
                 answer = instance.status(wait_s)
                 self.assert_state(JobState.RUNNING, answer, wait_s)
 
+    # Guards against a second read that waits as long for a peer as the first.
+    def test_peer_answers_both_reads(self) -> None:
+        for seed in range(20):
+            random.seed(seed)
+            rows = {JOB_KEY: QUEUED}
+            instance = VirtualInstance(
+                VirtualStore(rows, always(BUSY)),
+                VirtualPeers(p1=VirtualStore(rows)),
+            )
+            answer = instance.status(SHORT_WAIT_S)
+            self.assert_state(JobState.QUEUED, answer, SHORT_WAIT_S)
+
+    # Guards against direct calls between those to the peers.
+    def test_further_peer_answers_while_this_instance_is_refused(self) -> None:
+        for seed in range(20):
+            random.seed(seed)
+            peers = VirtualPeers(
+                p1=VirtualStore(STARTED, always(BUSY)),
+                p2=VirtualStore(STARTED, always(BUSY)),
+                p3=VirtualStore(STARTED),
+            )
+            store = VirtualStore(STARTED, always(BUSY))
+            answer = VirtualInstance(store, peers).status(SHORT_WAIT_S)
+            self.assert_state(JobState.RUNNING, answer, SHORT_WAIT_S)
+
     # Guards against an instance whose writes alone are refused like that.
     def test_peer_writes_while_this_instance_is_refused(self) -> None:
         for seed in range(20):
