Take only answers of a peer that fit the call

Callers would see: status 500 for a state whose read a peer of another version answers with something else.

Cause: any answer of a peer but a failure was taken for rows, or for the outcome of a write. Reads checked for rows until they were joined by extra tries.

Change: an answer that does not fit the call is a failure of unknown effect.

Tests: test_answer_of_a_peer_that_does_not_fit failed before.

--- a/src/apricotlead/transport/answer_log.py
+++ b/src/apricotlead/transport/answer_log.py
@@ -181,8 +181,6 @@
 
 
 def _outcome(answer: Any) -> str:
-    if answer is None:
-        return 'no answer of a peer'
     if isinstance(answer, StoreFailed):
         return answer.reason or 'failed'
     return 'answered'
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -23,10 +23,7 @@
 from apricotlead.transport.answer_log import DIRECT, StoreTries
 from apricotlead.transport.backoff import Backoff
 from apricotlead.transport.boot_clock import boot_now
-from apricotlead.transport.hedged_read import (
-    ExtraTries,
-    HedgedRead,
-)
+from apricotlead.transport.hedged_read import ExtraTries, HedgedRead
 from apricotlead.transport.peer_choice import PeerChoice
 from apricotlead.transport.read_paths import ReadPaths, relays_busy_s
 from apricotlead.transport.store_health import StoreHealth
@@ -40,9 +37,10 @@
 _RELAY_TIMEOUT_S = 0.6
 # Network round trip to an instance, which it deducts from its asker's time.
 _HOP_S = 0.05
-
 # In an outage of the store each write would otherwise go to all instances.
 _MAX_PEERS = 8
+# The share of the expected answer time that a read takes while the store is
+# lost, so that it ends before an extra try would begin.
 _LOST_READ_SHARE = 0.8
 
 
@@ -229,7 +227,6 @@
             return self._call_peer(path, RelayedCall(key=key), left_s, tries)
         left_s = min(left_s, _MAX_CALL_TIMEOUT_S)
         if self._health.is_lost():
-            # Ends before an extra try would begin.
             expected_s = self._health.read_delay.timeout_s
             left_s = min(left_s, expected_s * _LOST_READ_SHARE)
         return self._read_directly(key, left_s, tries)
@@ -310,15 +307,26 @@
             store_try = tries.begin('write', call.transaction.witness, address)
         timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_SHARE_S, left_s))
         timed_call = structs.replace(call, timeout_s=timeout_s)
-        answer = self._peers.relay(address, timed_call, timeout_s)
-        self._peer_choice.note(
-            address,
-            is_failure=answer is None or isinstance(answer, StoreFailed),
+        answer = _check_reply(
+            call, self._peers.relay(address, timed_call, timeout_s)
         )
+        is_failure = isinstance(answer, StoreFailed)
+        self._peer_choice.note(address, is_failure=is_failure)
         took_s = store_try.end(answer)
         if call.transaction is None:
             self._metrics.time('cell_store_read_relayed', took_s)
-        return answer or StoreFailed(None, reason='no answer of a peer')
+        return answer
+
+
+def _check_reply(call: RelayedCall, answer: Any) -> Any:
+    """Return a peer's answer, or a failure if it does not fit the call."""
+    if answer is None:
+        return StoreFailed(None, reason='no answer of a peer')
+    is_read = call.transaction is None
+    expected = Rows if is_read else Committed | CheckFailed
+    if isinstance(answer, expected | StoreFailed):
+        return answer
+    return StoreFailed(None, reason='another answer of a peer')
 
 
 def _has_time(ends_s: float) -> bool:
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -97,6 +97,14 @@
         relay.transact(WRITE, 3)
         self.assertEqual(row, relay.read(KEY, boot_now() + 3))
 
+    # Guards against a peer of another version that answers another question.
+    def test_answer_of_a_peer_that_does_not_fit(self) -> None:
+        row = Row(KEY, 4, 1)
+        store = ScriptedEndpoint(REFUSED, Rows((row,)))
+        relay = self.relay(store, ScriptedEndpoint(Rows(()), STORED))
+        self.assertIsNone(relay.transact(WRITE, 3).applied)
+        self.assertEqual(row, relay.read(KEY, boot_now() + 3))
+
     def test_peer_without_the_store_says_so_at_once(self) -> None:
         store = ScriptedEndpoint(REFUSED)
         relay = self.relay(store, ScriptedEndpoint())
