--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -4,9 +4,12 @@
 Without a relay, their callers would have to find another instance themselves.
 """
 
+from functools import partial
+from itertools import count
 from typing import Any, Protocol
 
 import eventlet
+from msgspec import structs
 
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.table import (
@@ -17,13 +20,28 @@
     StoreFailed,
     Transaction,
 )
+from apricotlead.transport.answer_log import DIRECT, StoreTries
+from apricotlead.transport.backoff import Backoff
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.hedged_read import ExtraTries, HedgedRead
+from apricotlead.transport.peer_choice import PeerChoice
+from apricotlead.transport.read_paths import ReadPaths, relays_busy_s
 from apricotlead.transport.store_health import StoreHealth
 
 _MIN_CALL_TIMEOUT_S = 0.1
+# Half of that, since a relayed call and a direct one share the time.
+_MIN_SHARE_S = 0.05
+_MAX_CALL_TIMEOUT_S = 1.0
 _RETRY_S = 0.05
 # A peer that takes longer presumably cannot reach the store either.
 _RELAY_TIMEOUT_S = 0.6
+# Network round trip to an instance, which it deducts from its asker's time.
+_HOP_S = 0.05
+# In an outage of the store each write would otherwise go to all instances.
+_MAX_PEERS = 8
+# The share of the expected answer time that a read takes while the store is
+# lost, so that it ends before an extra try would begin.
+_LOST_READ_SHARE = 0.8
 
 
 class Peers(Protocol):
@@ -44,7 +62,14 @@
 class StoreRelay:
     """Calls the store, or a peer while the store fails to answer here."""
 
-    __slots__ = ('_health', '_metrics', '_peers', '_store')
+    __slots__ = (
+        '_extra_tries',
+        '_health',
+        '_metrics',
+        '_peer_choice',
+        '_peers',
+        '_store',
+    )
 
     def __init__(
         self,
@@ -58,6 +83,8 @@
         self._health = health
         self._peers = peers
         self._metrics = metrics
+        self._extra_tries = ExtraTries()
+        self._peer_choice = PeerChoice()
 
     def is_lost(self) -> bool:
         """Return whether the store is unreachable directly and via peers."""
@@ -67,120 +94,244 @@
         self,
         transaction: Transaction,
         ends_s: float,
+        tries: StoreTries | None = None,
     ) -> Committed | CheckFailed | StoreFailed:
-        """Retry a transaction until its outcome is known or ``ends_s``."""
+        """Retry a transaction until its outcome is known or ``ends_s``.
+
+        Its calls are added to ``tries``.
+        """
         is_outcome_unknown = False
-        while True:
-            answer = self.transact(transaction, ends_s - boot_now())
+        tries = tries or StoreTries()
+        busy = Backoff()
+        relays_s = relays_busy_s(tries.began_s, ends_s)
+        for attempt_count in count(1):
+            answer = self.transact(
+                transaction,
+                ends_s - boot_now(),
+                tries,
+                relays_busy=boot_now() >= relays_s,
+            )
             if not isinstance(answer, StoreFailed):
                 return answer
             is_outcome_unknown = is_outcome_unknown or answer.applied is None
-            if self._should_give_up(ends_s):
+            pause_s = busy.next_s() if answer.is_busy else _RETRY_S
+            # A longer pause could reach to the end.
+            pause_s = min(pause_s, max(_RETRY_S, (ends_s - boot_now()) / 2))
+            if self._should_give_up(ends_s - pause_s, attempt_count):
                 break
-            eventlet.sleep(_RETRY_S)
+            eventlet.sleep(pause_s)
         if is_outcome_unknown:
             return StoreFailed(None, answer.retry_after_s, answer.reason)
         return answer
 
-    def read(self, key: str, ends_s: float) -> Row | StoreFailed | None:
-        """Read one row, with retries until ``ends_s``; ``None`` if absent."""
-        while True:
-            answer = self.read_row(key)
-            if not isinstance(answer, StoreFailed):
-                return answer.rows[0] if answer.rows else None
-            if self._should_give_up(ends_s):
-                return answer
-            eventlet.sleep(_RETRY_S)
+    def read(
+        self,
+        key: str,
+        ends_s: float,
+        tries: StoreTries | None = None,
+    ) -> Row | StoreFailed | None:
+        """Read one row, with retries until ``ends_s``; ``None`` if absent.
+
+        The read may take ``_MIN_CALL_TIMEOUT_S`` even if ``ends_s`` is sooner.
+        Its calls are added to ``tries``.
+        """
+        tries = tries or StoreTries()
+        relays_s = relays_busy_s(tries.began_s, ends_s)
+        paths = ReadPaths(self._health, self._peer_order, relays_s)
+        read = HedgedRead(
+            partial(self._read_through, key, ends_s, tries),
+            paths,
+            max(ends_s, boot_now() + _MIN_CALL_TIMEOUT_S),
+            self._health.read_delay.timeout_s,
+            self._extra_tries,
+        )
+        # The caller may succeed at once at another instance.
+        answer = read.run(
+            lambda: self._health.is_lost() and paths.is_exhausted()
+        )
+        if isinstance(answer, StoreFailed):
+            return answer
+        row = answer.rows[0] if answer.rows else None
+        return row if row and row.version else None
 
     def transact(
         self,
         transaction: Transaction,
         left_s: float,
+        tries: StoreTries | None = None,
+        *,
+        relays_busy: bool = False,
     ) -> Committed | CheckFailed | StoreFailed:
         """Send a transaction within ``left_s`` seconds.
 
-        It may be sent twice, so a repeat must not apply again.
+        It may be sent twice, so a repeat must not apply again. With
+        ``relays_busy`` a peer is asked even if the store is only busy.
         """
         direct = None
-        if not self._health.is_failing():
-            direct = self._transact_directly(transaction, left_s)
-            if not isinstance(direct, StoreFailed):
+        tries = tries or StoreTries()
+        ends_s = boot_now() + max(left_s, _MIN_CALL_TIMEOUT_S)
+        if not self._health.should_relay():
+            direct = self._transact_directly(transaction, ends_s, tries)
+            if not self._needs_peer(direct, relays_busy=relays_busy):
                 return direct
-        call = RelayedCall(transaction)
-        relayed = self._call_through_peer(call, left_s)
+        relayed = None
+        if _has_time(ends_s):
+            # The other half of the time is for the next call.
+            left_s = (ends_s - boot_now()) / 2
+            call = RelayedCall(transaction)
+            for address in self._peer_order()[:1]:
+                relayed = self._call_peer(address, call, left_s, tries)
         if relayed is not None and not isinstance(relayed, StoreFailed):
             return relayed
         if direct is None:
-            direct = self._transact_directly(transaction, left_s)
+            direct = self._transact_directly(transaction, ends_s, tries)
         return _combine_answers(direct, relayed)
 
-    def read_row(self, key: str) -> Rows | StoreFailed:
-        """Read one row; the answer is empty if the row does not exist."""
-        if self._health.is_failing():
-            relayed = self._call_through_peer(
-                RelayedCall(key=key), _RELAY_TIMEOUT_S
-            )
-            if isinstance(relayed, Rows):
-                return relayed
-        sent_s = boot_now()
-        answer = self._store.read_row(key)
-        if isinstance(answer, StoreFailed):
-            self._health.record_failure(sent_s)
-        else:
-            self._health.record_answer(answer.store_ms)
-        return answer
-
     def serve(
         self,
         call: RelayedCall,
     ) -> Committed | CheckFailed | Rows | StoreFailed:
         """Make a call for a peer, unless the store is failing here too."""
-        if self._health.is_failing():
+        if self._health.should_relay():
             return StoreFailed(applied=False, reason='out of reach as well')
+        left_s = min(
+            call.timeout_s - _HOP_S if call.timeout_s else _RELAY_TIMEOUT_S,
+            _MAX_CALL_TIMEOUT_S,
+        )
+        left_s = max(left_s, _MIN_CALL_TIMEOUT_S)
         if call.transaction is None:
-            return self._store.read_row(call.key)
-        return self._transact_directly(call.transaction, _RELAY_TIMEOUT_S)
+            return self._read_directly(call.key, left_s, StoreTries())
+        return self._transact_directly(
+            call.transaction, boot_now() + left_s, StoreTries()
+        )
+
+    def _needs_peer(self, answer: Any, *, relays_busy: bool) -> bool:
+        """Return whether a call failed that a peer may make."""
+        if not isinstance(answer, StoreFailed):
+            return False
+        is_relayed = relays_busy or self._health.should_relay()
+        return is_relayed or not answer.is_busy
+
+    def _peer_order(self) -> list[str]:
+        return self._peer_choice.order(self._peers.addresses())
+
+    def _read_through(
+        self,
+        key: str,
+        ends_s: float,
+        tries: StoreTries,
+        path: str,
+    ) -> Rows | StoreFailed:
+        left_s = max(_MIN_CALL_TIMEOUT_S, ends_s - boot_now())
+        if path != DIRECT:
+            return self._call_peer(path, RelayedCall(key=key), left_s, tries)
+        left_s = min(left_s, _MAX_CALL_TIMEOUT_S)
+        if self._health.is_lost():
+            expected_s = self._health.read_delay.timeout_s
+            left_s = min(left_s, expected_s * _LOST_READ_SHARE)
+        return self._read_directly(key, left_s, tries)
 
-    def _should_give_up(self, ends_s: float) -> bool:
+    def _read_directly(
+        self,
+        key: str,
+        timeout_s: float,
+        tries: StoreTries,
+    ) -> Rows | StoreFailed:
+        sent_s = boot_now()
+        store_try = tries.begin('read', key, DIRECT)
+        answer = self._store.read_row(key, timeout_s)
+        took_s = store_try.end(answer)
+        self._metrics.time('cell_store_read_direct', took_s)
+        health = self._health
+        if not isinstance(answer, StoreFailed):
+            health.record_answer(answer.store_ms)
+            health.read_delay.answered(took_s)
+        elif answer.is_busy:
+            health.record_busy(sent_s)
+        elif took_s < timeout_s or timeout_s >= health.read_delay.timeout_s:
+            # A shorter time limit says nothing about the store.
+            health.record_failure(sent_s)
+        return answer
+
+    def _should_give_up(self, ends_s: float, attempt_count: int) -> bool:
         """Return whether another attempt is useless to the caller.
 
-        If the store is lost to this instance, the caller may succeed at once
-        at another instance.
+        If the store is lost to this instance and each peer has been asked, the
+        caller may succeed at once at another instance.
         """
-        is_late = boot_now() + _RETRY_S + _MIN_CALL_TIMEOUT_S > ends_s
-        return is_late or self._health.is_lost()
+        peer_count = min(len(self._peers.addresses()), _MAX_PEERS)
+        is_hopeless = self._health.is_lost() and attempt_count >= peer_count
+        return is_hopeless or not _has_time(ends_s)
 
     def _transact_directly(
         self,
         transaction: Transaction,
-        left_s: float,
+        ends_s: float,
+        tries: StoreTries,
     ) -> Committed | CheckFailed | StoreFailed:
         health = self._health
         sent_s = boot_now()
         adaptive_timeout_s = health.write_timeout.timeout_s
-        max_timeout_s = max(
-            _MIN_CALL_TIMEOUT_S, min(left_s, health.lost_in_s())
-        )
-        answer = self._store.transact(
-            transaction, min(adaptive_timeout_s, max_timeout_s)
+        timeout_s = min(
+            adaptive_timeout_s,
+            max(_MIN_CALL_TIMEOUT_S, health.lost_in_s()),
+            max(_MIN_SHARE_S, ends_s - sent_s),
         )
-        took_s = boot_now() - sent_s
+        store_try = tries.begin('write', transaction.witness, DIRECT)
+        answer = self._store.transact(transaction, timeout_s)
+        took_s = store_try.end(answer)
         if not isinstance(answer, StoreFailed):
             health.record_answer()
             health.write_timeout.answered(took_s)
-            return answer
-        health.record_failure(sent_s)
-        if took_s >= adaptive_timeout_s:
+        elif answer.is_busy:
+            health.record_busy(sent_s)
+        elif took_s >= adaptive_timeout_s:
+            health.record_failure(sent_s)
             health.write_timeout.missed()
+        elif took_s < timeout_s:
+            # A shorter time limit says nothing about the store.
+            health.record_failure(sent_s)
+        return answer
+
+    def _call_peer(
+        self,
+        address: str,
+        call: RelayedCall,
+        left_s: float,
+        tries: StoreTries,
+    ) -> Any:
+        self._metrics.count('cell_store_relayed')
+        if call.transaction is None:
+            store_try = tries.begin('read', call.key, address)
+        else:
+            store_try = tries.begin('write', call.transaction.witness, address)
+        timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_SHARE_S, left_s))
+        timed_call = structs.replace(call, timeout_s=timeout_s)
+        answer = _check_reply(
+            call, self._peers.relay(address, timed_call, timeout_s)
+        )
+        is_failure = isinstance(answer, StoreFailed)
+        self._peer_choice.note(address, is_failure=is_failure)
+        took_s = store_try.end(answer)
+        if call.transaction is None:
+            self._metrics.time('cell_store_read_relayed', took_s)
+        return answer
+
+
+def _check_reply(call: RelayedCall, answer: Any) -> Any:
+    """Return a peer's answer, or a failure if it does not fit the call."""
+    if answer is None:
+        return StoreFailed(None, reason='no answer of a peer')
+    is_read = call.transaction is None
+    expected = Rows if is_read else Committed | CheckFailed
+    if isinstance(answer, expected | StoreFailed):
         return answer
+    return StoreFailed(None, reason='another answer of a peer')
+
 
-    def _call_through_peer(self, call: RelayedCall, left_s: float) -> Any:
-        for address in self._peers.addresses()[:1]:
-            self._metrics.count('cell_store_relayed')
-            timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_CALL_TIMEOUT_S, left_s))
-            answer = self._peers.relay(address, call, timeout_s)
-            return answer or StoreFailed(None, reason='no answer of a peer')
-        return None
+def _has_time(ends_s: float) -> bool:
+    """Return whether a call that begins now may be answered in time."""
+    return boot_now() + _MIN_CALL_TIMEOUT_S <= ends_s
 
 
 def _combine_answers(
