Set the time of a relayed call in one place

Change: the client of the peers sets it, as it sends the call; the stand-in for it in the tests does the same. No change of behaviour.

--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -9,7 +9,6 @@
 from typing import Any, Protocol
 
 import eventlet
-from msgspec import structs
 
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.table import (
@@ -306,10 +305,7 @@
         else:
             store_try = tries.begin('write', call.transaction.witness, address)
         timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_SHARE_S, left_s))
-        timed_call = structs.replace(call, timeout_s=timeout_s)
-        answer = _check_reply(
-            call, self._peers.relay(address, timed_call, timeout_s)
-        )
+        answer = _check_reply(call, self._peers.relay(address, call, timeout_s))
         is_failure = isinstance(answer, StoreFailed)
         self._peer_choice.note(address, is_failure=is_failure)
         took_s = store_try.end(answer)
--- a/tests/virtual_store.py
+++ b/tests/virtual_store.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eventlet
+from msgspec import structs
 
 from apricotlead.coordination.cell.job_rows import job_key
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
@@ -162,7 +163,8 @@
     def relay(self, address: str, call: RelayedCall, timeout_s: float) -> Any:
         """Make a call through an instance."""
         self.asked.append(address)
-        self.calls.append(call)
+        # As the client of the peers does.
+        self.calls.append(structs.replace(call, timeout_s=timeout_s))
         if address in self.silent:
             eventlet.sleep(timeout_s)
             return None
