Requeue gang members whose starts never reached a worker

Cause: when a gang's member is refused, the other members are stopped. Refusals that came after that were ignored, and members whose starts had not been sent yet were not sent any more, so all of them counted as being stopped on their worker. A lost worker acknowledges no stop, so they were kept until its lease had expired, and after a restart in place until the longest lease of its next life.

Change: a task that is being stopped is requeued at once if its start was refused, or not sent any more, and no earlier sending of it is unanswered. The run cannot exist then, and nothing is on its way. After 'unanswered' and 'old run' it is kept as before.

Evidence: the first two tests of TestStartsThatNeverReachedAWorker failed before (two of three members stayed 'stopping') and pass now; the third states what must be kept.

--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -19,6 +19,8 @@
 _LOST_REFUSALS = frozenset(
     (Refusal.UNANSWERED, Refusal.NOT_SENT, Refusal.NO_LISTENER)
 )
+# After these, a start may have begun, or may still begin.
+_UNCERTAIN_REFUSALS = frozenset((Refusal.UNANSWERED, Refusal.OLD_RUN))
 # A start that a worker rejects as malformed is retried after this delay.
 _MALFORMED_PAUSE_S = 2.0
 
@@ -88,7 +90,11 @@
     ) -> StartOrder | None:
         """Return the order for a journaled start, ``None`` if obsolete."""
         task = start.task
-        if task.run != start.run or task.phase is not TaskPhase.SENT:
+        if task.run != start.run:
+            return None
+        if task.phase is not TaskPhase.SENT:
+            # Nothing is on its way, as this is asked only between two sends.
+            self._requeue_unstarted(start, now)
             return None
         times = self._settings.leases
         planned_s = start.deadline_s - times.lease_s
@@ -160,6 +166,8 @@
             detail=reply.detail,
         )
         if task.phase is not TaskPhase.SENT:
+            if reply.refusal not in _UNCERTAIN_REFUSALS:
+                self._requeue_unstarted(start, now)
             return False
         return self._handle_refusal(start, reply.refusal, now)
 
@@ -233,6 +241,17 @@
         self._abandon_start(start, now)
         return False
 
+    def _requeue_unstarted(self, start: PlannedStart, now: float) -> None:
+        """Requeue a task that was to be stopped before it could start.
+
+        Pattern: gangs with several members on a worker that is lost. The first
+        refusal stops the others. Their stops cannot be acknowledged, so they
+        would wait until the lease of the worker has expired.
+        """
+        is_stopping = start.task.phase is TaskPhase.STOPPING
+        if is_stopping and not start.is_outcome_unknown:
+            self._tracker.requeue(start.task, now)
+
     def _abandon_start(self, start: PlannedStart, now: float) -> None:
         """Return the task to waiting, after a stop if the run may start."""
         if start.is_outcome_unknown:
--- a/tests/test_cell_held_room.py
+++ b/tests/test_cell_held_room.py
@@ -6,9 +6,15 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.order import order_key
+from apricotlead.coordination.cell.starts import PlannedStart
 from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_jobs import StepSpec
-from apricotlead.protocol.cell_workers import AdviceAnswer, EndKind
+from apricotlead.protocol.cell_workers import (
+    AdviceAnswer,
+    EndKind,
+    OrderReply,
+    Refusal,
+)
 from apricotlead.protocol.resources import Resources
 from tests.cell_rig import CAPACITY, SMALL, CellRig, ModelWorker, stored_job
 
@@ -334,3 +340,53 @@
             len(worker.started) for worker in rig.workers_by_id.values()
         )
         self.assertEqual(40, started)
+
+
+class TestStartsThatNeverReachedAWorker(TestCase):
+    """A run that cannot have begun is not kept until its worker's lease ends.
+
+    The members of a gang waited for 10 to 22 s for a worker that was lost.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = CellRig(ModelWorker('w0'))
+        self.rig.submit(FIRST, stored_job(StepSpec(3, SMALL, gang=True)))
+        self.rig.scheduler.plan(self.rig.now, [])
+        self.planned = self.rig.journal()
+        self.starts = self.rig.scheduler.starts
+
+    def phases(self) -> list[str]:
+        job = self.rig.scheduler.tracker.jobs_by_id[FIRST]
+        return [task.phase.value for task in job.tasks()]
+
+    def answer(self, start: PlannedStart, refusal: Refusal) -> None:
+        now = self.rig.now
+        self.starts.start_answered(start, OrderReply(refusal), now, now)
+
+    def test_members_that_are_refused_together(self) -> None:
+        """Guards against keeping members whose refusals come after a stop."""
+        for start in self.planned:
+            self.starts.start_order(start, self.rig.now)
+        for sent in self.planned:
+            self.answer(sent, Refusal.NO_LISTENER)
+        self.assertEqual({'waiting'}, set(self.phases()))
+
+    def test_members_that_are_not_sent_any_more(self) -> None:
+        """Guards against keeping members that were stopped before a send."""
+        self.starts.start_order(self.planned[0], self.rig.now)
+        self.answer(self.planned[0], Refusal.NO_LISTENER)
+        for start in self.planned[1:]:
+            self.assertIsNone(self.starts.start_order(start, self.rig.now))
+        self.assertEqual({'waiting'}, set(self.phases()))
+
+    def test_members_without_an_answer(self) -> None:
+        """Guards against a second run while the first one may still begin."""
+        for start in self.planned:
+            self.starts.start_order(start, self.rig.now)
+        self.answer(self.planned[0], Refusal.UNANSWERED)
+        self.answer(self.planned[1], Refusal.NO_LISTENER)
+        self.answer(self.planned[2], Refusal.OLD_RUN)
+        self.answer(self.planned[0], Refusal.NO_LISTENER)
+        self.starts.start_order(self.planned[0], self.rig.now)
+        self.assertEqual(['stopping', 'waiting', 'stopping'], self.phases())
