--- a/tests/faulty/cell.py
+++ b/tests/faulty/cell.py
@@ -33,6 +33,7 @@
     SERVICE,
     CellShape,
     JobKind,
+    Spread,
 )
 from tests.faulty.store import ModelStore
 from tests.faulty.term import Environment, ModelTerm, Note
@@ -47,7 +48,6 @@
 _MAX_CANCEL_DELAY_S = 6.0
 _ESTIMATE_SPREAD = 0.2
 _RESTART_S = (3.0, 3.6)
-_RACKS = 3
 
 
 class FaultyCell:
@@ -100,6 +100,7 @@
         # The entries that were registered last.
         self._entries_by_id: dict[str, WorkerEntry] = {}
         self._profiles_by_task: dict[str, TaskProfile] = {}
+        self._permissions: dict[tuple[str, str], bool] = {}
         self._seed = seed
         self._gangs = Gangs()
         self._started_workers = 0
@@ -141,8 +142,12 @@
         kind = self._kinds_by_name[job.queue]
         if kind.advice is None:
             return True
-        draw = Random(' '.join((str(self._seed), step, worker_id)))
-        return draw.random() < kind.permitted_share
+        known = self._permissions.get((step, worker_id))
+        if known is None:
+            draw = Random(' '.join((str(self._seed), step, worker_id)))
+            known = draw.random() < kind.permitted_share
+            self._permissions[step, worker_id] = known
+        return known
 
     def open_jobs(self) -> Iterator[str]:
         """Return the ids of jobs that are neither cancelled nor final."""
@@ -162,7 +167,7 @@
         """
         self._started_workers += 1
         worker_id = worker_id or f'w{self._started_workers}'
-        rack = self._started_workers % _RACKS
+        rack = self._started_workers % self.shape.racks
         entry = WorkerEntry(
             worker_id,
             SERVICE,
@@ -371,18 +376,19 @@
     def _spec(self, index: int, kind: JobKind) -> StepSpec:
         draw = self.random
         return StepSpec(
-            draw.randint(*kind.tasks),
+            _draw_whole(draw, kind.tasks),
             Resources(
-                draw.randint(*kind.cpu_millis),
-                draw.randint(*kind.memory_mb),
+                _draw_whole(draw, kind.cpu_millis),
+                _draw_whole(draw, kind.memory_mb),
             ),
             draw.uniform(*kind.work_s) * MS_PER_S,
             after=(index - 1,) if index and not kind.in_parallel else (),
-            gang=kind.gang,
+            gang=kind.gang or _draws_chance(draw, kind.gang_share),
             long_running=kind.is_long_running,
             required_label=kind.label,
             same_rack=kind.same_rack,
-            max_per_worker=kind.max_tasks_per_worker,
+            max_per_worker=kind.max_tasks_per_worker
+            or int(_draws_chance(draw, kind.apart_share)),
         )
 
     def _draw_profiles(
@@ -411,3 +417,14 @@
         self.cancelled_ids.add(job_id)
         if self.scheduler is not None:
             self.scheduler.jobs.apply_job_row(row, self.now)
+
+
+def _draw_whole(random: Random, bounds: tuple[int, int] | Spread) -> int:
+    if isinstance(bounds, Spread):
+        return round(bounds.draw(random))
+    return random.randint(*bounds)
+
+
+def _draws_chance(random: Random, share: float) -> bool:
+    """Draw with a probability; kinds without it keep their schedules."""
+    return bool(share) and random.random() < share
--- a/tests/faulty/faults.py
+++ b/tests/faulty/faults.py
@@ -21,7 +21,17 @@
     'zone restarts at a hand-over',
     'zone restarts and the scheduler is lost',
 )
-_named_only = frozenset(('capacity shrinks', 'workers crash', *RESTARTS))
+# Faults that strike near the end of the traffic.
+CLOSING = (
+    'all instances lose power',
+    'all instances lose power twice',
+    'workers are lost before a hand-over',
+    'workers and all instances lose power',
+)
+RESTART_AND_LOSS = 'workers restart and are lost'
+_named_only = frozenset(
+    ('capacity shrinks', 'workers crash', *RESTARTS, *CLOSING, RESTART_AND_LOSS)
+)
 _MAX_FAULTS = 6
 _DRAIN_S = 3.0
 _SLOW_WRITES_S = (0.3, 1.0, 2.5)
@@ -33,6 +43,12 @@
 _MOST_IN_REACH_S = (0.2, 0.6, 2.0)
 # A cut is shorter than a lease, or longer than the longest one.
 _CUTS_S = ((1.0, 9.0), (10.0, 13.0))
+# How long before the end of the traffic a closing fault begins, at most.
+_MOST_CLOSING_S = 8.0
+# How long all instances are down, and how long the last of them takes to
+# return after the first.
+_POWER_OFF_S = (0.8, 4.0)
+_RETURN_S = (0.0, 2.0)
 # Calls wait on their way during a restart or a cut, with this probability.
 _HELD_SHARES = (0.0, 0.3, 0.7)
 # For this long after a cut begins.
@@ -53,6 +69,18 @@
     yield from _faults_by_name[name](cell)
 
 
+def draw_closing(seed: int) -> str:
+    """Return the name of a seed's closing fault."""
+    return Random(f'closing {seed}').choice(CLOSING)
+
+
+def inject_closing(cell: FaultyCell, name: str) -> Process:
+    """Inject a fault at a random time near the end of the traffic."""
+    before_s = cell.random.uniform(0, _MOST_CLOSING_S)
+    yield max(0, cell.traffic_end_s - before_s - cell.now)
+    yield from _faults_by_name[name](cell)
+
+
 def _fault(name: str) -> Callable[[_Fault], _Fault]:
     """Return a decorator that registers a fault under ``name``."""
 
@@ -311,3 +339,69 @@
 ) -> None:
     for worker_id in zone:
         cell.workers_by_id[worker_id].is_disconnected = value
+
+
+@_fault('all instances lose power')
+def _power_off(cell: FaultyCell) -> Process:
+    """Stop all instances at one moment, while starts are on their way.
+
+    A new term begins from the rows of the store, and asks for advice through
+    those instances that have returned.
+    """
+    if cell.term is None:
+        return
+    cell.links.late_share = cell.random.choice(_HELD_SHARES)
+    yield cell.random.uniform(0.02, 0.3)
+    if cell.term is None:
+        return
+    cell.end_term()
+    cell.links.late_share = 0
+    yield cell.random.uniform(*_POWER_OFF_S)
+    askers = cell.environment.askers
+    returned_s = cell.now + cell.random.uniform(*_RETURN_S)
+    cell.advice.lost_askers = frozenset(
+        cell.random.sample(askers, len(askers) // 2)
+    )
+    cell.begin_term()
+    yield returned_s - cell.now
+    cell.advice.lost_askers = frozenset()
+
+
+@_fault('all instances lose power twice')
+def _power_off_twice(cell: FaultyCell) -> Process:
+    yield from _power_off(cell)
+    yield cell.random.uniform(0, 2)
+    yield from _power_off(cell)
+
+
+@_fault('workers are lost before a hand-over')
+def _lose_workers_and_hand_over(cell: FaultyCell) -> Process:
+    """Lose workers for good; a hand-over comes before they are missed."""
+    _lose_workers(cell)
+    yield cell.random.uniform(0, 1.5)
+    yield from _hand_over(cell)
+
+
+@_fault('workers and all instances lose power')
+def _lose_workers_and_power_off(cell: FaultyCell) -> Process:
+    cell.timeline.spawn(_power_off(cell))
+    yield cell.random.uniform(0, 3)
+    _lose_workers(cell)
+
+
+def _lose_workers(cell: FaultyCell) -> None:
+    for worker in _sample_workers(cell, cell.random.choice((0.06, 0.2))):
+        worker.closes_connections = cell.random.random() < 0.5
+        worker.terminate()
+
+
+@_fault(RESTART_AND_LOSS)
+def _restart_and_lose(cell: FaultyCell) -> Process:
+    """Lose workers for good soon after they have restarted in place."""
+    workers = _sample_workers(cell, cell.random.choice((0.06, 0.2)))
+    down_s = cell.random.uniform(0.2, 3)
+    for worker in workers:
+        cell.timeline.spawn(cell.restart_worker(worker, down_s))
+    yield down_s + cell.random.uniform(0.1, 2)
+    for former in workers:
+        cell.workers_by_id[former.entry.worker_id].terminate()
--- a/tests/faulty/shape.py
+++ b/tests/faulty/shape.py
@@ -1,5 +1,8 @@
 """Defines the size of a simulated cell and the jobs submitted to it."""
 
+from math import log
+from random import Random
+
 from msgspec import Struct
 
 from apricotlead.protocol.cell_config import (
@@ -17,23 +20,42 @@
 _WEIGHT_JOBS_PER_S = 50.0
 
 
+class Spread(Struct, frozen=True):
+    """A log-normal distribution, cut off at ``most``.
+
+    ``sigma`` is the standard deviation of the logarithm.
+    """
+
+    mean: float
+    sigma: float
+    most: float
+
+    def draw(self, random: Random) -> float:
+        """Draw a value of at least 1."""
+        mu = log(self.mean) - self.sigma**2 / 2
+        return max(1, min(self.most, random.lognormvariate(mu, self.sigma)))
+
+
 class JobKind(Struct, frozen=True):
     """Describes the jobs of one queue; values are drawn evenly from ranges.
 
     ``permitted_share`` is the share of workers that may run a step, where ``advice`` has
-    to be asked.
+    to be asked. ``gang_share`` and ``apart_share`` are the probabilities that
+    a step is a gang, and that each of its tasks needs a worker of its own.
     """
 
     name: str
     per_s: float
-    tasks: tuple[int, int]
-    cpu_millis: tuple[int, int]
-    memory_mb: tuple[int, int]
+    tasks: tuple[int, int] | Spread
+    cpu_millis: tuple[int, int] | Spread
+    memory_mb: tuple[int, int] | Spread
     work_s: tuple[float, float]
     priority: int = 0
     gang: bool = False
     steps: int = 1
     max_tasks_per_worker: int = 0
+    gang_share: float = 0.0
+    apart_share: float = 0.0
     # Whether the steps run all at once instead of one after another.
     in_parallel: bool = False
     is_long_running: bool = False
@@ -70,6 +92,7 @@
 
     kinds: tuple[JobKind, ...]
     workers: int = 12
+    racks: int = 3
     capacity: Resources = Resources(16000, 32768)
     # The range of the workers' clock rates.
     clock_rates: tuple[float, float] = (0.98, 1.02)
