Take no lost extra try for a store that fails

With 30 % of the answers lost, instances refused their peers, and states got none in 3 s.

Cause: an extra try may be answered while the first one still waits. When the first one ended, it began a failure of a store that had answered since; all later reads then went to peers, so nothing ended it.

Evidence: the three tests of TestHealthAfterAnExtraTry failed before and pass now.

Conclusion: a call without an answer counts only if none was answered that was sent before its end; a failing store is found by the next call.

--- a/src/apricotlead/transport/store_health.py
+++ b/src/apricotlead/transport/store_health.py
@@ -55,9 +55,12 @@
             self._store_base = (now, store_ms)
 
     def record_failure(self, sent_s: float) -> None:
-        """Record that a call sent at ``sent_s`` got no answer."""
-        if self._failed_since_s is None:
-            self._failed_since_s = max(sent_s, self._answered_s)
+        """Record that a call sent at ``sent_s`` got no answer.
+
+        A call that was sent later may have been answered before this one ended.
+        """
+        if self._failed_since_s is None and sent_s >= self._answered_s:
+            self._failed_since_s = sent_s
 
     def record_busy(self, sent_s: float) -> None:
         """Record that a call sent at ``sent_s`` was refused as one too many.
