Keep the order of peers, and ask past those that fail

An instance that the store refuses asked the same two peers for the configuration at each check, as failures were forgotten before the next one; after 4.5 s it refused all callers, though a third peer reached the store. The relay shuffled the peers, so the scheduler was asked first by a quarter of the calls. Between two terms a peer was left out after a call of 0.05 s, or when the store was busy.

Cause: two memories of failed peers with different rules.

--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -36,6 +36,7 @@
 from apricotlead.transport.cell_peers import PeerClient
 from apricotlead.transport.cell_scheduling import SchedulingTerm
 from apricotlead.transport.hedging import MIN_HEDGE_DELAY_S, hedged
+from apricotlead.transport.peer_choice import has_served, is_peer_failure
 from apricotlead.transport.serving import pause, run_in_background
 
 _RETRY_S = 0.15
@@ -164,11 +165,11 @@
     ) -> StoreReply | None:
         """Make a store call through another instance."""
         answer = self._peers.relay(address, call, timeout_s)
-        self._known_peers.record_call(
-            address,
-            boot_now(),
-            is_served=not isinstance(answer, StoreFailed | None),
-        )
+        is_served = has_served(answer)
+        if is_served or is_peer_failure(answer, timeout_s):
+            self._known_peers.record_call(
+                address, boot_now(), is_served=is_served
+            )
         return answer
 
     def announce(self, row: Row) -> None:
--- a/src/apricotlead/transport/peer_choice.py
+++ b/src/apricotlead/transport/peer_choice.py
@@ -1,13 +1,15 @@
 """Choice of the instances through which calls to the store are relayed."""
 
-import random
+from typing import Any
 
+from apricotlead.protocol.table import StoreFailed
 from apricotlead.transport.boot_clock import boot_now
 
-# All instances know the same preferred one, so each chooses among several.
-_SPREAD = 4
-# Longer than a caller waits for one answer through a silent instance.
+# Longer than the checks and calls that would ask a silent instance again.
 _AVOID_S = 2.0
+# A peer in another data centre answers within this time. A missing answer to a
+# call with a shorter time limit says nothing about the peer.
+_MIN_JUDGED_S = 0.25
 
 
 class PeerChoice:
@@ -19,17 +21,20 @@
         """Start without failures."""
         self._failed_s_by_address: dict[str, float] = {}
 
-    def note(self, address: str, *, is_failure: bool) -> None:
-        """Record the outcome of a call through an instance."""
-        if is_failure:
+    def note(self, address: str, answer: Any) -> None:
+        """Record the answer to a call through an instance.
+
+        After any failure the next call goes through another one.
+        """
+        self._failed_s_by_address.pop(address, None)
+        if not has_served(answer):
             self._failed_s_by_address[address] = boot_now()
-        else:
-            self._failed_s_by_address.pop(address, None)
 
     def order(self, addresses: list[str]) -> list[str]:
         """Return instances in the order in which to ask them.
 
-        ``addresses`` has the preferred ones first, which are shuffled.
+        ``addresses`` has the preferred ones first. They differ from instance to
+        instance, so calls need not be spread here.
         """
         since_s = boot_now() - _AVOID_S
         self._failed_s_by_address = {
@@ -42,11 +47,29 @@
             for address in addresses
             if address not in self._failed_s_by_address
         ]
-        preferred = sound[:_SPREAD]
-        random.shuffle(preferred)
         failed = [
             address
             for address in self._failed_s_by_address
             if address in addresses
         ]
-        return [*preferred, *sound[_SPREAD:], *failed]
+        return [*sound, *failed]
+
+
+def has_served(answer: Any) -> bool:
+    """Return whether a peer has made a call to the store."""
+    return answer is not None and not isinstance(answer, StoreFailed)
+
+
+def is_peer_failure(answer: Any, timeout_s: float) -> bool:
+    """Return whether a call shows that a peer cannot reach the store.
+
+    A store with more calls than it takes refuses those of all instances.
+    """
+    if has_served(answer):
+        return False
+    if isinstance(answer, StoreFailed):
+        if answer.is_busy:
+            return False
+        if answer.applied is False:
+            return True
+    return timeout_s >= _MIN_JUDGED_S
--- a/src/apricotlead/transport/relayed_row.py
+++ b/src/apricotlead/transport/relayed_row.py
@@ -5,6 +5,7 @@
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.table import Row, Rows
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.peer_choice import PeerChoice
 from apricotlead.transport.serving import pause
 from apricotlead.transport.store_relay import Peers
 
@@ -24,7 +25,14 @@
     they would refuse their callers, though peers reach the store.
     """
 
-    __slots__ = ('_apply', '_key', '_max_age_s', '_peers', '_read_s')
+    __slots__ = (
+        '_apply',
+        '_key',
+        '_max_age_s',
+        '_peer_choice',
+        '_peers',
+        '_read_s',
+    )
 
     def __init__(
         self,
@@ -41,6 +49,7 @@
         """
         self._key = key
         self._peers = peers
+        self._peer_choice = PeerChoice()
         self._max_age_s = max_age_s
         self._read_s = read_s
         self._apply = apply
@@ -56,9 +65,11 @@
         if boot_now() - self._read_s() < self._max_age_s:
             return
         call = RelayedCall(key=self._key)
-        for address in self._peers.addresses()[:_MAX_PEERS]:
+        addresses = self._peer_choice.order(self._peers.addresses())
+        for address in addresses[:_MAX_PEERS]:
             sent_s = boot_now()
             answer = self._peers.relay(address, call, _TIMEOUT_S)
+            self._peer_choice.note(address, answer)
             if isinstance(answer, Rows):
                 self._apply_present(answer.rows, sent_s)
                 return
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -306,8 +306,7 @@
             store_try = tries.begin('write', call.transaction.witness, address)
         timeout_s = min(_RELAY_TIMEOUT_S, max(_MIN_SHARE_S, left_s))
         answer = _check_reply(call, self._peers.relay(address, call, timeout_s))
-        is_failure = isinstance(answer, StoreFailed)
-        self._peer_choice.note(address, is_failure=is_failure)
+        self._peer_choice.note(address, answer)
         took_s = store_try.end(answer)
         if call.transaction is None:
             self._metrics.time('cell_store_read_relayed', took_s)
