Read the tables of a term with an extra try while it runs

Cause: a term reads all rows with an extra try when it begins, but later without one: a lost answer takes the time limit of a call, 1 s, for each round.

Evidence: TestFeedOfJobs took 8.46 s before and is below 3 s now. It builds the follower as the term does, so the reader had to be added to the test; the bound is the same.

Conclusion: one reader serves the load and the feeds. The other copy of the hedged scan is gone, and with it the argument of read_all.

--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -30,7 +30,7 @@
 from apricotlead.transport.cell_links import RELEASED, CellLinks, TermState
 from apricotlead.transport.cell_orders import OrderSender
 from apricotlead.transport.cell_row_upkeep import RowUpkeep
-from apricotlead.transport.hedging import hedged
+from apricotlead.transport.hedged_reader import HedgedReader
 from apricotlead.transport.serving import run_together
 from apricotlead.transport.table_follower import TableFollower
 from apricotlead.transport.wake_up import WakeUp
@@ -67,13 +67,13 @@
         '_began_s',
         '_cores',
         '_green_threads',
-        '_hedge_delay_s',
         '_holds',
         '_journal',
         '_links',
         '_orders',
         '_own_address',
         '_planned',
+        '_reader',
         '_settings',
         '_state',
         'followers',
@@ -95,9 +95,8 @@
         self._links = links
         self._settings = settings
         self._own_address = own_address
-        self._hedge_delay_s = max(
-            _MIN_READ_HEDGE_S, takeover_s * _HEDGE_DELAY_FACTOR
-        )
+        hedge_delay_s = max(_MIN_READ_HEDGE_S, takeover_s * _HEDGE_DELAY_FACTOR)
+        self._reader = HedgedReader(links.store, hedge_delay_s, _MAX_SCANS)
         self._cores = cores
         self._began_s = boot_now()
         self._state = TermState(scheduler, links.log)
@@ -142,14 +141,14 @@
         """Schedule until the term ends; ``ended_why`` holds the reason."""
         links = self._links
         jobs = TableFollower(
-            links.store,
+            self._reader,
             JOB_PREFIXES,
             JobsListener(self.scheduler, self.apply_row),
             links.log,
             pause_s=_JOBS_PAUSE_S,
         )
         registry = TableFollower(
-            links.store,
+            self._reader,
             (links.workers_prefix,),
             RegistryListener(
                 self.scheduler,
@@ -235,11 +234,11 @@
         pages = run_together(
             partial(self._read_all, read)
             for read in (
-                partial(jobs.read_all, self._scan),
-                partial(self._scan, PROGRESS_PREFIX),
-                partial(registry.read_all, self._scan),
-                partial(self._scan, STATISTICS_PREFIX),
-                partial(self._scan, LEASES_PREFIX),
+                jobs.read_all,
+                partial(self._reader.scan_rows, PROGRESS_PREFIX),
+                registry.read_all,
+                partial(self._reader.scan_rows, STATISTICS_PREFIX),
+                partial(self._reader.scan_rows, LEASES_PREFIX),
             )
         )
         if None in pages:
@@ -278,15 +277,6 @@
             eventlet.sleep(STORE_RETRY_S)
         return None
 
-    def _scan(self, prefix: str) -> Rows | StoreFailed:
-        """Scan the rows of a prefix, hedged against a lost answer."""
-        return hedged(
-            partial(self._links.store.scan_rows, prefix),
-            self._hedge_delay_s,
-            _has_failed,
-            _MAX_SCANS,
-        )
-
     def _plan(self) -> None:
         """Place waiting tasks and ask for advice, even during a write."""
         while not self.ended_why:
@@ -361,7 +351,3 @@
         )
         if summary['newly_stalled_steps']:
             metrics.count('cell_stall_began', summary['newly_stalled_steps'])
-
-
-def _has_failed(answer: Rows | StoreFailed) -> bool:
-    return isinstance(answer, StoreFailed)
--- a/src/apricotlead/transport/hedged_reader.py
+++ b/src/apricotlead/transport/hedged_reader.py
@@ -4,28 +4,40 @@
 from functools import partial
 
 from apricotlead.protocol.table import Changes, Rows, StoreFailed
-from apricotlead.transport.hedging import MIN_HEDGE_DELAY_S, hedged
+from apricotlead.transport.hedging import MAX_CALLS, MIN_HEDGE_DELAY_S, hedged
 from apricotlead.transport.table_follower import TableReader
 
 _Answer = Rows | Changes | StoreFailed
 
 
 class HedgedReader:
-    """Repeats the reads of a small table that are not answered at once.
+    """Repeats the reads of a table that are not answered at once.
 
     A lost answer would otherwise take the whole timeout of a call. Calls that
     wait for changes are not repeated: they are late when there are none.
     """
 
-    __slots__ = ('_reader',)
+    __slots__ = ('_delay_s', '_max_scans', '_reader')
 
-    def __init__(self, reader: TableReader) -> None:
-        """Read through ``reader``."""
+    def __init__(
+        self,
+        reader: TableReader,
+        delay_s: float = MIN_HEDGE_DELAY_S,
+        max_scans: int = MAX_CALLS,
+    ) -> None:
+        """Read through ``reader``; repeat a read first after ``delay_s``.
+
+        ``max_scans`` limits the reads of all rows. For a large table it should
+        be small, since these share a link.
+        """
         self._reader = reader
+        self._delay_s = delay_s
+        self._max_scans = max_scans
 
     def scan_rows(self, prefix: str) -> Rows | StoreFailed:
         """Read all rows with a key prefix."""
-        return _hedge(partial(self._reader.scan_rows, prefix))
+        scan = partial(self._reader.scan_rows, prefix)
+        return self._hedge(scan, self._max_scans)
 
     def changes(
         self,
@@ -35,12 +47,12 @@
     ) -> Changes | StoreFailed:
         """Wait up to ``wait_s`` seconds for changes after a version."""
         call = partial(self._reader.changes, table, after, wait_s)
-        return call() if wait_s else _hedge(call)
-
-
-def _hedge(call: Callable[[], _Answer]) -> _Answer:
-    return hedged(
-        call,
-        MIN_HEDGE_DELAY_S,
-        lambda answer: isinstance(answer, StoreFailed),
-    )
+        return call() if wait_s else self._hedge(call, MAX_CALLS)
+
+    def _hedge(self, call: Callable[[], _Answer], max_calls: int) -> _Answer:
+        return hedged(
+            call,
+            self._delay_s,
+            lambda answer: isinstance(answer, StoreFailed),
+            max_calls,
+        )
--- a/src/apricotlead/transport/hedging.py
+++ b/src/apricotlead/transport/hedging.py
@@ -11,7 +11,7 @@
 # writes to a store that has become slow.
 MIN_HEDGE_DELAY_S = 0.15
 # If 30 % of the answers are lost, all four are lost in about 1 % of cases.
-_MAX_CALLS = 4
+MAX_CALLS = 4
 _DELAY_GROWTH = 2
 
 
@@ -19,7 +19,7 @@
     call: Callable[[], Any],
     delay_s: float,
     is_failure: Callable[[Any], bool],
-    max_calls: int = _MAX_CALLS,
+    max_calls: int = MAX_CALLS,
 ) -> Any:
     """Return the first successful answer of at most ``max_calls`` calls.
 
--- a/src/apricotlead/transport/table_follower.py
+++ b/src/apricotlead/transport/table_follower.py
@@ -116,17 +116,14 @@
         self._apply(answer, read_s)
         return None
 
-    def read_all(
-        self,
-        scan: Callable[[str], Rows | StoreFailed] | None = None,
-    ) -> Rows | StoreFailed:
-        """Read all prefixes, using ``scan`` if given.
+    def read_all(self) -> Rows | StoreFailed:
+        """Read all prefixes.
 
         This does not move the position in the change feed, since a hedged
         read may be answered twice: :meth:`follow_from` sets it from the
         answer in use.
         """
-        pages = self._read(self._prefixes, scan or self._reader.scan_rows)
+        pages = self._read(self._prefixes)
         return _first_failure(pages) or _join(pages)
 
     def follow_from(self, rows: Rows) -> None:
@@ -148,7 +145,7 @@
             for prefix in self._prefixes
             if prefix not in self._pages_by_prefix
         )
-        pages = self._read(missing, self._reader.scan_rows)
+        pages = self._read(missing)
         for found, page in zip(missing, pages, strict=True):
             if not isinstance(page, StoreFailed):
                 self._pages_by_prefix[found] = page
@@ -157,14 +154,10 @@
             return failure
         return _join([self._pages_by_prefix[each] for each in self._prefixes])
 
-    def _read(
-        self,
-        prefixes: tuple[str, ...],
-        scan: Callable[[str], Rows | StoreFailed],
-    ) -> list[Rows | StoreFailed]:
+    def _read(self, prefixes: tuple[str, ...]) -> list[Rows | StoreFailed]:
         pile = GreenPile()
         for prefix in prefixes:
-            pile.spawn(scan, prefix)
+            pile.spawn(self._reader.scan_rows, prefix)
         return list(pile)
 
     def _apply(self, answer: Rows | Changes, read_s: float) -> None:
--- a/tests/test_unanswered_state_review.py
+++ b/tests/test_unanswered_state_review.py
@@ -25,6 +25,7 @@
 from apricotlead.transport.cell_candidate import CellCandidate, OwnIdentity
 from apricotlead.transport.cell_links import CellLinks
 from apricotlead.transport.cell_metrics import CellMetrics
+from apricotlead.transport.hedged_reader import HedgedReader
 from apricotlead.transport.peer_choice import PeerChoice
 from apricotlead.transport.relayed_row import RelayedRow
 from apricotlead.transport.table_follower import TableFollower
@@ -276,7 +277,10 @@
         random.seed(seed)
         listener = _Listener()
         follower = TableFollower(
-            _LossyTable(), JOB_PREFIXES, listener, lambda *_, **__: None
+            HedgedReader(_LossyTable(), 0.25, 2),
+            JOB_PREFIXES,
+            listener,
+            lambda *_, **__: None,
         )
         began_s = boot_now()
         following = eventlet.spawn(follower.run)
