Read the owner row with an extra try

One lost answer delayed the claim of a term by 1.19 s; steps wait for it, and callers get no count of waiting jobs.

Cause: the owner row was read once, with the time limit of a call. Besides, an instance without a configuration forgot the owner that it had just read, though it may have to read the configuration through it.

Evidence: TestTakeover failed before (1.19 s more than undisturbed) and passes now.

Conclusion: a second read follows after 0.25 s, not more, since all followers read the row when the scheduler is lost.

--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -49,6 +49,10 @@
 # A claim that takes this many times as long as the preceding read is taken
 # for lost and sent again.
 _HEDGE_DELAY_FACTOR = 4
+# One lost answer would delay a takeover by the time limit of a call.
+_READ_HEDGE_DELAY_S = 0.25
+# All followers read the row when the scheduler is lost.
+_MAX_OWNER_READS = 2
 
 
 class OwnIdentity(Struct, frozen=True):
@@ -203,10 +207,16 @@
 
     def _run_once(self) -> None:
         read = self._read_owner()
-        if read is None or self._view is None:
+        if read is None:
             pause(_RETRY_S)
             return
         owner = read_owner(read.row)
+        if owner is not None:
+            # The configuration may have to be read through this instance.
+            self._known_peers.remember(owner.peer_address, boot_now())
+        if self._view is None:
+            pause(_RETRY_S)
+            return
         is_own = owner is not None and (
             owner.peer_address == self._own.peer_address
         )
@@ -214,7 +224,6 @@
             self._claim(read)
             return
         self._rank = None
-        self._known_peers.remember(owner.peer_address, boot_now())
         loss = self._follow(owner)
         if loss is Loss.NONE:
             return
@@ -252,7 +261,12 @@
     def _read_owner(self) -> '_OwnerRead | None':
         """Return the owner row, ``None`` if the read failed."""
         sent_s = boot_now()
-        read = self._links.store.read_row(OWNER_KEY)
+        read = hedged(
+            partial(self._links.store.read_row, OWNER_KEY),
+            _READ_HEDGE_DELAY_S,
+            lambda reply: isinstance(reply, StoreFailed),
+            _MAX_OWNER_READS,
+        )
         if isinstance(read, StoreFailed):
             return None
         row = read.rows[0] if read.rows else Row(OWNER_KEY)
