Watch work beside workers that the scheduler leaves alone

A step that waits because the scheduler wrongly uses no worker, or only full ones, was reported by no line and no gauge.

Cause: the watch counted the workers that the scheduler uses at the moment; the rule counts those that are up.

Conclusion: paused workers and those without a granted lease count as capacity; draining, unregistered and silent ones do not.

--- a/src/apricotlead/coordination/cell/runnable.py
+++ b/src/apricotlead/coordination/cell/runnable.py
@@ -72,7 +72,7 @@
 
 
 class WorkerRoom(Struct, frozen=True):
-    """The capacity that is free on a worker that takes work."""
+    """The capacity that is free on a worker that is up."""
 
     worker_id: str
     free: Resources
@@ -80,7 +80,7 @@
 
 
 class ServiceRoom:
-    """The free capacity of the workers of one service that take work.
+    """The free capacity of the workers of one service that are up.
 
     Pattern: thousands of waiting steps in a cell of hundreds of workers. A
     search looks at workers with enough free processors only, those with most
--- a/src/apricotlead/coordination/cell/stalled_steps.py
+++ b/src/apricotlead/coordination/cell/stalled_steps.py
@@ -67,14 +67,18 @@
 
     __slots__ = ('_usage_by_organisation', 'rooms_by_service')
 
-    def __init__(self, workers: Collection[WorkerState], now: float) -> None:
-        """Count the free capacity of workers that take work, and all runs."""
+    def __init__(self, workers: Collection[WorkerState]) -> None:
+        """Count the free capacity of workers that are up, and all runs.
+
+        This includes workers that the scheduler does not use for now: if it
+        were wrong about them, nothing else would show it.
+        """
         self._usage_by_organisation: dict[str, Resources] = {}
         workers_by_service: defaultdict[str, list[WorkerState]]
         workers_by_service = defaultdict(list)
         for worker in workers:
             self._count_runs(worker)
-            if worker.takes_work(now):
+            if _is_up(worker):
                 workers_by_service[worker.entry.service].append(worker)
         self.rooms_by_service = {
             service: _service_room(usable)
@@ -133,7 +137,7 @@
 
     def check(self, now: float) -> None:
         """Report the steps that have been stalled for too long."""
-        cell = _CellView(self._tracker.workers_by_id.values(), now)
+        cell = _CellView(self._tracker.workers_by_id.values())
         former_since_s = self._since_s_by_unit
         self._since_s_by_unit = {}
         since_s_by_step: dict[str, float] = {}
@@ -355,8 +359,14 @@
     }
 
 
+def _is_up(worker: WorkerState) -> bool:
+    """Return whether nothing is known that keeps a worker from running work."""
+    is_leaving = worker.entry.draining or not worker.is_listed
+    return not (is_leaving or worker.is_suspected)
+
+
 def _service_room(workers: Collection[WorkerState]) -> ServiceRoom:
-    """Return the free capacity of workers of one service that take work."""
+    """Return the free capacity of workers of one service that are up."""
     return ServiceRoom(
         (
             WorkerRoom(
