Take a run for young that may have ended before the next call

The limit on the queue ended, all its steps began at once, and the task waited on (LOST).

Cause: no call is in flight to a worker for up to 0.3 s after it has come back. If it crashes then, the next call is refused, and the ages of its runs counted to that call: 0.25 s, while the run had lived for 10 ms. It was not suspected, and its step counted as one that had lived.

Change: the age below which a run is young grows by the time without contact, by 0.35 s at most. Only the latest runs of a worker are young, as before.

Evidence: test_run_that_ended_before_the_next_call fails before and passes now.

--- a/src/apricotlead/coordination/cell/crash_evidence.py
+++ b/src/apricotlead/coordination/cell/crash_evidence.py
@@ -20,6 +20,8 @@
 # A task that crashes its worker at its start is the last to begin there. The
 # runs that began this long before the latest confirmed one are not suspected.
 _YOUNGER_BY_S = 0.05
+# The longest pause between two calls to a worker that has just come back.
+_MAX_DATING_ERROR_S = 0.35
 _MAX_RUNS_PER_NOTE = 8
 
 
@@ -71,9 +73,9 @@
         for age_s, task in zip(ages_s, tasks, strict=True)
         if _is_confirmed(task)
     ]
-    limit_s = min(YOUNG_S, min(confirmed_ages_s, default=0) + _YOUNGER_BY_S)
-    if not confirmed_ages_s:
-        limit_s = YOUNG_S
+    limit_s = YOUNG_S + _dating_error_s(worker)
+    if confirmed_ages_s:
+        limit_s = min(limit_s, min(confirmed_ages_s) + _YOUNGER_BY_S)
     runs = [
         LostRun(
             task, task.run, age_s, _is_confirmed(task), is_young=age_s < limit_s
@@ -151,6 +153,16 @@
     return max((task.placed_s for task in tasks), default=worker.lost_s)
 
 
+def _dating_error_s(worker: WorkerState) -> float:
+    """Return how long a worker may have been down when its loss was seen.
+
+    Between two calls to a worker nothing shows that its process has ended.
+    """
+    if not worker.is_loss_dated:
+        return 0
+    return min(_MAX_DATING_ERROR_S, worker.lost_s - worker.lease.last_contact_s)
+
+
 def _age_s(task: TaskState, lost_s: float) -> float:
     """Return how long a run had been executing, at most."""
     began_s = task.started_s if task.is_start_known else task.placed_s
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -259,6 +259,25 @@
         self.assertEqual(1, len(self.notes('suspect cleared')))
 
 
+class TestLossesBetweenCalls(CrashCase):
+    """Nothing is in flight to a worker when it ends; the next call is refused.
+
+    The run that crashed it was taken for one that had lived, as its age counted
+    to that call: it was not suspected, and its step counted as harmless.
+    """
+
+    def test_run_that_ended_before_the_next_call(self) -> None:
+        self.submit(GUILTY_ID)
+        self.rig.hold_all()
+        worker_id = self.start(GUILTY_ID)
+        self.rig.now += 0.3
+        workers = self.rig.scheduler.workers
+        workers.hold_refused(worker_id, _REFUSED, self.rig.now)
+        self.assertTrue(self.task(GUILTY_ID).step.has_crashed)
+        self.come_back(worker_id)
+        self.assertTrue(self.task(GUILTY_ID).crashes.is_suspect)
+
+
 class TestTrials(CrashCase):
     """A suspect runs apart from other work until it has lived."""
 
