Take no counted run for one that has lived

A queue of which all jobs crash workers was released from its limit.

Cause: runs of a former life of a worker are kept for some seconds, until the present one cannot begin them any more. When the worker went down again, they were old by then, and their steps were noted as ones that had lived.

Change: only runs that have not been counted yet tell what a step does, as is the case where the end of the process is proved.

Evidence: test_run_of_a_former_life fails before and passes now.

--- a/src/apricotlead/coordination/cell/crash_attribution.py
+++ b/src/apricotlead/coordination/cell/crash_attribution.py
@@ -94,7 +94,7 @@
         Nothing else is decided until the end of its process is proved.
         """
         if not worker.entry.draining:
-            _note_steps(lost_runs(worker))
+            _note_steps(_uncounted(lost_runs(worker)))
 
     def restarted_between_terms(
         self, worker: WorkerState, tasks: Iterable[TaskState], now: float
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -277,6 +277,14 @@
         self.come_back(worker_id)
         self.assertTrue(self.task(GUILTY_ID).crashes.is_suspect)
 
+    def test_run_of_a_former_life(self) -> None:
+        """Guards against a counted run that shows at the next crash as old."""
+        self.submit(GUILTY_ID)
+        worker_id = self.start(GUILTY_ID)
+        self.task(GUILTY_ID).crashes.counted_run = 1
+        self.lose_contact(worker_id, 2)
+        self.assertFalse(self.task(GUILTY_ID).step.has_lived)
+
 
 class TestTrials(CrashCase):
     """A suspect runs apart from other work until it has lived."""
