Take a run for alive only if its worker has answered since

Cause: a step counted as one that lives 0.2 s after its start was confirmed. A worker that ends silently is not known to be lost for up to two seconds.

Change: the worker has to have answered that much later than the start.

Evidence: test_run_lives_only_if_its_worker_answers fails before and passes now.

--- a/src/apricotlead/coordination/cell/crash_limits.py
+++ b/src/apricotlead/coordination/cell/crash_limits.py
@@ -71,13 +71,13 @@
         risk = self._tracker.risks_by_queue.get(stored.queue)
         if risk is None or not risk.is_high:
             return False
-        if step.has_suspects or _has_lived(step, now):
+        if step.has_suspects or _has_lived(step, self._tracker):
             return False
         return not self._may_start(risk, stored.service, now)
 
     def note_start(self, step: StepState, now: float) -> None:
         """Record that tasks of a step were placed."""
-        if step.has_suspects or _has_lived(step, now):
+        if step.has_suspects or _has_lived(step, self._tracker):
             return
         risk = self._tracker.risks_by_queue.setdefault(
             step.job.stored.queue, QueueRisk()
@@ -117,15 +117,18 @@
     return max(1, worker_count * _MAX_DOWN_SHARE)
 
 
-def _has_lived(step: StepState, now: float) -> bool:
+def _has_lived(step: StepState, tracker: RunTracker) -> bool:
     """Return whether a run of a step has lived for a moment."""
     if not step.has_lived:
         step.has_lived = bool(step.done_count) or any(
-            _is_old(task, now) for task in step.tasks
+            _is_old(task, tracker) for task in step.tasks
         )
     return step.has_lived
 
 
-def _is_old(task: TaskState, now: float) -> bool:
-    is_running = task.phase is TaskPhase.RUNNING
-    return is_running and now - task.started_s > YOUNG_S
+def _is_old(task: TaskState, tracker: RunTracker) -> bool:
+    """Return whether the worker of a run has answered since its start."""
+    worker = tracker.workers_by_id.get(task.worker_id)
+    if worker is None or task.phase is not TaskPhase.RUNNING:
+        return False
+    return worker.lease.last_contact_s - task.started_s > YOUNG_S
--- a/tests/test_cell_crash_limits.py
+++ b/tests/test_cell_crash_limits.py
@@ -136,6 +136,21 @@
         self.assertFalse(self.limits.is_held_back(step, self.rig.now))
 
 
+class TestSilentCrashes(LimitCase):
+    """A worker that ended silently is not known to be lost for a while."""
+
+    def test_run_lives_only_if_its_worker_answers(self) -> None:
+        """Guards against a limit that ends beside crashes not yet known."""
+        step = self.step(99)
+        self.rig.round()
+        self.start(12, has_crashed=True)
+        self.limits.note_start(self.step(98), self.rig.now)
+        self.assertTrue(self.limits.is_held_back(step, self.rig.now))
+        self.rig.now += 0.3
+        self.rig.hold_all()
+        self.assertFalse(self.limits.is_held_back(step, self.rig.now))
+
+
 class TestAdmission(LimitCase):
     """A job is rejected at once if the steps in front take too long."""
 
