Try suspects and held-back steps on the workers that nothing else uses

Innocent suspects then kept a worker each, for as long as they had run. - Steps were held back while a third of the workers was down, which trials alone brought about, so that they never began. - A worker that had come back was not idle while it was told not to begin the runs of its former life, also of jobs that had been given up.

Change: a suspect asks about all workers that could be kept. Workers with a ticket come first, then permitted ones. Steps of a queue of which seven in ten first starts crash workers have their first start on a worker of their own, and count for or against the queue once their outcome is known. Innocent suspects that had lived through their start join a worker in trial. Once no job has come for 4 s, no other step waits for room and more than half of a service is free, all its idle workers are used. Workers are grouped once a round, not looked through for each suspect.

--- a/src/apricotlead/coordination/cell/advice_planning.py
+++ b/src/apricotlead/coordination/cell/advice_planning.py
@@ -15,6 +15,7 @@
     WorkerHeadroom,
     assign_tasks,
     is_eligible,
+    may_ask_about,
 )
 from apricotlead.coordination.cell.placement_round import PlacementRound
 from apricotlead.state.cell_jobs import StepState, TaskState
@@ -129,7 +130,7 @@
         )
         for worker in chain(present, current_round.absent):
             if worker.worker_id not in ineligible:
-                if is_eligible(step, worker):
+                if may_ask_about(step, worker):
                     yield worker
 
     def _reserve_for_answer(
@@ -240,7 +241,7 @@
         unknown = (
             headroom
             for headroom in current_round.headrooms_fastest_first()
-            if is_eligible(step, headroom.worker)
+            if may_ask_about(step, headroom.worker)
             and not advice.has_answer_for(headroom.worker.worker_id)
         )
         likely: list[str] = []
@@ -255,7 +256,7 @@
         absent = (
             worker.worker_id
             for worker in current_round.absent
-            if is_eligible(step, worker)
+            if may_ask_about(step, worker)
             and not advice.has_answer_for(worker.worker_id)
             and demand.fits_in(worker.entry.capacity)
         )
--- a/src/apricotlead/coordination/cell/crash_limits.py
+++ b/src/apricotlead/coordination/cell/crash_limits.py
@@ -25,6 +25,8 @@
 # crashes do.
 _LIMIT_SHARE = 0.4
 _RELEASE_SHARE = 0.2
+# From this share on, a first start costs all work beside it nearly for certain.
+_ALONE_SHARE = 0.7
 # A crash shows within this time, so that one start has to follow the other by it.
 # In a large cell, one start for so many workers that may yet go down.
 _START_INTERVAL_S = 0.06
@@ -38,17 +40,19 @@
 class CrashLimits:
     """Applies the limits in the rounds of placement."""
 
-    __slots__ = ('_down_counts', '_tracker', '_worker_counts')
+    __slots__ = ('_down_counts', '_tracker', '_worker_counts', 'is_any_high')
 
     def __init__(self, tracker: RunTracker) -> None:
         """Limit the queues of which ``tracker`` knows such starts."""
         self._tracker = tracker
         self._worker_counts: Counter[str] = Counter()
         self._down_counts: Counter[str] = Counter()
+        # Whether any queue is limited.
+        self.is_any_high = False
 
     def begin(self) -> None:
         """Begin a round: find the queues to limit, and count the workers."""
-        is_any_high = False
+        self.is_any_high = False
         for queue, risk in self._tracker.risks_by_queue.items():
             share = _RELEASE_SHARE if risk.is_high else _LIMIT_SHARE
             is_high = risk.crashed_share() >= share
@@ -56,10 +60,10 @@
                 risk.is_high = is_high
                 kind = 'queue limited' if is_high else 'queue released'
                 self._tracker.note(kind, queue=queue)
-            is_any_high |= is_high
+            self.is_any_high |= is_high
         self._worker_counts = Counter()
         self._down_counts = Counter()
-        if is_any_high:
+        if self.is_any_high:
             for worker in self._tracker.workers_by_id.values():
                 service = worker.entry.service
                 self._worker_counts[service] += 1
@@ -67,16 +71,43 @@
 
     def is_held_back(self, step: StepState, now: float) -> bool:
         """Return whether a step has to wait until workers are back."""
-        stored = step.job.stored
-        risk = self._tracker.risks_by_queue.get(stored.queue)
-        if risk is None or not risk.is_high:
-            return False
-        if step.has_suspects or _has_lived(step, self._tracker):
+        if not self.is_limited(step):
             return False
+        stored = step.job.stored
+        risk = self._tracker.risks_by_queue[stored.queue]
         return not self._may_start(risk, stored.service, now)
 
+    def is_high(self, queue: str) -> bool:
+        """Return whether the first starts of a queue's steps are limited."""
+        risk = self._tracker.risks_by_queue.get(queue)
+        return risk is not None and risk.is_high
+
+    def is_limited(self, step: StepState) -> bool:
+        """Return whether a step belongs to such starts."""
+        if not self.is_high(step.job.stored.queue):
+            return False
+        return not (step.has_suspects or _has_lived(step, self._tracker))
+
+    def may_begin_alone(self, step: StepState) -> bool:
+        """Return whether a step may begin, on a worker of its own."""
+        stored = step.job.stored
+        risk = self._tracker.risks_by_queue[stored.queue]
+        is_deadly = risk.crashed_share() >= _ALONE_SHARE
+        return is_deadly and self._left_count(stored.service) >= 1
+
+    def record_trial(self, step: StepState, now: float) -> None:
+        """Record a first start whose outcome is known."""
+        self._tracker.risks_by_queue[step.job.stored.queue].note_start(
+            step, now
+        )
+
     def note_start(self, step: StepState, now: float) -> None:
-        """Record that tasks of a step were placed."""
+        """Record that tasks of a step were placed.
+
+        What comes of a trial is recorded once it is known.
+        """
+        if step.apart_for is not None:
+            return
         if step.has_suspects or _has_lived(step, self._tracker):
             return
         risk = self._tracker.risks_by_queue.setdefault(
@@ -86,12 +117,16 @@
 
     def _may_start(self, risk: QueueRisk, service: str, now: float) -> bool:
         """Return whether one more step of a limited queue may start now."""
-        left = _max_down(self._worker_counts[service])
-        left -= self._down_counts[service]
+        left = self._left_count(service)
         most = max(1, left / _WORKERS_PER_START)
         is_turn = risk.starts_since(now - _START_INTERVAL_S) < most
         return left >= 1 and is_turn
 
+    def _left_count(self, service: str) -> float:
+        """Return how many more workers of a service may go down."""
+        most = _max_down(self._worker_counts[service])
+        return most - self._down_counts[service]
+
 
 def held_s_by_queue(tracker: RunTracker) -> dict[str, float]:
     """Return how long the steps take that are held back, by queue."""
--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -9,92 +9,190 @@
 Only a few workers are kept for such trials while the cell is busy, and only one
 for suspects that are likely to take it down. Suspects that find none in time
 share the worker with the fewest runs, where nothing more is placed, so that
-they do not wait for ever. A gang is not kept apart, as it may need more workers
-than are ever idle at a time; while a suspect of it runs, nothing more is placed
-on that worker.
+they do not wait for ever. In a quiet service (:mod:`.quiet_services`) all idle
+workers are kept. A gang is not kept apart, as it may need more workers than are
+ever idle at a time; while a suspect of it runs, nothing more is placed on that
+worker.
+
+Innocent suspects, lost beside such a task, would each take a worker of their own
+for as long as they had run before. So that workers are left for others, they
+join a worker in trial whose runs have lived for a moment, unless their queue is
+one whose starts crash workers.
 """
 
-from collections.abc import Collection, Iterable, Mapping
-from functools import partial
+from collections.abc import Collection
+from itertools import chain
+from math import inf
+
+from msgspec import Struct
 
 from apricotlead.coordination.cell.advice_cache import AdviceCache
 from apricotlead.coordination.cell.capacity_claims import ServiceLoad
+from apricotlead.coordination.cell.crash_limits import CrashLimits
+from apricotlead.coordination.cell.first_trials import FirstTrials
 from apricotlead.coordination.cell.placement import (
+    IN_TRIAL,
     WorkerHeadroom,
-    can_execute,
-    fitting_task_count,
     has_trial,
+    is_idle,
 )
 from apricotlead.coordination.cell.run_tracker import RunTracker
+from apricotlead.coordination.cell.trial_workers import (
+    MOST_CRASHES_BESIDE,
+    TrialWorkers,
+    is_permitted,
+)
 from apricotlead.state.cell_jobs import StepState, TaskPhase, TaskState
 from apricotlead.state.cell_workers import TRIAL_S, WorkerState
 
-# A worker that executes a suspect is kept apart from all steps.
-_IN_TRIAL = 'in trial'
 # A suspect that has run for longer than before its crashes by this factor has
 # been cleared.
 _TRIAL_AGE_FACTOR = 1.5
 # A service's workers that are kept for trials at a time, while it is busy, or
-# half idle.
+# half idle, or half idle for steps that have waited for long.
 _MAX_BUSY_SHARE = 0.125
 _MAX_IDLE_SHARE = 0.25
+_MAX_WAITED_SHARE = 0.375
 # A suspect waits for a worker of its own for at most this long while the
 # service is busy, or half idle.
 _MAX_BUSY_WAIT_S = 8.0
 _MAX_IDLE_WAIT_S = 1.5
 
 
+class _Trial(Struct):
+    """A step that waits for a trial, and what its service allows."""
+
+    step: StepState
+    is_half_free: bool
+    is_half_idle: bool
+    is_quiet: bool
+    # Whether it would take down what it runs beside.
+    is_dangerous: bool
+    # Whether other workers will become idle, as they are in trials.
+    has_others: bool
+    waited_s: float
+
+    @property
+    def has_waited(self) -> bool:
+        """Return whether it has waited for long enough."""
+        is_free = self.is_half_idle or self.is_quiet
+        if is_free and not (self.is_dangerous and self.has_others):
+            return self.waited_s > _MAX_IDLE_WAIT_S
+        return self.waited_s > _MAX_BUSY_WAIT_S
+
+    @property
+    def may_share(self) -> bool:
+        """Return whether it may run beside other work."""
+        spares_others = self.is_dangerous and self.has_others and self.is_quiet
+        return self.has_waited and not spares_others
+
+    @property
+    def may_drain(self) -> bool:
+        """Return whether a worker in use may be kept until it is idle."""
+        return not (self.is_quiet and self.has_others)
+
+    def max_workers(self, worker_count: int) -> float:
+        """Return how many of the workers may be kept at a time."""
+        if self.is_quiet:
+            return inf
+        if self.is_half_idle and self.has_waited:
+            share = _MAX_WAITED_SHARE if self.is_dangerous else 1
+            return max(1, worker_count * share)
+        if self.is_half_free:
+            return max(1, worker_count * _MAX_IDLE_SHARE)
+        if _is_likely_guilty(self.step):
+            return 1
+        return max(1, worker_count * _MAX_BUSY_SHARE)
+
+
 class Isolation:
     """Decides in each placement round which workers are kept apart."""
 
     __slots__ = (
         '_advice',
         '_apart_workers_by_id',
+        '_choices_by_step',
+        '_crash_limits',
+        '_first_trials',
         '_tracker',
         '_waiting_since_s_by_step',
     )
 
-    def __init__(self, tracker: RunTracker, advice: AdviceCache) -> None:
+    def __init__(
+        self,
+        tracker: RunTracker,
+        advice: AdviceCache,
+        crash_limits: CrashLimits,
+    ) -> None:
         """Keep no worker apart."""
         self._tracker = tracker
         self._advice = advice
+        self._crash_limits = crash_limits
+        self._first_trials = FirstTrials(tracker, crash_limits)
         self._apart_workers_by_id: dict[str, WorkerState] = {}
+        # The workers kept in this round for the steps that wait for a trial.
+        self._choices_by_step: dict[str, WorkerState] = {}
         self._waiting_since_s_by_step: dict[str, float] = {}
 
     def update(
         self,
         headrooms: Collection[WorkerHeadroom],
         load: ServiceLoad,
+        quiet: Collection[str],
         now: float,
     ) -> None:
         """Choose the workers for the trials of this round.
 
-        ``headrooms`` are those of the workers that accept work.
+        ``headrooms`` are those of the workers that accept work, and ``quiet``
+        the services of which all idle workers may be kept.
         """
-        if not (self._tracker.suspects_by_name or self._apart_workers_by_id):
+        self._choices_by_step.clear()
+        first_steps = self._first_trials.update(quiet, now)
+        has_suspects = bool(self._tracker.suspects_by_name)
+        if not (first_steps or has_suspects or self._apart_workers_by_id):
             return
         self._clear_suspects()
         kept_by_id = self._workers_on_trial()
         for busy in kept_by_id.values():
-            busy.apart_for = _IN_TRIAL
-        workers = [headroom.worker for headroom in headrooms]
-        for step in self._untried_steps(now):
-            is_half_idle = load.is_half_idle(step.job.stored.service)
-            step.may_share_trial = self._has_waited(
-                step, now, is_half_idle=is_half_idle
-            )
-            step.apart_for = f'trial of {step.name}'
-            chosen = self._choose_worker(
-                step, workers, kept_by_id, is_half_idle=is_half_idle
+            busy.apart_for = IN_TRIAL
+        workers = TrialWorkers(
+            [headroom.worker for headroom in headrooms],
+            kept_by_id,
+            self._advice,
+            now,
+        )
+        untried = [*self._untried_steps(now), *first_steps]
+        for step in self._in_order(untried, workers):
+            service = step.job.stored.service
+            trial = _Trial(
+                step,
+                load.is_half_free(service),
+                load.is_half_idle(service),
+                service in quiet,
+                self._is_dangerous(step),
+                workers.trial_count(step) > 0,
+                self._waited_s(step, now),
             )
-            if chosen is not None:
-                chosen.apart_for = step.apart_for
-                kept_by_id[chosen.worker_id] = chosen
+            self._choose_worker(trial, workers)
         self._apply(kept_by_id)
 
-    def end_trials(self) -> None:
+    def may_begin_trial(self, step: StepState) -> bool:
+        """Return whether a step may be placed, or asked about, in this round.
+
+        While it waits until the worker kept for it is idle, or for its turn to
+        get one, the answer to a call for advice would come too early.
+        """
+        worker = self._choices_by_step.get(step.name)
+        if worker is None:
+            return False
+        if is_idle(worker) or step.may_share_trial:
+            return True
+        return not is_permitted(step, worker, self._advice)
+
+    def end_trials(self, now: float) -> None:
         """Clear the suspects that have lived, while no step waits."""
         if self._apart_workers_by_id:
+            self._first_trials.end_trials((), now)
             self._clear_suspects()
             self._apply(self._workers_on_trial())
 
@@ -121,10 +219,13 @@
                 self._tracker.clear_suspect(task)
 
     def _workers_on_trial(self) -> dict[str, WorkerState]:
-        """Return the workers that execute suspects."""
+        """Return the workers that execute trials, or were lost with one."""
+        tasks = chain(
+            self._tracker.suspects_by_name.values(), self._first_trials.tasks()
+        )
         workers = (
             self._tracker.workers_by_id.get(task.worker_id)
-            for task in self._tracker.suspects_by_name.values()
+            for task in tasks
             if task.is_placed
         )
         return {
@@ -145,57 +246,81 @@
             and not step.spec.gang
             and not has_trial(step)
         }
-        for name in self._waiting_since_s_by_step.keys() - steps_by_name:
-            self._waiting_since_s_by_step.pop(name)
-        return sorted(steps_by_name.values(), key=_is_likely_guilty)
-
-    def _has_waited(
-        self, step: StepState, now: float, *, is_half_idle: bool
-    ) -> bool:
-        """Return whether a step has waited for a trial long enough."""
-        since_s = self._waiting_since_s_by_step.setdefault(step.name, now)
-        limit_s = _MAX_IDLE_WAIT_S if is_half_idle else _MAX_BUSY_WAIT_S
-        return now - since_s > limit_s
-
-    def _choose_worker(
-        self,
-        step: StepState,
-        workers: Iterable[WorkerState],
-        kept_by_id: Mapping[str, WorkerState],
-        *,
-        is_half_idle: bool,
-    ) -> WorkerState | None:
-        """Choose a worker for the next trial of a step, an idle one first.
+        for name in tuple(self._waiting_since_s_by_step):
+            if not (name in steps_by_name or name in self._first_trials.names):
+                self._waiting_since_s_by_step.pop(name)
+        return list(steps_by_name.values())
+
+    def _waited_s(self, step: StepState, now: float) -> float:
+        """Return how long a step has waited for a trial."""
+        return now - self._waiting_since_s_by_step.setdefault(step.name, now)
+
+    def _in_order(
+        self, steps: list[StepState], workers: TrialWorkers
+    ) -> list[StepState]:
+        """Return innocent suspects first, then steps that may begin now."""
+        return sorted(
+            steps,
+            key=lambda step: (
+                self._is_dangerous(step),
+                not workers.has_ticket(step),
+            ),
+        )
+
+    def _is_dangerous(self, step: StepState) -> bool:
+        """Return whether a step is likely to take its worker down."""
+        is_high = self._crash_limits.is_high(step.job.stored.queue)
+        return is_high or _is_likely_guilty(step)
+
+    def _choose_worker(self, trial: _Trial, workers: TrialWorkers) -> None:
+        """Keep a worker for the next trial of a step, an idle one first.
 
         Any other is left to become idle, or shared if the step has waited for
         too long.
         """
-        own = [worker for worker in workers if can_execute(step, worker)]
-        # Workers that a trial has taken down count until they are replaced.
-        in_trial = sum(
-            can_execute(step, worker) for worker in kept_by_id.values()
-        )
-        most = _max_trials(step, len(own) + in_trial, is_half_idle=is_half_idle)
-        if in_trial + 1 > most:
+        step = trial.step
+        step.apart_for = f'trial of {step.name}'
+        chosen = self._worker_in_trial(trial, workers)
+        most = trial.max_workers(workers.worker_count(step))
+        is_full = workers.trial_count(step) + 1 > most
+        if chosen is None and not is_full:
+            chosen = workers.idle_worker(step)
+        step.may_share_trial = chosen is not None and not is_idle(chosen)
+        if chosen is None and not is_full:
+            chosen = self._busy_worker(trial, workers)
+        if chosen is not None:
+            workers.keep(chosen, step)
+            self._choices_by_step[step.name] = chosen
+
+    def _worker_in_trial(
+        self, trial: _Trial, workers: TrialWorkers
+    ) -> WorkerState | None:
+        """Return a worker in trial that a step may join.
+
+        Its suspects must have lived through their start at a former crash.
+        Others are tried alone, as not every crash can be dated.
+        """
+        histories = [task.crashes for task in trial.step.tasks]
+        most_crashes = max(history.total for history in histories)
+        if trial.is_dangerous or most_crashes > MOST_CRASHES_BESIDE:
             return None
-        possible = (
-            worker
-            for worker in own
-            if worker.worker_id not in kept_by_id
-            and self._trial_count(step, worker)
-        )
-        order = _sharing_order if step.may_share_trial else _trial_order
-        return min(possible, key=partial(order, step), default=None)
+        if any(
+            each.is_suspect and each.longest_age_s < TRIAL_S
+            for each in histories
+        ):
+            return None
+        return workers.worker_in_trial(trial.step)
 
-    def _trial_count(self, step: StepState, worker: WorkerState) -> int:
-        """Return how many tasks of a step fit on a worker once it is idle."""
-        advice = self._advice.steps_by_name.get(step.name)
-        if advice and worker.worker_id in advice.ineligible_ids:
-            return 0
-        room = worker.idle_capacity
-        if step.may_share_trial:
-            room = worker.entry.capacity - worker.used
-        return fitting_task_count(step, room)
+    def _busy_worker(
+        self, trial: _Trial, workers: TrialWorkers
+    ) -> WorkerState | None:
+        """Return a worker in use, to be shared or to become idle."""
+        if trial.may_share:
+            shared = workers.worker_to_share(trial.step)
+            if shared is not None:
+                trial.step.may_share_trial = True
+                return shared
+        return workers.worker_to_drain(trial.step) if trial.may_drain else None
 
 
 def _is_likely_guilty(step: StepState) -> bool:
@@ -206,35 +331,6 @@
     )
 
 
-def _max_trials(
-    step: StepState, worker_count: int, *, is_half_idle: bool
-) -> float:
-    """Return how many workers may be kept for trials at a time."""
-    if not is_half_idle:
-        if _is_likely_guilty(step):
-            return 1
-        return max(1, worker_count * _MAX_BUSY_SHARE)
-    if step.may_share_trial:
-        return worker_count
-    return max(1, worker_count * _MAX_IDLE_SHARE)
-
-
-def _trial_order(
-    step: StepState, worker: WorkerState
-) -> tuple[bool, bool, int]:
-    """Return a sort key: idle workers, those kept before, the least used."""
-    return (
-        bool(worker.tasks_by_name),
-        worker.apart_for != step.apart_for,
-        worker.used.cpu_millis,
-    )
-
-
-def _sharing_order(_step: StepState, worker: WorkerState) -> tuple[int, int]:
-    """Return a sort key: the workers with the fewest runs to lose."""
-    return len(worker.tasks_by_name), worker.used.cpu_millis
-
-
 def _has_outlived(task: TaskState, worker: WorkerState) -> bool:
     """Return whether a suspect has worked for longer than before its crashes.
 
--- a/src/apricotlead/coordination/cell/placement.py
+++ b/src/apricotlead/coordination/cell/placement.py
@@ -76,6 +76,8 @@
         self.accelerators -= sign * demand.accelerators
 
 
+# What workers are kept apart for that execute a trial.
+IN_TRIAL = 'in trial'
 _LEVELS_PER_SLOWNESS = 5
 # Urgent tasks use workers with a higher slowness (run time relative to the
 # estimate) only after all others.
@@ -120,11 +122,41 @@
         return False
     if worker.apart_for is not None and not step.may_share_trial:
         # A trial begins once the worker is idle.
-        if worker.tasks_by_name or worker.strays_by_run:
+        if not is_idle(worker):
             return False
     return can_execute(step, worker)
 
 
+def is_idle(worker: WorkerState) -> bool:
+    """Return whether nothing runs on a worker, as far as is known.
+
+    Runs of a former life whose job is over do not count. The worker is only told
+    not to begin them, and they are kept for two seconds after each crash.
+    """
+    return not worker.strays_by_run and all(
+        map(_is_former_run, worker.tasks_by_name.values())
+    )
+
+
+def _is_former_run(task: TaskState) -> bool:
+    is_stopping = task.phase is TaskPhase.STOPPING and not task.is_confirmed
+    return is_stopping and task.step.job.state.is_final
+
+
+def may_ask_about(step: StepState, worker: WorkerState) -> bool:
+    """Return whether advice about a worker may be of use to a step.
+
+    A suspect asks also about the other workers that could be kept for it, or
+    are kept for one that may not run there: asking about one after another
+    takes far too long where most may not run it.
+    """
+    if step.apart_for is None:
+        may_be_kept = worker.apart_for is None
+    else:
+        may_be_kept = worker.apart_for != IN_TRIAL
+    return may_be_kept and can_execute(step, worker)
+
+
 def can_execute(step: StepState, worker: WorkerState) -> bool:
     """Return whether a worker has the service and label a step requires."""
     label = step.spec.required_label
--- a/src/apricotlead/coordination/cell/planner.py
+++ b/src/apricotlead/coordination/cell/planner.py
@@ -1,6 +1,7 @@
 """One round of placement over all waiting steps."""
 
 from collections import Counter
+from collections.abc import Collection
 
 from apricotlead.coordination.cell.advice_cache import AdviceCache, AdviceCall
 from apricotlead.coordination.cell.advice_planning import AdvicePlanner
@@ -19,6 +20,7 @@
     waiting_tasks,
 )
 from apricotlead.coordination.cell.placement_round import PlacementRound
+from apricotlead.coordination.cell.quiet_services import quiet_services
 from apricotlead.coordination.cell.run_tracker import RunTracker
 from apricotlead.state.cell_config_view import CellConfigView
 from apricotlead.state.cell_jobs import StepState, TaskState
@@ -62,8 +64,8 @@
         self._tracker = tracker
         self._advice = advice
         self._advice_planner = AdvicePlanner(advice)
-        self._isolation = Isolation(tracker, advice)
         self._crash_limits = CrashLimits(tracker)
+        self._isolation = Isolation(tracker, advice, self._crash_limits)
         self._reservations = GangReservations()
         self._limits = OrganisationLimits(tracker)
 
@@ -74,11 +76,10 @@
     def plan(self, now: float, askers: list[str]) -> list[AdviceCall]:
         """Assign waiting tasks to workers; return the advice calls to send."""
         if not self._tracker.ready_steps_by_name:
-            self._isolation.end_trials()
+            self._isolation.end_trials(now)
             return []
         current_round = self._begin_round(now, askers)
-        self._isolation.update(current_round.headrooms, current_round.load, now)
-        self._crash_limits.begin()
+        self._begin_trials(current_round)
         self._reservations.begin(current_round.headrooms)
         blocked: Counter[str] = Counter()
         steps = sorted(
@@ -99,6 +100,15 @@
             step.waits.note(reason, now)
         return current_round.calls
 
+    def _begin_trials(self, current_round: PlacementRound) -> None:
+        """Choose the workers for steps that may crash them."""
+        load, now = current_round.load, current_round.now
+        self._crash_limits.begin()
+        quiet: Collection[str] = ()
+        if self._crash_limits.is_any_high or self._tracker.suspects_by_name:
+            quiet = quiet_services(self._tracker, load, now)
+        self._isolation.update(current_round.headrooms, load, quiet, now)
+
     def _begin_round(self, now: float, askers: list[str]) -> PlacementRound:
         usable: list[WorkerState] = []
         absent: list[WorkerState] = []
@@ -123,13 +133,24 @@
                 if step.has_suspects
                 else WaitReason.GANG_STOPPING
             )
-        if self._crash_limits.is_held_back(step, current_round.now):
-            return WaitReason.CRASHES
+        reason = self._crash_reason(step, current_round.now)
+        if reason is not None:
+            return reason
         tasks = self._limits.within_limit(step, waiting)
         if not tasks:
             return WaitReason.ORGANISATION_LIMIT
         return self._place_step(step, tasks, current_round)
 
+    def _crash_reason(self, step: StepState, now: float) -> WaitReason | None:
+        """Return why a step that may crash its worker may not begin."""
+        if step.apart_for is not None:
+            if self._isolation.may_begin_trial(step):
+                return None
+            return WaitReason.TRIAL if step.has_suspects else WaitReason.CRASHES
+        if self._crash_limits.is_held_back(step, now):
+            return WaitReason.CRASHES
+        return None
+
     def _place_step(
         self,
         step: StepState,
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -4,9 +4,20 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.placement import is_idle
 from apricotlead.protocol.cell_config import AdvicePolicy
-from apricotlead.protocol.cell_jobs import CrashRecord, JobProgress, StepSpec
-from apricotlead.protocol.cell_workers import EndKind, OrderReply, Refusal
+from apricotlead.protocol.cell_jobs import (
+    CrashRecord,
+    JobProgress,
+    JobState,
+    StepSpec,
+)
+from apricotlead.protocol.cell_workers import (
+    AdviceAnswer,
+    EndKind,
+    OrderReply,
+    Refusal,
+)
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.cell_jobs import TaskState
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
@@ -338,6 +349,60 @@
         calls = self.rig.scheduler.plan(self.rig.now, ['peer1', 'peer2'])
         self.assertEqual(4, sum(len(each.worker_ids) for each in calls))
 
+    def test_suspect_asks_about_all_workers(self) -> None:
+        """Guards against a suspect that asks for advice worker by worker.
+
+        It asked only about the worker that was kept for it, which it mostly
+        might not use (LOST).
+        """
+        self.submit(GUILTY_ID, advice=AdvicePolicy(60, 1, 2000))
+        self.rig.scheduler.tracker.suspect(self.task(GUILTY_ID))
+        calls = self.rig.scheduler.plan(self.rig.now, ['peer1', 'peer2'])
+        self.assertEqual(4, sum(len(each.worker_ids) for each in calls))
+
+    def test_suspect_uses_the_worker_that_it_has_a_ticket_for(self) -> None:
+        """Guards against keeping one idle worker and asking about it again."""
+        self.submit(GUILTY_ID, advice=AdvicePolicy(60, 1, 2000))
+        self.rig.scheduler.tracker.suspect(self.task(GUILTY_ID))
+        calls = self.rig.scheduler.plan(self.rig.now, ['peer1', 'peer2'])
+        answer = AdviceAnswer({'w3': 'ticket'}, 2000)
+        for call in calls:
+            self.rig.scheduler.advice.answered(
+                call, answer, self.rig.now, self.rig.now
+            )
+        self.rig.round()
+        self.assertEqual('w3', self.task(GUILTY_ID).worker_id)
+
+    def test_suspects_that_live_share_a_worker(self) -> None:
+        """Guards against a whole worker for each innocent suspect.
+
+        Each kept one for as long as it had run before, beside which others
+        waited in a cell that was mostly free (LOST).
+        """
+        for job_id in (GUILTY_ID, OTHER_ID):
+            self.submit(job_id)
+            task = self.task(job_id)
+            task.crashes.longest_age_s = 5.0
+            self.rig.scheduler.tracker.suspect(task)
+            self.start(job_id)
+            self.rig.pass_time(1)
+        self.assertEqual(
+            self.task(GUILTY_ID).worker_id, self.task(OTHER_ID).worker_id
+        )
+
+    def test_run_of_a_job_that_is_over_keeps_no_trial_waiting(self) -> None:
+        """Guards against workers that are idle for two seconds after a crash."""
+        self.submit(GUILTY_ID)
+        worker_id = self.start(GUILTY_ID)
+        worker = self.rig.scheduler.tracker.workers_by_id[worker_id]
+        task = self.task(GUILTY_ID)
+        self.rig.scheduler.tracker.finish(
+            task.step.job, JobState.FAILED, self.rig.now
+        )
+        self.assertFalse(is_idle(worker))
+        task.is_confirmed = False
+        self.assertTrue(is_idle(worker))
+
     def test_gang_does_not_wait_for_ever(self) -> None:
         """A suspected gang needs more idle workers than there are."""
         self.submit(GUILTY_ID, StepSpec(4, WHOLE, gang=True))
--- a/tests/test_cell_crash_limits.py
+++ b/tests/test_cell_crash_limits.py
@@ -13,7 +13,7 @@
     held_s_by_queue,
 )
 from apricotlead.protocol.cell_config import AdvicePolicy, QueueConfig
-from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
+from apricotlead.protocol.cell_jobs import JobState, JobSubmission, StepSpec
 from apricotlead.protocol.cell_peers import Backlog
 from apricotlead.state.cell_jobs import StepState
 from apricotlead.state.wait_times import WaitReason
@@ -151,6 +151,44 @@
         self.assertFalse(self.limits.is_held_back(step, self.rig.now))
 
 
+class TestFirstTrials(LimitCase):
+    """A step whose queue crashes workers took the work beside it along."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start(12, has_crashed=True)
+        for job in tuple(self.tracker.jobs_by_id.values()):
+            self.tracker.finish(job, JobState.FAILED, self.rig.now)
+        self.other = self.step(50)
+        self.other.has_lived = True
+        self.rig.round()
+        self.first = self.step(60)
+
+    def test_first_start_is_apart_from_other_work(self) -> None:
+        self.rig.round()
+        placed_on = self.first.tasks[0].worker_id
+        self.assertNotIn(placed_on, {'', self.other.tasks[0].worker_id})
+
+    def test_other_work_runs_beside_it_once_it_has_lived(self) -> None:
+        """Guards against a worker that stays apart after the trial."""
+        self.rig.round()
+        worker = self.tracker.workers_by_id[self.first.tasks[0].worker_id]
+        self.rig.pass_time(1)
+        self.assertIsNone(worker.apart_for)
+        self.assertIsNone(self.first.apart_for)
+
+    def test_idle_workers_are_used_once_nothing_else_comes(self) -> None:
+        """Guards against steps held back without end in an idle cell (LOST)."""
+        for number in range(4, 14):
+            self.rig.workers_by_id[f'w{number}'].is_reachable = False
+            worker = self.tracker.workers_by_id[f'w{number}']
+            worker.suspected_s = self.rig.now + 60
+        self.rig.round()
+        self.assertFalse(self.first.tasks[0].is_placed)
+        self.rig.pass_time(5)
+        self.assertTrue(self.first.tasks[0].is_placed)
+
+
 class TestAdmission(LimitCase):
     """A job is rejected at once if the steps in front take too long."""
 
