Test the order of workers for trials, and when trials count

Each of the three fails if its part is taken out: workers with a valid ticket come first, a suspect that may crash at its start joins no other trial, and a trial counts for its queue once its outcome is known.

--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -373,6 +373,33 @@
         self.rig.round()
         self.assertEqual('w3', self.task(GUILTY_ID).worker_id)
 
+    def test_worker_with_a_valid_ticket_comes_first(self) -> None:
+        """Guards against asking again about a permitted worker instead."""
+        self.submit(GUILTY_ID, advice=AdvicePolicy(60, 1, 2000))
+        task = self.task(GUILTY_ID)
+        self.rig.scheduler.tracker.suspect(task)
+        advice = self.rig.scheduler.advice.advice(task.step.name)
+        advice.tickets_by_worker.update({'w1': 'expired', 'w3': 'valid'})
+        advice.expires_s.update({'w1': 0.0, 'w3': self.rig.now + 2})
+        self.rig.round()
+        self.assertEqual('w3', task.worker_id)
+
+    def test_suspect_that_may_crash_at_its_start_is_alone(self) -> None:
+        """Guards against crashes that cannot be held against one suspect.
+
+        Beside another trial, crashes that cannot be dated did not show which
+        task caused them: one had five (BUDGET).
+        """
+        for job_id in (GUILTY_ID, OTHER_ID):
+            self.submit(job_id)
+            self.rig.scheduler.tracker.suspect(self.task(job_id))
+        self.task(GUILTY_ID).crashes.longest_age_s = 5.0
+        self.start(GUILTY_ID)
+        self.rig.pass_time(1)
+        self.assertNotEqual(
+            self.task(GUILTY_ID).worker_id, self.task(OTHER_ID).worker_id
+        )
+
     def test_suspects_that_live_share_a_worker(self) -> None:
         """Guards against a whole worker for each innocent suspect.
 
--- a/tests/test_cell_crash_limits.py
+++ b/tests/test_cell_crash_limits.py
@@ -177,6 +177,16 @@
         self.assertIsNone(worker.apart_for)
         self.assertIsNone(self.first.apart_for)
 
+    def test_trial_counts_once_its_outcome_is_known(self) -> None:
+        """Guards against trials that end the limit by their mere number."""
+        risk = self.tracker.risks_by_queue['lookups']
+        self.rig.round()
+        self.assertTrue(self.first.tasks[0].is_placed)
+        share = risk.crashed_share()
+        self.rig.pass_time(1)
+        self.assertLess(risk.crashed_share(), share)
+        self.assertEqual(1, share)
+
     def test_idle_workers_are_used_once_nothing_else_comes(self) -> None:
         """Guards against steps held back without end in an idle cell (LOST)."""
         for number in range(4, 14):
