Date the loss of a worker exactly when it breaks a call

Runs of up to 0.55 s on a worker that was lost were suspected, so that workers lost in a burst limited a harmless queue and held its steps back.

Cause: the time since the latest answer was taken for one without a call. A hold is in flight for most of it, and its connection ends with the worker.

Evidence: test_run_that_lived_until_its_call_was_cut fails without the change. The tests of losses between calls pass as before.

Conclusion: the age below which a run is young grows only where the next call found nothing listening.

--- a/src/apricotlead/coordination/cell/crash_evidence.py
+++ b/src/apricotlead/coordination/cell/crash_evidence.py
@@ -156,9 +156,10 @@
 def _dating_error_s(worker: WorkerState) -> float:
     """Return how long a worker may have been down when its loss was seen.
 
-    Between two calls to a worker nothing shows that its process has ended.
+    Between two calls to a worker nothing shows that its process has ended. A
+    connection that ends under a call shows it at once.
     """
-    if not worker.is_loss_dated:
+    if not worker.is_loss_between_calls:
         return 0
     return min(_MAX_DATING_ERROR_S, worker.lost_s - worker.lease.last_contact_s)
 
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -259,8 +259,12 @@
             # Nothing was sent, so nothing is known about the worker.
             worker.forget_connection()
             return
-        is_prompt = reply.is_broken or reply.refusal is Refusal.NO_LISTENER
-        worker.note_failed_call(now, is_prompt=is_prompt)
+        is_refused = reply.refusal is Refusal.NO_LISTENER
+        worker.note_failed_call(
+            now,
+            is_prompt=reply.is_broken or is_refused,
+            is_refused=is_refused,
+        )
         if reply.refusal is Refusal.OTHER_LIFE:
             self._tracker.note('worker life over', worker=worker_id)
             self._forget(worker, Evidence.OTHER_LIFE, now)
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -27,6 +27,7 @@
     __slots__ = (
         '_failed_call_s',
         '_is_loss_prompt',
+        '_is_loss_refused',
         '_lapsed_runs',
         '_unacked_ends',
         'acked_through',
@@ -98,6 +99,7 @@
         # When the first call failed since the latest answer.
         self._failed_call_s = float('-inf')
         self._is_loss_prompt = False
+        self._is_loss_refused = False
         self.consecutive_failures = 0
         self.drain_ends_s: float | None = None
 
@@ -166,12 +168,26 @@
             return self._failed_call_s
         return self.lease.last_contact_s
 
-    def note_failed_call(self, now: float, *, is_prompt: bool) -> None:
-        """Record a failed call; ``is_prompt`` if it told at once."""
+    @property
+    def is_loss_between_calls(self) -> bool:
+        """Return whether no call was in flight when contact was lost.
+
+        The next call was refused, since nothing listened any more.
+        """
+        return self.is_loss_dated and self._is_loss_refused
+
+    def note_failed_call(
+        self, now: float, *, is_prompt: bool, is_refused: bool = False
+    ) -> None:
+        """Record a failed call; ``is_prompt`` if it told at once.
+
+        ``is_refused`` if nothing listened at the worker's address.
+        """
         self.forget_connection()
         if not self.is_contact_lost:
             self._failed_call_s = now
             self._is_loss_prompt = is_prompt
+            self._is_loss_refused = is_refused
 
     def note_answer(self, connection: int | None) -> None:
         """Record that this incarnation has answered on a connection."""
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -288,6 +288,17 @@
         self.come_back(worker_id)
         self.assertTrue(self.task(GUILTY_ID).crashes.is_suspect)
 
+    def test_run_that_lived_until_its_call_was_cut(self) -> None:
+        """Guards against blame for a loss that is dated exactly.
+
+        Runs of 0.3 and 0.45 s were suspected, and their queue was limited.
+        """
+        self.submit(GUILTY_ID)
+        self.rig.hold_all()
+        worker_id = self.start(GUILTY_ID)
+        self.lose_contact(worker_id, 0.45)
+        self.assertFalse(self.task(GUILTY_ID).step.has_crashed)
+
     def test_run_of_a_former_life(self) -> None:
         """Guards against a counted run that shows at the next crash as old."""
         self.submit(GUILTY_ID)
