Let suspects wait only for workers that will become idle

Cause: any worker in a trial was taken for one that will become idle for the step.

Evidence: test_suspects_do_not_wait_for_each_other failed before (two of eight still waited after 4 s) and passes now.

Conclusion: only kept workers without long-running work, on which the step may run, are worth waiting for.

--- a/src/apricotlead/coordination/cell/isolation.py
+++ b/src/apricotlead/coordination/cell/isolation.py
@@ -68,7 +68,7 @@
     is_quiet: bool
     # Whether it would take down what it runs beside.
     is_dangerous: bool
-    # Whether other workers will become idle, as they are in trials.
+    # Whether a worker in a trial will become idle for the step.
     has_others: bool
     waited_s: float
 
@@ -170,7 +170,7 @@
                 load.is_half_idle(service),
                 service in quiet,
                 self._is_dangerous(step),
-                workers.trial_count(step) > 0,
+                workers.has_others(step),
                 self._waited_s(step, now),
             )
             self._choose_worker(trial, workers)
--- a/src/apricotlead/coordination/cell/trial_workers.py
+++ b/src/apricotlead/coordination/cell/trial_workers.py
@@ -76,6 +76,20 @@
         """Return how many of the workers of a step are kept for trials."""
         return self._pool(step).trial_count
 
+    def has_others(self, step: StepState) -> bool:
+        """Return whether a worker in a trial will become idle for a step.
+
+        One with long-running work does not, and one that advice has ruled out
+        is of no use.
+        """
+        ruled_out = self._ruled_out(step)
+        return any(
+            worker.worker_id not in ruled_out
+            and worker.idle_capacity == worker.entry.capacity
+            and can_execute(step, worker)
+            for worker in self.kept_by_id.values()
+        )
+
     def worker_count(self, step: StepState) -> int:
         """Return how many workers a step has, those in trials included."""
         return self._pool(step).worker_count
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -339,6 +339,35 @@
         self.rig.pass_time(4)
         self.assertTrue(self.task(GUILTY_ID).is_placed)
 
+    def test_suspects_do_not_wait_for_each_other(self) -> None:
+        """Guards against trials one by one where no worker becomes idle.
+
+        The last of 12 suspects began after 13 s, with nearly all room free.
+        """
+        names = [f'w{each}' for each in range(12)]
+        self.rig = CellRig(*(ModelWorker(name) for name in names))
+        self.submit(
+            OTHER_ID,
+            StepSpec(12, SMALL, long_running=True, max_per_worker=1),
+        )
+        self.rig.round()
+        self.rig.pass_time(5)
+        for number in range(8):
+            self.submit(format(number, '016x'))
+            task = self.task(format(number, '016x'))
+            task.crashes.sole_crashes = 1
+            self.rig.scheduler.tracker.suspect(task)
+        for _ in range(16):
+            self.rig.pass_time(0.25)
+            self.rig.round()
+            self.rig.hold_all()
+        waiting = [
+            number
+            for number in range(8)
+            if self.task(format(number, '016x')).phase.value == 'waiting'
+        ]
+        self.assertEqual([], waiting)
+
     def test_suspected_gang_asks_about_all_workers(self) -> None:
         """Guards against a gang that asks for advice worker by worker.
 
