Name reads and their limits by the usual terms

Cause: the review listed names and comments that are figurative or vague.

Change: renames of constants, local names and tests, and comments. No behaviour.

--- a/src/apricotlead/transport/hedged_read.py
+++ b/src/apricotlead/transport/hedged_read.py
@@ -95,12 +95,12 @@
         self._pending_count = 0
         self._failure: StoreFailed | None = None
 
-    def run(self, is_useless: Callable[[], bool]) -> Rows | StoreFailed:
+    def run(self, should_stop: Callable[[], bool]) -> Rows | StoreFailed:
         """Return the first success, or the last failure.
 
-        Before a path is used again, ``is_useless()`` tells whether to give up.
+        Before a path is used again, ``should_stop()`` tells whether to give up.
         """
-        while not self._is_over(is_useless):
+        while not self._is_over(should_stop):
             self._begin_if_due()
             answer = self._next_answer()
             if isinstance(answer, Rows):
@@ -164,7 +164,7 @@
         self._delay_s *= _DELAY_GROWTH
         return delay_s
 
-    def _is_over(self, is_useless: Callable[[], bool]) -> bool:
+    def _is_over(self, should_stop: Callable[[], bool]) -> bool:
         """Return whether no answer can be expected any more."""
         if boot_now() >= self._ends_s:
             return True
@@ -173,7 +173,7 @@
         if not self._has_time(self._next_s):
             return True
         is_repeated = self._failure is not None and self._upcoming_try()[1] > 0
-        return is_repeated and is_useless()
+        return is_repeated and should_stop()
 
     def _has_time(self, begins_s: float) -> bool:
         return begins_s + _MIN_TRY_S <= self._ends_s
--- a/src/apricotlead/transport/read_paths.py
+++ b/src/apricotlead/transport/read_paths.py
@@ -8,16 +8,16 @@
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.store_health import StoreHealth
 
-# Then those that failed in the meantime are put last.
+# After that many peers the order is computed again, with failed peers last.
 _PEERS_PER_ROUND = 4
 # In an outage of the store each request would otherwise ask all instances.
 _MAX_ROUNDS = 2
 # A busy store refuses what peers ask for as well, but it may also turn this
-# instance away alone, so the rest of the time is for peers.
+# this instance alone, so the rest of the time is for peers.
 _BUSY_SHARE = 0.6
 
 
-def relays_busy_s(began_s: float, ends_s: float) -> float:
+def busy_relay_begins_s(began_s: float, ends_s: float) -> float:
     """Return when calls that a busy store refuses are also relayed.
 
     They belong to a request that began at ``began_s`` and ends at ``ends_s``.
@@ -32,7 +32,7 @@
         '_health',
         '_is_first',
         '_peer_order',
-        '_relays_busy_s',
+        '_busy_relay_s',
         '_round',
         '_round_count',
         '_tried',
@@ -42,12 +42,12 @@
         self,
         health: StoreHealth,
         peer_order: Callable[[], list[str]],
-        relays_s: float,
+        busy_relay_s: float,
     ) -> None:
-        """Choose peers for what a busy store refuses only after ``relays_s``."""
+        """Choose peers for what a busy store refuses only after ``busy_relay_s``."""
         self._health = health
         self._peer_order = peer_order
-        self._relays_busy_s = relays_s
+        self._busy_relay_s = busy_relay_s
         self._is_first = True
         self._round: deque[str] = deque()
         self._round_count = 0
@@ -64,7 +64,7 @@
         is_busy = (
             failure is not None
             and failure.is_busy
-            and boot_now() < self._relays_busy_s
+            and boot_now() < self._busy_relay_s
         )
         is_direct = self._is_first or is_busy
         self._is_first = False
--- a/src/apricotlead/transport/relayed_row.py
+++ b/src/apricotlead/transport/relayed_row.py
@@ -21,7 +21,7 @@
 class RelayedRow:
     """Keeps a row current through peers when it has grown old.
 
-    Pattern: the store turns some instances away. Without the configuration
+    Pattern: the store refuses some instances. Without the configuration
     they would refuse their callers, though peers reach the store.
     """
 
--- a/src/apricotlead/transport/store_health.py
+++ b/src/apricotlead/transport/store_health.py
@@ -14,7 +14,7 @@
 _LOST_AFTER_S = 1.3
 # The rates count the calls of a second, so a store that is busy for all
 # instances answers some calls of each within that time.
-_TURNED_AWAY_AFTER_S = 1.2
+_REFUSED_AFTER_S = 1.2
 
 
 class StoreHealth:
@@ -73,11 +73,11 @@
     def should_relay(self) -> bool:
         """Return whether peers may reach the store better.
 
-        The store may also turn single instances away as if it were busy.
+        The store may also refuse a single instance as if it were busy.
         """
         since_s = self._busy_since_s
         return self.is_failing() or (
-            since_s is not None and boot_now() - since_s > _TURNED_AWAY_AFTER_S
+            since_s is not None and boot_now() - since_s > _REFUSED_AFTER_S
         )
 
     def is_failing(self) -> bool:
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -24,7 +24,7 @@
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.hedged_read import ExtraTries, HedgedRead
 from apricotlead.transport.peer_choice import PeerChoice
-from apricotlead.transport.read_paths import ReadPaths, relays_busy_s
+from apricotlead.transport.read_paths import ReadPaths, busy_relay_begins_s
 from apricotlead.transport.store_health import StoreHealth
 
 _MIN_CALL_TIMEOUT_S = 0.1
@@ -34,7 +34,7 @@
 _RETRY_S = 0.05
 # A peer that takes longer presumably cannot reach the store either.
 _RELAY_TIMEOUT_S = 0.6
-# Network round trip to an instance, which it deducts from its asker's time.
+# Network round trip to an instance, which deducts it from the time of the calling one.
 _HOP_S = 0.05
 # In an outage of the store each write would otherwise go to all instances.
 _MAX_PEERS = 8
@@ -102,13 +102,13 @@
         is_outcome_unknown = False
         tries = tries or StoreTries()
         busy = Backoff()
-        relays_s = relays_busy_s(tries.began_s, ends_s)
+        busy_relay_s = busy_relay_begins_s(tries.began_s, ends_s)
         for attempt_count in count(1):
             answer = self.transact(
                 transaction,
                 ends_s - boot_now(),
                 tries,
-                relays_busy=boot_now() >= relays_s,
+                relays_busy=boot_now() >= busy_relay_s,
             )
             if not isinstance(answer, StoreFailed):
                 return answer
@@ -135,8 +135,8 @@
         Its calls are added to ``tries``.
         """
         tries = tries or StoreTries()
-        relays_s = relays_busy_s(tries.began_s, ends_s)
-        paths = ReadPaths(self._health, self._peer_order, relays_s)
+        busy_relay_s = busy_relay_begins_s(tries.began_s, ends_s)
+        paths = ReadPaths(self._health, self._peer_order, busy_relay_s)
         read = HedgedRead(
             partial(self._read_through, key, ends_s, tries),
             paths,
@@ -259,8 +259,8 @@
         caller may succeed at once at another instance.
         """
         peer_count = min(len(self._peers.addresses()), _MAX_PEERS)
-        is_hopeless = self._health.is_lost() and attempt_count >= peer_count
-        return is_hopeless or not _has_time(ends_s)
+        has_no_path = self._health.is_lost() and attempt_count >= peer_count
+        return has_no_path or not _has_time(ends_s)
 
     def _transact_directly(
         self,
--- a/tests/test_state_answers.py
+++ b/tests/test_state_answers.py
@@ -369,8 +369,8 @@
         self.assertIsInstance(instance.relay.serve(call), StoreFailed)
         return boot_now() - began_s
 
-    # Guards against a call that goes on when its asker has given up.
-    def test_call_ends_within_the_time_of_its_asker(self) -> None:
+    # Guards against a call that goes on when the calling instance has given up.
+    def test_call_ends_within_the_time_of_the_calling_instance(self) -> None:
         for transaction in (None, CANCEL):
             call = RelayedCall(transaction, JOB_KEY, 0.4)
             self.assertLess(self.serve(call), 0.4)
@@ -388,8 +388,8 @@
         instance.relay.serve(RelayedCall(key=JOB_KEY))
         self.assertTrue(instance.health.is_failing())
 
-    # Guards against an asker that leaves its peer without the time.
-    def test_asker_sends_the_time_that_is_left(self) -> None:
+    # Guards against a call that leaves its peer without the time.
+    def test_call_carries_the_time_that_is_left(self) -> None:
         peers = VirtualPeers(p1=VirtualStore(STARTED))
         instance = VirtualInstance(
             VirtualStore(STARTED, always(REFUSES)), peers
@@ -466,27 +466,27 @@
     """A call that was given little time says nothing about the store."""
 
     # Guards against an instance that relays because its callers hurry.
-    def test_slow_answer_to_a_hurried_caller(self) -> None:
+    def test_slow_answer_to_a_caller_with_a_short_wait(self) -> None:
         store = VirtualStore(STARTED, answer_s=0.2)
         instance = VirtualInstance(store)
         self.assert_unavailable(instance.status(0.3), 0.3)
         self.assertFalse(instance.health.is_failing())
 
-    # Guards against a peer that refuses calls because its asker hurries.
-    def test_slow_answer_to_a_hurried_peer(self) -> None:
+    # Guards against a peer that refuses calls because the calling instance has little time.
+    def test_slow_answer_to_a_peer_with_a_short_limit(self) -> None:
         instance = VirtualInstance(VirtualStore(STARTED, answer_s=0.2))
         instance.relay.serve(RelayedCall(key=JOB_KEY, timeout_s=0.15))
         self.assertFalse(instance.health.is_failing())
 
     # Guards against a slow write that makes an instance relay its calls.
-    def test_slow_answer_to_a_hurried_write(self) -> None:
+    def test_slow_answer_to_a_write_with_a_short_limit(self) -> None:
         instance = VirtualInstance(VirtualStore(STARTED, answer_s=0.2))
         instance.health.write_timeout.answered(0.2)
         self.assertIsNone(instance.relay.transact(CANCEL, 0.15).applied)
         self.assertFalse(instance.health.is_failing())
 
     # Guards against a refusal that is overlooked because of a short limit.
-    def test_refusal_to_a_hurried_caller(self) -> None:
+    def test_refusal_to_a_caller_with_a_short_wait(self) -> None:
         instance = VirtualInstance(VirtualStore(STARTED, always(REFUSES)))
         instance.status(0.3)
         self.assertTrue(instance.health.is_failing())
--- a/tests/test_unanswered_state_review.py
+++ b/tests/test_unanswered_state_review.py
@@ -160,7 +160,7 @@
         self.assertFalse(instance.health.is_lost())
 
 
-class TestHurriedRelay(VirtualTimeCase):
+class TestRelayWithAShortLimit(VirtualTimeCase):
     """A peer's missing answer within a short limit is no failure of it."""
 
     # Guards against peers that are left out since one caller had no time.
