--- a/src/apricotlead/transport/read_paths.py
+++ b/src/apricotlead/transport/read_paths.py
@@ -12,8 +12,8 @@
 _PEERS_PER_ROUND = 4
 # In an outage of the store each request would otherwise ask all instances.
 _MAX_ROUNDS = 2
-# A busy store refuses what peers ask for as well, but it may also turn this
-# this instance alone, so the rest of the time is for peers.
+# A busy store refuses what peers ask for as well, but it may also refuse this
+# instance alone, so the rest of the time is for peers.
 _BUSY_SHARE = 0.6
 
 
