Log the age of silent connections, refusals without configuration, full servers

Ruled out: a gauge of open connections; the gauges of an instance are dropped with its term, and a line when the limit is reached tells enough.

Before and after: the three tests fail without the lines. No decision changes.

--- a/src/apricotlead/transport/cell_request_handler.py
+++ b/src/apricotlead/transport/cell_request_handler.py
@@ -56,6 +56,7 @@
 _RETRY_AFTER_S = 1.0
 _DEFAULT_MAX_BODY_BYTES = 262144
 _NO_ORGANISATION = ''
+_LOG_DIGITS = 3
 
 
 class SchedulerContact(Protocol):
@@ -154,6 +155,9 @@
         view = self._fresh_view()
         if view is None:
             self._metrics.count('cell_view_stale')
+            self._log(
+                'configuration too old', path=path, age_s=self._view_age_s()
+            )
             raise StaleView('This instance has no recent configuration.')
         queue = view.match_queue(host.partition(':')[0], path)
         if queue is None:
@@ -292,6 +296,12 @@
             return _store_unreachable(answer)
         return Done()
 
+    def _view_age_s(self) -> float | None:
+        """Return the age of the configuration, ``None`` if there is none."""
+        if self.view is None:
+            return None
+        return round(boot_now() - self.view.read_s, _LOG_DIGITS)
+
     def _fresh_view(self) -> CellConfigView | None:
         view = self.view
         if view is None or boot_now() - view.read_s > self._max_view_age_s:
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from apricotlead.protocol.addresses import InvalidAddress, split_address
+from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.http_messages import (
     InvalidHeader,
     ResponseReader,
@@ -35,6 +36,7 @@
 _READ_BYTES = 65536
 _RETRY_HEADER = 'retry-after'
 _MAX_RETRY_AFTER_S = 600.0
+_LOG_DIGITS = 3
 
 
 class HttpCall(Struct, frozen=True):
@@ -116,14 +118,25 @@
 
 
 class _Connection:
-    """An open connection; ``number`` tells it from all others of the pool."""
+    """An open connection; ``number`` tells it from all others of the pool.
 
-    __slots__ = ('number', 'socket')
+    ``answered_s`` is when its last answer was complete, ``None`` before.
+    """
+
+    __slots__ = ('answered_s', 'number', 'socket')
 
     def __init__(self, number: int, connected: Any) -> None:
         """Use a connected socket."""
         self.number = number
         self.socket = connected
+        self.answered_s: float | None = None
+
+    def describe(self, now: float) -> str:
+        """Return whether it was kept from an earlier call, and for how long."""
+        if self.answered_s is None:
+            return 'a new connection'
+        kept_s = round(now - self.answered_s, 1)
+        return f'a connection kept for {kept_s} s'
 
     def is_readable(self) -> bool:
         """Return whether it was closed or has unread data while idle."""
@@ -209,6 +222,7 @@
         """Keep a connection for later calls if there is room for it."""
         if self.is_closed or len(self.idle_by_number) >= max_idle:
             return False
+        connection.answered_s = boot_now()
         self.idle_by_number[connection.number] = connection
         return True
 
@@ -305,15 +319,18 @@
     def _call_in_time(self, request: HttpCall, host: _Host) -> HttpResult:
         timer = eventlet.Timeout(request.timeout_s)
         try:
-            return self._call(request, host)
+            return self._call(request, host, timer)
         except eventlet.Timeout as timeout:
             if timeout is not timer:
                 raise
-            return NoAnswer(f'no answer within {request.timeout_s} s')
+            limit_s = round(request.timeout_s, _LOG_DIGITS)
+            return NoAnswer(f'no connection within {limit_s} s')
         finally:
             timer.cancel()
 
-    def _call(self, request: HttpCall, host: _Host) -> HttpResult:
+    def _call(
+        self, request: HttpCall, host: _Host, timer: eventlet.Timeout
+    ) -> HttpResult:
         try:
             encoded = encode_request(
                 request.method,
@@ -338,7 +355,7 @@
                     isinstance(error, ConnectionRefusedError),
                 )
             host.add(connection)
-        return self._exchange(request, host, connection, encoded)
+        return self._exchange(request, host, connection, encoded, timer)
 
     def _exchange(
         self,
@@ -346,11 +363,19 @@
         host: _Host,
         connection: _Connection,
         encoded: bytes,
+        timer: eventlet.Timeout,
     ) -> HttpResult:
         reader = ResponseReader()
         may_reuse = False
+        sent_s = boot_now()
         try:
             may_reuse = connection.send_and_receive(encoded, reader)
+        except eventlet.Timeout as timeout:
+            if timeout is not timer:
+                raise
+            limit_s = round(request.timeout_s, _LOG_DIGITS)
+            kind = connection.describe(sent_s)
+            return NoAnswer(f'no answer within {limit_s} s on {kind}')
         except (OSError, EOFError, HttpParserError) as error:
             return NoAnswer(
                 f'{request.address}: {error!r}',
--- a/src/apricotlead/transport/serving.py
+++ b/src/apricotlead/transport/serving.py
@@ -7,12 +7,13 @@
 from typing import Any
 
 import eventlet
-from eventlet import GreenPile, wsgi
+from eventlet import GreenPile, GreenPool, wsgi
 from eventlet.event import Event
 
 from apricotlead.protocol.addresses import split_address
 
 ACCEPT_FAILED = 'accept failed'
+AT_LIMIT = 'connection limit reached'
 _MAX_ACCEPT_POLLS = 1000
 # Connections that may wait while the loop is busy. The system drops further ones
 # silently, and their callers try again only after a second. It may lower this.
@@ -30,11 +31,16 @@
     callers.
     """
 
-    __slots__ = ('_log', '_socket')
+    __slots__ = ('_address', '_is_at_limit', '_log', '_socket', '_workers')
 
-    def __init__(self, listener: Any, log: Callable[..., Any]) -> None:
-        """Accept from ``listener``."""
+    def __init__(
+        self, listener: Any, workers: GreenPool, log: Callable[..., Any]
+    ) -> None:
+        """Accept from ``listener``; ``workers`` serve the connections."""
         self._socket = listener
+        self._address = '{}:{}'.format(*listener.getsockname())
+        self._workers = workers
+        self._is_at_limit = False
         self._log = log
 
     def __getattr__(self, name: str) -> Any:
@@ -43,6 +49,7 @@
 
     def accept(self) -> Any:
         """Return the next connection; raise only if the socket is closed."""
+        self._log_limit()
         while True:
             try:
                 return self._socket.accept()
@@ -52,6 +59,13 @@
                 self._log(ACCEPT_FAILED, why=str(error))
             eventlet.sleep(_ACCEPT_RETRY_S)
 
+    def _log_limit(self) -> None:
+        """Log when the next connection will wait until another one ends."""
+        was_at_limit = self._is_at_limit
+        self._is_at_limit = self._workers.free() <= 0
+        if self._is_at_limit and not was_at_limit:
+            self._log(AT_LIMIT, address=self._address, most=self._workers.size)
+
 
 class HttpServer:
     """Serves a WSGI application in the background until it is stopped."""
@@ -67,17 +81,19 @@
     ) -> None:
         """Listen on ``address`` (``IP:port``, port 0 for any free one).
 
-        ``log(kind, **fields)`` logs failed accepts.
+        ``log(kind, **fields)`` logs failed accepts, and that the limit of
+        ``max_connections`` is reached.
         """
         listener = eventlet.listen(
             split_address(address), backlog=_MAX_WAITING_CONNECTIONS
         )
-        self._listener = _ResilientListener(listener, log)
+        workers = GreenPool(max_connections)
+        self._listener = _ResilientListener(listener, workers, log)
         eventlet.spawn_n(
             wsgi.server,
             self._listener,
             application,
-            max_size=max_connections,
+            custom_pool=workers,
             log_output=False,
             debug=False,
         )
--- a/tests/test_answer_log.py
+++ b/tests/test_answer_log.py
@@ -6,16 +6,24 @@
 from testtools import TestCase
 
 from apricotlead.protocol.cell_jobs import JobReport, JobState
-from apricotlead.protocol.errors import NoSuchJob, StoreUnreachable
+from apricotlead.protocol.errors import (
+    NoSuchJob,
+    StaleView,
+    StoreUnreachable,
+)
 from apricotlead.protocol.outcomes import Done, NotRun, Outcome
 from apricotlead.protocol.table import Rows, StoreFailed
+from apricotlead.state.cell_config_view import CellConfigView
 from apricotlead.transport.answer_log import (
     DIRECT,
     AnswerLog,
     Question,
     StoreTries,
 )
+from apricotlead.transport.boot_clock import boot_now
+from tests.cell_rig import cell_config
 from tests.virtual_clock import virtual_clock
+from tests.virtual_store import VirtualInstance, VirtualStore
 
 RUNNING = Done(JobReport(JobState.RUNNING))
 QUESTION = Question('state', 'lookups', '5c0e7a21d94b36f8', 3)
@@ -125,3 +133,30 @@
         suppressed = [fields['suppressed'] for _, fields in self.lines]
         self.assertEqual([0, 0, 0, 0, 0, 95], suppressed)
         self.assertEqual(101, self.counts.by_name['cell_state_unanswered'])
+
+
+class TestRequestsWithoutConfiguration(TestCase):
+    """A refusal for want of a configuration left no line, only a count."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = self.enterContext(virtual_clock())
+        self.instance = VirtualInstance(VirtualStore({}))
+        self.handler = self.instance.request_handler
+
+    def assert_refused(self, age_s: float | None) -> None:
+        self.assertRaises(
+            StaleView, self.handler.authorise, 'host', '/lookups/1', 'key'
+        )
+        fields = {'path': '/lookups/1', 'age_s': age_s}
+        self.assertEqual(
+            ('configuration too old', fields), self.instance.lines[-1]
+        )
+
+    def test_none_was_read_yet(self) -> None:
+        self.assert_refused(None)
+
+    def test_not_confirmed_for_too_long(self) -> None:
+        self.handler.view = CellConfigView(cell_config(), boot_now())
+        eventlet.sleep(5)
+        self.assert_refused(5)
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -154,6 +154,13 @@
         call = HttpCall('GET', self.server.address, '/fast', b'', headers)
         self.assertIsInstance(self.pool.call(call), NoAnswer)
 
+    def test_reason_names_the_age_of_the_connection(self):
+        """Kept connections may have gone silent; the log did not show it."""
+        for kind in ('a new connection', 'a connection kept for 0.0 s'):
+            reply = self.get('/late', 0.05)
+            self.assertEqual(f'no answer within 0.05 s on {kind}', reply.reason)
+            self.get('/fast')
+
     def test_connection_is_reused_after_a_complete_answer(self):
         """Guards against a new connection for each call."""
         bodies = {self.get('/fast').body for _ in range(5)}
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -8,7 +8,11 @@
 from testtools import TestCase
 
 from apricotlead.transport import serving
-from apricotlead.transport.serving import ACCEPT_FAILED, HttpServer
+from apricotlead.transport.serving import (
+    ACCEPT_FAILED,
+    AT_LIMIT,
+    HttpServer,
+)
 
 green_urllib3 = import_patched('urllib3')
 LISTEN = eventlet.listen
@@ -96,6 +100,27 @@
             self.assertEqual(0, error, number)
 
 
+class TestConnectionLimit(TestCase):
+    """An instance at its limit of connections showed nothing in its log."""
+
+    def test_limit_is_logged_once(self):
+        logged = []
+        server = HttpServer(
+            '127.0.0.1:0',
+            _answer,
+            2,
+            lambda kind, **fields: logged.append((kind, fields)),
+        )
+        self.addCleanup(server.stop)
+        host, _, port = server.address.partition(':')
+        for _ in range(4):
+            connection = socket.create_connection((host, int(port)), _CONNECT_S)
+            self.addCleanup(connection.close)
+            eventlet.sleep(0.02)
+        fields = {'address': server.address, 'most': 2}
+        self.assertEqual([(AT_LIMIT, fields)], logged)
+
+
 def _ignore(kind, **fields):
     """Drop a log line."""
 
