Show states that are not answered on connections that went silent

A pool keeps up to 16 connections to the store. Where they go silent without a reset, each call takes the one used last, waits for its whole time limit, and closes this one only; a new connection, which would be answered at once, is made when none is left.

Ruled out: that extra tries and peers make up for it. They use kept connections, too, and those of the peers went silent as well.

Before and after: in virtual time, through the request handler, the relay, the store's and the peers' clients and the pool.

Conclusion: reproduced in a model; whether it is what the operators saw is not shown.

--- /dev/null
+++ b/tests/virtual_network.py
@@ -0,0 +1,173 @@
+"""A network in virtual time, whose open connections may go silent.
+
+A silent connection neither delivers anything nor is reset; new connections
+work. Use it within :func:`tests.virtual_clock.virtual_clock`.
+"""
+
+import json
+import os
+from base64 import b64encode
+from collections.abc import Callable
+from io import BytesIO
+from typing import Any
+from unittest import mock
+from urllib.parse import parse_qs, urlsplit
+
+import eventlet
+from eventlet.queue import LightQueue
+
+from apricotlead.transport.http_pool import HttpCall
+
+HOP_S = 0.004
+STORE_ANSWER_S = 0.004
+_STORE_VERSION = 7
+_MS_PER_S = 1000.0
+
+# Answers ``method, target, body`` with a status and a body.
+Host = Callable[[str, str, bytes], tuple[int, bytes]]
+
+
+class VirtualSocket:
+    """The client's end of a connection to a host."""
+
+    def __init__(self, network: 'VirtualNetwork', host: Host) -> None:
+        """Connect to ``host``."""
+        self._network = network
+        self._host = host
+        self._received: LightQueue = LightQueue()
+        self.is_silent = False
+        self.is_open = True
+
+    def fileno(self) -> int:
+        """Return a descriptor that is never readable."""
+        return self._network.idle_descriptor
+
+    def sendall(self, request: bytes) -> None:
+        """Send a whole request."""
+        eventlet.spawn_n(self._answer, request)
+
+    def recv(self, most: int) -> bytes:
+        """Wait for the next bytes."""
+        return self._received.get()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.is_open = False
+
+    def _answer(self, request: bytes) -> None:
+        if self.is_silent:
+            return
+        head, _, body = request.partition(b'\r\n\r\n')
+        method, target, _ = head.decode().split('\r\n')[0].split(' ')
+        eventlet.sleep(HOP_S)
+        status, content = self._host(method, target, body)
+        eventlet.sleep(HOP_S)
+        if not self.is_silent:
+            length = len(content)
+            self._received.put(
+                f'HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n'.encode()
+                + content
+            )
+
+
+class VirtualNetwork:
+    """Hosts by address, and the connections to them."""
+
+    def __init__(self) -> None:
+        """Start without hosts; :meth:`join` lets pools connect through it."""
+        self.hosts_by_address: dict[str, Host] = {}
+        self.sockets: list[VirtualSocket] = []
+        ends = os.pipe()
+        self._ends = ends
+        self.idle_descriptor = ends[0]
+
+    def join(self, test: Any) -> None:
+        """Connect all pools through this network until ``test`` ends."""
+        test.enterContext(
+            mock.patch(
+                'apricotlead.transport.http_pool._connect', self._connect
+            )
+        )
+        for end in self._ends:
+            test.addCleanup(os.close, end)
+
+    def silence(self) -> None:
+        """Let all open connections go silent."""
+        for connected in self.sockets:
+            connected.is_silent = True
+
+    def open_count(self) -> int:
+        """Return how many connections their clients have not closed."""
+        return sum(connected.is_open for connected in self.sockets)
+
+    def _connect(self, request: HttpCall) -> VirtualSocket:
+        eventlet.sleep(2 * HOP_S)
+        host = self.hosts_by_address[request.address]
+        connected = VirtualSocket(self, host)
+        self.sockets.append(connected)
+        return connected
+
+
+class StoreHost:
+    """The store's reads, its feed without changes, and writes that succeed."""
+
+    def __init__(self, values_by_key: dict[str, Any]) -> None:
+        """Hold rows by ``table/part/name``."""
+        self.values_by_key = values_by_key
+        self.answer_s = STORE_ANSWER_S
+
+    def __call__(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        """Answer a call."""
+        parts = urlsplit(target)
+        query_values = parse_qs(parts.query, keep_blank_values=True)
+        query = {name: each[0] for name, each in query_values.items()}
+        wait_s = float(query.get('WaitMs', 0)) / _MS_PER_S
+        eventlet.sleep(max(self.answer_s, wait_s))
+        answer = {'Ver': _STORE_VERSION, 'NowMs': 5.0, 'rows': []}
+        if parts.path == '/api/rows-get':
+            answer['rows'] = [
+                _encode_row(key, value)
+                for key, value in sorted(self.values_by_key.items())
+                if _is_asked_for(key, query)
+            ]
+        return 200, json.dumps(answer).encode()
+
+
+def wsgi_host(application: Any) -> Host:
+    """Serve a WSGI application as a host."""
+
+    def answer(method: str, target: str, body: bytes) -> tuple[int, bytes]:
+        statuses: list[str] = []
+        environ = {
+            'REQUEST_METHOD': method,
+            'PATH_INFO': target,
+            'CONTENT_LENGTH': str(len(body)),
+            'wsgi.input': BytesIO(body),
+        }
+        content = application(
+            environ, lambda status, headers: statuses.append(status)
+        )
+        return int(statuses[0].partition(' ')[0]), b''.join(content)
+
+    return answer
+
+
+def _is_asked_for(key: str, query: dict[str, str]) -> bool:
+    table, part, name = key.split('/', 2)
+    if (table, part) != (query['Table'], query['part']):
+        return False
+    end = query.get('To')
+    return query.get('From', '') <= name and (end is None or name < end)
+
+
+def _encode_row(key: str, value: Any) -> dict[str, Any]:
+    table, part, name = key.split('/', 2)
+    return {
+        'Table': table,
+        'part': part,
+        'Key': name,
+        'Value': b64encode(json.dumps(value).encode()).decode(),
+        'Ver': _STORE_VERSION,
+    }
