Close kept connections that may have failed together with one

Cause: callers were refused though the store answered every new connection. A pool that lost a call on a kept connection closed this one only, so each further connection of the same age cost another call its whole time limit: with 16 of them, up to 3 at a time, no read succeeded within 3 s, and the configuration was not confirmed for 10 s. The same holds for connections that are reset when they are used, after the other process was restarted.

Ruled out: closing all kept connections. Those that have answered since the failed call was sent work; in an outage that loses single answers they are the ones in use. A call on a new connection says nothing about kept ones.

Conclusion: the first call that fails on a kept connection is the last one of its age, for every user of the pool: store, peers, workers, advice.

--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -218,6 +218,21 @@
         self.open_numbers.discard(connection.number)
         _close(connection.socket)
 
+    def discard_suspects(self, failed: _Connection, sent_s: float) -> None:
+        """Close kept connections that may have failed together with one.
+
+        A device on the path may forget all idle connections at once, without
+        a reset, so each of them would cost a call its whole time limit. Those
+        that have answered since ``sent_s``, when the failed call was sent,
+        work. A call on a new connection says nothing about kept ones.
+        """
+        if failed.answered_s is None:
+            return
+        for number, connection in tuple(self.idle_by_number.items()):
+            if connection.answered_s <= sent_s:
+                self.idle_by_number.pop(number)
+                self.discard(connection)
+
     def return_idle(self, connection: _Connection, max_idle: int) -> bool:
         """Keep a connection for later calls if there is room for it."""
         if self.is_closed or len(self.idle_by_number) >= max_idle:
@@ -239,7 +254,8 @@
 
     A connection is returned to the pool only after a complete answer was read
     from it. After a timeout or an error it is closed, so that a late answer is
-    never taken for the answer to another request.
+    never taken for the answer to another request. If it was kept from an
+    earlier call, idle ones that have not answered since are closed as well.
     """
 
     __slots__ = (
@@ -373,10 +389,12 @@
         except eventlet.Timeout as timeout:
             if timeout is not timer:
                 raise
+            host.discard_suspects(connection, sent_s)
             limit_s = round(request.timeout_s, _LOG_DIGITS)
             kind = connection.describe(sent_s)
             return NoAnswer(f'no answer within {limit_s} s on {kind}')
         except (OSError, EOFError, HttpParserError) as error:
+            host.discard_suspects(connection, sent_s)
             return NoAnswer(
                 f'{request.address}: {error!r}',
                 isinstance(error, (OSError, EOFError)),
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -17,6 +17,7 @@
 from apricotlead.protocol.cell_jobs import JobReport, JobState
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.outcomes import Done
+from apricotlead.protocol.table import StoreFailed
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_peers import PeerApplication, PeerClient
 from apricotlead.transport.http_pool import HttpPool
@@ -176,6 +177,18 @@
         self.assertEqual([], [each for each in silent if each.is_open])
 
 
+class TestConnectionsOfAFormerProcess(SilentNetworkCase):
+    """Connections to a process that was restarted are reset when used."""
+
+    # Guards against a failed call for each connection that was kept.
+    def test_one_call_fails(self) -> None:
+        instance = self.start(1)[0]
+        self.network.restart_hosts()
+        answers = [instance.store.read_row(JOB_KEY) for _ in range(8)]
+        failures = [each for each in answers if isinstance(each, StoreFailed)]
+        self.assertEqual(1, len(failures))
+
+
 class TestConfigurationOnSilentConnections(SilentNetworkCase):
     """The configuration is confirmed before keys are refused."""
 
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -8,6 +8,7 @@
 import os
 from base64 import b64encode
 from collections.abc import Callable
+from errno import ECONNRESET
 from io import BytesIO
 from typing import Any
 from unittest import mock
@@ -36,6 +37,7 @@
         self._host = host
         self._received: LightQueue = LightQueue()
         self.is_silent = False
+        self.is_broken = False
         self.is_open = True
 
     def fileno(self) -> int:
@@ -44,6 +46,8 @@
 
     def sendall(self, request: bytes) -> None:
         """Send a whole request."""
+        if self.is_broken:
+            raise ConnectionResetError(ECONNRESET, 'reset')
         eventlet.spawn_n(self._answer, request)
 
     def recv(self, most: int) -> bytes:
@@ -96,9 +100,10 @@
         for connected in self.sockets:
             connected.is_silent = True
 
-    def open_count(self) -> int:
-        """Return how many connections their clients have not closed."""
-        return sum(connected.is_open for connected in self.sockets)
+    def restart_hosts(self) -> None:
+        """Let all open connections be reset once they are used."""
+        for connected in self.sockets:
+            connected.is_broken = True
 
     def _connect(self, request: HttpCall) -> VirtualSocket:
         eventlet.sleep(2 * HOP_S)
