Use no kept connection beside one whose answer is overdue

Cause: a caller who waits 0.85 s was refused while all kept connections were silent. The extra tries of a read, which are there for a lost answer, took the next kept connections, which were as old; the first one told the others from working ones only at the end of its time limit.

Ruled out: a new connection for each extra try only. Other callers' first tries would still take silent connections until the first limit has passed, and each client and fake would need to tell an extra try from a first one.

Conclusion: calls to the store and to peers say after what time an answer is overdue (0.2 s, beyond the wait of a long poll). From then on kept connections that have not answered since are closed instead of used. Calls whose answers take as long as their work do not say so, and keep theirs.

--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -34,6 +34,8 @@
 _MS_PER_S = 1000
 _CALL_TIMEOUT_S = 1.0
 _LONG_POLL_MARGIN_S = 0.8
+# A healthy store answers in 20 ms, also to another zone in 0.1 s.
+_OVERDUE_S = 0.2
 _PAGE_ROWS = 500
 _RETRY_S = 0.1
 
@@ -114,6 +116,7 @@
                 '/api/rows-tx',
                 _encoder.encode(body),
                 timeout_s=timeout_s,
+                overdue_s=_OVERDUE_S,
             ),
         )
         decoded = _decode_answer(answer, (200, 412))
@@ -167,7 +170,7 @@
             'WaitMs': int(wait_s * _MS_PER_S),
         }
         answer = self._get(
-            '/api/rows-feed', query, wait_s + _LONG_POLL_MARGIN_S
+            '/api/rows-feed', query, wait_s + _LONG_POLL_MARGIN_S, wait_s
         )
         if _http_status(answer) == 410:
             return Changes(history_lost=True)
@@ -210,13 +213,16 @@
         path: str,
         query: dict[str, Any],
         timeout_s: float,
+        wait_s: float = 0,
     ) -> HttpResult:
+        """Read; the store may wait for changes for up to ``wait_s``."""
         return self._pool.call(
             HttpCall(
                 'GET',
                 self._address,
                 f'{path}?{urlencode(query)}',
                 timeout_s=timeout_s,
+                overdue_s=wait_s + _OVERDUE_S,
             ),
         )
 
--- a/src/apricotlead/transport/cell_peers.py
+++ b/src/apricotlead/transport/cell_peers.py
@@ -33,6 +33,8 @@
 _NOTICE_TIMEOUT_S = 0.5
 # A peer is told the time that is left in milliseconds.
 _TIMEOUT_DIGITS = 3
+# A peer answers in 50 ms, with what a healthy store takes for its call.
+_OVERDUE_S = 0.2
 
 _status_decoder = msgspec.json.Decoder(SchedulerStatus)
 _follower_decoder = msgspec.json.Decoder(FollowerCall)
@@ -67,6 +69,7 @@
                 _STATUS_PATH,
                 _encoder.encode(call),
                 timeout_s=timeout_s,
+                overdue_s=call.hold_s + _OVERDUE_S,
             ),
         )
         return _decode(answer, _status_decoder)
@@ -81,6 +84,7 @@
                 _JOB_PATH,
                 _encoder.encode(notice),
                 timeout_s=_NOTICE_TIMEOUT_S,
+                overdue_s=_OVERDUE_S,
             ),
         )
         return isinstance(answer, Answered) and answer.status == 200
@@ -99,6 +103,7 @@
                 _STORE_PATH,
                 _encoder.encode(_timed(call, timeout_s)),
                 timeout_s=timeout_s,
+                overdue_s=_OVERDUE_S,
             ),
         )
         return _decode(answer, _store_decoder)
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -45,6 +45,10 @@
     ``path`` is percent-encoded by the caller. Where the connections of a host
     are limited, the call first waits up to ``queue_s`` for one of them.
 
+    An answer that takes longer than ``overdue_s``, if given, may be lost, and
+    with it all kept connections: later calls then use none that have not answered
+    since.
+
     With ``connection`` the call is sent on the open connection of that number
     or not at all. A connection ends with the process at its other end, so such
     a call reaches no later process at the same address.
@@ -57,6 +61,7 @@
     headers: dict[str, str] = {}
     timeout_s: float = 2.0
     queue_s: float = 1.0
+    overdue_s: float | None = None
     connection: int | None = None
 
 
@@ -131,6 +136,11 @@
         self.socket = connected
         self.answered_s: float | None = None
 
+    @property
+    def is_kept(self) -> bool:
+        """Return whether it has answered an earlier call."""
+        return self.answered_s is not None
+
     def describe(self, now: float) -> str:
         """Return whether it was kept from an earlier call, and for how long."""
         if self.answered_s is None:
@@ -158,13 +168,22 @@
     ``permits`` limits how many calls use a connection at a time, ``None``
     without a limit. A call takes an idle connection first, so the limit also
     holds for the connections that are open. ``open_numbers`` has those that
-    are idle and those in use.
+    are idle and those in use. ``awaited_by_number`` has the calls on kept
+    connections whose answers may become overdue: when each was sent, and when
+    its answer is overdue.
     """
 
-    __slots__ = ('idle_by_number', 'is_closed', 'open_numbers', 'permits')
+    __slots__ = (
+        'awaited_by_number',
+        'idle_by_number',
+        'is_closed',
+        'open_numbers',
+        'permits',
+    )
 
     def __init__(self, max_connections: int | None) -> None:
         """Start without connections."""
+        self.awaited_by_number: dict[int, tuple[float, float]] = {}
         self.idle_by_number: dict[int, _Connection] = {}
         self.open_numbers: set[int] = set()
         self.is_closed = False
@@ -218,21 +237,61 @@
         self.open_numbers.discard(connection.number)
         _close(connection.socket)
 
-    def discard_suspects(self, failed: _Connection, sent_s: float) -> None:
+    def discard_overdue(self, now: float) -> None:
+        """Close kept connections that an overdue answer makes suspect."""
+        if not self.idle_by_number:
+            return
+        overdue = [
+            sent_s
+            for sent_s, overdue_s in self.awaited_by_number.values()
+            if overdue_s <= now
+        ]
+        if overdue:
+            self.discard_suspects(max(overdue))
+
+    def discard_suspects(self, sent_s: float) -> None:
         """Close kept connections that may have failed together with one.
 
         A device on the path may forget all idle connections at once, without
         a reset, so each of them would cost a call its whole time limit. Those
         that have answered since ``sent_s``, when the failed call was sent,
-        work. A call on a new connection says nothing about kept ones.
+        work.
         """
-        if failed.answered_s is None:
-            return
         for number, connection in tuple(self.idle_by_number.items()):
             if connection.answered_s <= sent_s:
                 self.idle_by_number.pop(number)
                 self.discard(connection)
 
+    def begin_call(
+        self, connection: _Connection, overdue_s: float | None
+    ) -> float:
+        """Record that a call is sent on a connection; return the time."""
+        sent_s = boot_now()
+        if connection.is_kept and overdue_s is not None:
+            self.awaited_by_number[connection.number] = (
+                sent_s,
+                sent_s + overdue_s,
+            )
+        return sent_s
+
+    def note_failure(self, connection: _Connection, sent_s: float) -> None:
+        """Close the kept connections that a failed call makes suspect.
+
+        A call on a new connection says nothing about kept ones.
+        """
+        if connection.is_kept:
+            self.discard_suspects(sent_s)
+
+    def end_call(
+        self, connection: _Connection, may_reuse: bool, max_idle: int
+    ) -> bool:
+        """Keep a connection for later calls or close it; return whether kept."""
+        self.awaited_by_number.pop(connection.number, None)
+        is_idle = may_reuse and self.return_idle(connection, max_idle)
+        if not is_idle:
+            self.discard(connection)
+        return is_idle
+
     def return_idle(self, connection: _Connection, max_idle: int) -> bool:
         """Keep a connection for later calls if there is room for it."""
         if self.is_closed or len(self.idle_by_number) >= max_idle:
@@ -357,6 +416,7 @@
             )
         except InvalidHeader as error:
             return NoAnswer(str(error))
+        host.discard_overdue(boot_now())
         # Nothing switches green threads between the check that the connection
         # is open and the sending.
         connection = host.take_idle(request.connection)
@@ -383,36 +443,38 @@
     ) -> HttpResult:
         reader = ResponseReader()
         may_reuse = False
-        sent_s = boot_now()
+        sent_s = host.begin_call(connection, request.overdue_s)
         try:
             may_reuse = connection.send_and_receive(encoded, reader)
         except eventlet.Timeout as timeout:
             if timeout is not timer:
                 raise
-            host.discard_suspects(connection, sent_s)
-            limit_s = round(request.timeout_s, _LOG_DIGITS)
-            kind = connection.describe(sent_s)
-            return NoAnswer(f'no answer within {limit_s} s on {kind}')
+            host.note_failure(connection, sent_s)
+            return _unanswered(request, connection, sent_s)
         except (OSError, EOFError, HttpParserError) as error:
-            host.discard_suspects(connection, sent_s)
+            host.note_failure(connection, sent_s)
             return NoAnswer(
                 f'{request.address}: {error!r}',
                 isinstance(error, (OSError, EOFError)),
             )
         finally:
-            is_kept = may_reuse and host.return_idle(
-                connection, self._idle_per_host
-            )
-            if not is_kept:
-                host.discard(connection)
+            is_idle = host.end_call(connection, may_reuse, self._idle_per_host)
         return Answered(
             reader.status,
             reader.body,
             reader.headers_by_name,
-            connection.number if is_kept else None,
+            connection.number if is_idle else None,
         )
 
 
+def _unanswered(
+    request: HttpCall, connection: _Connection, sent_s: float
+) -> NoAnswer:
+    limit_s = round(request.timeout_s, _LOG_DIGITS)
+    kind = connection.describe(sent_s)
+    return NoAnswer(f'no answer within {limit_s} s on {kind}')
+
+
 def _connection_gone(request: HttpCall) -> NeverSent:
     return NeverSent(
         f'{request.address}: connection {request.connection} has ended',
