Show a term that never ends loading over a small link

A term reads all tables at once, each page within 1.0 s. Where they share a link that needs longer for all of them together, each page is given up and read again from the start of its table, beside an extra scan of the same table after 0.25 s.

Ruled out: the size of the instance's processor; the model has none.

Conclusion: reproduced in a model. While such a term lasts no work begins, and it is not replaced, since its process answers.

--- /dev/null
+++ b/tests/test_cell_term_loading.py
@@ -0,0 +1,113 @@
+"""A term loads what is stored, however small the link of its instance is."""
+
+import random
+
+import eventlet
+import msgspec
+from testtools import TestCase
+
+from apricotlead.coordination.cell.job_rows import job_key
+from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.settings import CellSettings
+from apricotlead.platform.store import PlatformStore
+from apricotlead.protocol.cell_jobs import (
+    JobProgress,
+    JobState,
+    JobSubmission,
+    StepSpec,
+    StoredJob,
+)
+from apricotlead.protocol.resources import Resources
+from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.cell_links import CellLinks
+from apricotlead.transport.cell_metrics import CellMetrics
+from apricotlead.transport.cell_scheduling import SchedulingTerm
+from apricotlead.transport.http_pool import HttpPool
+from tests.cell_rig import CellRig
+from tests.fakes import UncalledWorkers
+from tests.virtual_clock import virtual_clock
+from tests.virtual_network import StoreHost, VirtualLink, VirtualNetwork
+
+STORE_ADDRESS = '10.0.0.1:80'
+PREFIX = 'registry//'
+# The smallest link of the grown deployments, and a large one.
+SMALL_LINK_BYTES_PER_S = 5e6 / 8
+LARGE_LINK_BYTES_PER_S = 100e6 / 8
+# As at the end of the traffic of a grown deployment.
+FINAL_JOBS = 3000
+OPEN_JOBS = 300
+PAYLOAD = 'x' * 1200
+# Within this time after a power-off, callers are to be served again.
+RECOVERY_S = 15.0
+
+
+def stored_rows() -> dict[str, object]:
+    """Return the rows of a cell's jobs."""
+    values_by_key: dict[str, object] = {}
+    for number in range(FINAL_JOBS + OPEN_JOBS):
+        job_id = str(number).zfill(16)
+        is_final = number < FINAL_JOBS
+        stored = StoredJob('lookups', 'transcripts', 'clerks', 5.0)
+        progress = JobProgress([], JobState.COMPLETED, 5.0)
+        if is_final:
+            stored = msgspec.structs.replace(
+                stored, state=JobState.COMPLETED, ended_ms=5.0
+            )
+        else:
+            steps = (StepSpec(20, Resources(18000, 36000), 5000.0),)
+            stored = msgspec.structs.replace(
+                stored, submission=JobSubmission(PAYLOAD, steps)
+            )
+        values_by_key[job_key(job_id)] = msgspec.to_builtins(stored)
+        if is_final:
+            values_by_key[f'{PROGRESS_PREFIX}{job_id}'] = msgspec.to_builtins(
+                progress
+            )
+    return values_by_key
+
+
+class TestLoading(TestCase):
+    """A term without its jobs starts nothing, and nobody replaces it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = self.enterContext(virtual_clock())
+        random.seed(1)
+        self.network = VirtualNetwork()
+        self.network.join(self)
+        self.network.hosts_by_address[STORE_ADDRESS] = StoreHost(stored_rows())
+        self.kinds: list[str] = []
+
+    def load_s(self, bytes_per_s: float) -> float:
+        """Return how long a term takes to load over a link."""
+        self.network.link = VirtualLink(bytes_per_s)
+        links = CellLinks(
+            PlatformStore(HttpPool(idle_per_host=16), STORE_ADDRESS),
+            UncalledWorkers(),
+            PREFIX,
+            lambda row: None,
+            lambda address, question: None,
+            lambda kind, **fields: self.kinds.append(kind),
+            CellMetrics(),
+        )
+        term = SchedulingTerm(
+            links, CellSettings(), CellRig().scheduler, 'peer', 1, 0.01
+        )
+        began_s = boot_now()
+        thread = eventlet.spawn(term.run)
+        while 'jobs loaded' not in self.kinds:
+            self.assertLess(boot_now() - began_s, 10 * RECOVERY_S)
+            eventlet.sleep(0.05)
+        took_s = boot_now() - began_s
+        term.end('the test is over')
+        thread.kill()
+        return took_s
+
+    # Guards against a term whose reads share a small link, so that each takes
+    # longer than its time limit, is given up, and begins anew.
+    def test_small_link(self) -> None:
+        self.assertLess(self.load_s(SMALL_LINK_BYTES_PER_S), RECOVERY_S)
+
+    # Guards against a change that makes the usual load slower.
+    def test_large_link(self) -> None:
+        self.assertLess(self.load_s(LARGE_LINK_BYTES_PER_S), 1.0)
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -7,7 +7,8 @@
 import json
 import os
 from base64 import b64encode
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterator
 from errno import ECONNRESET
 from io import BytesIO
 from typing import Any
@@ -16,6 +17,7 @@
 
 import eventlet
 from eventlet.queue import LightQueue
+from eventlet.semaphore import Semaphore
 
 from apricotlead.transport.http_pool import HttpCall
 
@@ -23,11 +25,38 @@
 STORE_ANSWER_S = 0.004
 _STORE_VERSION = 7
 _MS_PER_S = 1000.0
+_PACKET_BYTES = 8192
+# As the platform limits an answer.
+_MAX_ROWS = 500
+_MAX_BYTES = 1_000_000
 
 # Answers ``method, target, body`` with a status and a body.
 Host = Callable[[str, str, bytes], tuple[int, bytes]]
 
 
+class VirtualLink:
+    """A machine's link, which all its connections share evenly."""
+
+    def __init__(self, bytes_per_s: float | None = None) -> None:
+        """Carry everything at once without ``bytes_per_s``."""
+        self._bytes_per_s = bytes_per_s
+        self._turn = Semaphore()
+
+    def parts(self, answer: bytes) -> Iterator[bytes]:
+        """Return the packets of an answer."""
+        size = _PACKET_BYTES if self._bytes_per_s else len(answer)
+        return (
+            answer[start : start + size]
+            for start in range(0, len(answer), size)
+        )
+
+    def carry(self, size: int) -> None:
+        """Wait until a packet of a size has passed, in turn with others."""
+        if self._bytes_per_s:
+            with self._turn:
+                eventlet.sleep(size / self._bytes_per_s)
+
+
 class VirtualSocket:
     """The client's end of a connection to a host."""
 
@@ -66,12 +95,17 @@
         eventlet.sleep(HOP_S)
         status, content = self._host(method, target, body)
         eventlet.sleep(HOP_S)
-        if not self.is_silent:
-            length = len(content)
-            self._received.put(
-                f'HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n'.encode()
-                + content
-            )
+        length = len(content)
+        answer = (
+            f'HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n'.encode()
+            + content
+        )
+        for part in self._network.link.parts(answer):
+            if not self.is_open:
+                break
+            self._network.link.carry(len(part))
+            if not self.is_silent:
+                self._received.put(part)
 
 
 class VirtualNetwork:
@@ -81,6 +115,7 @@
         """Start without hosts; :meth:`join` lets pools connect through it."""
         self.hosts_by_address: dict[str, Host] = {}
         self.sockets: list[VirtualSocket] = []
+        self.link = VirtualLink()
         ends = os.pipe()
         self._ends = ends
         self.idle_descriptor = ends[0]
@@ -118,7 +153,12 @@
 
     def __init__(self, values_by_key: dict[str, Any]) -> None:
         """Hold rows by ``table/part/name``."""
-        self.values_by_key = values_by_key
+        self._values_by_key = values_by_key
+        self._keys_by_part: defaultdict[tuple[str, str], list[str]]
+        self._keys_by_part = defaultdict(list)
+        for key in sorted(values_by_key):
+            table, part, _ = key.split('/', 2)
+            self._keys_by_part[table, part].append(key)
         self.answer_s = STORE_ANSWER_S
 
     def __call__(
@@ -132,13 +172,24 @@
         eventlet.sleep(max(self.answer_s, wait_s))
         answer = {'Ver': _STORE_VERSION, 'NowMs': 5.0, 'rows': []}
         if parts.path == '/api/rows-get':
-            answer['rows'] = [
-                _encode_row(key, value)
-                for key, value in sorted(self.values_by_key.items())
-                if _is_asked_for(key, query)
-            ]
+            answer |= self._page(query)
         return 200, json.dumps(answer).encode()
 
+    def _page(self, query: dict[str, str]) -> dict[str, Any]:
+        """Return the first rows of a range, as many as one answer may have."""
+        rows: list[dict[str, Any]] = []
+        size = 0
+        most = min(_MAX_ROWS, int(query.get('Limit', _MAX_ROWS)))
+        for key in self._keys_by_part[query['Table'], query['part']]:
+            if not _is_asked_for(key, query):
+                continue
+            row = _encode_row(key, self._values_by_key[key])
+            size += len(row['Value'])
+            if len(rows) >= most or size > _MAX_BYTES:
+                return {'rows': rows, 'HasMore': True}
+            rows.append(row)
+        return {'rows': rows}
+
 
 def wsgi_host(application: Any) -> Host:
     """Serve a WSGI application as a host."""
@@ -160,9 +211,7 @@
 
 
 def _is_asked_for(key: str, query: dict[str, str]) -> bool:
-    table, part, name = key.split('/', 2)
-    if (table, part) != (query['Table'], query['part']):
-        return False
+    name = key.split('/', 2)[2]
     end = query.get('To')
     return query.get('From', '') <= name and (end is None or name < end)
 
