Limit the silence of large reads, and repeat none that arrives

A term reads all tables at once; over a small link all pages together take longer than the 1.0 s that each of them had, so each was given up and read again from the start of its table, 40 times, beside an extra scan of each table after 0.25 s. Questions through this instance waited behind these pages.

Ruled out: a longer time limit; it would delay a read whose answer is lost, and still not fit a larger cell. Fewer reads at a time: a store that is 60 times slower than usual answers 20 reads in a row after seconds.

A page whose rest is lost is noticed after 1.0 s, as before (test_page_whose_rest_is_lost).

Conclusion: the time limit of a read of many rows counts from the last part that came, and a table is not read twice while the store's answers arrive.

--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -184,6 +184,10 @@
             version = decoded.rows[-1].version if rows else after
         return Changes(rows, version, decoded.store_ms)
 
+    def received_s(self) -> float:
+        """Return when a part of any answer came last."""
+        return self._pool.received_s(self._address)
+
     def _read_range(
         self,
         key: str,
@@ -197,7 +201,9 @@
             query['From'] = start
         if end is not None:
             query['To'] = end
-        answer = self._get('/api/rows-get', query, timeout_s)
+        answer = self._get(
+            '/api/rows-get', query, timeout_s, limits_silence=limit > 1
+        )
         decoded = _decode_answer(answer, (200,))
         if isinstance(decoded, StoreFailed):
             return decoded
@@ -214,6 +220,8 @@
         query: dict[str, Any],
         timeout_s: float,
         wait_s: float = 0,
+        *,
+        limits_silence: bool = False,
     ) -> HttpResult:
         """Read; the store may wait for changes for up to ``wait_s``."""
         return self._pool.call(
@@ -223,6 +231,7 @@
                 f'{path}?{urlencode(query)}',
                 timeout_s=timeout_s,
                 overdue_s=wait_s + _OVERDUE_S,
+                limits_silence=limits_silence,
             ),
         )
 
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -96,7 +96,9 @@
         self._settings = settings
         self._own_address = own_address
         hedge_delay_s = max(_MIN_READ_HEDGE_S, takeover_s * _HEDGE_DELAY_FACTOR)
-        self._reader = HedgedReader(links.store, hedge_delay_s, _MAX_SCANS)
+        self._reader = HedgedReader(
+            links.store, hedge_delay_s, _MAX_SCANS, links.store.received_s
+        )
         self._cores = cores
         self._began_s = boot_now()
         self._state = TermState(scheduler, links.log)
--- a/src/apricotlead/transport/hedged_reader.py
+++ b/src/apricotlead/transport/hedged_reader.py
@@ -4,7 +4,13 @@
 from functools import partial
 
 from apricotlead.protocol.table import Changes, Rows, StoreFailed
-from apricotlead.transport.hedging import MAX_CALLS, MIN_HEDGE_DELAY_S, hedged
+from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.hedging import (
+    MAX_CALLS,
+    MIN_HEDGE_DELAY_S,
+    always,
+    hedged,
+)
 from apricotlead.transport.table_follower import TableReader
 
 _Answer = Rows | Changes | StoreFailed
@@ -17,19 +23,23 @@
     wait for changes are not repeated: they are late when there are none.
     """
 
-    __slots__ = ('_delay_s', '_max_scans', '_reader')
+    __slots__ = ('_delay_s', '_max_scans', '_reader', '_received_s')
 
     def __init__(
         self,
         reader: TableReader,
         delay_s: float = MIN_HEDGE_DELAY_S,
         max_scans: int = MAX_CALLS,
+        received_s: Callable[[], float] | None = None,
     ) -> None:
         """Read through ``reader``; repeat a read first after ``delay_s``.
 
         ``max_scans`` limits the reads of all rows. For a large table it should
-        be small, since these share a link.
+        be small, since these share a link. ``received_s()`` is when anything
+        came last from the store: while its answers arrive, a read of all rows
+        is not lost but waits for its part of the link, and is not repeated.
         """
+        self._received_s = received_s
         self._reader = reader
         self._delay_s = delay_s
         self._max_scans = max_scans
@@ -37,7 +47,7 @@
     def scan_rows(self, prefix: str) -> Rows | StoreFailed:
         """Read all rows with a key prefix."""
         scan = partial(self._reader.scan_rows, prefix)
-        return self._hedge(scan, self._max_scans)
+        return self._hedge(scan, self._max_scans, self._is_link_quiet)
 
     def changes(
         self,
@@ -49,10 +59,22 @@
         call = partial(self._reader.changes, table, after, wait_s)
         return call() if wait_s else self._hedge(call, MAX_CALLS)
 
-    def _hedge(self, call: Callable[[], _Answer], max_calls: int) -> _Answer:
+    def _hedge(
+        self,
+        call: Callable[[], _Answer],
+        max_calls: int,
+        may_repeat: Callable[[], bool] = always,
+    ) -> _Answer:
         return hedged(
             call,
             self._delay_s,
             lambda answer: isinstance(answer, StoreFailed),
             max_calls,
+            may_repeat,
         )
+
+    def _is_link_quiet(self) -> bool:
+        """Return whether nothing has come from the store for a while."""
+        if self._received_s is None:
+            return True
+        return boot_now() - self._received_s() > self._delay_s / 2
--- a/src/apricotlead/transport/hedging.py
+++ b/src/apricotlead/transport/hedging.py
@@ -15,20 +15,27 @@
 _DELAY_GROWTH = 2
 
 
+def always() -> bool:
+    """Let a further call be sent whenever it is due."""
+    return True
+
+
 def hedged(
     call: Callable[[], Any],
     delay_s: float,
     is_failure: Callable[[Any], bool],
     max_calls: int = MAX_CALLS,
+    may_repeat: Callable[[], bool] = always,
 ) -> Any:
     """Return the first successful answer of at most ``max_calls`` calls.
 
     The second call is sent ``delay_s`` seconds after the first if that has not
     been answered, each further one after twice the previous delay. A slow
     service then answers the first call, and a service that loses answers a
-    later one. A failure is returned only when no other call is pending. The
-    call must have its own timeout and must be idempotent. An exception that
-    it raises is raised here.
+    later one. Each further call waits for as long as ``may_repeat()`` is false.
+    A failure is returned only when no other call is pending. The call must have
+    its own timeout and must be idempotent. An exception that it raises is
+    raised here.
     """
     answers: LightQueue = LightQueue()
     pending_count = 0
@@ -40,7 +47,7 @@
         if number == max_calls:
             wait_s = None
         with suppress(Empty):
-            answer = _raise_or_return(answers.get(timeout=wait_s))
+            answer = _raise_or_return(_wait(answers, wait_s, may_repeat))
             break
         wait_s = delay_s * _DELAY_GROWTH**number
     while pending_count > 1 and is_failure(answer):
@@ -49,6 +56,20 @@
     return answer
 
 
+def _wait(
+    answers: LightQueue,
+    wait_s: float | None,
+    may_repeat: Callable[[], bool],
+) -> Any:
+    """Return the next answer; raise ``Empty`` when a further call is due."""
+    while True:
+        try:
+            return answers.get(timeout=wait_s)
+        except Empty:
+            if may_repeat():
+                raise
+
+
 def _run(call: Callable[[], Any], answers: LightQueue) -> None:
     try:
         answers.put(call())
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -2,7 +2,9 @@
 
 import select
 from collections import OrderedDict
+from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from itertools import count
 from typing import Any, Protocol
 
@@ -45,6 +47,10 @@
     ``path`` is percent-encoded by the caller. Where the connections of a host
     are limited, the call first waits up to ``queue_s`` for one of them.
 
+    With ``limits_silence`` each part of the answer may take ``timeout_s``. A large
+    answer over a small link takes longer than one that was lost, and would only
+    take longer still if it were asked for again.
+
     An answer that takes longer than ``overdue_s``, if given, may be lost, and
     with it all kept connections: later calls then use none that have not answered
     since.
@@ -62,6 +68,7 @@
     timeout_s: float = 2.0
     queue_s: float = 1.0
     overdue_s: float | None = None
+    limits_silence: bool = False
     connection: int | None = None
 
 
@@ -154,11 +161,20 @@
         poll.register(self.socket.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    def send_and_receive(self, encoded: bytes, reader: ResponseReader) -> bool:
-        """Send a request and read its response; return whether to reuse."""
+    def send_and_receive(
+        self,
+        encoded: bytes,
+        reader: ResponseReader,
+        received: Callable[[], None],
+    ) -> bool:
+        """Send a request and read its response; return whether to reuse.
+
+        ``received()`` is called after each part of the response.
+        """
         self.socket.sendall(encoded)
         while not reader.is_complete:
             reader.feed(self.socket.recv(_READ_BYTES))
+            received()
         return reader.is_reusable
 
 
@@ -179,6 +195,7 @@
         'is_closed',
         'open_numbers',
         'permits',
+        'received_s',
     )
 
     def __init__(self, max_connections: int | None) -> None:
@@ -187,6 +204,8 @@
         self.idle_by_number: dict[int, _Connection] = {}
         self.open_numbers: set[int] = set()
         self.is_closed = False
+        # When a part of any answer came last.
+        self.received_s = float('-inf')
         self.permits = Semaphore(max_connections) if max_connections else None
 
     def acquire(self, wait_s: float) -> bool:
@@ -274,6 +293,13 @@
             )
         return sent_s
 
+    def receive(self, request: HttpCall, timer: eventlet.Timeout) -> None:
+        """Record that a part of an answer has come."""
+        self.received_s = boot_now()
+        if request.limits_silence:
+            timer.cancel()
+            timer.start()
+
     def note_failure(self, connection: _Connection, sent_s: float) -> None:
         """Close the kept connections that a failed call makes suspect.
 
@@ -359,6 +385,11 @@
         finally:
             host.release()
 
+    def received_s(self, address: str) -> float:
+        """Return when a part of any answer of a host came last."""
+        host = self._hosts_by_address.get(address)
+        return float('-inf') if host is None else host.received_s
+
     def close(self) -> None:
         """Close the connections: idle ones now, those in use after their call.
 
@@ -445,7 +476,9 @@
         may_reuse = False
         sent_s = host.begin_call(connection, request.overdue_s)
         try:
-            may_reuse = connection.send_and_receive(encoded, reader)
+            may_reuse = connection.send_and_receive(
+                encoded, reader, partial(host.receive, request, timer)
+            )
         except eventlet.Timeout as timeout:
             if timeout is not timer:
                 raise
--- a/tests/test_cell_candidate.py
+++ b/tests/test_cell_candidate.py
@@ -21,6 +21,7 @@
     Transaction,
 )
 from apricotlead.state.cell_config_view import CellConfigView
+from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_candidate import CellCandidate, OwnIdentity
 from apricotlead.transport.cell_links import CellLinks
 from apricotlead.transport.cell_metrics import CellMetrics
@@ -45,6 +46,9 @@
         rows = (self.row,) if key == OWNER_KEY and self.row.version else ()
         return Rows(rows, 1, 100)
 
+    def received_s(self) -> float:
+        return boot_now()
+
     def scan_rows(self, prefix: str) -> Rows:
         return Rows((), 1, 100)
 
--- a/tests/test_cell_term.py
+++ b/tests/test_cell_term.py
@@ -4,6 +4,7 @@
 
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.protocol.table import Row, Rows, StoreFailed
+from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_feeds import JobsListener, RegistryListener
 from apricotlead.transport.cell_holds import WorkerHolds
 from apricotlead.transport.cell_links import CellLinks, TermState
@@ -20,6 +21,9 @@
 class EmptyStore:
     """A store without rows, whose feed of changes is broken."""
 
+    def received_s(self) -> float:
+        return boot_now()
+
     def scan_rows(self, prefix: str) -> Rows:
         return Rows((), 1, 1)
 
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -1,12 +1,13 @@
 """A term loads what is stored, however small the link of its instance is."""
 
+import math
 import random
 
 import eventlet
 import msgspec
 from testtools import TestCase
 
-from apricotlead.coordination.cell.job_rows import job_key
+from apricotlead.coordination.cell.job_rows import JOB_PREFIXES, job_key
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.platform.store import PlatformStore
@@ -18,6 +19,7 @@
     StoredJob,
 )
 from apricotlead.protocol.resources import Resources
+from apricotlead.protocol.table import StoreFailed
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_links import CellLinks
 from apricotlead.transport.cell_metrics import CellMetrics
@@ -36,6 +38,7 @@
 # As at the end of the traffic of a grown deployment.
 FINAL_JOBS = 3000
 OPEN_JOBS = 300
+PARTS = len(JOB_PREFIXES)
 PAYLOAD = 'x' * 1200
 # Within this time after a power-off, callers are to be served again.
 RECOVERY_S = 15.0
@@ -75,14 +78,16 @@
         random.seed(1)
         self.network = VirtualNetwork()
         self.network.join(self)
-        self.network.hosts_by_address[STORE_ADDRESS] = StoreHost(stored_rows())
+        self.store_host = StoreHost(stored_rows())
+        self.network.hosts_by_address[STORE_ADDRESS] = self.store_host
+        self.store = PlatformStore(HttpPool(idle_per_host=16), STORE_ADDRESS)
         self.kinds: list[str] = []
 
     def load_s(self, bytes_per_s: float) -> float:
         """Return how long a term takes to load over a link."""
         self.network.link = VirtualLink(bytes_per_s)
         links = CellLinks(
-            PlatformStore(HttpPool(idle_per_host=16), STORE_ADDRESS),
+            self.store,
             UncalledWorkers(),
             PREFIX,
             lambda row: None,
@@ -108,6 +113,27 @@
     def test_small_link(self) -> None:
         self.assertLess(self.load_s(SMALL_LINK_BYTES_PER_S), RECOVERY_S)
 
+    # Guards against extra reads of tables whose rows arrive, which double what
+    # the link has to carry.
+    def test_no_page_is_read_twice(self) -> None:
+        for bytes_per_s in (SMALL_LINK_BYTES_PER_S, LARGE_LINK_BYTES_PER_S):
+            self.store_host.read_count = 0
+            self.kinds.clear()
+            self.load_s(bytes_per_s)
+            pages = math.ceil((FINAL_JOBS + OPEN_JOBS) / PARTS / 500)
+            least = PARTS * pages + math.ceil(FINAL_JOBS / 500)
+            self.assertLess(self.store_host.read_count, least + PARTS)
+
+    # Guards against a read that waits for ever for the rest of a page.
+    def test_page_whose_rest_is_lost(self) -> None:
+        self.network.link = VirtualLink(SMALL_LINK_BYTES_PER_S)
+        thread = eventlet.spawn(self.store.scan_rows, PROGRESS_PREFIX)
+        eventlet.sleep(0.2)
+        self.network.silence()
+        began_s = boot_now()
+        self.assertIsInstance(thread.wait(), StoreFailed)
+        self.assertLess(boot_now() - began_s, 1.1)
+
     # Guards against a change that makes the usual load slower.
     def test_large_link(self) -> None:
         self.assertLess(self.load_s(LARGE_LINK_BYTES_PER_S), 1.0)
--- a/tests/test_unanswered_state_review.py
+++ b/tests/test_unanswered_state_review.py
@@ -211,6 +211,9 @@
         self.reads = 0
         self.claimed_s: list[float] = []
 
+    def received_s(self) -> float:
+        return boot_now()
+
     def read_row(self, key: str) -> Any:
         self.reads += 1
         if self.reads in self._lost_reads:
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -154,6 +154,7 @@
     def __init__(self, values_by_key: dict[str, Any]) -> None:
         """Hold rows by ``table/part/name``."""
         self._values_by_key = values_by_key
+        self.read_count = 0
         self._keys_by_part: defaultdict[tuple[str, str], list[str]]
         self._keys_by_part = defaultdict(list)
         for key in sorted(values_by_key):
@@ -172,6 +173,7 @@
         eventlet.sleep(max(self.answer_s, wait_s))
         answer = {'Ver': _STORE_VERSION, 'NowMs': 5.0, 'rows': []}
         if parts.path == '/api/rows-get':
+            self.read_count += 1
             answer |= self._page(query)
         return 200, json.dumps(answer).encode()
 
