End a term that does not load, in favour of an instance that does

Cause: while a term read its tables, nothing else could end it. Reads that failed were repeated 40 times, some 50 s of a store that only this instance did not reach, and a small instance loaded on beside larger ones. Its process answered its followers, so none of them took over, and no accepted work began. No line said that a term was loading.

Ruled out: renewing the owner row during the load, so that followers see a store that is lost; a term without its tables must not write leases.

Conclusion: reads that keep failing for 1 s end the term, whose instance then leaves the next one to others; a larger instance in contact gets it after 2 s, as it does from a loaded term. A line `term loading` tells of it each second.

--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -61,7 +61,8 @@
     asks its followers to take over after ``store_lost_s`` without an answer
     from the store, or after ``turned_away_s`` of refusals and broken
     connections, which a slow store does not cause; a follower that can read
-    the store then takes over.
+    the store then takes over. A term that is still loading ends ``store_lost_s``
+    after the first of its reads that failed.
     A scheduler that does not answer is replaced once its last write is more
     than ``silent_owner_s`` old. That is two renewals, which a healthy store
     commits at once. A scheduler that has reported longer delays of its own is
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -1,7 +1,6 @@
 """One term of the elected scheduler: its calls, feeds and journal."""
 
-from collections.abc import Callable, Mapping
-from functools import partial
+from collections.abc import Mapping
 from time import time
 from types import MappingProxyType
 from typing import Any
@@ -11,35 +10,28 @@
 
 from apricotlead.coordination.cell.election import should_yield
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
-from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
 from apricotlead.coordination.cell.scheduler import CELL_STATE, CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
-from apricotlead.coordination.cell.speed_rows import STATISTICS_PREFIX
-from apricotlead.protocol.table import Row, Rows, StoreFailed
+from apricotlead.protocol.table import Row
 from apricotlead.state.answer_time import AdaptiveTimeout
 from apricotlead.state.cell_config_view import CellConfigView
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_feeds import JobsListener, RegistryListener
 from apricotlead.transport.cell_follower_calls import FollowerCalls
 from apricotlead.transport.cell_holds import WorkerHolds
-from apricotlead.transport.cell_journal_writer import (
-    STORE_RETRY_S,
-    JournalWriter,
-)
+from apricotlead.transport.cell_journal_writer import JournalWriter
 from apricotlead.transport.cell_links import RELEASED, CellLinks, TermState
 from apricotlead.transport.cell_orders import OrderSender
 from apricotlead.transport.cell_row_upkeep import RowUpkeep
 from apricotlead.transport.hedged_reader import HedgedReader
-from apricotlead.transport.serving import run_together
 from apricotlead.transport.table_follower import TableFollower
+from apricotlead.transport.term_loading import LoadedTables, TermLoader
 from apricotlead.transport.wake_up import WakeUp
 
 _TICK_S = 0.2
 _MAX_IDLE_S = 0.1
 # Batches the changes of a few milliseconds into one round.
 _ROUND_PAUSE_S = 0.01
-_MAX_LOAD_ATTEMPTS = 40
 # A full table read that takes longer than this, and longer than the takeover
 # write times the factor, may have lost a packet and is hedged.
 _MIN_READ_HEDGE_S = 0.25
@@ -160,10 +152,20 @@
             links.log,
             pause_s=_REGISTRY_PAUSE_S,
         )
-        if not self._load(jobs, registry):
-            self.end('the store could not be read')
+        loader = TermLoader(
+            links,
+            self._state,
+            self._reader,
+            self._settings.election.store_lost_s,
+            self._check_size,
+        )
+        tables = loader.load(jobs, registry)
+        if tables is None:
             self._stop_parts()
+            if self.ended_why == RELEASED:
+                self._release()
             return
+        self._apply_tables(tables, jobs, registry)
         for run in (
             jobs.run,
             registry.run,
@@ -230,30 +232,20 @@
         # The next scheduler may be another instance; its gauges count then.
         self._links.metrics.drop_gauges()
 
-    def _load(self, jobs: TableFollower, registry: TableFollower) -> bool:
-        """Load jobs, progress, registrations, statistics and leases."""
-        # Read sequentially, these take a second in a slow store.
-        pages = run_together(
-            partial(self._read_all, read)
-            for read in (
-                jobs.read_all,
-                partial(self._reader.scan_rows, PROGRESS_PREFIX),
-                registry.read_all,
-                partial(self._reader.scan_rows, STATISTICS_PREFIX),
-                partial(self._reader.scan_rows, LEASES_PREFIX),
-            )
-        )
-        if None in pages:
-            return False
-        job_rows, progress, entries, speeds, leases = pages
-        jobs.follow_from(job_rows)
-        registry.follow_from(entries)
+    def _apply_tables(
+        self,
+        tables: LoadedTables,
+        jobs: TableFollower,
+        registry: TableFollower,
+    ) -> None:
+        jobs.follow_from(tables.jobs)
+        registry.follow_from(tables.registrations)
         now = boot_now()
-        self.scheduler.workers.load_leases(leases.rows)
-        self.scheduler.jobs.load(job_rows.rows, progress.rows, now)
-        for row in entries.rows:
+        self.scheduler.workers.load_leases(tables.leases.rows)
+        self.scheduler.jobs.load(tables.jobs.rows, tables.progress.rows, now)
+        for row in tables.registrations.rows:
             self.apply_registration(row)
-        for speed_row in speeds.rows:
+        for speed_row in tables.speeds.rows:
             self.scheduler.speeds.load(speed_row)
         self.scheduler.workers.restore_unregistered(now)
         self._state.is_loaded = True
@@ -264,20 +256,6 @@
             final_jobs=len(self.scheduler.jobs.rows.finals_by_id),
             workers=len(self.scheduler.tracker.workers_by_id),
         )
-        return True
-
-    def _read_all(
-        self,
-        read: Callable[[], Rows | StoreFailed],
-    ) -> Rows | None:
-        for _ in range(_MAX_LOAD_ATTEMPTS):
-            if self.ended_why:
-                return None
-            answer = read()
-            if not isinstance(answer, StoreFailed):
-                return answer
-            eventlet.sleep(STORE_RETRY_S)
-        return None
 
     def _plan(self) -> None:
         """Place waiting tasks and ask for advice, even during a write."""
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -18,10 +18,11 @@
     StepSpec,
     StoredJob,
 )
+from apricotlead.protocol.cell_peers import FollowerCall
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import StoreFailed
 from apricotlead.transport.boot_clock import boot_now
-from apricotlead.transport.cell_links import CellLinks
+from apricotlead.transport.cell_links import RELEASED, CellLinks
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_scheduling import SchedulingTerm
 from apricotlead.transport.http_pool import HttpPool
@@ -42,6 +43,8 @@
 PAYLOAD = 'x' * 1200
 # Within this time after a power-off, callers are to be served again.
 RECOVERY_S = 15.0
+# Work that could run must not wait longer.
+MAX_IDLE_S = 3.0
 
 
 def stored_rows() -> dict[str, object]:
@@ -69,8 +72,8 @@
     return values_by_key
 
 
-class TestLoading(TestCase):
-    """A term without its jobs starts nothing, and nobody replaces it."""
+class LoadingCase(TestCase):
+    """A term that loads the jobs of a grown deployment, in virtual time."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -83,8 +86,8 @@
         self.store = PlatformStore(HttpPool(idle_per_host=16), STORE_ADDRESS)
         self.kinds: list[str] = []
 
-    def load_s(self, bytes_per_s: float) -> float:
-        """Return how long a term takes to load over a link."""
+    def begin(self, bytes_per_s: float) -> SchedulingTerm:
+        """Begin a term that loads over a link."""
         self.network.link = VirtualLink(bytes_per_s)
         links = CellLinks(
             self.store,
@@ -98,14 +101,26 @@
         term = SchedulingTerm(
             links, CellSettings(), CellRig().scheduler, 'peer', 1, 0.01
         )
+        self.addCleanup(eventlet.spawn(term.run).kill)
+        return term
+
+    def wait_for(self, kind: str, most_s: float) -> float:
+        """Return how long it takes until a line is logged."""
         began_s = boot_now()
-        thread = eventlet.spawn(term.run)
-        while 'jobs loaded' not in self.kinds:
-            self.assertLess(boot_now() - began_s, 10 * RECOVERY_S)
+        while kind not in self.kinds:
+            self.assertLess(boot_now() - began_s, most_s)
             eventlet.sleep(0.05)
-        took_s = boot_now() - began_s
+        return boot_now() - began_s
+
+
+class TestLoading(LoadingCase):
+    """A term without its jobs starts nothing, and nobody replaces it."""
+
+    def load_s(self, bytes_per_s: float) -> float:
+        """Return how long a term takes to load over a link."""
+        term = self.begin(bytes_per_s)
+        took_s = self.wait_for('jobs loaded', 10 * RECOVERY_S)
         term.end('the test is over')
-        thread.kill()
         return took_s
 
     # Guards against a term whose reads share a small link, so that each takes
@@ -137,3 +152,32 @@
     # Guards against a change that makes the usual load slower.
     def test_large_link(self) -> None:
         self.assertLess(self.load_s(LARGE_LINK_BYTES_PER_S), 1.0)
+
+
+class TestTermsThatDoNotLoad(LoadingCase):
+    """A term that does not load in time makes way for another instance."""
+
+    # Guards against a term that goes on for 40 reads of a store that its
+    # instance does not reach, while others do.
+    def test_store_is_lost_to_the_instance(self) -> None:
+        self.network.is_cut = True
+        term = self.begin(LARGE_LINK_BYTES_PER_S)
+        self.wait_for('term ended', MAX_IDLE_S)
+        self.assertTrue(term.has_failed)
+
+    # Guards against work that waits for a small link while a larger instance
+    # is in contact.
+    def test_larger_instance_takes_over(self) -> None:
+        term = self.begin(SMALL_LINK_BYTES_PER_S)
+        larger = FollowerCall('larger', 4, 1, 0.2)
+        for _ in range(20):
+            term.followers.watch(larger)
+        self.assertEqual(RELEASED, term.ended_why)
+        self.assertNotIn('jobs loaded', self.kinds)
+        self.assertTrue(term.followers.watch(larger).is_released)
+
+    # Guards against a slow load that shows in no log line.
+    def test_slow_load_is_logged(self) -> None:
+        self.begin(SMALL_LINK_BYTES_PER_S)
+        self.wait_for('jobs loaded', RECOVERY_S)
+        self.assertEqual(2, self.kinds.count('term loading'))
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -116,6 +116,8 @@
         self.hosts_by_address: dict[str, Host] = {}
         self.sockets: list[VirtualSocket] = []
         self.link = VirtualLink()
+        # Whether new connections are silent, too.
+        self.is_cut = False
         ends = os.pipe()
         self._ends = ends
         self.idle_descriptor = ends[0]
@@ -144,6 +146,7 @@
         eventlet.sleep(2 * HOP_S)
         host = self.hosts_by_address[request.address]
         connected = VirtualSocket(self, host)
+        connected.is_silent = self.is_cut
         self.sockets.append(connected)
         return connected
 
