Renew a term while it loads

Cause: on the small twins a term that could load now was replaced before it had.

Ruled out: a longer patience with a silent scheduler, which would delay the succession of one that is dead.

Before and after: test_term_is_renewed_while_it_loads and test_answer_that_cannot_be_read fail without the change; the second one guards the watches of a load that ends by an error.

Conclusion: the owner row is written during the load as it is after it, so followers also see a store that this instance has lost. It writes no lease: its rows are not loaded yet.

--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -27,20 +27,25 @@
 _MAX_TASKS_PER_WRITE = 8000
 
 
-class JournalBatch(Struct):
-    """One write of the journal, made at ``made_s`` in local seconds.
+class Renewal(Struct):
+    """A write that renews the term, made at ``made_s`` in local seconds."""
+
+    transaction: Transaction
+    owner: OwnerRow
+    made_s: float
+
+
+class JournalBatch(Renewal):
+    """A write of the journal.
 
     Once it is durable, the runs in ``planned`` may be sent, and the ends in
     ``acks`` may be acknowledged to the incarnation of the worker that reported
     them.
     """
 
-    transaction: Transaction
-    owner: OwnerRow
     planned: list[tuple[TaskState, int]]
     acks: list[tuple[WorkerState, int]]
     final_jobs: list[JobRun]
-    made_s: float
 
 
 def take_batch(
@@ -71,10 +76,10 @@
     return JournalBatch(
         owner_transaction(owner, owner_version, tuple(puts), expired_keys),
         owner,
+        now,
         planned,
         _acks(tracker),
         final_jobs,
-        now,
     )
 
 
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -10,9 +10,16 @@
 import msgspec
 
 from apricotlead.coordination.cell.advice_cache import AdviceCache, AdviceCall
-from apricotlead.coordination.cell.election import OwnerRow
+from apricotlead.coordination.cell.election import (
+    OwnerRow,
+    owner_transaction,
+)
 from apricotlead.coordination.cell.job_intake import JobIntake
-from apricotlead.coordination.cell.journal import JournalBatch, take_batch
+from apricotlead.coordination.cell.journal import (
+    JournalBatch,
+    Renewal,
+    take_batch,
+)
 from apricotlead.coordination.cell.planner import Planner
 from apricotlead.coordination.cell.registrations import Registrations
 from apricotlead.coordination.cell.run_tracker import RunTracker
@@ -159,6 +166,21 @@
             for worker in self.tracker.workers_by_id.values()
         )
 
+    def renewal(self, now: float) -> Renewal:
+        """Return a write that renews the term and changes nothing else."""
+        self.owner = self.workers.next_owner(self.owner, now)
+        return Renewal(
+            owner_transaction(self.owner, self.owner_version), self.owner, now
+        )
+
+    def renewed(
+        self, renewal: Renewal, version: int, store_ms: float, now: float
+    ) -> None:
+        """Apply a renewal that is now durable."""
+        self.owner_version = version
+        self.workers.renewed_s = renewal.made_s
+        self.clock.note(store_ms, now)
+
     def releasing_owner(self, now: float) -> OwnerRow:
         """Return the owner row that releases the term to a successor."""
         owner = self.workers.next_owner(self.owner, now)
@@ -176,9 +198,7 @@
         Grants count from when the row was made, as a successor counts them,
         even if the write had to be repeated.
         """
-        self.owner_version = version
-        self.workers.renewed_s = batch.made_s
-        self.clock.note(store_ms, now)
+        self.renewed(batch, version, store_ms, now)
         for worker, through in batch.acks:
             worker.acknowledge_through(through)
         self.workers.leases_written()
--- a/src/apricotlead/transport/cell_journal_writer.py
+++ b/src/apricotlead/transport/cell_journal_writer.py
@@ -11,6 +11,7 @@
     owner_transaction,
     read_owner,
 )
+from apricotlead.coordination.cell.journal import Renewal
 from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.coordination.cell.starts import PlannedStart
 from apricotlead.protocol.table import (
@@ -79,22 +80,29 @@
         The write is retried until it is durable or the term ends.
         """
         batch, starts = self._state.scheduler.take_batch(boot_now())
-        while not self._state.ended_why:
-            committed = self._commit(batch.transaction, batch.owner)
-            if committed is None:
-                eventlet.sleep(STORE_RETRY_S)
-                continue
-            version = committed.versions[OWNER_KEY]
-            now = boot_now()
-            self._state.scheduler.committed(
-                batch,
-                version,
+        committed = self._commit_until_known(batch)
+        if committed is None:
+            return []
+        self._state.scheduler.committed(
+            batch,
+            committed.versions[OWNER_KEY],
+            committed.store_ms,
+            boot_now(),
+        )
+        self._state.journaled.send()
+        return starts
+
+    def renew(self) -> None:
+        """Renew the term, and retry until that is durable or the term ends."""
+        renewal = self._state.scheduler.renewal(boot_now())
+        committed = self._commit_until_known(renewal)
+        if committed is not None:
+            self._state.scheduler.renewed(
+                renewal,
+                committed.versions[OWNER_KEY],
                 committed.store_ms,
-                now,
+                boot_now(),
             )
-            self._state.journaled.send()
-            return starts
-        return []
 
     def write_release(self) -> None:
         """Release the owner row by a last write, so that another takes over."""
@@ -103,6 +111,15 @@
             owner_transaction(released, self._state.scheduler.owner_version),
         )
 
+    def _commit_until_known(self, renewal: Renewal) -> Committed | None:
+        """Write until it is durable, ``None`` if the term ends before."""
+        while not self._state.ended_why:
+            committed = self._commit(renewal.transaction, renewal.owner)
+            if committed is not None:
+                return committed
+            eventlet.sleep(STORE_RETRY_S)
+        return None
+
     def _commit(
         self,
         transaction: Transaction,
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -160,7 +160,8 @@
             links,
             self._state,
             self._reader,
-            self._settings.election.store_lost_s,
+            self._journal,
+            self._settings.election,
             self._check_size,
         )
         tables = loader.load(jobs, registry)
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -10,6 +10,7 @@
 from apricotlead.cell_settings import CellEntrySettings
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES, job_key
 from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.platform.store import PlatformStore
 from apricotlead.protocol.cell_jobs import (
     JobProgress,
@@ -199,6 +200,13 @@
         self.wait_for('term ended', MAX_IDLE_S)
         self.assertTrue(term.has_failed)
 
+    # Guards against a term that is renewed for ever after an error in its load.
+    def test_answer_that_cannot_be_read(self) -> None:
+        self.patch(PlatformStore, 'scan_rows', _raise)
+        term = self.begin(LARGE_LINK_BYTES_PER_S)
+        self.wait_for('term ended', MAX_IDLE_S)
+        self.assertIn('an unexpected answer', term.ended_why)
+
     # Guards against work that waits for a small link while a larger instance
     # is in contact.
     def test_larger_instance_takes_over(self) -> None:
@@ -210,8 +218,33 @@
         self.assertNotIn('jobs loaded', self.kinds)
         self.assertTrue(term.followers.watch(larger).is_released)
 
+    # Guards against a term that is replaced again and again while it loads,
+    # since its answers to followers are late and it has written nothing.
+    def test_term_is_renewed_while_it_loads(self) -> None:
+        term = self.begin(LEAST_LINK_BYTES_PER_S)
+        longest_s = 0.0
+        while 'jobs loaded' not in self.kinds:
+            eventlet.sleep(0.05)
+            age_s = boot_now() - term.scheduler.workers.renewed_s
+            longest_s = max(longest_s, age_s)
+        times = ElectionTimes()
+        self.assertLess(longest_s, times.most_silent_owner_s)
+        self.assertGreater(self.store_host.write_count, 4)
+
+    # Guards against a write after the load that expects the owner row as it was
+    # before a renewal, and ends the term.
+    def test_term_goes_on_after_the_load(self) -> None:
+        term = self.begin(SMALL_LINK_BYTES_PER_S)
+        self.wait_for('jobs loaded', RECOVERY_S)
+        eventlet.sleep(2)
+        self.assertEqual('', term.ended_why)
+
     # Guards against a slow load that shows in no log line.
     def test_slow_load_is_logged(self) -> None:
         self.begin(SMALL_LINK_BYTES_PER_S)
         self.wait_for('jobs loaded', RECOVERY_S)
         self.assertEqual(2, self.kinds.count('term loading'))
+
+
+def _raise(store: PlatformStore, prefix: str) -> None:
+    raise TypeError('an unexpected answer')
