Let a much larger instance succeed a silent scheduler that still writes

Cause: with all larger instances lost a small one was elected; it was too busy to answer its followers.

Ruled out: a successor for any silent scheduler that writes; two instances that are cut off from each other would take over in turn.

Conclusion: the owner row names the owner's cores. A follower that has lost a scheduler as silent succeeds it after 2 s of its term, if it has 1.5 times its cores: the rule by which that scheduler would have yielded to it.

--- a/src/apricotlead/coordination/cell/election.py
+++ b/src/apricotlead/coordination/cell/election.py
@@ -32,7 +32,8 @@
     granted leases is computed from it, except for those with rows of their
     own.
     ``is_released`` asks a successor to take over. ``largest_cores`` is the
-    number of cores of the largest candidate, 0 while it is not known.
+    number of cores of the largest candidate, and ``cores`` that of the owner; 0
+    while it is not known.
     ``short_terms`` counts consecutive short terms that ended by silence.
     ``patience_ms`` is the silence that the scheduler asks its followers to
     tolerate, from its own recent delays; 0 while these are not known.
@@ -48,6 +49,7 @@
     largest_cores: float = 0
     short_terms: int = 0
     patience_ms: float = 0
+    cores: float = 0
 
 
 class Loss(Enum):
@@ -82,13 +84,16 @@
     lost: OwnerRow,
     row: Row,
     store_ms: float,
+    cores: float = 0,
 ) -> bool:
-    """Tell whether a follower that lost ``lost`` should succeed it.
+    """Tell whether a follower with ``cores`` that lost ``lost`` should succeed it.
 
     ``row`` is the owner row, read after the loss, at ``store_ms``. Silence
     may come from a network partition between the two instances. A scheduler
     that has written recently is therefore kept; otherwise the two would take
-    over from each other in turn.
+    over from each other in turn. Only a much larger instance succeeds it: a
+    scheduler that is too small for its cell answers late as well, and cannot
+    see larger instances whose calls it does not answer.
     """
     owner = read_owner(row)
     if owner is None or owner.is_released:
@@ -97,7 +102,8 @@
         return False
     if loss is Loss.SILENT:
         age_ms = store_ms - max(owner.renewed_ms, owner.taken_ms)
-        return age_ms > silence_timeout_s(times, owner) * _MS_PER_S
+        is_dead = age_ms > silence_timeout_s(times, owner) * _MS_PER_S
+        return is_dead or _is_too_small(times, owner, store_ms, cores)
     if loss is Loss.IDLE:
         return store_ms - owner.taken_ms > times.store_lost_s * _MS_PER_S
     return True
@@ -183,6 +189,15 @@
     return largest > cores * times.yield_ratio
 
 
+def _is_too_small(
+    times: ElectionTimes, owner: OwnerRow, store_ms: float, cores: float
+) -> bool:
+    """Tell whether an owner of some time should have yielded to ``cores``."""
+    is_settled = store_ms - owner.taken_ms > times.settled_s * _MS_PER_S
+    is_known = owner.cores > 0
+    return is_known and is_settled and should_yield(times, owner.cores, cores)
+
+
 def read_owner(row: Row) -> OwnerRow | None:
     """Return the owner, ``None`` if there has never been one."""
     if row.version == 0 or row.value is None:
@@ -197,10 +212,12 @@
     store_ms: float,
     times: ElectionTimes,
     loss: Loss = Loss.NONE,
+    cores: float = 0,
 ) -> tuple[OwnerRow, Transaction]:
     """Return the new owner row and the transaction that writes it.
 
-    ``loss`` is how the instance lost the scheduler that it succeeds.
+    ``loss`` is how the instance lost the scheduler that it succeeds. It has
+    ``cores``, 0 if that is not known.
     """
     former = read_owner(row)
     if former is None:
@@ -218,6 +235,7 @@
         is_released=False,
         patience_ms=0,
         short_terms=_short_terms(times, former, loss, store_ms),
+        cores=cores,
     )
     return owner, owner_transaction(owner, row.version)
 
--- a/src/apricotlead/transport/cell_candidate.py
+++ b/src/apricotlead/transport/cell_candidate.py
@@ -249,6 +249,7 @@
                 owner,
                 read.row,
                 read.store_ms,
+                self._own.cores,
             ):
                 return read
             is_written = read.row.version != first.row.version
@@ -370,6 +371,7 @@
             store_ms,
             self._settings.election,
             loss,
+            self._own.cores,
         )
         answer = self._resolve_claim(
             owner,
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -18,6 +18,8 @@
 from apricotlead.protocol.table import Row
 
 TIMES = ElectionTimes()
+# Of the follower.
+CORES = 2.0
 OWNER = OwnerRow(3, 'i1', 'peer1', largest_cores=2.0, renewed_ms=500)
 
 
@@ -80,7 +82,7 @@
     def takes_over(self, loss: Loss, age_ms: float, **changes: object) -> bool:
         written = msgspec.structs.replace(OWNER, renewed_ms=9000, **changes)
         row = Row(OWNER_KEY, 7, msgspec.to_builtins(written))
-        return should_take_over(TIMES, loss, OWNER, row, 9000 + age_ms)
+        return should_take_over(TIMES, loss, OWNER, row, 9000 + age_ms, CORES)
 
     def test_silent_scheduler_without_renewals_is_replaced(self) -> None:
         self.assertTrue(self.takes_over(Loss.SILENT, 1000))
@@ -89,6 +91,24 @@
         """A partition must not make two instances replace each other."""
         self.assertFalse(self.takes_over(Loss.SILENT, 300))
 
+    # Guards against large instances that follow a small one, which is too busy
+    # to answer them, for the rest of the day.
+    def test_silent_scheduler_that_is_too_small_is_replaced(self) -> None:
+        for cores, taken_ms, is_replaced in (
+            (0.5, 5000, True),
+            # It may have been elected since no larger one was there.
+            (0.5, 8000, False),
+            (1.6, 5000, False),
+            # It runs a version that does not say how large it is.
+            (0, 5000, False),
+        ):
+            self.assertEqual(
+                is_replaced,
+                self.takes_over(
+                    Loss.SILENT, 300, cores=cores, taken_ms=taken_ms
+                ),
+            )
+
     def test_process_that_is_gone_is_replaced_at_once(self) -> None:
         self.assertTrue(self.takes_over(Loss.BROKEN, 10))
 
