--- a/src/apricotlead/cell_settings.py
+++ b/src/apricotlead/cell_settings.py
@@ -17,6 +17,8 @@
 _BYTES_PER_MBIT = 125000
 # What a connection has under way at most: the usual window of a receiver.
 _WINDOW_BYTES = 65536
+# Of a task in the journal, encoded as base64.
+_TASK_BYTES = 93
 # A read, a call of a follower or a renewal behind it still comes in time.
 _MAX_LINK_QUEUE_S = 0.25
 
@@ -80,6 +82,7 @@
             bounded,
             stop_s=self.stop_ms / _MS_PER_S,
             open_scans=self.open_scans,
+            tasks_per_write=self.tasks_per_write,
         )
 
     @property
@@ -88,9 +91,12 @@
 
         What they have under way must pass the link before anything else does.
         """
-        queue_bytes = self.link_mbps * _BYTES_PER_MBIT * _MAX_LINK_QUEUE_S
-        count = int(queue_bytes / _WINDOW_BYTES)
-        return max(1, min(self.cell.open_scans, count))
+        return self._within_link(_WINDOW_BYTES, self.cell.open_scans)
+
+    @property
+    def tasks_per_write(self) -> int:
+        """Return how many tasks a journal write may have."""
+        return self._within_link(_TASK_BYTES, self.cell.tasks_per_write)
 
     @classmethod
     def from_file(cls, path: str) -> Self:
@@ -111,6 +117,11 @@
         settings.check()
         return settings
 
+    def _within_link(self, item_bytes: int, most: int) -> int:
+        """Return how many items pass the link soon enough: 1 to ``most``."""
+        soon_bytes = self.link_mbps * _BYTES_PER_MBIT * _MAX_LINK_QUEUE_S
+        return max(1, min(most, int(soon_bytes / item_bytes)))
+
     def check(self) -> None:
         """Raise :class:`CellSettingsError` that names all invalid settings."""
         problems = [
--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -23,8 +23,6 @@
 # the rows of leases, speeds and expired jobs take up to 18.
 _MAX_JOBS_PER_WRITE = 76
 _MS_PER_S = 1000.0
-# The platform allows 1 MB in a transaction, and a task takes 40 to 70 bytes.
-_MAX_TASKS_PER_WRITE = 8000
 
 
 class Renewal(Struct):
@@ -54,16 +52,18 @@
     owner_version: int,
     now: float,
     expired_keys: tuple[str, ...],
-    extra_puts: tuple[Put, ...] = (),
+    extra_puts: tuple[Put, ...],
+    max_tasks: int,
 ) -> JournalBatch:
     """Return the next write: the oldest changes, within the size limit.
 
-    ``expired_keys`` are the rows of finished jobs that may be deleted.
+    ``expired_keys`` are the rows of finished jobs that may be deleted. The jobs
+    of a write have ``max_tasks`` together, unless the first one has more.
     """
     puts = list(extra_puts)
     planned: list[tuple[TaskState, int]] = []
     final_jobs: list[JobRun] = []
-    for job_id in _next_jobs(tracker):
+    for job_id in _next_jobs(tracker, max_tasks):
         tracker.dirty_job_ids.pop(job_id)
         job = tracker.jobs_by_id.get(job_id)
         if job is None:
@@ -83,7 +83,7 @@
     )
 
 
-def _next_jobs(tracker: RunTracker) -> list[str]:
+def _next_jobs(tracker: RunTracker, max_tasks: int) -> list[str]:
     """Return the jobs that changed first, within the limits of a write."""
     job_ids: list[str] = []
     task_count = 0
@@ -91,7 +91,7 @@
         job = tracker.jobs_by_id.get(job_id)
         if job is not None:
             task_count += job.task_count
-        if job_ids and task_count > _MAX_TASKS_PER_WRITE:
+        if job_ids and task_count > max_tasks:
             break
         job_ids.append(job_id)
     return job_ids
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -46,6 +46,7 @@
     """
 
     __slots__ = (
+        '_max_tasks_per_write',
         '_summary_logged_s',
         'advice',
         'clock',
@@ -106,6 +107,7 @@
         self.stalled = StalledSteps(self.tracker, self.advice, now)
         self.owner = owner
         self.owner_version = 0
+        self._max_tasks_per_write = settings.tasks_per_write
         self._summary_logged_s = now
         self.set_view(view)
 
@@ -153,6 +155,7 @@
             now,
             self.jobs.rows.take_expired(_MAX_EXPIRED_PER_WRITE),
             (*self.workers.lease_puts(now), *self.speeds.due(now)),
+            self._max_tasks_per_write,
         )
         renewed_s = self.workers.renewed_s
         return batch, self.starts.prepare(batch.planned, renewed_s, now)
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -130,10 +130,12 @@
         self,
         *workers: ModelWorker,
         config: CellConfig | None = None,
+        settings: CellSettings | None = None,
         **changes: object,
     ) -> None:
         """Start the first term at time 100."""
         self.now = 100.0
+        self.settings = settings or CellSettings()
         self.config = config or cell_config(**changes)
         self.workers_by_id = {
             worker.entry.worker_id: worker for worker in workers
@@ -158,11 +160,11 @@
             'instance',
             'peer',
             self.store_ms,
-            CellSettings().election,
+            self.settings.election,
         )
         self.write(transaction)
         self.scheduler = CellScheduler(
-            CellSettings(),
+            self.settings,
             CellConfigView(self.config, self.now),
             owner,
             read_owner(row),
--- a/tests/test_cell_operations.py
+++ b/tests/test_cell_operations.py
@@ -70,6 +70,16 @@
         ]
         self.assertEqual([1, 1, 2, 4, 32, 32], counts)
 
+    # Guards against journal writes that fill the link of a small instance.
+    def test_writes_are_as_large_as_the_link_allows(self) -> None:
+        counts = [
+            self.read(
+                f'{SETTINGS}link_mbps: {rate}\n'
+            ).bounded_cell.tasks_per_write
+            for rate in (0.001, 2, 5, 100)
+        ]
+        self.assertEqual([1, 672, 1680, 8000], counts)
+
     def test_longer_leases_are_shortened(self) -> None:
         """An instance did not start where workers limit leases to 6 s."""
         settings = self.read(f'{SETTINGS}longest_lease_ms: 6000\n')
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -23,11 +23,12 @@
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Rows, StoreFailed
 from apricotlead.transport.boot_clock import boot_now
-from apricotlead.transport.cell_links import RELEASED, CellLinks
+from apricotlead.transport.cell_journal_writer import JournalWriter
+from apricotlead.transport.cell_links import RELEASED, CellLinks, TermState
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_scheduling import SchedulingTerm
 from apricotlead.transport.http_pool import HttpPool
-from tests.cell_rig import CellRig
+from tests.cell_rig import SMALL, CellRig, stored_job
 from tests.fakes import UncalledWorkers
 from tests.virtual_clock import virtual_clock
 from tests.virtual_network import StoreHost, VirtualLink, VirtualNetwork
@@ -44,6 +45,9 @@
 FINAL_JOBS = 3000
 OPEN_JOBS = 300
 PARTS = len(JOB_PREFIXES)
+# As after the loss of many workers.
+CHANGED_JOBS = 80
+TASKS_OF_A_WIDE_JOB = 100
 PAYLOAD = 'x' * 1200
 # Within this time after a power-off, callers are to be served again.
 RECOVERY_S = 15.0
@@ -51,6 +55,7 @@
 MAX_IDLE_S = 3.0
 # Links over which packets wait longer count as choked.
 MAX_READ_S = 0.5
+STORE_LOST_S = ElectionTimes().store_lost_s
 
 
 def stored_rows() -> dict[str, object]:
@@ -78,6 +83,19 @@
     return values_by_key
 
 
+def entry_settings(bytes_per_s: float) -> CellEntrySettings:
+    """Return the settings of an instance with a link of some rate."""
+    return CellEntrySettings(
+        instance_id='i1',
+        data_centre='a',
+        callers_address=STORE_ADDRESS,
+        ready_address=STORE_ADDRESS,
+        peer_address=STORE_ADDRESS,
+        store_address=STORE_ADDRESS,
+        link_mbps=bytes_per_s / BYTES_PER_MBIT,
+    )
+
+
 class LoadingCase(TestCase):
     """A term that loads the jobs of a grown deployment, in virtual time."""
 
@@ -92,10 +110,9 @@
         self.store = PlatformStore(HttpPool(idle_per_host=16), STORE_ADDRESS)
         self.kinds: list[str] = []
 
-    def begin(self, bytes_per_s: float) -> SchedulingTerm:
-        """Begin a term that loads over a link."""
-        self.network.link = VirtualLink(bytes_per_s)
-        links = CellLinks(
+    def links(self) -> CellLinks:
+        """Return the clients of a term."""
+        return CellLinks(
             self.store,
             UncalledWorkers(),
             PREFIX,
@@ -104,19 +121,15 @@
             lambda kind, **fields: self.kinds.append(kind),
             CellMetrics(),
         )
-        settings = CellEntrySettings(
-            instance_id='i1',
-            data_centre='a',
-            callers_address=STORE_ADDRESS,
-            ready_address=STORE_ADDRESS,
-            peer_address=STORE_ADDRESS,
-            store_address=STORE_ADDRESS,
-            link_mbps=bytes_per_s / BYTES_PER_MBIT,
-        )
+
+    def begin(self, bytes_per_s: float) -> SchedulingTerm:
+        """Begin a term that loads over a link."""
+        self.network.link = VirtualLink(bytes_per_s)
+        settings = entry_settings(bytes_per_s)
         scheduler = CellRig().scheduler
         scheduler.workers.renewed_s = boot_now()
         term = SchedulingTerm(
-            links,
+            self.links(),
             settings.bounded_cell,
             scheduler,
             'peer',
@@ -208,6 +221,36 @@
             term.end('the test is over')
 
 
+class TestJournalOverASmallLink(LoadingCase):
+    """The journal is written, however many jobs have changed at once."""
+
+    # Guards against writes that take longer than their time limit, and are sent
+    # four times at once, so that none of them is answered.
+    def test_many_changed_jobs(self) -> None:
+        for bytes_per_s in (SMALL_LINK_BYTES_PER_S, LEAST_LINK_BYTES_PER_S):
+            self.network.uplink = VirtualLink(bytes_per_s)
+            state = self.changed_state(bytes_per_s)
+            journal = JournalWriter(
+                self.links(), state, ElectionTimes(), takeover_s=0.01
+            )
+            while state.scheduler.tracker.dirty_job_ids:
+                writing = eventlet.spawn(journal.write)
+                self.addCleanup(writing.kill)
+                eventlet.sleep(STORE_LOST_S)
+                self.assertTrue(writing.dead)
+            self.assertNotIn('journal blocked', self.kinds)
+
+    def changed_state(self, bytes_per_s: float) -> TermState:
+        """Return a term of whose jobs each has changed."""
+        rig = CellRig(settings=entry_settings(bytes_per_s).bounded_cell)
+        for number in range(CHANGED_JOBS):
+            job_id = str(number).zfill(16)
+            rig.submit(job_id, stored_job(StepSpec(TASKS_OF_A_WIDE_JOB, SMALL)))
+        tracker = rig.scheduler.tracker
+        tracker.dirty_job_ids.update(dict.fromkeys(tracker.jobs_by_id))
+        return TermState(rig.scheduler, lambda kind, **fields: None)
+
+
 class TestTermsThatDoNotLoad(LoadingCase):
     """A term that does not load in time makes way for another instance."""
 
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -101,7 +101,10 @@
             return
         head, _, body = request.partition(b'\r\n\r\n')
         method, target, _ = head.decode().split('\r\n')[0].split(' ')
+        self._network.uplink.carry(request, lambda packet: self.is_open)
         eventlet.sleep(HOP_S)
+        if not self.is_open:
+            return
         status, content = self._host(method, target, body)
         eventlet.sleep(HOP_S)
         length = len(content)
@@ -125,6 +128,7 @@
         self.hosts_by_address: dict[str, Host] = {}
         self.sockets: list[VirtualSocket] = []
         self.link = VirtualLink()
+        self.uplink = VirtualLink()
         # Whether new connections are silent, too.
         self.is_cut = False
         ends = os.pipe()
