Read no further tables of a term that has ended

Cause: found when the fixes were read again. Tables are read a few at a time over a small link now, so an instance whose term ended during the load read the others for seconds, and its callers waited behind them.

Ruled out: ending the green threads of reads under way; their connections would be closed, and what is under way still passes the link.

Conclusion: reads that wait for their turn are not begun once the term ends.

--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -228,6 +228,7 @@
         self.followers.release()
 
     def _stop_parts(self) -> None:
+        self._reader.close()
         for green_thread in self._green_threads:
             green_thread.kill()
         self._holds.stop()
--- a/src/apricotlead/transport/hedged_reader.py
+++ b/src/apricotlead/transport/hedged_reader.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         '_delay_s',
+        '_is_closed',
         '_max_scans',
         '_open_scans',
         '_reader',
@@ -51,6 +52,7 @@
         ``max_open_scans`` reads of all rows are made at a time.
         """
         self._open_scans = Semaphore(max_open_scans)
+        self._is_closed = False
         self._received_s = received_s
         self._reader = reader
         self._delay_s = delay_s
@@ -60,8 +62,14 @@
         """Read all rows with a key prefix."""
         scan = partial(self._reader.scan_rows, prefix)
         with self._open_scans:
+            if self._is_closed:
+                return StoreFailed(None, reason='the rows are not needed')
             return self._hedge(scan, self._max_scans)
 
+    def close(self) -> None:
+        """Make none of the reads that wait for their turn."""
+        self._is_closed = True
+
     def changes(
         self,
         table: str,
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -280,6 +280,17 @@
         self.assertNotIn('jobs loaded', self.kinds)
         self.assertTrue(term.followers.watch(larger).is_released)
 
+    # Guards against reads of a term that has ended, behind which the callers of
+    # its instance wait.
+    def test_ended_term_reads_no_further_tables(self) -> None:
+        term = self.begin(LEAST_LINK_BYTES_PER_S)
+        eventlet.sleep(1)
+        term.end('another instance has taken over')
+        eventlet.sleep(1)
+        read_count = self.store_host.read_count
+        eventlet.sleep(RECOVERY_S)
+        self.assertEqual(read_count, self.store_host.read_count)
+
     # Guards against a term that is replaced again and again while it loads,
     # since its answers to followers are late and it has written nothing.
     def test_term_is_renewed_while_it_loads(self) -> None:
