Ask for as many lists of workers at a time as the link allows

It asked all 176 workers for their lists at once; over its link most lists came later than the 0.15 s after which an answer counts as lost, and were asked for again.

Ruled out: a longer limit; it tells lost answers of a healthy cell apart, and would have to grow with the cell.

Conclusion: workers without contact are asked as many at a time as pass the link within 0.1 s: 15 at 5 Mbit/s, 305 at 100 Mbit/s.

--- a/src/apricotlead/cell_settings.py
+++ b/src/apricotlead/cell_settings.py
@@ -17,10 +17,14 @@
 _BYTES_PER_MBIT = 125000
 # What a connection has under way at most: the usual window of a receiver.
 _WINDOW_BYTES = 65536
+# Of a worker with some runs, and some ends that nobody has acknowledged.
+_LIST_BYTES = 4096
 # Of a task in the journal, encoded as base64.
 _TASK_BYTES = 93
 # A read, a call of a follower or a renewal behind it still comes in time.
 _MAX_LINK_QUEUE_S = 0.25
+# A worker's answer counts as lost when it is 0.15 s late.
+_MAX_LIST_QUEUE_S = 0.1
 
 
 class CellSettingsError(ApricotleadError):
@@ -75,29 +79,21 @@
 
     @property
     def bounded_cell(self) -> CellSettings:
-        """Return the settings of the cell, within the limits of workers."""
+        """Return the settings of the cell, within what workers and link allow."""
         longest_s = self.longest_lease_ms / _MS_PER_S
         bounded = self.cell.bounded(longest_s)
         return replace(
             bounded,
             stop_s=self.stop_ms / _MS_PER_S,
-            open_scans=self.open_scans,
-            tasks_per_write=self.tasks_per_write,
+            open_scans=self._within_link(_WINDOW_BYTES, self.cell.open_scans),
+            open_lists=self._within_link(
+                _LIST_BYTES, self.cell.open_lists, _MAX_LIST_QUEUE_S
+            ),
+            tasks_per_write=self._within_link(
+                _TASK_BYTES, self.cell.tasks_per_write
+            ),
         )
 
-    @property
-    def open_scans(self) -> int:
-        """Return how many tables may be read at a time.
-
-        What they have under way must pass the link before anything else does.
-        """
-        return self._within_link(_WINDOW_BYTES, self.cell.open_scans)
-
-    @property
-    def tasks_per_write(self) -> int:
-        """Return how many tasks a journal write may have."""
-        return self._within_link(_TASK_BYTES, self.cell.tasks_per_write)
-
     @classmethod
     def from_file(cls, path: str) -> Self:
         """Read and check a YAML file; raise :class:`CellSettingsError`.
@@ -117,9 +113,14 @@
         settings.check()
         return settings
 
-    def _within_link(self, item_bytes: int, most: int) -> int:
-        """Return how many items pass the link soon enough: 1 to ``most``."""
-        soon_bytes = self.link_mbps * _BYTES_PER_MBIT * _MAX_LINK_QUEUE_S
+    def _within_link(
+        self, item_bytes: int, most: int, queue_s: float = _MAX_LINK_QUEUE_S
+    ) -> int:
+        """Return how many items may be under way at a time: 1 to ``most``.
+
+        They must pass the link before anything else does.
+        """
+        soon_bytes = self.link_mbps * _BYTES_PER_MBIT * queue_s
         return max(1, min(most, int(soon_bytes / item_bytes)))
 
     def check(self) -> None:
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -129,8 +129,9 @@
 
     The state of a finished job can be read for ``keep_final_s`` seconds. A
     worker takes up to ``stop_s`` seconds to stop a run. A term reads
-    ``open_scans`` tables at a time while it loads. The jobs of a journal write
-    have up to ``tasks_per_write`` tasks.
+    ``open_scans`` tables at a time while it loads, and then the lists of
+    ``open_lists`` workers at a time. The jobs of a journal write have up to
+    ``tasks_per_write`` tasks.
     """
 
     leases: LeaseTimes = field(default_factory=LeaseTimes)
@@ -140,6 +141,7 @@
     keep_final_s: float = 120.0
     stop_s: float = 0.9
     open_scans: int = 32
+    open_lists: int = 4096
     # The platform allows 1 MB in a transaction, and a task takes 40 to 70 bytes.
     tasks_per_write: int = 8000
 
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -1,9 +1,11 @@
 """Holds: long-poll calls that extend workers' leases and report ended runs."""
 
+from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
 import eventlet
 from eventlet.greenthread import GreenThread
+from eventlet.semaphore import Semaphore
 
 from apricotlead.coordination.cell.hold_pacing import is_crowded, may_delay_hold
 from apricotlead.coordination.cell.settings import HoldTimes
@@ -31,6 +33,7 @@
         '_crowded_checked_s',
         '_green_threads',
         '_links',
+        '_lists',
         '_lost_worker_ids',
         '_response_delay',
         '_state',
@@ -44,8 +47,14 @@
         links: CellLinks,
         state: TermState,
         times: HoldTimes,
+        open_lists: int = 4096,
     ) -> None:
-        """Start without workers."""
+        """Start without workers.
+
+        Workers without contact are asked for their lists ``open_lists`` at a
+        time.
+        """
+        self._lists = Semaphore(open_lists)
         self._links = links
         self._state = state
         self._times = times
@@ -77,14 +86,15 @@
         """Call one worker again and again until it is removed."""
         consecutive_failures = 0
         while not self._state.ended_why:
-            planned = self._state.scheduler.workers.hold_order(
-                worker_id, boot_now()
-            )
-            if planned is None:
-                break
-            entry, order = planned
-            sent_s = boot_now()
-            answer = self._hold(entry, order)
+            with self._turn(worker_id):
+                planned = self._state.scheduler.workers.hold_order(
+                    worker_id, boot_now()
+                )
+                if planned is None:
+                    break
+                entry, order = planned
+                sent_s = boot_now()
+                answer = self._hold(entry, order)
             now = boot_now()
             if isinstance(answer, HoldReport):
                 consecutive_failures = 0
@@ -110,6 +120,11 @@
                 consecutive_failures += 1
         self._watched_worker_ids.discard(worker_id)
 
+    def _turn(self, worker_id: str) -> AbstractContextManager[Any]:
+        """Return the limit of calls that holds for the next call to a worker."""
+        has_contact = self._state.scheduler.workers.has_contact(worker_id)
+        return nullcontext() if has_contact else self._lists
+
     def _hold(self, entry: WorkerEntry, order: HoldOrder) -> Any:
         """Make one call; its timeout tells a lost response from a long wait."""
         wait_s = order.wait_ms / _MS_PER_S
--- a/src/apricotlead/transport/cell_scheduling.py
+++ b/src/apricotlead/transport/cell_scheduling.py
@@ -104,7 +104,9 @@
             settings.election,
             takeover_s,
         )
-        self._holds = WorkerHolds(links, self._state, settings.holds)
+        self._holds = WorkerHolds(
+            links, self._state, settings.holds, settings.open_lists
+        )
         self._orders = OrderSender(links, self._state, settings, own_address)
         self._green_threads: list[GreenThread] = []
         self.followers = FollowerCalls(
--- a/tests/test_cell_operations.py
+++ b/tests/test_cell_operations.py
@@ -70,6 +70,14 @@
         ]
         self.assertEqual([1, 1, 2, 4, 32, 32], counts)
 
+    # Guards against lists of workers that come too late, as all are under way.
+    def test_lists_are_read_as_the_link_allows(self) -> None:
+        counts = [
+            self.read(f'{SETTINGS}link_mbps: {rate}\n').bounded_cell.open_lists
+            for rate in (0.1, 2, 5, 100)
+        ]
+        self.assertEqual([1, 6, 15, 305], counts)
+
     # Guards against journal writes that fill the link of a small instance.
     def test_writes_are_as_large_as_the_link_allows(self) -> None:
         counts = [
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -5,6 +5,7 @@
 
 import eventlet
 import msgspec
+from eventlet.event import Event
 from testtools import TestCase
 
 from apricotlead.cell_settings import CellEntrySettings
@@ -20,15 +21,23 @@
     StoredJob,
 )
 from apricotlead.protocol.cell_peers import FollowerCall
+from apricotlead.protocol.cell_workers import (
+    HoldOrder,
+    HoldReport,
+    OrderReply,
+    Refusal,
+    WorkerEntry,
+)
 from apricotlead.protocol.resources import Resources
 from apricotlead.protocol.table import Rows, StoreFailed
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.cell_holds import WorkerHolds
 from apricotlead.transport.cell_journal_writer import JournalWriter
 from apricotlead.transport.cell_links import RELEASED, CellLinks, TermState
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_scheduling import SchedulingTerm
 from apricotlead.transport.http_pool import HttpPool
-from tests.cell_rig import SMALL, CellRig, stored_job
+from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 from tests.fakes import UncalledWorkers
 from tests.virtual_clock import virtual_clock
 from tests.virtual_network import StoreHost, VirtualLink, VirtualNetwork
@@ -48,6 +57,9 @@
 # As after the loss of many workers.
 CHANGED_JOBS = 80
 TASKS_OF_A_WIDE_JOB = 100
+WORKERS = 176
+# Of some runs and some ends that nobody has acknowledged.
+LIST_BYTES = 4096
 PAYLOAD = 'x' * 1200
 # Within this time after a power-off, callers are to be served again.
 RECOVERY_S = 15.0
@@ -251,6 +263,68 @@
         return TermState(rig.scheduler, lambda kind, **fields: None)
 
 
+class ListingWorkers(UncalledWorkers):
+    """Workers whose first lists share a link; also late ones pass it."""
+
+    def __init__(self, link: VirtualLink) -> None:
+        """Answer over ``link``."""
+        super().__init__()
+        self._link = link
+        self._listed_ids: set[str] = set()
+
+    def hold(
+        self, entry: WorkerEntry, order: HoldOrder, timeout_s: float
+    ) -> HoldReport | OrderReply:
+        """Answer with a list, and later that there is nothing new."""
+        if entry.worker_id in self._listed_ids:
+            eventlet.sleep(timeout_s / 2)
+            return HoldReport(boot_now(), (), ())
+        has_come = Event()
+        eventlet.spawn_n(self._send, has_come)
+        has_come.wait(timeout_s)
+        if has_come.ready():
+            self._listed_ids.add(entry.worker_id)
+            return HoldReport(boot_now(), (), ())
+        return OrderReply(Refusal.UNANSWERED)
+
+    def _send(self, has_come: Event) -> None:
+        self._link.carry(bytes(LIST_BYTES), lambda packet: True)
+        has_come.send()
+
+
+class TestListsOverASmallLink(LoadingCase):
+    """All workers are in contact soon after a term has begun."""
+
+    # Guards against lists that are asked for all at once, come too late for
+    # their time limit, and are asked for again.
+    def test_first_lists(self) -> None:
+        settings = entry_settings(SMALL_LINK_BYTES_PER_S).bounded_cell
+        worker_ids = [f'w{number}' for number in range(WORKERS)]
+        rig = CellRig(*map(ModelWorker, worker_ids), settings=settings)
+        rig.now = boot_now()
+        rig.begin_term()
+        links = msgspec.structs.replace(
+            self.links(),
+            workers=ListingWorkers(VirtualLink(SMALL_LINK_BYTES_PER_S)),
+        )
+        holds = WorkerHolds(
+            links,
+            TermState(rig.scheduler, links.log),
+            settings.holds,
+            settings.open_lists,
+        )
+        self.addCleanup(holds.stop)
+        for worker_id in worker_ids:
+            holds.watch(worker_id)
+        eventlet.sleep(MAX_IDLE_S)
+        silent = [
+            each
+            for each in worker_ids
+            if not rig.scheduler.workers.has_contact(each)
+        ]
+        self.assertEqual([], silent)
+
+
 class TestTermsThatDoNotLoad(LoadingCase):
     """A term that does not load in time makes way for another instance."""
 
