Hedge reads of tables beside callers' reads

A read of a table was not repeated while anything came from the store. On an instance with callers something always does, so an answer that was lost cost the whole limit of 1.0 s at the beginning of a term.

Ruled out: a limit on how often the repeat is put off; over a small link the first read would then be joined by a second one again.

Before and after: test_answer_is_lost_beside_other_reads (0.5 s) fails without the change.

Conclusion: only rows of tables and of feeds, which fill a link, put a repeat off.

--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -189,7 +189,7 @@
         return Changes(rows, version, decoded.store_ms)
 
     def received_s(self) -> float:
-        """Return when a part of any answer came last."""
+        """Return when rows of a table or of a feed came last."""
         return self._pool.received_s(self._address)
 
     def _read_range(
--- a/src/apricotlead/transport/hedged_reader.py
+++ b/src/apricotlead/transport/hedged_reader.py
@@ -46,9 +46,9 @@
         """Read through ``reader``; repeat a read first after ``delay_s``.
 
         ``max_scans`` limits the reads of all rows. For a large table it should
-        be small, since these share a link. ``received_s()`` is when anything
-        came last from the store: while its answers arrive, a read of all rows
-        is not lost but waits for its part of the link, and is not repeated.
+        be small, since these share a link. ``received_s()`` is when rows came
+        last: while they arrive, a read is not lost but waits for its part of
+        the link, and is not repeated.
         ``max_open_scans`` reads of all rows are made at a time.
         """
         self._open_scans = Semaphore(max_open_scans)
@@ -92,7 +92,7 @@
         )
 
     def _is_link_quiet(self) -> bool:
-        """Return whether nothing has come from the store for a while."""
+        """Return whether no rows have come for a while."""
         if self._received_s is None:
             return True
         return boot_now() - self._received_s() > self._delay_s / 2
--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -128,6 +128,9 @@
     def call(self, request: HttpCall) -> HttpResult:
         """Send a request and wait for its answer."""
 
+    def received_s(self, address: str) -> float:
+        """Return when a part of a large answer of a host came last."""
+
 
 class _Connection:
     """An open connection; ``number`` tells it from all others of the pool.
@@ -204,7 +207,7 @@
         self.idle_by_number: dict[int, _Connection] = {}
         self.open_numbers: set[int] = set()
         self.is_closed = False
-        # When a part of any answer came last.
+        # When a part of a large answer came last.
         self.received_s = float('-inf')
         self.permits = Semaphore(max_connections) if max_connections else None
 
@@ -300,9 +303,9 @@
         timer: eventlet.Timeout,
     ) -> None:
         """Record that a part of an answer has come."""
-        self.received_s = boot_now()
         self.awaited_by_number.pop(connection.number, None)
         if request.limits_silence:
+            self.received_s = boot_now()
             timer.cancel()
             timer.start()
 
@@ -392,7 +395,10 @@
             host.release()
 
     def received_s(self, address: str) -> float:
-        """Return when a part of any answer of a host came last."""
+        """Return when a part of a large answer of a host came last.
+
+        Large answers are those to calls with ``limits_silence``.
+        """
         host = self._hosts_by_address.get(address)
         return float('-inf') if host is None else host.received_s
 
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -36,6 +36,7 @@
 from apricotlead.transport.cell_links import RELEASED, CellLinks, TermState
 from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_scheduling import SchedulingTerm
+from apricotlead.transport.hedged_reader import HedgedReader
 from apricotlead.transport.http_pool import HttpPool
 from tests.cell_rig import SMALL, CellRig, ModelWorker, stored_job
 from tests.fakes import UncalledWorkers
@@ -209,6 +210,20 @@
         self.assertIsInstance(thread.wait(), StoreFailed)
         self.assertLess(boot_now() - began_s, 1.1)
 
+    # Guards against a lost answer that costs a whole time limit, since callers'
+    # reads are answered meanwhile.
+    def test_answer_is_lost_beside_other_reads(self) -> None:
+        reader = HedgedReader(self.store, 0.25, 2, self.store.received_s)
+        began_s = boot_now()
+        scan = eventlet.spawn(reader.scan_rows, JOB_PREFIXES[0])
+        eventlet.sleep(0.01)
+        self.network.silence()
+        while not scan.dead:
+            self.store.read_row(job_key('0' * 16))
+            eventlet.sleep(0.02)
+        self.assertIsInstance(scan.wait(), Rows)
+        self.assertLess(boot_now() - began_s, 0.5)
+
     # Guards against a change that makes the usual load slower.
     def test_large_link(self) -> None:
         self.assertLess(self.load_s(LARGE_LINK_BYTES_PER_S), 1.0)
