Keep the connections of an address in a module of their own

Ruled out: nothing.

Before and after: the same tests pass; no logic changes.

Conclusion: http_connections.py knows connections and their state, http_pool.py calls and their outcomes.

--- a/src/apricotlead/transport/http_pool.py
+++ b/src/apricotlead/transport/http_pool.py
@@ -1,21 +1,22 @@
 """An HTTP connection pool shared by green threads."""
 
-import select
 from collections import OrderedDict
-from collections.abc import Callable
-from contextlib import suppress
 from functools import partial
 from itertools import count
 from typing import Any, Protocol
 
 import eventlet
 from eventlet.green import socket
-from eventlet.semaphore import Semaphore
 from httptools import HttpParserError
 from msgspec import Struct
 
 from apricotlead.protocol.addresses import InvalidAddress, split_address
 from apricotlead.transport.boot_clock import boot_now
+from apricotlead.transport.http_connections import (
+    Connection,
+    HostConnections,
+    close_socket,
+)
 from apricotlead.transport.http_messages import (
     InvalidHeader,
     ResponseReader,
@@ -35,7 +36,6 @@
 # An executor accepts 64 connections from all entry instances together,
 # including idle ones.
 _IDLE_PER_HOST = 4
-_READ_BYTES = 65536
 _RETRY_HEADER = 'retry-after'
 _MAX_RETRY_AFTER_S = 600.0
 _LOG_DIGITS = 3
@@ -132,217 +132,6 @@
         """Return when a part of a large answer of a host came last."""
 
 
-class _Connection:
-    """An open connection; ``number`` tells it from all others of the pool.
-
-    ``answered_s`` is when its last answer was complete, ``None`` before.
-    """
-
-    __slots__ = ('answered_s', 'number', 'socket')
-
-    def __init__(self, number: int, connected: Any) -> None:
-        """Use a connected socket."""
-        self.number = number
-        self.socket = connected
-        self.answered_s: float | None = None
-
-    @property
-    def is_kept(self) -> bool:
-        """Return whether it has answered an earlier call."""
-        return self.answered_s is not None
-
-    def describe(self, now: float) -> str:
-        """Return whether it was kept from an earlier call, and for how long."""
-        if self.answered_s is None:
-            return 'a new connection'
-        kept_s = round(now - self.answered_s, 1)
-        return f'a connection kept for {kept_s} s'
-
-    def is_readable(self) -> bool:
-        """Return whether it was closed or has unread data while idle."""
-        poll = select.poll()
-        poll.register(self.socket.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-    def send_and_receive(
-        self,
-        encoded: bytes,
-        reader: ResponseReader,
-        received: Callable[[], None],
-    ) -> bool:
-        """Send a request and read its response; return whether to reuse.
-
-        ``received()`` is called after each part of the response.
-        """
-        self.socket.sendall(encoded)
-        while not reader.is_complete:
-            reader.feed(self.socket.recv(_READ_BYTES))
-            received()
-        return reader.is_reusable
-
-
-class _Host:
-    """The connections to one address.
-
-    ``permits`` limits how many calls use a connection at a time, ``None``
-    without a limit. A call takes an idle connection first, so the limit also
-    holds for the connections that are open. ``open_numbers`` has those that
-    are idle and those in use. ``awaited_by_number`` has the calls on kept
-    connections whose answers may become overdue: when each was sent, and when
-    its answer is overdue.
-    """
-
-    __slots__ = (
-        'awaited_by_number',
-        'idle_by_number',
-        'is_closed',
-        'open_numbers',
-        'permits',
-        'received_s',
-    )
-
-    def __init__(self, max_connections: int | None) -> None:
-        """Start without connections."""
-        self.awaited_by_number: dict[int, tuple[float, float]] = {}
-        self.idle_by_number: dict[int, _Connection] = {}
-        self.open_numbers: set[int] = set()
-        self.is_closed = False
-        # When a part of a large answer came last.
-        self.received_s = float('-inf')
-        self.permits = Semaphore(max_connections) if max_connections else None
-
-    def acquire(self, wait_s: float) -> bool:
-        """Wait for a permit; tell whether the call may use a connection."""
-        if self.permits is None:
-            return True
-        if not self.permits.acquire(timeout=wait_s):
-            return False
-        if self.is_closed:
-            self.permits.release()
-        return not self.is_closed
-
-    def release(self) -> None:
-        """Return the permit."""
-        if self.permits is not None:
-            self.permits.release()
-
-    def is_gone(self, number: int | None) -> bool:
-        """Return whether ``number`` names a connection that has ended.
-
-        Those in use of a closed host are closed after their call.
-        """
-        if number is None:
-            return False
-        return self.is_closed or number not in self.open_numbers
-
-    def take_idle(self, number: int | None) -> _Connection | None:
-        """Return an idle connection that is open and has no unread data.
-
-        With ``number`` only that one, otherwise the one used last.
-        """
-        while self.idle_by_number:
-            last = next(reversed(self.idle_by_number))
-            connection = self.idle_by_number.pop(
-                last if number is None else number, None
-            )
-            if connection is None or not connection.is_readable():
-                return connection
-            self.discard(connection)
-        return None
-
-    def add(self, connection: _Connection) -> None:
-        """Count a new connection as open; it is in use."""
-        self.open_numbers.add(connection.number)
-
-    def discard(self, connection: _Connection) -> None:
-        """Close a connection that is not idle."""
-        self.open_numbers.discard(connection.number)
-        _close(connection.socket)
-
-    def discard_overdue(self, now: float) -> None:
-        """Close kept connections that an overdue answer makes suspect."""
-        if not self.idle_by_number:
-            return
-        overdue = [
-            sent_s
-            for sent_s, overdue_s in self.awaited_by_number.values()
-            if overdue_s <= now
-        ]
-        if overdue:
-            self.discard_suspects(max(overdue))
-
-    def discard_suspects(self, sent_s: float) -> None:
-        """Close kept connections that may have failed together with one.
-
-        A device on the path may forget all idle connections at once, without
-        a reset, so each of them would cost a call its whole time limit. Those
-        that have answered since ``sent_s``, when the failed call was sent,
-        work.
-        """
-        for number, connection in tuple(self.idle_by_number.items()):
-            if connection.answered_s <= sent_s:
-                self.idle_by_number.pop(number)
-                self.discard(connection)
-
-    def begin_call(
-        self, connection: _Connection, overdue_s: float | None
-    ) -> float:
-        """Record that a call is sent on a connection; return the time."""
-        sent_s = boot_now()
-        if connection.is_kept and overdue_s is not None:
-            self.awaited_by_number[connection.number] = (
-                sent_s,
-                sent_s + overdue_s,
-            )
-        return sent_s
-
-    def receive(
-        self,
-        connection: _Connection,
-        request: HttpCall,
-        timer: eventlet.Timeout,
-    ) -> None:
-        """Record that a part of an answer has come."""
-        self.awaited_by_number.pop(connection.number, None)
-        if request.limits_silence:
-            self.received_s = boot_now()
-            timer.cancel()
-            timer.start()
-
-    def note_failure(self, connection: _Connection, sent_s: float) -> None:
-        """Close the kept connections that a failed call makes suspect.
-
-        A call on a new connection says nothing about kept ones.
-        """
-        if connection.is_kept:
-            self.discard_suspects(sent_s)
-
-    def end_call(
-        self, connection: _Connection, may_reuse: bool, max_idle: int
-    ) -> bool:
-        """Keep a connection for later calls or close it; return whether kept."""
-        self.awaited_by_number.pop(connection.number, None)
-        is_idle = may_reuse and self.return_idle(connection, max_idle)
-        if not is_idle:
-            self.discard(connection)
-        return is_idle
-
-    def return_idle(self, connection: _Connection, max_idle: int) -> bool:
-        """Keep a connection for later calls if there is room for it."""
-        if self.is_closed or len(self.idle_by_number) >= max_idle:
-            return False
-        connection.answered_s = boot_now()
-        self.idle_by_number[connection.number] = connection
-        return True
-
-    def close(self) -> None:
-        """Close the connections: idle ones now, those in use after the call."""
-        self.is_closed = True
-        for connection in self.idle_by_number.values():
-            self.discard(connection)
-        self.idle_by_number.clear()
-
-
 class HttpPool:
     """Keeps connections open between calls.
 
@@ -377,7 +166,9 @@
         self._max_hosts = max_hosts
         self._idle_per_host = idle_per_host
         self._max_per_host = max_per_host
-        self._hosts_by_address: OrderedDict[str, _Host] = OrderedDict()
+        self._hosts_by_address: OrderedDict[str, HostConnections] = (
+            OrderedDict()
+        )
         self._numbers = count(1)
 
     def call(self, request: HttpCall) -> HttpResult:
@@ -423,10 +214,10 @@
         host = self._hosts_by_address.get(request.address)
         return host is None or host.is_gone(request.connection)
 
-    def _host(self, address: str) -> _Host:
+    def _host(self, address: str) -> HostConnections:
         host = self._hosts_by_address.get(address)
         if host is None:
-            host = _Host(self._max_per_host)
+            host = HostConnections(self._max_per_host)
             self._hosts_by_address[address] = host
         self._hosts_by_address.move_to_end(address)
         if len(self._hosts_by_address) > self._max_hosts:
@@ -434,7 +225,9 @@
             unused.close()
         return host
 
-    def _call_in_time(self, request: HttpCall, host: _Host) -> HttpResult:
+    def _call_in_time(
+        self, request: HttpCall, host: HostConnections
+    ) -> HttpResult:
         timer = eventlet.Timeout(request.timeout_s)
         try:
             return self._call(request, host, timer)
@@ -447,7 +240,7 @@
             timer.cancel()
 
     def _call(
-        self, request: HttpCall, host: _Host, timer: eventlet.Timeout
+        self, request: HttpCall, host: HostConnections, timer: eventlet.Timeout
     ) -> HttpResult:
         try:
             encoded = encode_request(
@@ -467,7 +260,7 @@
             if request.connection is not None:
                 return _unavailable(request, host)
             try:
-                connection = _Connection(next(self._numbers), _connect(request))
+                connection = Connection(next(self._numbers), _connect(request))
             except (OSError, InvalidAddress) as error:
                 return NeverSent(
                     f'{request.address}: {error}',
@@ -479,19 +272,20 @@
     def _exchange(
         self,
         request: HttpCall,
-        host: _Host,
-        connection: _Connection,
+        host: HostConnections,
+        connection: Connection,
         encoded: bytes,
         timer: eventlet.Timeout,
     ) -> HttpResult:
         reader = ResponseReader()
         may_reuse = False
+        silence_timer = timer if request.limits_silence else None
         sent_s = host.begin_call(connection, request.overdue_s)
         try:
             may_reuse = connection.send_and_receive(
                 encoded,
                 reader,
-                partial(host.receive, connection, request, timer),
+                partial(host.receive, connection, silence_timer),
             )
         except eventlet.Timeout as timeout:
             if timeout is not timer:
@@ -515,7 +309,7 @@
 
 
 def _unanswered(
-    request: HttpCall, connection: _Connection, sent_s: float
+    request: HttpCall, connection: Connection, sent_s: float
 ) -> NoAnswer:
     limit_s = round(request.timeout_s, _LOG_DIGITS)
     kind = connection.describe(sent_s)
@@ -529,7 +323,7 @@
     )
 
 
-def _unavailable(request: HttpCall, host: _Host) -> NeverSent:
+def _unavailable(request: HttpCall, host: HostConnections) -> NeverSent:
     """Return why the connection that a call names was not idle."""
     if host.is_gone(request.connection):
         return _connection_gone(request)
@@ -547,13 +341,7 @@
     try:
         connection.connect(address)
     except BaseException:
-        _close(connection)
+        close_socket(connection)
         raise
     connection.settimeout(None)
     return connection
-
-
-def _close(connection: Any) -> None:
-    # Errors while closing a broken connection carry no information.
-    with suppress(OSError):
-        connection.close()
