Start where the platform names no link

An instance on such a platform would not start.

Ruled out: a default in the template; it has none.

Conclusion: without a rate, what is under way has the limits that it had before this issue.

--- a/src/apricotlead/cell_settings.py
+++ b/src/apricotlead/cell_settings.py
@@ -43,7 +43,7 @@
     Workers shorten leases to ``longest_lease_ms``; longer leases in ``cell``,
     and the timing of the calls that extend them, are shortened to fit.
     Workers take up to ``stop_ms`` to stop a run. ``link_mbps`` is the rate of the
-    instance's link in Mbit/s.
+    instance's link in Mbit/s, ``None`` or 0 if the platform names none.
     """
 
     instance_id: str
@@ -60,7 +60,7 @@
     revoke_ms: float = 5000.0
     longest_lease_ms: float = 10000.0
     stop_ms: float = 900.0
-    link_mbps: float = 1000.0
+    link_mbps: float | None = None
     max_connections: int = 2000
     cell: CellSettings = field(default_factory=CellSettings)
 
@@ -120,6 +120,8 @@
 
         They must pass the link before anything else does.
         """
+        if not self.link_mbps:
+            return most
         soon_bytes = self.link_mbps * _BYTES_PER_MBIT * queue_s
         return max(1, min(most, int(soon_bytes / item_bytes)))
 
--- a/tests/test_cell_operations.py
+++ b/tests/test_cell_operations.py
@@ -70,6 +70,13 @@
         ]
         self.assertEqual([1, 1, 2, 4, 32, 32], counts)
 
+    # Guards against an instance that does not start on a platform that names no
+    # link for it.
+    def test_link_that_is_not_known(self) -> None:
+        for text in ('', 'link_mbps:\n', 'link_mbps: 0\n'):
+            cell = self.read(f'{SETTINGS}{text}').bounded_cell
+            self.assertEqual(32, cell.open_scans)
+
     # Guards against lists of workers that come too late, as all are under way.
     def test_lists_are_read_as_the_link_allows(self) -> None:
         counts = [
