--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -64,6 +64,17 @@
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
 
+    def setup(self):
+        super().setup()
+        self.server.channels.add(self.connection)
+
+    def finish(self):
+        self.server.channels.discard(self.connection)
+        try:
+            super().finish()
+        except OSError:
+            pass
+
     def do_GET(self):
         parts = urlsplit(self.path)
         query = parse_qs(parts.query, keep_blank_values=True)
@@ -99,6 +110,11 @@
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 512
+    allow_reuse_address = True
+
+    def __init__(self, *arguments):
+        self.channels = set()
+        super().__init__(*arguments)
 
     def handle_error(self, request, client_address):
         pass
@@ -306,6 +322,48 @@
         threading.Thread(target=self._beat, daemon=True).start()
         threading.Thread(target=self._tick, daemon=True).start()
 
+    def crash(self):
+        """End at once: all runs are gone, and nothing listens any more."""
+        self.record.write('crash', executor=self.executor_id)
+        with self.changed:
+            self.is_up = False
+            for run in self.running.values():
+                run.how = 'crashed'
+                run.ended_s = time.monotonic()
+            self.running.clear()
+        server = self._server
+        threading.Thread(target=server.shutdown, daemon=True).start()
+        server.socket.close()
+        for channel in tuple(server.channels):
+            try:
+                channel.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def restart(self):
+        """Start again at the same address, under the same id."""
+        port = int(self.address.partition(':')[2])
+        for _ in range(100):
+            try:
+                self._server = _Server(('127.0.0.1', port), _Handler)
+                break
+            except OSError:
+                time.sleep(0.05)
+        self._server.model = self
+        self.born_ms = int(time.time() * 1000)
+        self.born_s = time.monotonic()
+        self.fence = 0
+        self.lease_until_s = float('-inf')
+        self.running = {}
+        self.refused = {}
+        self.ended = []
+        self.acked_through = 0
+        self._sequence = 0
+        self.is_up = True
+        self.record.write('restart', executor=self.executor_id)
+        for target in (self._server.serve_forever, self._beat, self._tick):
+            threading.Thread(target=target, daemon=True).start()
+
     def clock_ms(self):
         return int((time.monotonic() - self.born_s) * 1000)
 
@@ -473,20 +531,25 @@
 
     def __init__(self, name, folder, store_address):
         self.name = name
+        self._store_address = store_address
+        self._settings = Path(folder, f'{name}.yaml')
+        self._log = Path(folder, f'{name}.log')
+        self.process = None
+        self.choose_ports()
+
+    def choose_ports(self):
         self.front, self.ready, self.peer, self.metrics = (
             free_port() for _ in range(4)
         )
-        self._settings = Path(folder, f'{name}.yaml')
-        self._log = Path(folder, f'{name}.log')
         # The fields of deploy/settings.yaml.template, as on a small site.
         self._settings.write_text(
-            f'instance_id: "{name}"\n'
+            f'instance_id: "{self.name}"\n'
             'data_centre: "zone-a"\n'
             f'callers_address: "127.0.0.1:{self.front}"\n'
             f'ready_address: "127.0.0.1:{self.ready}"\n'
             f'peer_address: "127.0.0.1:{self.peer}"\n'
             f'metrics_address: "127.0.0.1:{self.metrics}"\n'
-            f'store_address: "{store_address}"\n'
+            f'store_address: "{self._store_address}"\n'
             'advice_address: ""\n'
             'cpu_share: 0.537\n'
             'cores: 2\n'
@@ -498,7 +561,6 @@
             'cell:\n'
             '  keep_final_s: 120\n'
         )
-        self.process = None
 
     def start(self):
         words, variables = deploy_command()
@@ -568,6 +630,13 @@
     def start(self):
         for entry in self.entries:
             entry.start()
+        time.sleep(2)
+        for entry in self.entries:
+            # Another program may have taken one of its ports meanwhile.
+            if entry.process.poll() is not None:
+                self.record.write('did not start', entry=entry.name)
+                entry.choose_ports()
+                entry.start()
         self.wait(lambda: all(each.is_ready() for each in self.entries), 30)
         self.wait(lambda: self.scheduler() is not None, 10)
         # All executors have been held, so that work can be placed.
