--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -317,6 +317,11 @@
         self.acked_through = 0
         self.runs = []
         self.is_up = True
+        # Cut off from all instances and from the store; it runs on.
+        self.is_cut = False
+        self.cut_from_store = True
+        # Seconds after which an order is carried out that gets no answer.
+        self.late_s = lambda path, body: None
         self._sequence = 0
         super().__init__()
         threading.Thread(target=self._beat, daemon=True).start()
@@ -340,6 +345,15 @@
             except OSError:
                 pass
 
+    def crash_behind_cut(self):
+        """End and start again at once, cut off, under the same id."""
+        self.record.write('crash and restart behind the cut', executor=self.executor_id)
+        with self.changed:
+            for run in self.running.values():
+                run.how = 'crashed'
+                run.ended_s = time.monotonic()
+            self._begin_life()
+
     def restart(self):
         """Start again at the same address, under the same id."""
         port = int(self.address.partition(':')[2])
@@ -350,6 +364,13 @@
             except OSError:
                 time.sleep(0.05)
         self._server.model = self
+        self._begin_life()
+        self.is_up = True
+        self.record.write('restart', executor=self.executor_id)
+        for target in (self._server.serve_forever, self._beat, self._tick):
+            threading.Thread(target=target, daemon=True).start()
+
+    def _begin_life(self):
         self.born_ms = int(time.time() * 1000)
         self.born_s = time.monotonic()
         self.fence = 0
@@ -359,17 +380,34 @@
         self.ended = []
         self.acked_through = 0
         self._sequence = 0
-        self.is_up = True
-        self.record.write('restart', executor=self.executor_id)
-        for target in (self._server.serve_forever, self._beat, self._tick):
-            threading.Thread(target=target, daemon=True).start()
 
     def clock_ms(self):
         return int((time.monotonic() - self.born_s) * 1000)
 
     def answer(self, path, body, headers):
-        if not self.is_up:
+        if not self.is_up or self.is_cut:
+            return None
+        late_s = self.late_s(path, body)
+        if late_s is not None:
+            # No answer, and carried out seconds later, by whatever life.
+            timer = threading.Timer(late_s, self._carry_out_late, (path, body))
+            timer.daemon = True
+            timer.start()
             return None
+        answered = self._carry_out(path, body, headers)
+        return None if self.is_cut else answered
+
+    def _carry_out_late(self, path, body):
+        answered = self._carry_out(path, body, {})
+        self.record.write(
+            'order carried out late',
+            executor=self.executor_id,
+            path=path,
+            body=body,
+            answer=answered,
+        )
+
+    def _carry_out(self, path, body, headers):
         expected = headers.get('X-Expect-Instance')
         if expected not in (None, self.executor_id):
             return 421, {'born': self.born_ms}
@@ -498,7 +536,8 @@
                 'Sequence': self._sequence,
                 'born': self.born_ms,
             }
-            self.store.put('servers', self.executor_id, entry)
+            if not (self.is_cut and self.cut_from_store):
+                self.store.put('servers', self.executor_id, entry)
             time.sleep(HEARTBEAT_S)
 
     def _stamped(self, **answer):
