--- a/review/6/play.py
+++ b/review/6/play.py
@@ -52,7 +52,7 @@
 
     def small(numbers):
         for number in numbers:
-            submit(number, '/pule252/', body(2, 1000, 500))
+            submit(number, '/pule252/', body(2, 100, 500))
             time.sleep(0.15)
 
     small(range(10))
