Wait for late starts after a repeated one was answered (TWICE)

Cause: a start without an answer may be carried out 12 s after its sending, by a life of the worker that nobody has seen. mark_running took the answer to the repeated start for proof that nothing was on its way, so the run of a silent worker counted as ended with the lease of the life that had answered. A single unanswered start was waited for 11.2 s from its sending instead of 22.4 s, and a successor of the scheduler knew of neither.

Evidence: test_run_is_listed_before_the_cut starts the task elsewhere at 114.1 s on the former code, while the run of the new life may last until 119.1 s.

Why this works: a run keeps the time of its latest start without an answer, which is journaled with it. Nothing can begin it later than late_call_s after that, nor work for more than longest_run_s, so it counts as ended then and not before. The bound is the run's, so other runs of the worker are freed as before.

Ruled out: the same bound for all runs that a former term placed in its last 4.8 s. It broke test_cell_progress_grown, test_cell_crashing_tasks.TestFaultsBeside and two tests of hand-overs: steps waited for lost workers (LOST).

--- a/src/apricotlead/coordination/cell/lease_records.py
+++ b/src/apricotlead/coordination/cell/lease_records.py
@@ -124,7 +124,7 @@
         """Return the expiry to record for a worker, 0 if it is in contact."""
         if self._is_in_contact(worker, now):
             return 0
-        expiry_s = max(worker.lease.latest_expiry_s, worker.runs_until_s, now)
+        expiry_s = max(worker.lease.latest_expiry_s, worker.leases_until_s, now)
         return self._clock.to_store_ms(expiry_s, now)
 
     def _is_due(self, worker: WorkerState, now: float) -> bool:
--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -15,6 +15,7 @@
 from apricotlead.state.cell_workers import WorkerState
 from apricotlead.state.estimate_errors import EstimateErrors
 from apricotlead.state.queue_risk import QueueRisk
+from apricotlead.state.worker_lease import LeaseTimes
 
 
 class RunTracker:
@@ -100,7 +101,7 @@
         task.placed_s = now
         task.started_s = now
         task.is_start_known = True
-        task.has_unanswered_start = False
+        task.unanswered_start_s = None
         task.may_outlast_lease = True
         task.first_progress = None
         task.progress = 0.0
@@ -244,21 +245,29 @@
             key = (worker.worker_id, task.name, task.run)
             self.stop_acked_s_by_run.pop(key, None)
 
+    def note_unanswered_start(self, task: TaskState, now: float) -> None:
+        """Record that a start of a run got no answer.
+
+        It is journaled, as a successor has to wait for such a run, too.
+        """
+        task.unanswered_start_s = now
+        self.mark_dirty(task.step.job)
+
     def detach_open_runs(
-        self, worker: WorkerState, late_since_s: float
+        self, worker: WorkerState, now: float
     ) -> list[TaskState]:
-        """Remove and return the runs that a later incarnation may take.
+        """Remove and return the runs that a later incarnation may have taken.
 
         These were sent and never listed, or were listed although a start got no
-        answer. The starts of runs placed before ``late_since_s`` have all been
-        carried out by now, if ever.
+        answer, and may still begin or be at work.
         """
+        times = worker.lease.times
         open_runs = [
             task
             for task in worker.tasks_by_name.values()
             if task.is_placed
             and task.phase is not TaskPhase.PLANNED
-            and _has_open_start(task, late_since_s)
+            and _may_run_late(task, times, now)
         ]
         for task in open_runs:
             worker.release(task)
@@ -312,7 +321,10 @@
             self.mark_dirty(step.job)
 
 
-def _has_open_start(task: TaskState, late_since_s: float) -> bool:
-    if task.placed_s < late_since_s:
-        return False
-    return task.first_progress is None or task.has_unanswered_start
+def _may_run_late(task: TaskState, times: LeaseTimes, now: float) -> bool:
+    sent_s = task.unanswered_start_s
+    is_listed = task.first_progress is not None
+    # A former scheduler may not have recorded its latest starts.
+    if sent_s is None and not (is_listed and task.is_start_known):
+        sent_s = task.placed_s + times.start_within_s
+    return sent_s is not None and now < times.late_run_until_s(sent_s)
--- a/src/apricotlead/coordination/cell/starts.py
+++ b/src/apricotlead/coordination/cell/starts.py
@@ -165,6 +165,8 @@
             why=str(reply.refusal),
             detail=reply.detail,
         )
+        if reply.refusal is Refusal.UNANSWERED and task.is_placed:
+            self._tracker.note_unanswered_start(task, now)
         if task.phase is not TaskPhase.SENT:
             if reply.refusal not in _UNCERTAIN_REFUSALS:
                 self._requeue_unstarted(start, now)
@@ -223,7 +225,6 @@
         worker = start.worker
         if refusal is Refusal.UNANSWERED:
             start.is_outcome_unknown = True
-            task.has_unanswered_start = True
             worker.suspected_s = now
         if start.is_outcome_unknown and refusal in _LOST_REFUSALS:
             # start_order ends the retries once their deadline is near.
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -366,7 +366,8 @@
 
         The previous scheduler sent no start later than a while after it placed
         the run, so an old run does not outlast the lease of its worker,
-        whichever incarnation took it.
+        whichever incarnation took it. Runs with a start that it recorded as
+        unanswered may last longer.
         """
         times = self._settings.leases
         lease = worker.lease
@@ -394,9 +395,7 @@
         self._advice.forget_worker(entry.worker_id)
         self._lives_by_id[entry.worker_id] += 1
         guilty = self._crashes.worker_ended(former, Evidence.REBORN, now)
-        times = self._settings.leases
-        late_s = times.start_within_s + times.late_call_s
-        open_runs = self._tracker.detach_open_runs(former, now - late_s)
+        open_runs = self._tracker.detach_open_runs(former, now)
         self._tracker.forget_worker(former, now)
         self._add(entry, now)
         worker = self._tracker.workers_by_id[entry.worker_id]
@@ -532,6 +531,8 @@
                 task=task.name,
                 run=task.run,
                 worker=worker.worker_id,
+                late_start=task.unanswered_start_s is not None,
+                after_lease_s=round(now - lease.latest_expiry_s, 2),
             )
             if task.is_placed:
                 worker.note_lapsed_run(task)
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -106,6 +106,8 @@
 
     ``placed_ms`` is when its run was placed, on the store's clock, and
     ``born_ms`` when the incarnation of the worker that it was meant for started.
+    ``unanswered_ms`` is when the latest start of the run that got no answer was
+    given up, on the store's clock, and 0 if there is none.
     """
 
     is_done: bool = False
@@ -115,6 +117,7 @@
     checkpoint: str = ''
     placed_ms: int = 0
     born_ms: float = 0
+    unanswered_ms: int = 0
 
 
 class CrashRecord(Struct, array_like=True, frozen=True):
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -56,7 +56,6 @@
         'crashes',
         'failures',
         'first_progress',
-        'has_unanswered_start',
         'index',
         'is_confirmed',
         'is_start_known',
@@ -73,6 +72,7 @@
         'started_s',
         'step',
         'ticket',
+        'unanswered_start_s',
         'worker_id',
     )
 
@@ -97,8 +97,9 @@
         # Whether the worker's present incarnation has confirmed the run, also if
         # it is being stopped.
         self.is_confirmed = False
-        # Whether a start of this run may still be on its way to the worker.
-        self.has_unanswered_start = False
+        # When the latest start of this run without an answer was given up,
+        # maybe by a former scheduler; ``None`` if all were answered.
+        self.unanswered_start_s: float | None = None
         # Whether a later incarnation of the worker may have taken the run, with
         # a lease on its own clock.
         self.may_outlast_lease = False
@@ -125,6 +126,10 @@
         placed_ms = 0
         if self.is_placed:
             placed_ms = round((self.placed_s + store_offset_s) * _MS_PER_S)
+        unanswered_ms = 0
+        if self.is_placed and self.unanswered_start_s is not None:
+            unanswered_s = self.unanswered_start_s + store_offset_s
+            unanswered_ms = round(unanswered_s * _MS_PER_S)
         is_waiting = self.phase is TaskPhase.WAITING
         return TaskRecord(
             self.phase is TaskPhase.DONE,
@@ -134,8 +139,31 @@
             self.checkpoint if is_waiting else '',
             placed_ms,
             self.born_ms if self.is_placed else 0,
+            unanswered_ms,
         )
 
+    def restore(
+        self, stored: TaskRecord, now: float, store_offset_s: float
+    ) -> None:
+        """Restore the state that a former scheduler recorded."""
+        self.run = stored.run
+        self.placed_s = now
+        if stored.placed_ms:
+            self.placed_s = stored.placed_ms / _MS_PER_S - store_offset_s
+        self.started_s = now
+        self.progress_s = now
+        self.failures = stored.failures
+        self.checkpoint = stored.checkpoint
+        self.worker_id = stored.worker_id
+        self.born_ms = stored.born_ms
+        if stored.unanswered_ms:
+            unanswered_s = stored.unanswered_ms / _MS_PER_S
+            self.unanswered_start_s = unanswered_s - store_offset_s
+        if stored.is_done:
+            self.phase = TaskPhase.DONE
+        elif stored.worker_id:
+            self.phase = TaskPhase.SENT
+
 
 class StepState:
     """The state of one step of one occurrence of a job."""
@@ -270,22 +298,7 @@
         self.gang_failures = record.gang_failures
         self.gang_failed_run = record.gang_failed_run
         for task, stored_task in zip(self.tasks, record.tasks, strict=True):
-            task.run = stored_task.run
-            task.placed_s = now
-            if stored_task.placed_ms:
-                placed_s = stored_task.placed_ms / _MS_PER_S
-                task.placed_s = placed_s - store_offset_s
-            task.started_s = now
-            task.progress_s = now
-            task.failures = stored_task.failures
-            task.checkpoint = stored_task.checkpoint
-            task.worker_id = stored_task.worker_id
-            task.born_ms = stored_task.born_ms
-            task.has_unanswered_start = True
-            if stored_task.is_done:
-                task.phase = TaskPhase.DONE
-            elif stored_task.worker_id:
-                task.phase = TaskPhase.SENT
+            task.restore(stored_task, now, store_offset_s)
         for crashes in record.crashes:
             if not 0 <= crashes.index < len(self.tasks):
                 raise ValueError(
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -213,16 +213,30 @@
             default=self.lease.latest_expiry_s,
         )
 
+    @property
+    def leases_until_s(self) -> float:
+        """Return when the leases of all placed runs have certainly expired.
+
+        Starts that are carried out late are not considered: they prolong only
+        the runs that they are for.
+        """
+        return max(
+            (self._lease_until_s(task) for task in self.tasks_by_name.values()),
+            default=self.lease.latest_expiry_s,
+        )
+
     def run_until_s(self, task: TaskState) -> float:
         """Return when a run has certainly ended, if the worker is silent.
 
-        A run that this incarnation has not confirmed may have been taken by a
-        later one, which counts the lease from its own start.
+        A start without an answer may begin the run seconds later, also in an
+        incarnation that has not been seen yet, and also if a repeated start
+        was answered by this one.
         """
-        lease = self.lease
-        if task.may_outlast_lease:
-            return max(lease.latest_expiry_s, lease.misdirected_until_s)
-        return lease.latest_expiry_s
+        until_s = self._lease_until_s(task)
+        if task.unanswered_start_s is None:
+            return until_s
+        times = self.lease.times
+        return max(until_s, times.late_run_until_s(task.unanswered_start_s))
 
     def note_lapsed_run(self, task: TaskState) -> None:
         """Record a run that ended with the lease of a silent worker."""
@@ -259,6 +273,17 @@
         if task.step.spec.long_running:
             self.idle_capacity = self.idle_capacity + task.step.demand()
 
+    def _lease_until_s(self, task: TaskState) -> float:
+        """Return when the lease of a run has certainly expired.
+
+        A run that this incarnation has not confirmed may have been taken by a
+        later one, which counts the lease from its own start.
+        """
+        lease = self.lease
+        if task.may_outlast_lease:
+            return max(lease.latest_expiry_s, lease.misdirected_until_s)
+        return lease.latest_expiry_s
+
     def record_end(self, ended: EndedTask) -> None:
         """Record an end whose effect may not be in the journal yet."""
         self.reported_through = ended.number
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -57,6 +57,13 @@
         """
         return self.delivery_s + self.longest_run_s
 
+    def late_run_until_s(self, sent_s: float) -> float:
+        """Return when a run has ended whose start got no answer.
+
+        The worker may carry the start out late, in any of its lives.
+        """
+        return sent_s + self.late_call_s + self.longest_run_s
+
     def max_lease_s(self, longest_hold_s: float) -> float:
         """Return the longest lease that a worker accepts unshortened.
 
@@ -117,6 +124,11 @@
         self.latest_expiry_s = inherited_until_s
         self.misdirected_until_s = inherited_until_s
 
+    @property
+    def times(self) -> LeaseTimes:
+        """Return the settings of leases."""
+        return self._times
+
     @property
     def has_ever_answered(self) -> bool:
         """Return whether any call of this term was answered."""
