--- a/src/apricotlead/cell_entry.py
+++ b/src/apricotlead/cell_entry.py
@@ -128,6 +128,7 @@
             settings.view_bound_s,
             self._log.log,
             self._metrics,
+            settings.bounded_cell.row_bytes,
         )
 
     @classmethod
--- a/src/apricotlead/cell_settings.py
+++ b/src/apricotlead/cell_settings.py
@@ -43,7 +43,9 @@
     Workers shorten leases to ``longest_lease_ms``; longer leases in ``cell``,
     and the timing of the calls that extend them, are shortened to fit.
     Workers take up to ``stop_ms`` to stop a run. ``link_mbps`` is the rate of the
-    instance's link in Mbit/s, ``None`` or 0 if the platform names none.
+    instance's link in Mbit/s, ``None`` or 0 if the platform names none. The
+    platform's store takes values of up to ``row_bytes``; ``None`` or 0 stands for
+    the default of ``cell``.
     """
 
     instance_id: str
@@ -61,6 +63,7 @@
     longest_lease_ms: float = 10000.0
     stop_ms: float = 900.0
     link_mbps: float | None = None
+    row_bytes: int | None = None
     max_connections: int = 2000
     cell: CellSettings = field(default_factory=CellSettings)
 
@@ -92,6 +95,7 @@
             tasks_per_write=self._within_link(
                 _TASK_BYTES, self.cell.tasks_per_write
             ),
+            row_bytes=self.row_bytes or self.cell.row_bytes,
         )
 
     @classmethod
--- a/src/apricotlead/coordination/cell/acceptance.py
+++ b/src/apricotlead/coordination/cell/acceptance.py
@@ -1,9 +1,14 @@
 """Validation of submissions before they are stored."""
 
-from apricotlead.protocol.cell_jobs import JobSubmission, StepSpec
-from apricotlead.protocol.errors import BadInput
+from apricotlead.coordination.cell.row_sizes import encoded_bytes
+from apricotlead.protocol.cell_jobs import (
+    JobSubmission,
+    StepSpec,
+    StoredJob,
+)
+from apricotlead.protocol.errors import BadInput, TooLarge
 
-# A progress row holds all tasks of a job and must fit in one row of the store.
+# All tasks of a job may be placed in one round, and be written after it.
 MAX_TASKS_PER_JOB = 1500
 
 
@@ -24,6 +29,18 @@
         _check_step(index, step)
 
 
+def check_row_size(stored: StoredJob, row_bytes: int) -> None:
+    """Raise :class:`BadInput` if a job's row can never be stored.
+
+    ``row_bytes`` is the most that the store takes for a row's value.
+    """
+    job_bytes = encoded_bytes(stored)
+    if job_bytes > row_bytes:
+        raise TooLarge(
+            f'The job takes {job_bytes} bytes; the most is {row_bytes}.',
+        )
+
+
 def _check_step(index: int, step: StepSpec) -> None:
     if step.task_count < 1:
         raise BadInput(f'Step {index} has no tasks.')
--- a/src/apricotlead/coordination/cell/job_intake.py
+++ b/src/apricotlead/coordination/cell/job_intake.py
@@ -1,5 +1,8 @@
 """Intake of jobs from the store's rows, and removal of final jobs."""
 
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+
 import msgspec
 
 from apricotlead.coordination.cell.admission import LoadMeter, measure_backlog
@@ -10,8 +13,13 @@
     FinalJobCleaner,
     RefusalCleaner,
 )
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX, JournalBatch
+from apricotlead.coordination.cell.journal import JournalBatch
 from apricotlead.coordination.cell.order import WeightMeter
+from apricotlead.coordination.cell.progress_rows import (
+    RowsByPart,
+    group_rows,
+    progress_key,
+)
 from apricotlead.coordination.cell.run_tracker import RunTracker
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.store_clock import StoreClock
@@ -22,6 +30,8 @@
 from apricotlead.state.cell_jobs import JobRun
 
 _MS_PER_S = 1000.0
+ProgressByPart = Mapping[int, JobProgress]
+NO_PROGRESS: ProgressByPart = MappingProxyType({})
 # Errors on decoding a row written by another program or version.
 _DECODE_ERRORS = (msgspec.ValidationError, KeyError, ValueError)
 
@@ -67,13 +77,7 @@
         now: float,
     ) -> None:
         """Load all stored jobs, once, before any worker is added."""
-        rows_by_id = {
-            row.key.removeprefix(PROGRESS_PREFIX): row for row in progress_rows
-        }
-        for row in job_rows:
-            if CANCEL_MARK not in row.key:
-                progress = rows_by_id.get(row.key.rpartition('/')[2])
-                self._load_job(row, progress, now)
+        self._load_jobs(job_rows, progress_rows, now)
         # Cancelling a job stops its runs, so load all runs first.
         for cancel in job_rows:
             if CANCEL_MARK in cancel.key:
@@ -101,7 +105,7 @@
         job_id: str,
         row: Row,
         now: float,
-        progress: JobProgress | None = None,
+        progress_by_part: ProgressByPart = NO_PROGRESS,
     ) -> None:
         stored = msgspec.convert(row.value, StoredJob)
         if stored.is_refused:
@@ -112,9 +116,9 @@
             record = JobProgress([], stored.state, stored.ended_ms)
             self._track_final_job(job_id, stored, row.version, record, now)
         elif self._is_new(job_id):
-            self._add(job_id, stored, row.version, progress, now)
+            self._add(job_id, stored, row.version, progress_by_part, now)
 
-    def _log_unreadable(self, row: Row, error: Exception) -> None:
+    def _log_unreadable(self, row: Row, error: Exception | str) -> None:
         """Log a skipped row; an error would end this and every later term."""
         self._tracker.note('row unreadable', key=row.key, why=str(error))
 
@@ -156,6 +160,7 @@
         """Record jobs whose final states a write has made durable."""
         for job in batch.final_jobs:
             record = JobProgress([], job.state, batch.owner.renewed_ms)
+            self._expire_parts(job.job_id, job.progress_parts.further_numbers)
             self._track_final_job(
                 job.job_id,
                 job.stored,
@@ -182,7 +187,27 @@
             or job_id in self.rows.finals_by_id
         )
 
-    def _load_job(self, row: Row, progress: Row | None, now: float) -> None:
+    def _expire_parts(self, job_id: str, numbers: Iterable[int]) -> None:
+        """Let the further rows of a job's progress be deleted."""
+        self.rows.expired_keys.extend(
+            progress_key(job_id, number) for number in numbers if number
+        )
+
+    def _load_jobs(
+        self, job_rows: Iterable[Row], progress_rows: Iterable[Row], now: float
+    ) -> None:
+        rows_by_id, unreadable = group_rows(progress_rows)
+        for unknown in unreadable:
+            self._log_unreadable(unknown, 'it names no part of a job')
+        for row in job_rows:
+            if CANCEL_MARK not in row.key:
+                progress = rows_by_id.pop(row.key.rpartition('/')[2], {})
+                self._load_job(row, progress, now)
+        # Their jobs were deleted, and the former term ended before they were.
+        for job_id, left_over in rows_by_id.items():
+            self._expire_parts(job_id, left_over)
+
+    def _load_job(self, row: Row, progress: RowsByPart, now: float) -> None:
         """Load a stored job; skip and log it if it cannot be decoded."""
         job_id = row.key.rpartition('/')[2]
         try:
@@ -196,24 +221,30 @@
         self,
         job_id: str,
         row: Row,
-        progress: Row | None,
+        progress: RowsByPart,
         now: float,
     ) -> None:
+        main = progress.get(0)
         record = None
-        if progress is not None:
-            record = msgspec.convert(progress.value, JobProgress)
+        if main is not None:
+            record = msgspec.convert(main.value, JobProgress)
         if record is not None and record.state.is_final:
             stored = msgspec.convert(row.value, StoredJob)
+            self._expire_parts(job_id, progress)
             self._track_final_job(job_id, stored, row.version, record, now)
             return
-        self._apply_stored_job(job_id, row, now, record)
+        progress_by_part = {
+            number: msgspec.convert(part.value, JobProgress)
+            for number, part in progress.items()
+        }
+        self._apply_stored_job(job_id, row, now, progress_by_part)
 
     def _add(
         self,
         job_id: str,
         stored: StoredJob,
         row_version: int,
-        progress: JobProgress | None,
+        progress_by_part: ProgressByPart,
         now: float,
     ) -> None:
         age_s = (
@@ -240,9 +271,9 @@
         )
         if not stored.submission.occurrences:
             job.open_occurrence()
-        if progress is not None:
+        if progress_by_part:
             offset_s = self._clock.read_ms(now) / _MS_PER_S - now
-            job.restore(progress, now, offset_s)
+            job.restore(progress_by_part, now, offset_s)
             self._tracker.track_restored_runs(job)
         self._tracker.update_ready_steps(job, now)
 
--- a/src/apricotlead/coordination/cell/job_rows.py
+++ b/src/apricotlead/coordination/cell/job_rows.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Struct
 
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.protocol.cell_jobs import JobState, StoredJob
 from apricotlead.protocol.table import Check, Put, Row, Transaction
 
--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -6,23 +6,33 @@
 store executes late fails.
 """
 
-from itertools import islice
+from itertools import accumulate, islice
 
-import msgspec
 from msgspec import Struct
 
 from apricotlead.coordination.cell.election import OwnerRow, owner_transaction
+from apricotlead.coordination.cell.progress_rows import (
+    ProgressWrite,
+    progress_writes,
+)
+from apricotlead.coordination.cell.row_sizes import put_bytes
 from apricotlead.coordination.cell.run_tracker import RunTracker
-from apricotlead.protocol.cell_jobs import JobProgress
 from apricotlead.protocol.table import Put, Transaction
-from apricotlead.state.cell_jobs import JobRun, TaskPhase, TaskState
+from apricotlead.state.cell_jobs import JobRun, TaskState
 from apricotlead.state.cell_workers import WorkerState
 
-PROGRESS_PREFIX = 'progress/cell/'
 # The platform allows 100 entries in a transaction: the owner row takes two, and
-# the rows of leases, speeds and expired jobs take up to 18.
-_MAX_JOBS_PER_WRITE = 76
-_MS_PER_S = 1000.0
+# the rows of leases, statistics and expired jobs take up to 24.
+_MAX_ROWS_PER_WRITE = 72
+# The platform allows 1 MB in a transaction; the rest is for the owner row.
+_MAX_WRITE_BYTES = 950000
+
+
+class WriteLimits(Struct, frozen=True):
+    """Limits of a write: tasks of its jobs together, bytes of each row."""
+
+    tasks: int
+    row_bytes: int
 
 
 class Renewal(Struct):
@@ -36,14 +46,23 @@
 class JournalBatch(Renewal):
     """A write of the journal.
 
-    Once it is durable, the runs in ``planned`` may be sent, and the ends in
-    ``acks`` may be acknowledged to the incarnation of the worker that reported
-    them.
+    Once it is durable, the runs that its ``writes`` place may be sent, and the
+    ends in ``acks`` may be acknowledged to the incarnation of the worker that
+    reported them.
     """
 
-    planned: list[tuple[TaskState, int]]
+    writes: list[ProgressWrite]
     acks: list[tuple[WorkerState, int]]
-    final_jobs: list[JobRun]
+
+    @property
+    def planned(self) -> list[tuple[TaskState, int]]:
+        """Return the runs that may begin once the write is durable."""
+        return [run for write in self.writes for run in write.planned]
+
+    @property
+    def final_jobs(self) -> list[JobRun]:
+        """Return the jobs whose final states the write contains."""
+        return [write.job for write in self.writes if write.is_final]
 
 
 def take_batch(
@@ -53,41 +72,66 @@
     now: float,
     expired_keys: tuple[str, ...],
     extra_puts: tuple[Put, ...],
-    max_tasks: int,
+    limits: WriteLimits,
 ) -> JournalBatch:
-    """Return the next write: the oldest changes, within the size limit.
+    """Return the next write: the oldest changes, within the size limits.
 
-    ``expired_keys`` are the rows of finished jobs that may be deleted. The jobs
-    of a write have ``max_tasks`` together, unless the first one has more.
+    ``expired_keys`` are the rows of finished jobs that may be deleted. The first
+    row is taken whatever its size.
     """
-    puts = list(extra_puts)
-    planned: list[tuple[TaskState, int]] = []
-    final_jobs: list[JobRun] = []
-    for job_id in _next_jobs(tracker, max_tasks):
-        tracker.dirty_job_ids.pop(job_id)
-        job = tracker.jobs_by_id.get(job_id)
-        if job is None:
-            continue
-        if job.state.is_final:
-            final_jobs.append(job)
-        else:
-            planned.extend(_planned(job))
-        puts.append(_progress_put(job, owner.renewed_ms, now))
+    room = _MAX_WRITE_BYTES - sum(map(put_bytes, extra_puts))
+    writes = _take_writes(tracker, room, owner.renewed_ms, now, limits)
+    puts = (*extra_puts, *(write.put for write in writes))
     return JournalBatch(
-        owner_transaction(owner, owner_version, tuple(puts), expired_keys),
+        owner_transaction(owner, owner_version, puts, expired_keys),
         owner,
         now,
-        planned,
+        writes,
         _acks(tracker),
-        final_jobs,
     )
 
 
+def _take_writes(
+    tracker: RunTracker,
+    room_bytes: int,
+    store_ms: float,
+    now: float,
+    limits: WriteLimits,
+) -> list[ProgressWrite]:
+    """Return the rows of the next write, at least one if any job has changed."""
+    writes: list[ProgressWrite] = []
+    for job_id in _next_jobs(tracker, limits.tasks):
+        tracker.dirty_job_ids.pop(job_id)
+        job = tracker.jobs_by_id.get(job_id)
+        if job is None:
+            continue
+        due = progress_writes(job, store_ms, now, limits.row_bytes)
+        fitting = _fitting(due, room_bytes, _MAX_ROWS_PER_WRITE - len(writes))
+        if not writes and not fitting:
+            fitting = due[:1]
+        writes.extend(fitting)
+        room_bytes -= sum(write.sent_bytes for write in fitting)
+        if len(fitting) < len(due):
+            # The other rows of the job follow in the next write.
+            tracker.mark_dirty(job)
+            break
+    return writes
+
+
+def _fitting(
+    due: list[ProgressWrite], room_bytes: int, most: int
+) -> list[ProgressWrite]:
+    """Return the first rows, as many as fit."""
+    totals = accumulate(write.sent_bytes for write in due)
+    fitting_count = sum(total <= room_bytes for total in totals)
+    return due[: min(fitting_count, most)]
+
+
 def _next_jobs(tracker: RunTracker, max_tasks: int) -> list[str]:
     """Return the jobs that changed first, within the limits of a write."""
     job_ids: list[str] = []
     task_count = 0
-    for job_id in islice(tracker.dirty_job_ids, _MAX_JOBS_PER_WRITE):
+    for job_id in islice(tracker.dirty_job_ids, _MAX_ROWS_PER_WRITE):
         job = tracker.jobs_by_id.get(job_id)
         if job is not None:
             task_count += job.task_count
@@ -97,21 +141,6 @@
     return job_ids
 
 
-def _progress_put(job: JobRun, store_ms: float, now: float) -> Put:
-    record = job.progress(store_ms / _MS_PER_S - now)
-    if job.state.is_final:
-        record = JobProgress([], job.state, store_ms, why=job.why_failed)
-    return Put(f'{PROGRESS_PREFIX}{job.job_id}', msgspec.to_builtins(record))
-
-
-def _planned(job: JobRun) -> list[tuple[TaskState, int]]:
-    return [
-        (task, task.run)
-        for task in job.tasks()
-        if task.phase is TaskPhase.PLANNED
-    ]
-
-
 def _acks(tracker: RunTracker) -> list[tuple[WorkerState, int]]:
     """Return the ends whose effects are all in this write or earlier ones.
 
--- a/src/apricotlead/coordination/cell/lease_rows.py
+++ b/src/apricotlead/coordination/cell/lease_rows.py
@@ -10,7 +10,7 @@
 missing, in which case a successor waits longer.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 import msgspec
@@ -18,8 +18,10 @@
 from apricotlead.protocol.table import Put, Row
 
 LEASES_PREFIX = 'leases/cell/'
-# About 10 kB; the store limits a row to 64 kB.
 _WORKERS_PER_ROW = 400
+# Of the ids of a row's workers together, so that a row has up to 48 kB with
+# their times.
+_ID_BYTES_PER_ROW = 32000
 # These rows share a transaction with the journal's jobs.
 MAX_ROWS_PER_WRITE = 8
 
@@ -32,12 +34,18 @@
 class LeaseRows:
     """Assigns workers to rows and selects the rows to write."""
 
-    __slots__ = ('_row_by_worker', '_workers_by_row', '_written_s_by_row')
+    __slots__ = (
+        '_id_bytes_by_row',
+        '_row_by_worker',
+        '_workers_by_row',
+        '_written_s_by_row',
+    )
 
     def __init__(self) -> None:
         """Create an empty assignment."""
         self._row_by_worker: dict[str, int] = {}
         self._workers_by_row: dict[int, set[str]] = {}
+        self._id_bytes_by_row: Counter[int] = Counter()
         self._written_s_by_row: defaultdict[int, float] = defaultdict(float)
 
     def load(
@@ -96,7 +104,8 @@
 
     def _row_with_space(self) -> int:
         for number, workers in self._workers_by_row.items():
-            if len(workers) < _WORKERS_PER_ROW:
+            has_room = self._id_bytes_by_row[number] < _ID_BYTES_PER_ROW
+            if has_room and len(workers) < _WORKERS_PER_ROW:
                 return number
         return max(self._workers_by_row, default=-1) + 1
 
@@ -104,11 +113,13 @@
         self._remove(worker_id)
         self._row_by_worker[worker_id] = number
         self._workers_by_row.setdefault(number, set()).add(worker_id)
+        self._id_bytes_by_row[number] += len(worker_id.encode())
 
     def _remove(self, worker_id: str) -> None:
         number = self._row_by_worker.pop(worker_id, None)
         if number is not None:
             self._workers_by_row[number].discard(worker_id)
+            self._id_bytes_by_row[number] -= len(worker_id.encode())
 
 
 def _read(row: Row) -> tuple[int, ExpiryByWorker]:
--- a/src/apricotlead/coordination/cell/reconciliation.py
+++ b/src/apricotlead/coordination/cell/reconciliation.py
@@ -53,8 +53,7 @@
         worker.runs_to_stop[listed.task, listed.run] = None
         return
     tracker.mark_running(task, now)
-    if listed.checkpoint:
-        task.checkpoint = listed.checkpoint
+    tracker.save_checkpoint(task, listed.checkpoint)
     if task.first_progress is None:
         task.first_progress = listed.progress
     if listed.progress != task.progress:
--- a/src/apricotlead/coordination/cell/run_ends.py
+++ b/src/apricotlead/coordination/cell/run_ends.py
@@ -28,8 +28,7 @@
             self._apply_superseded(worker, ended, now)
             return
         task.step.job.has_started = True
-        if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
+        self._tracker.save_checkpoint(task, ended.checkpoint)
         self._record_run_time(worker, task, ended.kind, now)
         if ended.kind is EndKind.DONE:
             # Also of a gang that another member's end has completed.
--- a/src/apricotlead/coordination/cell/run_tracker.py
+++ b/src/apricotlead/coordination/cell/run_tracker.py
@@ -17,6 +17,9 @@
 from apricotlead.state.queue_risk import QueueRisk
 from apricotlead.state.worker_lease import LeaseTimes
 
+# In characters. Encoded in JSON, one may take six bytes, and a row has 48 kB.
+MAX_CHECKPOINT_LENGTH = 4000
+
 
 class RunTracker:
     """Holds all jobs, workers and runs, and the changes to be journaled."""
@@ -245,6 +248,21 @@
             key = (worker.worker_id, task.name, task.run)
             self.stop_acked_s_by_run.pop(key, None)
 
+    def save_checkpoint(self, task: TaskState, checkpoint: str) -> None:
+        """Keep a checkpoint that a worker reported, for the task's next run.
+
+        One that is too long for a row is not used.
+        """
+        if len(checkpoint) > MAX_CHECKPOINT_LENGTH:
+            self.note(
+                'checkpoint too long',
+                task=task.name,
+                length=len(checkpoint),
+                most=MAX_CHECKPOINT_LENGTH,
+            )
+        elif checkpoint:
+            task.checkpoint = checkpoint
+
     def note_unanswered_start(self, task: TaskState, now: float) -> None:
         """Record that a start of a run got no answer.
 
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -18,6 +18,7 @@
 from apricotlead.coordination.cell.journal import (
     JournalBatch,
     Renewal,
+    WriteLimits,
     take_batch,
 )
 from apricotlead.coordination.cell.planner import Planner
@@ -46,8 +47,8 @@
     """
 
     __slots__ = (
-        '_max_tasks_per_write',
         '_summary_logged_s',
+        '_write_limits',
         'advice',
         'clock',
         'jobs',
@@ -103,11 +104,13 @@
             self.advice,
         )
         self.planner = Planner(self.tracker, self.advice)
-        self.speeds = SpeedRows(self.tracker, now)
+        self.speeds = SpeedRows(self.tracker, now, settings.row_bytes)
         self.stalled = StalledSteps(self.tracker, self.advice, now)
         self.owner = owner
         self.owner_version = 0
-        self._max_tasks_per_write = settings.tasks_per_write
+        self._write_limits = WriteLimits(
+            settings.tasks_per_write, settings.row_bytes
+        )
         self._summary_logged_s = now
         self.set_view(view)
 
@@ -155,7 +158,7 @@
             now,
             self.jobs.rows.take_expired(_MAX_EXPIRED_PER_WRITE),
             (*self.workers.lease_puts(now), *self.speeds.due(now)),
-            self._max_tasks_per_write,
+            self._write_limits,
         )
         renewed_s = self.workers.renewed_s
         return batch, self.starts.prepare(batch.planned, renewed_s, now)
@@ -205,6 +208,8 @@
         for worker, through in batch.acks:
             worker.acknowledge_through(through)
         self.workers.leases_written()
+        for write in batch.writes:
+            write.note_written()
         for task, run in batch.planned:
             if task.run == run:
                 self.tracker.mark_sent(task)
--- a/src/apricotlead/coordination/cell/settings.py
+++ b/src/apricotlead/coordination/cell/settings.py
@@ -5,6 +5,9 @@
 
 from apricotlead.state.worker_lease import LeaseTimes
 
+# Of a platform that names no limit.
+DEFAULT_ROW_BYTES = 65536
+
 
 class HoldTimes(Struct, frozen=True):
     """How workers are polled and sent orders, in seconds.
@@ -131,7 +134,7 @@
     worker takes up to ``stop_s`` seconds to stop a run. A term reads
     ``open_scans`` tables at a time while it loads, and then the lists of
     ``open_lists`` workers at a time. The jobs of a journal write have up to
-    ``tasks_per_write`` tasks.
+    ``tasks_per_write`` tasks. The store takes values of up to ``row_bytes``.
     """
 
     leases: LeaseTimes = field(default_factory=LeaseTimes)
@@ -142,8 +145,8 @@
     stop_s: float = 0.9
     open_scans: int = 32
     open_lists: int = 4096
-    # The platform allows 1 MB in a transaction, and a task takes 40 to 70 bytes.
     tasks_per_write: int = 8000
+    row_bytes: int = DEFAULT_ROW_BYTES
 
     def bounded(self, longest_hold_s: float) -> 'CellSettings':
         """Return settings with leases that no worker shortens.
--- a/src/apricotlead/protocol/cell_jobs.py
+++ b/src/apricotlead/protocol/cell_jobs.py
@@ -136,11 +136,12 @@
 
 
 class StepRecord(Struct, array_like=True):
-    """The tasks of one step of one occurrence in a progress row.
+    """Tasks of one step of one occurrence in a progress row.
 
-    ``crashes`` holds only the tasks under which workers have crashed.
-    ``gang_failed_run`` is the latest run counted in ``gang_failures``; members
-    of that run may still end. It is 0 in rows of older versions.
+    These are consecutive tasks, beginning with ``first_task``. ``crashes`` holds
+    only the tasks under which workers have crashed. ``gang_failed_run`` is the
+    latest run counted in ``gang_failures``; members of that run may still end.
+    It is 0 in rows of older versions.
     """
 
     occurrence: int
@@ -149,11 +150,16 @@
     gang_failures: int = 0
     crashes: tuple[CrashRecord, ...] = ()
     gang_failed_run: int = 0
+    first_task: int = 0
 
 
 class JobProgress(Struct, array_like=True):
     """The progress row of a job that has started or is final.
 
+    A job with many tasks has several such rows. Only ``steps`` is used of all but
+    the main one. Of rows with the same tasks the one with the highest number
+    holds.
+
     A final job has no ``steps``; ``ended_ms`` is on the store's clock.
     ``has_started`` is set once a worker has started one of its tasks. ``why``
     tells callers the reason of a failure, if there is more to say than that
--- a/src/apricotlead/protocol/errors.py
+++ b/src/apricotlead/protocol/errors.py
@@ -48,6 +48,13 @@
     remedy = 'Ask for less than the largest worker has.'
 
 
+class TooLarge(BadInput):
+    """The job is larger than the store takes; retrying cannot succeed."""
+
+    kind = 'too_large'
+    remedy = 'Submit it as several jobs with fewer steps each.'
+
+
 class KeyRefused(ApricotleadError):
     """The key is unknown, revoked, or belongs to another team."""
 
--- a/src/apricotlead/state/cell_jobs.py
+++ b/src/apricotlead/state/cell_jobs.py
@@ -1,6 +1,7 @@
 """In-memory state of the cell's jobs in the elected scheduler."""
 
 from collections import Counter
+from collections.abc import Mapping
 from enum import Enum
 
 from apricotlead.protocol.cell_jobs import (
@@ -13,6 +14,7 @@
 )
 from apricotlead.protocol.resources import Resources
 from apricotlead.state.crash_history import CrashHistory
+from apricotlead.state.progress_parts import ProgressPart, ProgressParts
 from apricotlead.state.wait_times import WaitTimes
 
 # A task is named ``{job_id}.{occurrence}.{step}.{index}``.
@@ -156,9 +158,11 @@
         self.checkpoint = stored.checkpoint
         self.worker_id = stored.worker_id
         self.born_ms = stored.born_ms
+        self.unanswered_start_s = None
         if stored.unanswered_ms:
             unanswered_s = stored.unanswered_ms / _MS_PER_S
             self.unanswered_start_s = unanswered_s - store_offset_s
+        self.phase = TaskPhase.WAITING
         if stored.is_done:
             self.phase = TaskPhase.DONE
         elif stored.worker_id:
@@ -272,20 +276,23 @@
         self.done_count = phases.count(TaskPhase.DONE)
         self.waiting_count = phases.count(TaskPhase.WAITING)
 
-    def record(self, store_offset_s: float) -> StepRecord:
-        """Return the record for the progress row."""
-        tasks = [task.record(store_offset_s) for task in self.tasks]
+    def record(
+        self, store_offset_s: float, first: int = 0, end: int | None = None
+    ) -> StepRecord:
+        """Return the record of the tasks from ``first`` to before ``end``."""
+        tasks = self.tasks[first:end]
         return StepRecord(
             self.occurrence,
             self.index,
-            tasks,
+            [task.record(store_offset_s) for task in tasks],
             self.gang_failures,
             tuple(
                 task.crashes.record(task.index)
-                for task in self.tasks
+                for task in tasks
                 if task.crashes.total
             ),
             self.gang_failed_run,
+            first,
         )
 
     def restore(
@@ -293,11 +300,19 @@
     ) -> None:
         """Restore the state that a former scheduler recorded.
 
-        Raises :class:`ValueError` for the record of another step.
+        It may hold a part of the tasks. Raises :class:`ValueError` for the
+        record of another step.
         """
-        self.gang_failures = record.gang_failures
-        self.gang_failed_run = record.gang_failed_run
-        for task, stored_task in zip(self.tasks, record.tasks, strict=True):
+        end = record.first_task + len(record.tasks)
+        if min(record.first_task, len(self.tasks) - end) < 0:
+            raise ValueError(
+                f'step {self.name} has no tasks {record.first_task} to {end}',
+            )
+        self.gang_failures = max(self.gang_failures, record.gang_failures)
+        self.gang_failed_run = max(self.gang_failed_run, record.gang_failed_run)
+        for task, stored_task in zip(
+            self.tasks[record.first_task : end], record.tasks, strict=True
+        ):
             task.restore(stored_task, now, store_offset_s)
         for crashes in record.crashes:
             if not 0 <= crashes.index < len(self.tasks):
@@ -321,6 +336,7 @@
         'job_id',
         'known_since_s',
         'next_occurrence',
+        'progress_parts',
         'row_version',
         'state',
         'step_specs',
@@ -363,6 +379,7 @@
         # What callers are told about a failure, beside the state.
         self.why_failed = ''
         self.next_occurrence = 0
+        self.progress_parts = ProgressParts()
         # Empty for a job without occurrences.
         self.due_s_by_occurrence: dict[int, float] = {}
         # Length of the critical path that remains, by the set of done steps.
@@ -425,26 +442,84 @@
             return False
         return all(step.is_done for step in self.steps_by_key.values())
 
-    def progress(self, store_offset_s: float = 0.0) -> JobProgress:
-        """Return the progress row.
+    def progress(
+        self, part: ProgressPart, store_offset_s: float = 0.0
+    ) -> JobProgress:
+        """Return the row of a part of the progress.
 
         ``store_offset_s`` is the store's clock minus the local one.
         """
-        steps = self.steps_by_key.values()
-        return JobProgress(
-            [step.record(store_offset_s) for step in steps],
-            has_started=self.has_started,
-        )
+        end = self.progress_parts.end_of(part)
+        records: list[StepRecord] = []
+        number = 0
+        for step in self.steps_by_key.values():
+            task_count = len(step.tasks)
+            first = max(0, part.first - number)
+            last = task_count if end is None else min(task_count, end - number)
+            if first < last:
+                records.append(step.record(store_offset_s, first, last))
+            number += task_count
+        has_started = self.has_started and not part.number
+        return JobProgress(records, has_started=has_started)
+
+    def planned(self, part: ProgressPart) -> list[TaskState]:
+        """Return the tasks of a part whose placement is not journaled yet."""
+        tasks = self.tasks()
+        end = self.progress_parts.end_of(part)
+        return [
+            task
+            for task in tasks[part.first : end]
+            if task.phase is TaskPhase.PLANNED
+        ]
 
     def restore(
-        self, progress: JobProgress, now: float, store_offset_s: float = 0.0
+        self,
+        progress_by_part: Mapping[int, JobProgress],
+        now: float,
+        store_offset_s: float = 0.0,
+    ) -> None:
+        """Restore the state that a former scheduler recorded.
+
+        Raises :class:`KeyError` or :class:`ValueError` for the rows of another
+        job.
+        """
+        firsts_by_number: dict[int, int] = {}
+        for number, progress in sorted(progress_by_part.items()):
+            for record in progress.steps:
+                self._restore_step(record, now, store_offset_s)
+            if progress.steps:
+                firsts_by_number[number] = self._first_task(progress.steps[0])
+        main = progress_by_part.get(0)
+        self.has_started = main is not None and main.has_started
+        self.progress_parts.restore(firsts_by_number)
+        if len(progress_by_part) == 1 and main is not None:
+            self._check_whole(main)
+
+    def _restore_step(
+        self, record: StepRecord, now: float, store_offset_s: float
     ) -> None:
-        """Restore the state that a former scheduler recorded."""
         # The due time of a restored occurrence is not stored; use the current time.
         due_s = now if self.stored.submission.occurrences else None
+        while self.next_occurrence <= record.occurrence:
+            self.open_occurrence(due_s)
+        step = self.steps_by_key[record.occurrence, record.step]
+        step.restore(record, now, store_offset_s)
+
+    def _first_task(self, record: StepRecord) -> int:
+        """Return the number of the first task of a record within the job."""
+        number = record.first_task
+        for key, step in self.steps_by_key.items():
+            if key == (record.occurrence, record.step):
+                break
+            number += len(step.tasks)
+        return number
+
+    def _check_whole(self, progress: JobProgress) -> None:
+        """Raise :class:`ValueError` if the only row lacks some tasks."""
         for record in progress.steps:
-            while self.next_occurrence <= record.occurrence:
-                self.open_occurrence(due_s)
             step = self.steps_by_key[record.occurrence, record.step]
-            step.restore(record, now, store_offset_s)
-        self.has_started = progress.has_started
+            if len(record.tasks) != len(step.tasks):
+                raise ValueError(
+                    f'the record of step {step.name} has {len(record.tasks)} '
+                    f'of {len(step.tasks)} tasks',
+                )
--- a/src/apricotlead/transport/cell_request_handler.py
+++ b/src/apricotlead/transport/cell_request_handler.py
@@ -7,10 +7,14 @@
 
 import msgspec
 
-from apricotlead.coordination.cell.acceptance import check_submission
+from apricotlead.coordination.cell.acceptance import (
+    check_row_size,
+    check_submission,
+)
 from apricotlead.coordination.cell.admission import check_admission
 from apricotlead.coordination.cell.job_rows import cancel_key
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
+from apricotlead.coordination.cell.settings import DEFAULT_ROW_BYTES
 from apricotlead.protocol.cell_config import QueueConfig
 from apricotlead.protocol.cell_jobs import (
     JobProgress,
@@ -82,6 +86,7 @@
         '_log',
         '_max_view_age_s',
         '_metrics',
+        '_row_bytes',
         '_scheduler',
         '_store',
         'health',
@@ -98,8 +103,9 @@
         max_view_age_s: float,
         log: Callable[..., Any],
         metrics: Any,
+        row_bytes: int = DEFAULT_ROW_BYTES,
     ) -> None:
-        """Serve requests from ``store``.
+        """Serve requests from ``store``, whose rows have up to ``row_bytes``.
 
         Keys are accepted for ``max_view_age_s`` seconds after the
         configuration was last confirmed.
@@ -108,6 +114,7 @@
         self._jobs = JobStore(store, scheduler)
         self._scheduler = scheduler
         self._max_view_age_s = max_view_age_s
+        self._row_bytes = row_bytes
         self._log = log
         self._metrics = metrics
         self._answers = AnswerLog(log, metrics)
@@ -179,18 +186,6 @@
     ) -> Outcome:
         """Store a job; a repeated submission of an accepted id succeeds."""
         check_submission(submission)
-        ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
-        if self._store.is_lost():
-            return self._refuse(job_id, 'the store does not answer')
-        rejection = self._reject_if_too_late(
-            queue,
-            organisation,
-            job_id,
-            submission,
-            ends_s,
-        )
-        if rejection is not None:
-            return rejection
         stored = StoredJob(
             queue.name,
             queue.service,
@@ -203,6 +198,19 @@
             queue.advice,
             submission,
         )
+        check_row_size(stored, self._row_bytes)
+        ends_s = boot_now() + wait_s - _ANSWER_MARGIN_S
+        if self._store.is_lost():
+            return self._refuse(job_id, 'the store does not answer')
+        rejection = self._reject_if_too_late(
+            queue,
+            organisation,
+            job_id,
+            submission,
+            ends_s,
+        )
+        if rejection is not None:
+            return rejection
         began_s = boot_now()
         answer = self._jobs.write(job_id, stored, ends_s)
         return self._report_submission(
--- a/src/apricotlead/transport/term_loading.py
+++ b/src/apricotlead/transport/term_loading.py
@@ -9,8 +9,8 @@
 from greenlet import GreenletExit
 from msgspec import Struct
 
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.coordination.cell.speed_rows import STATISTICS_PREFIX
 from apricotlead.protocol.table import Rows, StoreFailed
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -9,8 +9,8 @@
     takeover,
 )
 from apricotlead.coordination.cell.job_rows import JOBS_TABLE, job_key
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import STATISTICS_PREFIX
@@ -275,6 +275,11 @@
                 start, reply, self.now, self.now
             )
 
+    def write_row(self, key: str, content: object) -> None:
+        """Store a row, as another program does."""
+        self.version += 1
+        self.rows_by_key[key] = Row(key, self.version, content)
+
     def write(self, transaction: object) -> None:
         """Check and apply a transaction."""
         for check in transaction.checks:
--- a/tests/faulty/cell.py
+++ b/tests/faulty/cell.py
@@ -11,8 +11,8 @@
     takeover,
 )
 from apricotlead.coordination.cell.job_rows import JOBS_TABLE, job_key
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.lease_rows import LEASES_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.coordination.cell.scheduler import CellScheduler
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import STATISTICS_PREFIX
--- a/tests/faulty/store.py
+++ b/tests/faulty/store.py
@@ -1,6 +1,6 @@
 """Provides an in-memory model of the cell's store."""
 
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.protocol.table import Row, Transaction
 
 
--- a/tests/test_cell_accounting.py
+++ b/tests/test_cell_accounting.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.job_rows import cancel_key
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.protocol.cell_jobs import JobProgress, StepRecord, StepSpec
 from apricotlead.protocol.cell_workers import EndedTask, EndKind
 from apricotlead.protocol.resources import Resources
--- a/tests/test_cell_crash_attribution.py
+++ b/tests/test_cell_crash_attribution.py
@@ -3,8 +3,8 @@
 import msgspec
 from testtools import TestCase
 
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
 from apricotlead.coordination.cell.placement import is_idle
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.protocol.cell_config import AdvicePolicy
 from apricotlead.protocol.cell_jobs import (
     CrashRecord,
--- a/tests/test_cell_gang_attempts.py
+++ b/tests/test_cell_gang_attempts.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 from testtools import TestCase
 
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.protocol.cell_jobs import (
     CrashRecord,
     JobProgress,
--- a/tests/test_cell_reported_faults.py
+++ b/tests/test_cell_reported_faults.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.job_rows import RefusalCleaner, job_key
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.platform.configuration import ConfigError, decode_config
 from apricotlead.platform.workers import decode_worker
--- a/tests/test_cell_term_loading.py
+++ b/tests/test_cell_term_loading.py
@@ -10,7 +10,7 @@
 
 from apricotlead.cell_settings import CellEntrySettings
 from apricotlead.coordination.cell.job_rows import JOB_PREFIXES, job_key
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.platform.store import PlatformStore
 from apricotlead.protocol.cell_jobs import (
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -12,7 +12,7 @@
 from testtools import TestCase
 
 from apricotlead.cell_entry import config_follower
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.platform.store import PlatformStore
 from apricotlead.protocol.cell_jobs import JobReport, JobState
 from apricotlead.protocol.cell_peers import RelayedCall
--- a/tests/virtual_cell.py
+++ b/tests/virtual_cell.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Struct
 
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.protocol.cell_config import (
     CellConfig,
     OrganisationConfig,
--- a/tests/virtual_store.py
+++ b/tests/virtual_store.py
@@ -8,7 +8,7 @@
 from msgspec import structs
 
 from apricotlead.coordination.cell.job_rows import job_key
-from apricotlead.coordination.cell.journal import PROGRESS_PREFIX
+from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.protocol.cell_config import QueueConfig
 from apricotlead.protocol.cell_peers import RelayedCall
 from apricotlead.protocol.table import (
