--- a/src/apricotlead/coordination/cell/journal.py
+++ b/src/apricotlead/coordination/cell/journal.py
@@ -9,6 +9,7 @@
 from itertools import accumulate, islice
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from apricotlead.coordination.cell.election import OwnerRow, owner_transaction
 from apricotlead.coordination.cell.progress_rows import (
@@ -53,6 +54,8 @@
 
     writes: list[ProgressWrite]
     acks: list[tuple[WorkerState, int]]
+    extra_puts: tuple[Put, ...] = ()
+    expired_keys: tuple[str, ...] = ()
 
     @property
     def planned(self) -> list[tuple[TaskState, int]]:
@@ -88,6 +91,45 @@
         now,
         writes,
         _acks(tracker),
+        extra_puts,
+        expired_keys,
+    )
+
+
+def divide_batch(batch: JournalBatch) -> list[JournalBatch]:
+    """Return smaller writes that together do the same, in their order.
+
+    The result is empty for a write that cannot be divided. Ends are not
+    acknowledged by these writes, as one of them may fail for good.
+    """
+    has_extras = bool(batch.extra_puts or batch.expired_keys)
+    middle = 0 if has_extras else len(batch.writes) // 2
+    first = replace(batch, writes=batch.writes[:middle], acks=[])
+    second = replace(
+        batch,
+        writes=batch.writes[middle:],
+        acks=[],
+        extra_puts=(),
+        expired_keys=(),
+    )
+    is_first_empty = not (has_extras or first.writes)
+    if is_first_empty or not second.writes:
+        return []
+    return [first, second]
+
+
+def reissue_batch(
+    batch: JournalBatch, owner: OwnerRow, owner_version: int, now: float
+) -> JournalBatch:
+    """Return a write with the same rows that follows the latest write."""
+    puts = (*batch.extra_puts, *(write.put for write in batch.writes))
+    return replace(
+        batch,
+        transaction=owner_transaction(
+            owner, owner_version, puts, batch.expired_keys
+        ),
+        owner=owner,
+        made_s=now,
     )
 
 
--- a/src/apricotlead/coordination/cell/lease_records.py
+++ b/src/apricotlead/coordination/cell/lease_records.py
@@ -110,6 +110,12 @@
                 worker.may_grant_lease = not expiry_ms
         self._unconfirmed_by_worker = {}
 
+    def refused(self) -> None:
+        """Discard the records of a write that will never be durable."""
+        for worker_id in self._unconfirmed_by_worker:
+            self._recorded_by_worker.pop(worker_id, None)
+        self._unconfirmed_by_worker = {}
+
     def new_lease(self, worker_id: str, now: float) -> WorkerLease:
         """Return a lease for a worker that has not been contacted yet."""
         times = self._settings.leases
--- a/src/apricotlead/coordination/cell/progress_rows.py
+++ b/src/apricotlead/coordination/cell/progress_rows.py
@@ -23,6 +23,8 @@
 # Sorts after the hexadecimal digits of job ids.
 _PART_MARK = '~'
 _MS_PER_S = 1000.0
+# Of a smaller row, its size is not why the store refuses it.
+_MIN_DIVIDED_BYTES = 8192
 _encoder = msgspec.json.Encoder()
 # Further rows of a job by their number, and the main row under 0.
 RowsByPart = dict[int, Row]
@@ -31,7 +33,7 @@
 class ProgressWrite(Struct):
     """One row of a job's progress, as it is to be written.
 
-    ``digest`` identifies its content, ``sent_bytes`` is its size in a write, and
+    It holds ``task_count`` tasks. ``digest`` identifies its content, ``value_bytes`` is its size, and
     ``planned`` are the runs that may begin once it is durable. With ``is_final``
     it holds the final state of the job.
     """
@@ -40,9 +42,21 @@
     part: ProgressPart
     put: Put
     digest: int
-    sent_bytes: int
+    value_bytes: int
     planned: list[tuple[TaskState, int]]
     is_final: bool
+    task_count: int
+
+    @property
+    def can_be_divided(self) -> bool:
+        """Return whether smaller rows could hold the same content."""
+        is_large = self.value_bytes > _MIN_DIVIDED_BYTES
+        return is_large and not self.is_final and self.task_count > 1
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the size of the row in a write."""
+        return sent_bytes(self.value_bytes)
 
     def note_written(self) -> None:
         """Record that the row is durable."""
@@ -87,7 +101,7 @@
     while pending:
         part = pending.pop()
         write = _write(job, part, job.progress(part, offset_s))
-        is_large = write.sent_bytes > sent_bytes(max_value_bytes(row_bytes))
+        is_large = write.value_bytes > max_value_bytes(row_bytes)
         if is_large and parts.split(part, job.task_count):
             pending.extend((part, parts.following(part)))
         else:
@@ -109,7 +123,8 @@
         part,
         Put(progress_key(job.job_id, part.number), msgspec.to_builtins(record)),
         hash(encoded),
-        sent_bytes(len(encoded)),
+        len(encoded),
         [(task, task.run) for task in job.planned(part)],
         record.state.is_final,
+        sum(len(step.tasks) for step in record.steps),
     )
--- a/src/apricotlead/coordination/cell/row_sizes.py
+++ b/src/apricotlead/coordination/cell/row_sizes.py
@@ -27,6 +27,11 @@
     return row_bytes * 3 // 4
 
 
+def least_row_bytes(value_bytes: int) -> int:
+    """Return the limit of a row that allows values of ``value_bytes``."""
+    return value_bytes * 4 // 3
+
+
 def sent_bytes(value_bytes: int) -> int:
     """Return the size of an entry in a write whose value has ``value_bytes``."""
     return value_bytes * 4 // 3 + _ENTRY_BYTES
--- a/src/apricotlead/coordination/cell/scheduler.py
+++ b/src/apricotlead/coordination/cell/scheduler.py
@@ -19,10 +19,13 @@
     JournalBatch,
     Renewal,
     WriteLimits,
+    reissue_batch,
     take_batch,
 )
 from apricotlead.coordination.cell.planner import Planner
+from apricotlead.coordination.cell.progress_rows import ProgressWrite
 from apricotlead.coordination.cell.registrations import Registrations
+from apricotlead.coordination.cell.row_sizes import least_row_bytes
 from apricotlead.coordination.cell.run_tracker import RunTracker
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.coordination.cell.speed_rows import SpeedRows
@@ -30,7 +33,9 @@
 from apricotlead.coordination.cell.starts import PlannedStart, StartTracker
 from apricotlead.coordination.cell.store_clock import StoreClock
 from apricotlead.coordination.cell.worker_watch import WorkerWatch
+from apricotlead.protocol.cell_jobs import JobState
 from apricotlead.state.cell_config_view import CellConfigView
+from apricotlead.state.cell_jobs import JobRun
 
 # The kind of the event that summarises the cell.
 CELL_STATE = 'cell state'
@@ -163,6 +168,57 @@
         renewed_s = self.workers.renewed_s
         return batch, self.starts.prepare(batch.planned, renewed_s, now)
 
+    def reissue(self, batch: JournalBatch, now: float) -> JournalBatch:
+        """Return a part of a divided write, to be written next."""
+        self.owner = self.workers.next_owner(self.owner, now)
+        return reissue_batch(batch, self.owner, self.owner_version, now)
+
+    def leave_out(self, batch: JournalBatch, why: str, now: float) -> None:
+        """Go on without a write that the store refuses for good.
+
+        It contains a single row of a job, or none. The row is divided if that
+        is possible. Otherwise its job fails, which takes a small row, as its
+        runs can never be recorded.
+        """
+        self.tracker.note(
+            'write refused',
+            why=why,
+            keys=[put.key for put in batch.transaction.puts],
+        )
+        if batch.extra_puts:
+            self.speeds.stop()
+            self.workers.leases_refused()
+        for write in batch.writes:
+            if write.can_be_divided:
+                self._lower_row_limit(write)
+            elif not write.is_final:
+                self._set_aside(write.job, why, now)
+
+    def _lower_row_limit(self, write: ProgressWrite) -> None:
+        """Let a job be written in rows of half the size."""
+        row_bytes = least_row_bytes(write.value_bytes // 2)
+        self._write_limits = msgspec.structs.replace(
+            self._write_limits,
+            row_bytes=min(row_bytes, self._write_limits.row_bytes),
+        )
+        self.tracker.note(
+            'row limit lowered',
+            job=write.job.job_id,
+            row_bytes=self._write_limits.row_bytes,
+        )
+        self.tracker.mark_dirty(write.job)
+
+    def _set_aside(self, job: JobRun, why: str, now: float) -> None:
+        job.why_failed = f'Its progress cannot be stored: {why}.'
+        self.tracker.note(
+            'job set aside',
+            job=job.job_id,
+            queue=job.stored.queue,
+            organisation=job.stored.organisation,
+            why=why,
+        )
+        self.tracker.finish(job, JobState.FAILED, now)
+
     def has_changes(self, now: float) -> bool:
         """Tell whether anything waits for a journal write."""
         if self.tracker.dirty_job_ids or self.workers.wants_grant(now):
--- a/src/apricotlead/coordination/cell/speed_rows.py
+++ b/src/apricotlead/coordination/cell/speed_rows.py
@@ -50,6 +50,10 @@
         except msgspec.ValidationError as error:
             self._tracker.note('row unreadable', key=row.key, why=str(error))
 
+    def stop(self) -> None:
+        """Write no more rows in this term."""
+        self._last_write_s = float('inf')
+
     def due(self, now: float) -> tuple[Put, ...]:
         """Return the rows to write, empty until the write interval is over."""
         if now - self._last_write_s < _WRITE_INTERVAL_S:
--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -314,6 +314,10 @@
         """Allow grants to workers recorded as in contact by a durable write."""
         self._leases.written(self._tracker.workers_by_id)
 
+    def leases_refused(self) -> None:
+        """Write the lease rows of the latest write again."""
+        self._leases.refused()
+
     def wants_grant(self, now: float) -> bool:
         """Tell whether a worker in contact needs a write to get its grant."""
         return any(
--- a/src/apricotlead/platform/store.py
+++ b/src/apricotlead/platform/store.py
@@ -38,6 +38,9 @@
 _OVERDUE_S = 0.2
 _PAGE_ROWS = 500
 _RETRY_S = 0.1
+# A malformed call, a table that is not the system's, and a call that is too
+# large: the same call gets the same answer again.
+_PERMANENT_STATUSES = frozenset((400, 403, 413))
 
 
 class _RowName(Struct):
@@ -297,4 +300,10 @@
     # Sent for calls beyond the rates that all instances share, and for more
     # than a part's transactions of a second.
     is_busy = answer.status == 429
-    return StoreFailed(applied, _RETRY_S, f'status {answer.status}', is_busy)
+    return StoreFailed(
+        applied,
+        _RETRY_S,
+        f'status {answer.status}',
+        is_busy,
+        answer.status in _PERMANENT_STATUSES,
+    )
--- a/src/apricotlead/protocol/table.py
+++ b/src/apricotlead/protocol/table.py
@@ -106,13 +106,15 @@
     ``applied`` is ``False`` if the service reported so (or the call was never
     sent), ``None`` if it is unknown. ``reason`` is for logs. With ``is_busy``
     the service has more calls than it takes, which says nothing about the path
-    to it.
+    to it. With ``is_permanent`` it refuses this call whenever it is sent, such as
+    one that is too large.
     """
 
     applied: bool | None
     retry_after_s: float = 0.2
     reason: str = ''
     is_busy: bool = False
+    is_permanent: bool = False
 
 
 StoreReply = Committed | CheckFailed | Rows | StoreFailed
--- a/src/apricotlead/transport/cell_journal_writer.py
+++ b/src/apricotlead/transport/cell_journal_writer.py
@@ -11,7 +11,11 @@
     owner_transaction,
     read_owner,
 )
-from apricotlead.coordination.cell.journal import Renewal
+from apricotlead.coordination.cell.journal import (
+    JournalBatch,
+    Renewal,
+    divide_batch,
+)
 from apricotlead.coordination.cell.settings import ElectionTimes
 from apricotlead.coordination.cell.starts import PlannedStart
 from apricotlead.protocol.table import (
@@ -77,26 +81,18 @@
     def write(self) -> list[PlannedStart]:
         """Write all changes; return the starts that may be sent afterwards.
 
-        The write is retried until it is durable or the term ends.
+        The write is retried until it is durable or the term ends. One that the
+        store refuses for good is divided, and goes on without the row at fault.
         """
         batch, starts = self._state.scheduler.take_batch(boot_now())
-        committed = self._commit_until_known(batch)
-        if committed is None:
-            return []
-        self._state.scheduler.committed(
-            batch,
-            committed.versions[OWNER_KEY],
-            committed.store_ms,
-            boot_now(),
-        )
-        self._state.journaled.send()
-        return starts
+        self._write_batch(batch)
+        return [] if self._state.ended_why else starts
 
     def renew(self) -> None:
         """Renew the term, and retry until that is durable or the term ends."""
         renewal = self._state.scheduler.renewal(boot_now())
         committed = self._commit_until_known(renewal)
-        if committed is not None:
+        if isinstance(committed, Committed):
             self._state.scheduler.renewed(
                 renewal,
                 committed.versions[OWNER_KEY],
@@ -111,12 +107,62 @@
             owner_transaction(released, self._state.scheduler.owner_version),
         )
 
-    def _commit_until_known(self, renewal: Renewal) -> Committed | None:
-        """Write until it is durable, ``None`` if the term ends before."""
+    def _write_batch(self, batch: JournalBatch) -> None:
+        """Write a batch, and its parts one by one if the store refuses it."""
+        if self._try_batch(batch) is None:
+            return
+        parts = divide_batch(batch)
+        if not parts:
+            self._write_alone(batch)
+        for part in parts:
+            if not self._state.ended_why:
+                self._write_batch(
+                    self._state.scheduler.reissue(part, boot_now())
+                )
+
+    def _write_alone(self, batch: JournalBatch) -> None:
+        """Repeat a refused write, and leave it out if only it is refused.
+
+        A renewal shows that the store takes other writes.
+        """
+        self.renew()
+        if self._state.ended_why:
+            return
+        scheduler = self._state.scheduler
+        refused = self._try_batch(scheduler.reissue(batch, boot_now()))
+        if refused is not None:
+            scheduler.leave_out(batch, refused.reason, boot_now())
+
+    def _try_batch(self, batch: JournalBatch) -> StoreFailed | None:
+        """Write a batch; return the failure if it is refused for good."""
+        answer = self._commit_until_known(batch)
+        if isinstance(answer, StoreFailed):
+            return answer
+        if answer is not None:
+            self._state.scheduler.committed(
+                batch,
+                answer.versions[OWNER_KEY],
+                answer.store_ms,
+                boot_now(),
+            )
+            self._state.journaled.send()
+        return None
+
+    def _commit_until_known(
+        self, renewal: Renewal
+    ) -> Committed | StoreFailed | None:
+        """Write until it is durable, ``None`` if the term ends before.
+
+        Returns the failure of a write that the store refuses for good. A write
+        of the owner row alone is repeated, as the term depends on it.
+        """
+        is_divisible = len(renewal.transaction.puts) > 1
         while not self._state.ended_why:
-            committed = self._commit(renewal.transaction, renewal.owner)
-            if committed is not None:
-                return committed
+            answer = self._commit(renewal.transaction, renewal.owner)
+            if isinstance(answer, Committed):
+                return answer
+            if answer is not None and answer.is_permanent and is_divisible:
+                return answer
             eventlet.sleep(STORE_RETRY_S)
         return None
 
@@ -124,8 +170,8 @@
         self,
         transaction: Transaction,
         owner: OwnerRow,
-    ) -> Committed | None:
-        """Write once; return ``None`` if the write must be retried."""
+    ) -> Committed | StoreFailed | None:
+        """Write once; return ``None`` if the term has ended."""
         sent_s = boot_now()
         self._unanswered_s = self._unanswered_s or sent_s
         hedge_after_s = self._write_timeout.timeout_s
@@ -140,7 +186,7 @@
         if isinstance(answer, StoreFailed):
             self._is_turned_away = took_s < hedge_after_s
             self._log_blocked(answer)
-            return None
+            return answer
         self._write_timeout.answered(took_s)
         self._unanswered_s = None
         self._is_turned_away = False
--- a/src/apricotlead/transport/cell_request_handler.py
+++ b/src/apricotlead/transport/cell_request_handler.py
@@ -33,6 +33,7 @@
     Overloaded,
     StaleView,
     StoreUnreachable,
+    TooLarge,
 )
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
 from apricotlead.protocol.table import (
@@ -399,6 +400,9 @@
         if not isinstance(answer, StoreFailed):
             # A failed check means that the id was accepted before.
             return Done()
+        if answer.is_permanent:
+            error = TooLarge(f'The store refuses the job: {answer.reason}.')
+            return NotRun(error)
         if answer.applied is None:
             return MayHaveRun(
                 OutcomeUnknown('The store did not answer in time.'),
--- a/src/apricotlead/transport/store_relay.py
+++ b/src/apricotlead/transport/store_relay.py
@@ -110,7 +110,7 @@
                 tries,
                 relays_busy=boot_now() >= busy_relay_s,
             )
-            if not isinstance(answer, StoreFailed):
+            if _is_conclusive(answer):
                 return answer
             is_outcome_unknown = is_outcome_unknown or answer.applied is None
             pause_s = busy.next_s() if answer.is_busy else _RETRY_S
@@ -180,7 +180,7 @@
             call = RelayedCall(transaction)
             for address in self._peer_order()[:1]:
                 relayed = self._call_peer(address, call, left_s, tries)
-        if relayed is not None and not isinstance(relayed, StoreFailed):
+        if relayed is not None and _is_conclusive(relayed):
             return relayed
         if direct is None:
             direct = self._transact_directly(transaction, ends_s, tries)
@@ -206,7 +206,7 @@
 
     def _needs_peer(self, answer: Any, *, relays_busy: bool) -> bool:
         """Return whether a call failed that a peer may make."""
-        if not isinstance(answer, StoreFailed):
+        if _is_conclusive(answer):
             return False
         is_relayed = relays_busy or self._health.should_relay()
         return is_relayed or not answer.is_busy
@@ -279,7 +279,7 @@
         store_try = tries.begin('write', transaction.witness, DIRECT)
         answer = self._store.transact(transaction, timeout_s)
         took_s = store_try.end(answer)
-        if not isinstance(answer, StoreFailed):
+        if _is_conclusive(answer):
             health.record_answer()
             health.write_timeout.answered(took_s)
         elif answer.is_busy:
@@ -324,6 +324,11 @@
     return StoreFailed(None, reason='another answer of a peer')
 
 
+def _is_conclusive(answer: Any) -> bool:
+    """Return whether another try would get the same answer."""
+    return not isinstance(answer, StoreFailed) or answer.is_permanent
+
+
 def _has_time(ends_s: float) -> bool:
     """Return whether a call that begins now may be answered in time."""
     return boot_now() + _MIN_CALL_TIMEOUT_S <= ends_s
