--- a/src/apricotlead/coordination/cell/job_intake.py
+++ b/src/apricotlead/coordination/cell/job_intake.py
@@ -11,7 +11,7 @@
     CANCEL_MARK,
     FinalJob,
     FinalJobCleaner,
-    RefusalCleaner,
+    MarkCleaner,
 )
 from apricotlead.coordination.cell.journal import JournalBatch
 from apricotlead.coordination.cell.order import WeightMeter
@@ -46,6 +46,7 @@
         '_settings',
         '_tracker',
         '_weight_meter',
+        'lone_cancels',
         'refusals',
         'rows',
         'view',
@@ -67,7 +68,9 @@
         self._weight_meter = WeightMeter()
         self._load_meter = LoadMeter(0)
         self.rows = FinalJobCleaner()
-        self.refusals = RefusalCleaner()
+        self.refusals = MarkCleaner.for_refusals()
+        # Cancels of jobs that are not known, and that late writes must not add.
+        self.lone_cancels = MarkCleaner.for_cancels(settings.keep_final_s)
         self.view = view
 
     def load(
@@ -93,7 +96,7 @@
         if row.version == 0 or row.value is None:
             return
         if mark:
-            self._cancel(job_id, now)
+            self._cancel(job_id, row.version, now)
             return
         try:
             self._apply_stored_job(job_id, row, now)
@@ -276,12 +279,18 @@
             job.restore(progress_by_part, now, offset_s)
             self._tracker.track_restored_runs(job)
         self._tracker.update_ready_steps(job, now)
+        if self.rows.is_cancelled(job_id):
+            # Its cancel was announced before the job was.
+            self.lone_cancels.drop(job_id)
+            self._tracker.finish(job, JobState.CANCELLED, now)
 
-    def _cancel(self, job_id: str, now: float) -> None:
+    def _cancel(self, job_id: str, row_version: int, now: float) -> None:
         self.rows.note_cancel(job_id)
         job = self._tracker.jobs_by_id.get(job_id)
         if job is not None:
             self._tracker.finish(job, JobState.CANCELLED, now)
+        elif job_id not in self.rows.finals_by_id:
+            self.lone_cancels.add(job_id, row_version, now)
 
     def _track_final_job(
         self,
--- a/src/apricotlead/coordination/cell/job_rows.py
+++ b/src/apricotlead/coordination/cell/job_rows.py
@@ -5,6 +5,8 @@
 delay all submissions.
 """
 
+from collections.abc import Callable
+from typing import Self
 from zlib import crc32
 
 import msgspec
@@ -68,6 +70,14 @@
         """Record that a job has a cancellation row."""
         self._cancelled_job_ids.add(job_id)
 
+    def is_cancelled(self, job_id: str) -> bool:
+        """Tell whether a job has a cancellation row."""
+        return job_id in self._cancelled_job_ids
+
+    def drop_cancel(self, job_id: str) -> None:
+        """Record that a cancellation row was deleted."""
+        self._cancelled_job_ids.discard(job_id)
+
     def add(self, final: FinalJob) -> None:
         """Add a final job, unless it was added before."""
         self.finals_by_id.setdefault(final.job_id, final)
@@ -137,23 +147,42 @@
         )
 
 
-class RefusalCleaner:
-    """Deletes the rows of refused jobs after a retention time."""
+class MarkCleaner:
+    """Deletes rows that keep late writes of jobs out, after a retention time."""
 
-    __slots__ = ('_versions_by_id', '_written_s_by_id')
+    __slots__ = (
+        '_key_of',
+        '_retention_s',
+        '_versions_by_id',
+        '_written_s_by_id',
+    )
 
-    def __init__(self) -> None:
-        """Create a cleaner without refusals."""
+    def __init__(
+        self, key_of: Callable[[str], str], retention_s: float
+    ) -> None:
+        """Create a cleaner without rows; ``key_of`` a job id is the row's key."""
+        self._key_of = key_of
+        self._retention_s = retention_s
         self._versions_by_id: dict[str, int] = {}
         self._written_s_by_id: dict[str, float] = {}
 
+    @classmethod
+    def for_refusals(cls) -> Self:
+        """Create a cleaner of the rows of refused jobs."""
+        return cls(job_key, _REFUSAL_RETENTION_S)
+
+    @classmethod
+    def for_cancels(cls, retention_s: float) -> Self:
+        """Create a cleaner of the cancels of jobs that do not exist."""
+        return cls(cancel_key, retention_s)
+
     def add(self, job_id: str, version: int, now: float) -> None:
-        """Add the row of a refused job."""
+        """Add the row of a job."""
         self._versions_by_id[job_id] = version
         self._written_s_by_id[job_id] = now
 
     def drop(self, job_id: str) -> None:
-        """Drop a refusal whose row is gone or whose job was accepted later."""
+        """Drop a row that is gone, or that a job has replaced."""
         self._versions_by_id.pop(job_id, None)
         self._written_s_by_id.pop(job_id, None)
 
@@ -161,7 +190,7 @@
         """Return the writes that are due, at most one per partition."""
         by_partition: dict[str, list[str]] = {}
         for job_id, written_s in self._written_s_by_id.items():
-            if now - written_s > _REFUSAL_RETENTION_S:
+            if now - written_s > self._retention_s:
                 partition = job_key(job_id).rpartition('/')[0]
                 by_partition.setdefault(partition, []).append(job_id)
         return [
@@ -178,16 +207,16 @@
             self.drop(job_id)
 
     def conflicted(self, job_ids: list[str], rows: tuple[Row, ...]) -> None:
-        """Drop refusals whose rows have changed since they were read."""
+        """Drop rows that have changed since they were read."""
         versions_by_key = {row.key: row.version for row in rows}
         for job_id in job_ids:
-            found = versions_by_key.get(job_key(job_id))
-            # The feed may have dropped the refusal during the write.
+            found = versions_by_key.get(self._key_of(job_id))
+            # The feed may have dropped the row during the write.
             if found != self._versions_by_id.get(job_id):
                 self.drop(job_id)
 
     def _transaction(self, job_ids: list[str]) -> Transaction:
-        keys = tuple(job_key(job_id) for job_id in job_ids)
+        keys = tuple(map(self._key_of, job_ids))
         checks = tuple(
             Check(key, self._versions_by_id[job_id])
             for key, job_id in zip(keys, job_ids, strict=True)
--- a/src/apricotlead/protocol/errors.py
+++ b/src/apricotlead/protocol/errors.py
@@ -99,6 +99,13 @@
         )
 
 
+class JobWithdrawn(NoSuchJob):
+    """The job was cancelled before it was accepted."""
+
+    kind = 'withdrawn'
+    remedy = 'Submit the work under another id.'
+
+
 class TryLater(ApricotleadError):
     """The work was not run; the request may be retried later."""
 
--- a/src/apricotlead/transport/cell_job_store.py
+++ b/src/apricotlead/transport/cell_job_store.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from apricotlead.coordination.cell.job_rows import job_key
+from apricotlead.coordination.cell.job_rows import cancel_key, job_key
 from apricotlead.protocol.cell_jobs import StoredJob
 from apricotlead.protocol.decoding import DECODE_ERRORS
 from apricotlead.protocol.table import (
@@ -55,22 +55,51 @@
         stored: StoredJob,
         ends_s: float,
     ) -> Committed | CheckFailed | StoreFailed:
-        """Store the initial row of a job, replacing a refusal of it."""
+        """Store the initial row of a job, replacing a refusal of it.
+
+        A cancel of the job prevents it, also if the write takes effect late.
+        """
         key = job_key(job_id)
         puts = (Put(key, msgspec.to_builtins(stored)),)
-        transaction = Transaction('', key, (Check(key, 0),), puts)
+        no_cancel = Check(cancel_key(job_id), 0)
+        checks = (Check(key, 0), no_cancel)
+        transaction = Transaction('', key, checks, puts)
         answer = self._store.write(transaction, ends_s)
         try:
             refused = _refused_row(answer, key)
         except DECODE_ERRORS as error:
             return _unreadable(key, error)
-        if refused is not None:
-            check = Check(key, refused.version)
-            transaction = Transaction('', key, (check,), puts)
+        if refused is not None and not _has_cancel(answer, job_id):
+            checks = (Check(key, refused.version), no_cancel)
+            transaction = Transaction('', key, checks, puts)
             answer = self._store.write(transaction, ends_s)
         self.announce(transaction, answer)
         return answer
 
+    def cancel(
+        self, job_id: str, ends_s: float, tries: StoreTries
+    ) -> Committed | CheckFailed | StoreFailed:
+        """Store the cancel of a job, whether or not it exists.
+
+        A failed check means that it was stored before.
+        """
+        key = cancel_key(job_id)
+        transaction = Transaction('', key, (Check(key, 0),), (Put(key, 1),))
+        answer = self._store.write(transaction, ends_s, tries)
+        self.announce(transaction, answer)
+        return answer
+
+    def is_withdrawn(
+        self, job_id: str, answer: Committed | CheckFailed | StoreFailed
+    ) -> bool:
+        """Tell whether a write failed as the job was cancelled before it."""
+        if not (
+            isinstance(answer, CheckFailed) and _has_cancel(answer, job_id)
+        ):
+            return False
+        row = answer.row(job_key(job_id))
+        return not row.version or _refused_row(answer, row.key) is not None
+
     def announce(
         self,
         transaction: Transaction,
@@ -87,6 +116,10 @@
     return StoreFailed(None, reason=f'the row {key} is unreadable: {error}')
 
 
+def _has_cancel(answer: CheckFailed, job_id: str) -> bool:
+    return answer.row(cancel_key(job_id)).version > 0
+
+
 def _refused_row(
     answer: Committed | CheckFailed | StoreFailed,
     key: str,
--- a/src/apricotlead/transport/cell_request_handler.py
+++ b/src/apricotlead/transport/cell_request_handler.py
@@ -12,7 +12,6 @@
     check_submission,
 )
 from apricotlead.coordination.cell.admission import check_admission
-from apricotlead.coordination.cell.job_rows import cancel_key
 from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.coordination.cell.settings import DEFAULT_ROW_BYTES
 from apricotlead.protocol.cell_config import QueueConfig
@@ -26,6 +25,7 @@
 from apricotlead.protocol.cell_peers import SchedulerStatus
 from apricotlead.protocol.decoding import DECODE_ERRORS
 from apricotlead.protocol.errors import (
+    JobWithdrawn,
     KeyRefused,
     NoSuchJob,
     NotFound,
@@ -37,13 +37,10 @@
 )
 from apricotlead.protocol.outcomes import Done, MayHaveRun, NotRun, Outcome
 from apricotlead.protocol.table import (
-    Check,
     CheckFailed,
     Committed,
-    Put,
     Row,
     StoreFailed,
-    Transaction,
 )
 from apricotlead.state.cell_config_view import CellConfigView
 from apricotlead.transport.answer_log import (
@@ -286,23 +283,26 @@
     def _cancel(self, question: Question, tries: StoreTries) -> Outcome:
         job_id = question.job_id
         ends_s = boot_now() + question.wait_s - _ANSWER_MARGIN_S
-        job = self._read_job(job_id, ends_s, tries)
-        if not isinstance(job, StoredJob):
-            return job
-        if job.state.is_final:
+        job = self._jobs.read(job_id, ends_s, tries)
+        if isinstance(job, StoreFailed):
+            return _store_unreachable(job)
+        if job is not None and job.state.is_final:
             return Done()
-        key = cancel_key(job_id)
-        transaction = Transaction('', key, (Check(key, 0),), (Put(key, 1),))
-        answer = self._store.write(transaction, ends_s, tries)
-        self._jobs.announce(transaction, answer)
+        # A write of a job that does not exist may still be on its way, so its
+        # cancel is stored as well before it is confirmed.
+        answer = self._jobs.cancel(job_id, ends_s, tries)
         self._log(
             'cancel',
             job=job_id,
             queue=question.queue,
             outcome=_outcome_label(answer),
+            is_known=job is not None,
         )
         if isinstance(answer, StoreFailed):
             return _store_unreachable(answer)
+        if job is None:
+            self._metrics.count('cell_cancel_unknown')
+            return _no_such_job(job_id)
         return Done()
 
     def _view_age_s(self) -> float | None:
@@ -378,7 +378,7 @@
         if isinstance(job, StoreFailed):
             return _store_unreachable(job)
         if job is None:
-            return NotRun(NoSuchJob(f'There is no job {job_id}.'))
+            return _no_such_job(job_id)
         return job
 
     def _report_submission(
@@ -397,6 +397,9 @@
             took_s=round(took_s, 3),
             config_version=self.view.version if self.view else 0,
         )
+        if self._jobs.is_withdrawn(job_id, answer):
+            self._log('job refused', job=job_id, why='it was cancelled before')
+            return NotRun(JobWithdrawn(f'The job {job_id} was cancelled.'))
         if not isinstance(answer, StoreFailed):
             # A failed check means that the id was accepted before.
             return Done()
@@ -417,6 +420,10 @@
         )
 
 
+def _no_such_job(job_id: str) -> NotRun:
+    return NotRun(NoSuchJob(f'There is no job {job_id}.'))
+
+
 def _store_unreachable(failure: StoreFailed) -> NotRun:
     return NotRun(
         StoreUnreachable(f'The store does not answer: {failure.reason}.'),
--- a/src/apricotlead/transport/cell_row_upkeep.py
+++ b/src/apricotlead/transport/cell_row_upkeep.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from apricotlead.coordination.cell.job_intake import JobIntake
+from apricotlead.coordination.cell.job_rows import MarkCleaner
 from apricotlead.protocol.table import CheckFailed, Committed
 from apricotlead.transport.boot_clock import boot_now
 from apricotlead.transport.cell_links import CellLinks
@@ -12,7 +13,7 @@
 
 
 class RowUpkeep:
-    """Compacts and deletes the rows of final jobs and of refusals."""
+    """Compacts and deletes the rows of final jobs, refusals and cancels."""
 
     __slots__ = ('_jobs', '_store')
 
@@ -26,7 +27,9 @@
         while True:
             eventlet.sleep(_CLEANUP_INTERVAL_S)
             self._compact_final_rows()
-            self._delete_refusals()
+            self._delete_marks(self._jobs.refusals)
+            for job_id in self._delete_marks(self._jobs.lone_cancels):
+                self._jobs.rows.drop_cancel(job_id)
 
     def _compact_final_rows(self) -> None:
         rows = self._jobs.rows
@@ -38,12 +41,17 @@
             elif isinstance(answer, CheckFailed):
                 rows.conflicted(finals, answer.rows)
 
-    def _delete_refusals(self) -> None:
-        """Delete the rows of refusals that no late write can conflict with."""
-        refusals = self._jobs.refusals
-        for transaction, job_ids in refusals.due(boot_now()):
+    def _delete_marks(self, marks: MarkCleaner) -> list[str]:
+        """Delete rows that no late write can conflict with any more.
+
+        Returns the ids of their jobs.
+        """
+        deleted: list[str] = []
+        for transaction, job_ids in marks.due(boot_now()):
             answer = self._store.transact(transaction)
             if isinstance(answer, Committed):
-                refusals.written(job_ids)
+                marks.written(job_ids)
+                deleted.extend(job_ids)
             elif isinstance(answer, CheckFailed):
-                refusals.conflicted(job_ids, answer.rows)
+                marks.conflicted(job_ids, answer.rows)
+        return deleted
--- a/tests/test_cell_reported_faults.py
+++ b/tests/test_cell_reported_faults.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from apricotlead.coordination.cell.job_rows import RefusalCleaner, job_key
+from apricotlead.coordination.cell.job_rows import MarkCleaner, job_key
 from apricotlead.coordination.cell.progress_rows import PROGRESS_PREFIX
 from apricotlead.coordination.cell.settings import CellSettings
 from apricotlead.platform.configuration import ConfigError, decode_config
@@ -277,7 +277,7 @@
         self.assertEqual([], rig.scheduler.jobs.refusals.due(rig.now + 99))
 
     def test_rows_are_deleted_when_due(self) -> None:
-        refusals = RefusalCleaner()
+        refusals = MarkCleaner.for_refusals()
         refusals.add(JOB, 7, 100)
         self.assertEqual([], refusals.due(101))
         transaction, job_ids = refusals.due(130)[0]
@@ -287,7 +287,7 @@
         self.assertEqual([], refusals.due(130))
 
     def test_row_of_an_accepted_job_is_left_alone(self) -> None:
-        refusals = RefusalCleaner()
+        refusals = MarkCleaner.for_refusals()
         refusals.add(JOB, 7, 100)
         refusals.conflicted([JOB], (Row(job_key(JOB), 8),))
         self.assertEqual([], refusals.due(130))
--- a/tests/test_platform_odd_values.py
+++ b/tests/test_platform_odd_values.py
@@ -15,7 +15,7 @@
 from testtools import TestCase
 
 from apricotlead.coordination.cell.acceptance import check_submission
-from apricotlead.coordination.cell.job_rows import RefusalCleaner, job_key
+from apricotlead.coordination.cell.job_rows import MarkCleaner, job_key
 from apricotlead.platform.callers import CallerApplication, decode_submission
 from apricotlead.platform.configuration import ConfigError, decode_config
 from apricotlead.platform.workers import PlatformWorkers, decode_worker
@@ -462,7 +462,7 @@
 
     def test_refusal_that_the_feed_drops_during_the_write(self) -> None:
         """A KeyError ended the upkeep of rows, and with it the term."""
-        refusals = RefusalCleaner()
+        refusals = MarkCleaner.for_refusals()
         refusals.add(JOB, 7, 100)
         refusals.due(130)
         refusals.drop(JOB)
