--- a/src/apricotlead/coordination/cell/progress_rows.py
+++ b/src/apricotlead/coordination/cell/progress_rows.py
@@ -25,17 +25,18 @@
 _MS_PER_S = 1000.0
 # Of a smaller row, its size is not why the store refuses it.
 _MIN_DIVIDED_BYTES = 8192
+
 _encoder = msgspec.json.Encoder()
-# Further rows of a job by their number, and the main row under 0.
+# The rows of a job by their number; 0 is the main one.
 RowsByPart = dict[int, Row]
 
 
 class ProgressWrite(Struct):
     """One row of a job's progress, as it is to be written.
 
-    It holds ``task_count`` tasks. ``digest`` identifies its content, ``value_bytes`` is its size, and
-    ``planned`` are the runs that may begin once it is durable. With ``is_final``
-    it holds the final state of the job.
+    It holds ``task_count`` tasks in ``value_bytes``. ``digest`` identifies its
+    content, and ``planned`` are the runs that may begin once it is durable. With
+    ``is_final`` it holds the final state of the job.
     """
 
     job: JobRun
--- a/src/apricotlead/state/progress_parts.py
+++ b/src/apricotlead/state/progress_parts.py
@@ -79,8 +79,9 @@
     def in_write_order(self) -> list[ProgressPart]:
         """Return the parts, those that were not written for longest first.
 
-        A new part precedes the one that it was split from. A reader that finds
-        only the new one still finds all tasks, as a later number goes first.
+        So a new part precedes the one that it was split from. Until that is
+        written, too, its stored row still has the tasks of the new part, for
+        which the row with the higher number holds.
         """
         return sorted(self.parts, key=lambda part: (part.written, -part.number))
 
