--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -31,6 +31,8 @@
     Rows,
     StoreFailed,
 )
+from apricotlead.transport.cell_links import CellLinks
+from apricotlead.transport.cell_metrics import CellMetrics
 
 
 class FakeStore:
@@ -207,3 +209,16 @@
     def close_connections(self):
         """Record that the connections were closed."""
         self.is_connected = False
+
+
+def unlogged_links(store):
+    """Return the links of a term that calls only ``store``."""
+    return CellLinks(
+        store,
+        UncalledWorkers(),
+        '',
+        lambda row: None,
+        lambda address, question: None,
+        lambda kind, **fields: None,
+        CellMetrics(),
+    )
--- a/tests/test_cell_refused_writes.py
+++ b/tests/test_cell_refused_writes.py
@@ -29,11 +29,10 @@
 )
 from apricotlead.state.worker_speed import WorkerSpeed
 from apricotlead.transport.cell_journal_writer import JournalWriter
-from apricotlead.transport.cell_links import CellLinks, TermState
-from apricotlead.transport.cell_metrics import CellMetrics
+from apricotlead.transport.cell_links import TermState
 from apricotlead.transport.http_pool import Answered
 from tests.cell_rig import CellRig, ModelWorker, stored_job
-from tests.fakes import UncalledWorkers
+from tests.fakes import unlogged_links
 from tests.virtual_clock import VirtualHub, virtual_clock
 from tests.virtual_store import VirtualInstance, VirtualPeers, VirtualStore
 
@@ -121,15 +120,7 @@
     def begin(self) -> None:
         """Let a term begin that writes through the store."""
         self.state = TermState(self.rig.scheduler, lambda kind, **fields: None)
-        links = CellLinks(
-            self.store,
-            UncalledWorkers(),
-            '',
-            lambda row: None,
-            lambda address, question: None,
-            lambda kind, **fields: None,
-            CellMetrics(),
-        )
+        links = unlogged_links(self.store)
         self.journal = JournalWriter(
             links, self.state, ElectionTimes(), takeover_s=_ANSWER_S
         )
--- a/tests/test_cell_withdrawn_jobs.py
+++ b/tests/test_cell_withdrawn_jobs.py
@@ -32,11 +32,9 @@
     StoreFailed,
     Transaction,
 )
-from apricotlead.transport.cell_links import CellLinks
-from apricotlead.transport.cell_metrics import CellMetrics
 from apricotlead.transport.cell_row_upkeep import RowUpkeep
 from tests.cell_rig import CellRig, ModelWorker, cell_config, stored_job
-from tests.fakes import UncalledWorkers
+from tests.fakes import unlogged_links
 from tests.virtual_clock import virtual_clock
 from tests.virtual_store import VirtualInstance
 
@@ -358,15 +356,7 @@
         self.rig = CellRig(ModelWorker('w1'))
         self.store = LateStore()
         self.jobs = self.rig.scheduler.jobs
-        links = CellLinks(
-            self.store,
-            UncalledWorkers(),
-            '',
-            lambda row: None,
-            lambda address, question: None,
-            lambda kind, **fields: None,
-            CellMetrics(),
-        )
+        links = unlogged_links(self.store)
         upkeep = eventlet.spawn(RowUpkeep(links, self.jobs).run)
         self.addCleanup(upkeep.kill)
 
