Soak cancels of jobs whose submission is under way

Change: the store of the process tests performs writes of jobs up to 6 s late and refuses rows over 65,536 bytes; TestCancelSoak kills instances that have just sent such a write, and cancels the job at another one, beside all other faults.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -14,6 +14,7 @@
 
 WORKER_CPU_MILLIS = 4000
 _UNRESPONSIVE_S = 2
+_ROW_BYTES = 65536
 _WRITES = frozenset(('/api/rows-tx', '/api/run-start', '/api/run-stop'))
 
 
@@ -66,6 +67,16 @@
             time.sleep(_UNRESPONSIVE_S)
             self.close_connection = True
             return
+        late_s = self.server.model.take_delay_s(path, body)
+        if late_s:
+            # The call has its effect late, and gets no answer.
+            late = threading.Timer(
+                late_s, self.server.model.answer, (path, body)
+            )
+            late.daemon = True
+            late.start()
+            self.close_connection = True
+            return
         status, answer = self.server.model.answer(path, body)
         if self.server.model.loses_answers and path in _WRITES:
             self.close_connection = True
@@ -96,6 +107,10 @@
             daemon=True,
         ).start()
 
+    def take_delay_s(self, path, body):
+        """Return by how much a call is late, 0 for one that is not."""
+        return 0
+
     def close(self):
         """Stop serving."""
         self._server.shutdown()
@@ -111,8 +126,17 @@
         self.version = 0
         self.is_down = False
         self.delay_s = 0
+        # Seconds by which the next writes of jobs are late.
+        self.job_delays_s = []
         super().__init__()
 
+    def take_delay_s(self, path, body):
+        """Return by how much a write of a job is late."""
+        is_job = path == '/api/rows-tx' and any(
+            written['Table'] == 'jobs' for written in body['Writes']
+        )
+        return self.job_delays_s.pop() if is_job and self.job_delays_s else 0
+
     def put(self, table, key, value, part=''):
         """Write a row as an operator or a worker does."""
         encoded = b64encode(json.dumps(value).encode()).decode()
@@ -139,6 +163,9 @@
             return 200, self._read(body)
 
     def _transact(self, body):
+        values = [b64decode(written['Value']) for written in body['Writes']]
+        if any(len(value) > _ROW_BYTES for value in values):
+            return 413, {}
         for expected in body['Expect']:
             if self._row_body(_row_name(expected))['Ver'] != expected['Ver']:
                 names = [_row_name(each) for each in body['Expect']]
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -7,6 +7,7 @@
 import os
 import random
 import signal
+import threading
 import time
 
 import urllib3
@@ -24,25 +25,31 @@
 LONGEST_FAULT_S = 4
 FIRST_ID = 4096
 ATTEMPTS = 4
+CANCEL_SEEDS = os.environ.get('APRICOTLEAD_SOAK_SEEDS', '2')
+# Of the writes of jobs, and by how many seconds they are late at most.
+LATE_SHARE = 0.8
+# Of the instances that take a job.
+KILLED_SHARE = 0.5
+LATEST_WRITE_S = 6
+# The platform's bound of a start after a confirmed cancel.
+CANCEL_BOUND_S = 3
 
 
-class TestSoak(CellProcesses):
-    """Sequential and overlapping faults; callers retry unknown outcomes."""
+class SeededRandom(random.Random):
+    """A random number generator that knows its seed."""
 
-    def test_seeds(self):
-        """Each accepted job completes, and each refused one never ran."""
-        for seed in SEEDS.split(','):
-            self.soak(int(seed))
+    def __init__(self, seed):
+        self.seed_number = seed
+        super().__init__(seed)
 
-    def soak(self, seed):
-        """Inject faults while callers submit; check the answers they got."""
-        # Jobs with a missing answer, which may or may not run.
-        self.unknown = set()
-        rng = random.Random(seed)
-        accepted = []
-        refused = []
+
+class SoakCase(CellProcesses):
+    """Sequential and overlapping faults of processes, store and workers."""
+
+    def run_beside_faults(self, rng, call):
+        """Inject faults while ``call`` is called with successive paths."""
         active_faults = []
-        number = FIRST_ID * seed
+        number = FIRST_ID * rng.seed_number
         ends_s = time.monotonic() + SOAK_S
         while time.monotonic() < ends_s:
             if rng.random() < 0.3 and len(active_faults) < 3:
@@ -50,15 +57,12 @@
             active_faults = [
                 each for each in active_faults if not self.undo_if_due(each)
             ]
-            path = path_of(number)
+            call(path_of(number), rng)
             number += 1
-            (accepted if self.submit_one(path, rng) else refused).append(path)
             time.sleep(rng.uniform(0.05, 0.3))
         for _, undo in active_faults:
             undo()
         wait_until(lambda: all(each.is_ready() for each in self.instances))
-        self.check_completed_once(accepted)
-        self.check_refused(refused)
 
     def submit_one(self, path, rng):
         """Submit until the answer is known; return whether it was accepted."""
@@ -148,6 +152,29 @@
         instance.process.send_signal(signal_number)
         return self.start_instance
 
+
+class TestSoak(SoakCase):
+    """Callers retry unknown outcomes."""
+
+    def test_seeds(self):
+        """Each accepted job completes, and each refused one never ran."""
+        for seed in SEEDS.split(','):
+            self.soak(int(seed))
+
+    def soak(self, seed):
+        """Inject faults while callers submit; check the answers they got."""
+        # Jobs with a missing answer, which may or may not run.
+        self.unknown = set()
+        accepted = []
+        refused = []
+
+        def submit(path, rng):
+            (accepted if self.submit_one(path, rng) else refused).append(path)
+
+        self.run_beside_faults(SeededRandom(seed), submit)
+        self.check_completed_once(accepted)
+        self.check_refused(refused)
+
     def check_refused(self, paths):
         """Check that no task of a job with only refusals ever ran."""
         refused_tasks = tasks_of(set(paths) - self.unknown)
@@ -156,6 +183,65 @@
         )
 
 
+class TestCancelSoak(SoakCase):
+    """Callers cancel jobs whose submission may still be under way."""
+
+    def test_seeds(self):
+        """Guards against a start after a confirmed cancel (UNASKED)."""
+        for seed in CANCEL_SEEDS.split(','):
+            self.soak(int(seed))
+
+    def soak(self, seed):
+        """Inject faults while callers submit and cancel."""
+        self.unknown = set()
+        self.confirmed_s_by_path = {}
+        self.run_beside_faults(SeededRandom(seed), self.submit_and_cancel)
+        time.sleep(LATEST_WRITE_S + CANCEL_BOUND_S)
+        for path, confirmed_s in self.confirmed_s_by_path.items():
+            self.check_cancelled(path, confirmed_s)
+
+    def submit_and_cancel(self, path, rng):
+        """Submit a job, and cancel it without waiting for the answer.
+
+        Some of the instances that take a job are killed before they can repeat
+        its late write.
+        """
+        if rng.random() < LATE_SHARE:
+            self.store.job_delays_s = [rng.uniform(0, LATEST_WRITE_S)]
+        taker, other = rng.sample(self.instances, 2)
+        submitting = threading.Thread(target=self.call, args=(taker, path))
+        submitting.start()
+        time.sleep(rng.uniform(0, 0.1))
+        is_killed = len(self.instances) > 2 and rng.random() < KILLED_SHARE
+        if is_killed:
+            self.instances.remove(taker)
+            taker.process.send_signal(signal.SIGKILL)
+        self.store.job_delays_s = []
+        if self.call(other, path, 'DELETE') in {200, 410}:
+            self.confirmed_s_by_path[path] = time.monotonic()
+        submitting.join()
+        if is_killed:
+            self.start_instance()
+
+    def call(self, instance, path, method='POST'):
+        """Send a request once; return its status, 0 without an answer."""
+        try:
+            return instance.call(method, path, BODY).status
+        except urllib3.exceptions.HTTPError:
+            return 0
+
+    def check_cancelled(self, path, confirmed_s):
+        """Check that no task of a job began later than the platform allows."""
+        tasks = tasks_of([path])
+        late = [
+            (run.task, run.started_s - confirmed_s)
+            for run in self.runs()
+            if run.task in tasks
+            and run.started_s > confirmed_s + CANCEL_BOUND_S
+        ]
+        self.assertEqual([], late)
+
+
 def _enable_fault(model, name):
     """Enable a fault of a model; return a function that disables it."""
     setattr(model, name, True)
