Free runs with a late start once nothing listens at their worker (LOST)

What callers would have seen: work that waits beside idle workers for up to 6.7 s after the end of the traffic, where workers are lost for good while starts have no answers.

Cause: keeps a run with an unanswered start for 22.4 s after it, also where its worker does not exist any more.

Why this works: such a start can begin a run until 12 s after its sending. If a call that is sent later than that finds that nothing listens at the worker's address, no process is there that has begun it, and none can begin it any more. Refusals before that count for nothing, and a refusal counts from its sending: test_worker_that_is_down_for_a_while and test_refusal_that_is_handled_late fail without either.

--- a/src/apricotlead/coordination/cell/worker_watch.py
+++ b/src/apricotlead/coordination/cell/worker_watch.py
@@ -246,11 +246,13 @@
         reply: OrderReply,
         now: float,
         order: HoldOrder | None = None,
+        sent_s: float | None = None,
     ) -> None:
         """Handle a hold that was refused or got no answer.
 
-        ``order`` is the hold, by default the latest one. The failure of a hold
-        of a former incarnation says nothing about the present one.
+        ``order`` is the hold, by default the latest one, which was sent at
+        ``sent_s``, by default now. The failure of a hold of a former
+        incarnation says nothing about the present one.
         """
         worker = self._tracker.workers_by_id.get(worker_id)
         if worker is None or _is_for_former(worker, order):
@@ -271,10 +273,16 @@
         elif reply.refusal is Refusal.UNANSWERED:
             worker.unanswered_s = now
         elif reply.refusal is Refusal.NO_LISTENER:
-            if not worker.is_suspected:
-                self._crashes.worker_down(worker)
-            # Until it answers again, nothing is sent there.
-            worker.suspected_s = now
+            self._note_no_listener(worker, sent_s, now)
+
+    def _note_no_listener(
+        self, worker: WorkerState, sent_s: float | None, now: float
+    ) -> None:
+        worker.refused_s = now if sent_s is None else sent_s
+        if not worker.is_suspected:
+            self._crashes.worker_down(worker)
+        # Until it answers again, nothing is sent there.
+        worker.suspected_s = now
 
     def tick(self, now: float) -> None:
         """Free runs of expired leases, and stop runs on draining workers."""
--- a/src/apricotlead/state/cell_workers.py
+++ b/src/apricotlead/state/cell_workers.py
@@ -45,6 +45,7 @@
         'may_grant_lease',
         'not_before_s',
         'placed_count',
+        'refused_s',
         'reported_through',
         'runs_to_stop',
         'speed',
@@ -91,6 +92,8 @@
         # When the latest order timed out; the worker is suspected to be
         # unreachable until it answers any later call.
         self.suspected_s = float('-inf')
+        # When the latest call was sent for which nothing listened.
+        self.refused_s = float('-inf')
         # When the latest call timed out; reset by an answer that follows.
         self.unanswered_s = float('-inf')
         # (task name, run) of the runs that ended with the lease while nothing
@@ -230,12 +233,16 @@
 
         A start without an answer may begin the run seconds later, also in an
         incarnation that has not been seen yet, and also if a repeated start
-        was answered by this one.
+        was answered by this one. If nothing listens at the worker's address
+        once such a start cannot come any more, nothing has begun by it that
+        still runs.
         """
         until_s = self._lease_until_s(task)
         if task.unanswered_start_s is None:
             return until_s
         times = self.lease.times
+        if self.refused_s >= times.late_start_until_s(task.unanswered_start_s):
+            return until_s
         return max(until_s, times.late_run_until_s(task.unanswered_start_s))
 
     def note_lapsed_run(self, task: TaskState) -> None:
--- a/src/apricotlead/state/worker_lease.py
+++ b/src/apricotlead/state/worker_lease.py
@@ -57,12 +57,16 @@
         """
         return self.delivery_s + self.longest_run_s
 
-    def late_run_until_s(self, sent_s: float) -> float:
-        """Return when a run has ended whose start got no answer.
+    def late_start_until_s(self, sent_s: float) -> float:
+        """Return until when a worker may carry out a start without an answer.
 
-        The worker may carry the start out late, in any of its lives.
+        It may do so in any of its lives.
         """
-        return sent_s + self.late_call_s + self.longest_run_s
+        return sent_s + self.late_call_s
+
+    def late_run_until_s(self, sent_s: float) -> float:
+        """Return when a run has ended whose start got no answer."""
+        return self.late_start_until_s(sent_s) + self.longest_run_s
 
     def max_lease_s(self, longest_hold_s: float) -> float:
         """Return the longest lease that a worker accepts unshortened.
--- a/src/apricotlead/transport/cell_holds.py
+++ b/src/apricotlead/transport/cell_holds.py
@@ -113,7 +113,7 @@
                     worker_id, answer, now, order
                 )
             else:
-                self._handle_hold_failure(worker_id, order, answer, now)
+                self._handle_hold_failure(worker_id, order, answer, sent_s)
                 eventlet.sleep(
                     self._retry_pause_s(answer, consecutive_failures)
                 )
@@ -212,7 +212,7 @@
         worker_id: str,
         order: HoldOrder,
         reply: OrderReply,
-        now: float,
+        sent_s: float,
     ) -> None:
         if worker_id not in self._lost_worker_ids:
             self._lost_worker_ids.add(worker_id)
@@ -227,6 +227,6 @@
         if is_fenced and workers.is_current_fence(worker_id, order.epoch):
             self._state.end(LATER_EPOCH)
             return
-        workers.hold_refused(worker_id, reply, now, order)
+        workers.hold_refused(worker_id, reply, boot_now(), order, sent_s)
         if reply.refusal is Refusal.OTHER_LIFE:
             self._state.changed.set()
--- a/tests/test_cell_late_starts.py
+++ b/tests/test_cell_late_starts.py
@@ -184,6 +184,53 @@
         self.assert_starts_after(sent_s + _TIMES.late_call_s)
         self.assertLessEqual(self.rig.now, _TIMES.late_run_until_s(sent_s) + 1)
 
+    def refuse_until(self, ends_s: float) -> None:
+        """Let the worker's address refuse connections."""
+        workers = self.rig.scheduler.workers
+        while self.rig.now < ends_s:
+            self.rig.pass_time(0.5)
+            workers.hold_refused(
+                'w1', OrderReply(Refusal.NO_LISTENER), self.rig.now
+            )
+
+    def test_worker_that_crashed_for_good(self) -> None:
+        """Guards against a wait for a start that nothing can take (LOST)."""
+        sent_s = self.rig.now
+        self.start_twice()
+        self.rig.pass_time(1)
+        self.worker.is_reachable = False
+        late_s = _TIMES.late_start_until_s(sent_s)
+        self.refuse_until(late_s)
+        self.assert_starts_after(late_s)
+        self.assertLess(self.rig.now, late_s + 2)
+
+    def test_worker_that_is_down_for_a_while(self) -> None:
+        """Guards against a refusal that is older than the late start (TWICE)."""
+        sent_s = self.rig.now
+        order = self.start_twice()
+        self.rig.pass_time(1)
+        self.worker.is_reachable = False
+        self.refuse_until(sent_s + _LATE_S - 1)
+        self.cut_off_new_life()
+        self.start_late(order, sent_s)
+        self.assert_starts_after(self.worker.lease_end_s())
+
+    def test_refusal_that_is_handled_late(self) -> None:
+        """Guards against the same where the scheduler was suspended (TWICE)."""
+        sent_s = self.rig.now
+        order = self.start_twice()
+        self.rig.pass_time(1)
+        self.cut_off_new_life()
+        self.start_late(order, sent_s)
+        self.rig.pass_time(sent_s + _TIMES.late_call_s + 1 - self.rig.now)
+        self.rig.scheduler.workers.hold_refused(
+            'w1',
+            OrderReply(Refusal.NO_LISTENER),
+            self.rig.now,
+            sent_s=sent_s + 2,
+        )
+        self.assert_starts_after(self.worker.lease_end_s())
+
     def test_next_run_of_the_task(self) -> None:
         """Guards against a late start that delays the task's next run (LOST)."""
         self.start_twice()
