--- a/tests/test_cell_progress_grown.py
+++ b/tests/test_cell_progress_grown.py
@@ -23,6 +23,9 @@
 _SEEDS = (7, 1, 2, 3, 6)
 # Gang members that a lost worker had refused were kept until its lease ended.
 _REFUSED_MEMBERS_SEEDS = (4,)
+# Runs whose starts had no answers were kept on workers that did not exist any
+# more.
+_LATE_START_SEEDS = (1002, 1085)
 
 DIAGNOSES = JobKind(
     'diagnoses',
@@ -159,6 +162,11 @@
         for seed in _SEEDS:
             self.assert_progress(seed)
 
+    def test_lost_workers_with_unanswered_starts(self) -> None:
+        """Guards against a wait for starts that nothing can take (LOST)."""
+        for seed in _LATE_START_SEEDS:
+            self.assert_progress(seed)
+
     def test_workers_that_restart_and_are_lost(self) -> None:
         """Guards against keeping starts that never reached such a worker."""
         for seed in _REFUSED_MEMBERS_SEEDS:
